Start the workspace with the design and the core types

The core crate holds the clock, keys, outcomes and the messages between entry and control instances.

--- /dev/null
+++ b/crates/burdockcleat/src/lib.rs
@@ -0,0 +1,1 @@
+//! Library.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,10 @@
+//! Scheduling, replication and configuration logic of burdockcleat.
+//!
+//! Everything here is a function of state and message: there is no socket, thread or random
+//! source inside, and time is passed in. The daemons, the specification search and the
+//! differential tests run the same code.
+
+pub mod clock;
+pub mod keys;
+pub mod message;
+pub mod outcome;
--- /dev/null
+++ b/crates/testbed/src/lib.rs
@@ -0,0 +1,1 @@
+//! Testbed.
