Add links between processes over capnp-rpc

All links of a process run on one thread with a local executor; batches of frames are delivered with one batch in flight. A peer with another protocol version or a wrong secret is refused, a hanging one is disconnected after 2 s.

--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,1 +1,6 @@
-//! Library.
+//! The library behind the daemons and the command line of burdockcleat.
+
+pub mod link;
+#[allow(missing_docs, unused_qualifications, clippy::all, clippy::pedantic, clippy::unseparated_literal_suffix)]
+#[rustfmt::skip]
+mod link_capnp;
