--- /dev/null
+++ b/crates/core/src/document/delta.rs
@@ -0,0 +1,149 @@
+//! Deltas between two versions of a document, for the push to entries.
+
+use super::ConfigDocument;
+use super::item::{ItemMap, LIMITS, NamedTable, RULE_ORDER, SALT, visit_items};
+use super::tables::{DocumentTables, RouteRule};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The items that differ between two documents.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DocumentDelta {
+    /// Digest of the items that the delta applies to.
+    pub base: u64,
+    /// Digest of the items after the delta.
+    pub result: u64,
+    /// Paths of removed items.
+    pub removed: Vec<String>,
+    /// Path and text of added and changed items.
+    pub changed: Vec<(String, String)>,
+}
+
+/// Why a delta cannot be applied. The receiver must ask for the whole document.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum DeltaError {
+    /// The delta was made for another document.
+    #[error("the delta is for the document {expected:016x}, not for {found:016x}")]
+    OtherBase {
+        /// Digest that the delta expects.
+        expected: u64,
+        /// Digest of the document.
+        found: u64,
+    },
+    /// An item of the delta cannot be read.
+    #[error("the delta has an unreadable item {path}")]
+    BadItem {
+        /// Path of the item.
+        path: String,
+    },
+    /// The items after the delta are not those that the sender has.
+    #[error("the result is the document {found:016x}, not {expected:016x}")]
+    OtherResult {
+        /// Digest that the sender computed.
+        expected: u64,
+        /// Digest of the result.
+        found: u64,
+    },
+}
+
+impl DocumentDelta {
+    /// The delta that leads from `old` to `new`.
+    pub fn between(old: &ConfigDocument, new: &ConfigDocument) -> Self {
+        Self::since(&old.items(), new)
+    }
+
+    /// The delta that leads from the document with these items to `new`.
+    pub fn since(old: &ItemMap, new: &ConfigDocument) -> Self {
+        let mut missing: BTreeSet<&str> = old.paths().collect();
+        let mut changed = Vec::new();
+        visit_items(new.tables(), |path, text| {
+            missing.remove(path.as_str());
+            if old.get(&path) != Some(xxh3_64(text.as_bytes())) {
+                changed.push((path, text));
+            }
+        });
+        let removed = missing.into_iter().map(str::to_owned).collect();
+        Self { base: old.digest(), result: new.items().digest(), removed, changed }
+    }
+
+    /// Applies the delta to the document that it was made for.
+    ///
+    /// The result is not validated again: its digest proves that it equals the sender's document.
+    ///
+    /// # Errors
+    /// Fails if the document is another one or the delta is damaged.
+    pub fn apply(&self, document: &ConfigDocument) -> Result<ConfigDocument, DeltaError> {
+        let found = document.items().digest();
+        if found != self.base {
+            return Err(DeltaError::OtherBase { expected: self.base, found });
+        }
+        let result = ConfigDocument::index(self.patch(document.tables())?);
+        let found = result.items().digest();
+        if found != self.result {
+            return Err(DeltaError::OtherResult { expected: self.result, found });
+        }
+        Ok(result)
+    }
+
+    fn patch(&self, tables: &DocumentTables) -> Result<DocumentTables, DeltaError> {
+        let changed: BTreeMap<&str, &str> =
+            self.changed.iter().map(|(path, text)| (path.as_str(), text.as_str())).collect();
+        Ok(DocumentTables {
+            credential_salt: read_or(&changed, SALT, &tables.credential_salt)?,
+            tiers: self.patch_list(&tables.tiers, &changed)?,
+            workspaces: self.patch_list(&tables.workspaces, &changed)?,
+            pools: self.patch_list(&tables.pools, &changed)?,
+            rules: arrange(self.patch_list(&tables.rules, &changed)?, &changed)?,
+            limits: read_or(&changed, LIMITS, &tables.limits)?,
+        })
+    }
+
+    fn patch_list<T: NamedTable>(
+        &self,
+        list: &[T],
+        changed: &BTreeMap<&str, &str>,
+    ) -> Result<Vec<T>, DeltaError> {
+        let removed: BTreeSet<&str> = self.removed.iter().map(String::as_str).collect();
+        let replaced = |path: &str| removed.contains(path) || changed.contains_key(path);
+        let mut items: Vec<T> =
+            list.iter().filter(|item| !replaced(&item.path())).cloned().collect();
+        for (path, text) in changed {
+            let section = path.split_once('.').map(|(section, _)| section);
+            if section == Some(T::SECTION) {
+                items.push(read_item(path, text)?);
+            }
+        }
+        Ok(items)
+    }
+}
+
+/// Brings the rules into the order that the delta states, if it states one.
+fn arrange(
+    rules: Vec<RouteRule>,
+    changed: &BTreeMap<&str, &str>,
+) -> Result<Vec<RouteRule>, DeltaError> {
+    let kept = rules.iter().map(|rule| rule.name.clone()).collect();
+    let order: Vec<String> = read_or(changed, RULE_ORDER, &kept)?;
+    let mut by_name: BTreeMap<String, RouteRule> =
+        rules.into_iter().map(|rule| (rule.name.clone(), rule)).collect();
+    order
+        .iter()
+        .map(|name| by_name.remove(name))
+        .collect::<Option<_>>()
+        .ok_or_else(|| DeltaError::BadItem { path: RULE_ORDER.to_owned() })
+}
+
+fn read_or<T: DeserializeOwned + Clone>(
+    changed: &BTreeMap<&str, &str>,
+    path: &str,
+    current: &T,
+) -> Result<T, DeltaError> {
+    changed.get(path).map_or_else(|| Ok(current.clone()), |text| read_item(path, text))
+}
+
+fn read_item<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, DeltaError> {
+    serde_json::from_str(text).map_err(|_| DeltaError::BadItem { path: path.to_owned() })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! differential tests run the same code.
 
 pub mod clock;
+pub mod document;
 pub mod keys;
 pub mod message;
 pub mod outcome;
