Add the replicated state machine

Control replicas need one deterministic place for configuration, claims, orders to engines and suspected requests. `ReplicatedState::apply` takes the log index and a stamped command and returns a typed reply; its time is the largest leader time applied so far.

The claim table holds a claim in a 64-byte arena row and a 4-byte index place. The arena grows by chunks and the index by 256 shards, so that growth does not copy or rehash the whole table in one command. Retention queues are linked through the rows.

The claim limit is a query for the leader's admission only: `apply` does not depend on it, so replicas that learn of a new limit at different times stay equal.

--- /dev/null
+++ b/crates/core/src/state.rs
@@ -0,0 +1,284 @@
+//! Replicated state machine: configuration, claims, orders to engines and suspected requests.
+//!
+//! Every replica applies the same commands in the order of the log and reaches the same state.
+//! The machine reads no clock and draws no random numbers; its time is the largest leader time
+//! applied so far.
+
+mod claim;
+mod claims;
+mod command;
+mod config;
+mod image;
+mod index;
+mod intern;
+mod operations;
+mod orders;
+mod retention;
+mod row;
+mod suspects;
+
+pub use claim::{
+    ClaimPhase, ClaimRecord, ClaimRules, DEFAULT_CLAIM_LIMIT, EXPIRE_BATCH,
+    IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS, OWNERLESS_MARGIN_MS,
+};
+pub use command::{
+    ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply, ExpireReply, OrderDoneReply,
+    StampedCommand, StateCommand,
+};
+pub use config::{ConfigView, VERSIONS_KEPT, VersionRecord};
+pub use image::SnapshotError;
+pub use operations::OPERATIONS_KEPT;
+pub use orders::{ENDED_ORDERS_KEPT, EngineOrder, OrderAction, OrderId, OrderRecord, OrderResult};
+pub use suspects::{MARK_RETENTION_MS, SuspectRecord};
+
+use crate::clock::ClockTime;
+use crate::keys::{NodeId, RequestFingerprint, RequestKey, TargetIdentity};
+use claims::ClaimTable;
+use config::ConfigHistory;
+use operations::{OperationLog, OperationResult};
+use orders::OrderTable;
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+use suspects::SuspectTable;
+
+/// Counts and versions for the dump.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateSummary {
+    /// Log index of the last applied command.
+    pub applied: u64,
+    /// Time of the machine.
+    pub now: ClockTime,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Claims in the table, open and ended.
+    pub claims: usize,
+    /// Open claims.
+    pub claims_open: usize,
+    /// Open claims whose owner is gone.
+    pub claims_ownerless: usize,
+    /// Limit of the table without the reserve.
+    pub claim_limit: usize,
+    /// Bytes of the claim table.
+    pub claim_bytes: usize,
+    /// Orders without a result.
+    pub orders_open: usize,
+    /// Operation ids whose results are kept.
+    pub operations: usize,
+    /// Suspicion marks.
+    pub marks: Vec<SuspectRecord>,
+    /// Quarantined fingerprints.
+    pub quarantines: usize,
+}
+
+/// The state that all control replicas hold.
+#[derive(Clone, Debug)]
+pub struct ReplicatedState {
+    applied: u64,
+    now: ClockTime,
+    claim_limit: usize,
+    config: ConfigHistory,
+    operations: OperationLog,
+    claims: ClaimTable,
+    orders: OrderTable,
+    suspects: SuspectTable,
+}
+
+impl Default for ReplicatedState {
+    fn default() -> Self {
+        Self::open()
+    }
+}
+
+impl ReplicatedState {
+    /// The state before the first command.
+    pub fn open() -> Self {
+        Self::with_rules(ClaimRules::default())
+    }
+
+    /// A state with some rules of the claim table turned off, for the specification's tests.
+    pub fn with_rules(rules: ClaimRules) -> Self {
+        Self {
+            applied: 0,
+            now: ClockTime::default(),
+            claim_limit: DEFAULT_CLAIM_LIMIT,
+            config: ConfigHistory::default(),
+            operations: OperationLog::default(),
+            claims: ClaimTable::new(rules),
+            orders: OrderTable::default(),
+            suspects: SuspectTable::default(),
+        }
+    }
+
+    /// Applies the command at a log index. Indexes must ascend.
+    pub fn apply(&mut self, index: u64, command: &StampedCommand) -> CommandReply {
+        debug_assert!(index > self.applied, "log index {index} after {}", self.applied);
+        self.applied = index;
+        self.now = self.now.max(command.at);
+        match &command.command {
+            StateCommand::Barrier => CommandReply::Done,
+            StateCommand::ApplyDocument { base_version, operation_id, author, document } => {
+                self.apply_document(*base_version, operation_id, author, document)
+            }
+            StateCommand::Claim(request) => CommandReply::Claim(self.claims.claim(index, request)),
+            StateCommand::Release { key, claim } => {
+                CommandReply::Close(self.claims.release(*key, *claim))
+            }
+            StateCommand::Finish { key, claim, outcome, reason } => {
+                let reply = self.claims.finish(self.now, *key, *claim, *outcome, *reason);
+                CommandReply::Close(reply)
+            }
+            StateCommand::OwnerLost { entry } => {
+                CommandReply::OwnerLost(self.claims.lose_owner(*entry))
+            }
+            StateCommand::ExpireClaims => {
+                self.suspects.expire(self.now);
+                CommandReply::Expired(self.claims.expire(self.now))
+            }
+            StateCommand::SuspectMark { fingerprint, target, at } => {
+                self.suspects.mark(*fingerprint, target, *at);
+                CommandReply::Done
+            }
+            StateCommand::SuspectClear { fingerprint } => {
+                self.suspects.clear(*fingerprint);
+                CommandReply::Done
+            }
+            StateCommand::Quarantine { fingerprint, until } => {
+                self.suspects.quarantine(*fingerprint, *until);
+                CommandReply::Done
+            }
+            StateCommand::IssueOrder { order, operation_id } => {
+                self.issue_order(index, order, operation_id)
+            }
+            StateCommand::OrderDone { id, result } => {
+                CommandReply::OrderDone(self.orders.finish(*id, result))
+            }
+        }
+    }
+
+    fn apply_document(
+        &mut self,
+        base_version: u64,
+        operation_id: &str,
+        author: &str,
+        document: &Arc<str>,
+    ) -> CommandReply {
+        if let Some(reply) = self.operations.document(operation_id) {
+            return CommandReply::Document(reply);
+        }
+        let reply = self.config.apply(base_version, self.now, author, operation_id, document);
+        self.operations.record(operation_id, OperationResult::Document(reply));
+        CommandReply::Document(reply)
+    }
+
+    fn issue_order(&mut self, index: u64, order: &EngineOrder, operation_id: &str) -> CommandReply {
+        if let Some(id) = self.operations.order(operation_id) {
+            return CommandReply::OrderIssued(id);
+        }
+        let id = self.orders.issue(index, order);
+        self.operations.record(operation_id, OperationResult::Order(id));
+        CommandReply::OrderIssued(id)
+    }
+
+    /// Log index of the last applied command.
+    pub fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Time of the machine: the largest leader time applied so far.
+    pub fn now(&self) -> ClockTime {
+        self.now
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> ConfigView {
+        self.config.view()
+    }
+
+    /// The kept versions, the newest first.
+    pub fn history(&self) -> Vec<VersionRecord> {
+        self.config.records().rev().cloned().collect()
+    }
+
+    /// Document text of a kept version.
+    pub fn document(&self, version: u64) -> Option<Arc<str>> {
+        self.config.document(version)
+    }
+
+    /// The claim of a key, open or within its retention.
+    pub fn claim(&self, key: RequestKey) -> Option<ClaimRecord> {
+        self.claims.find(key)
+    }
+
+    /// All open claims, in ascending order of their numbers.
+    pub fn open_claims(&self) -> impl Iterator<Item = ClaimRecord> + '_ {
+        self.claims.open_records()
+    }
+
+    /// Open claims of an entry run, ownerless ones included, in ascending order.
+    pub fn open_claims_of(&self, entry: NodeId) -> impl Iterator<Item = ClaimRecord> + '_ {
+        self.claims.records_of(entry)
+    }
+
+    /// Open claims at a target run, in ascending order.
+    pub fn open_claims_at(
+        &self,
+        target: &TargetIdentity,
+    ) -> impl Iterator<Item = ClaimRecord> + '_ {
+        self.claims.records_at(target)
+    }
+
+    /// Sets the limit of the claim table.
+    ///
+    /// The limit decides only what the leader admits, never what `apply` does, so replicas that
+    /// learn of a new limit at different times stay equal.
+    pub fn set_claim_limit(&mut self, limit: usize) {
+        self.claim_limit = limit;
+    }
+
+    /// Whether ordinary requests must be shed with reason `claims_full`.
+    pub fn claims_full(&self) -> bool {
+        self.claims.len() >= self.claim_limit
+    }
+
+    /// Whether the reserve of 10 % above the limit is used up as well.
+    pub fn reserve_exhausted(&self) -> bool {
+        self.claims.len() >= self.claim_limit + self.claim_limit / 10
+    }
+
+    /// All kept orders, in ascending order of their fencing numbers.
+    pub fn orders(&self) -> impl Iterator<Item = &OrderRecord> {
+        self.orders.records()
+    }
+
+    /// End of the quarantine of a fingerprint, if it lasts beyond `now`.
+    pub fn quarantined(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: ClockTime,
+    ) -> Option<ClockTime> {
+        self.suspects.quarantined(fingerprint, now)
+    }
+
+    /// All suspicion marks, by fingerprint and target.
+    pub fn suspects(&self) -> impl Iterator<Item = SuspectRecord> + '_ {
+        self.suspects.marks()
+    }
+
+    /// Counts and versions for the dump.
+    pub fn summary(&self) -> StateSummary {
+        StateSummary {
+            applied: self.applied,
+            now: self.now,
+            config_version: self.config.view().version,
+            claims: self.claims.len(),
+            claims_open: self.claims.open_len(),
+            claims_ownerless: self.claims.ownerless_len(),
+            claim_limit: self.claim_limit,
+            claim_bytes: self.claims.heap_bytes(),
+            orders_open: self.orders.open_len(),
+            operations: self.operations.len(),
+            marks: self.suspects.marks().collect(),
+            quarantines: self.suspects.quarantines_len(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/row.rs
@@ -0,0 +1,105 @@
+//! Compact form of a claim and the arena that holds them.
+
+use super::intern::InternKey;
+use crate::clock::ClockTime;
+use crate::keys::{ClaimNumber, RequestFingerprint, RequestKey};
+use crate::outcome::{ReasonCode, RequestOutcome};
+use serde::{Deserialize, Serialize};
+
+/// Position of a claim in the [`ClaimArena`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct SlotKey(pub(super) u32);
+
+impl SlotKey {
+    pub(super) const NONE: Self = Self(u32::MAX);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) enum RowPhase {
+    /// Owned by a live entry run; `time` is the deadline.
+    Owned,
+    /// The owner is gone; `time` is the deadline.
+    Ownerless,
+    /// Ended; `time` is the time of the end.
+    Ended(RequestOutcome),
+}
+
+/// A claim in 64 bytes, one cache line. Its deadline is not kept after the end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ClaimRow {
+    pub(super) key: RequestKey,
+    pub(super) claim: ClaimNumber,
+    pub(super) fingerprint: RequestFingerprint,
+    pub(super) time: ClockTime,
+    pub(super) target: InternKey,
+    pub(super) entry: InternKey,
+    pub(super) workspace: InternKey,
+    pub(super) pool: InternKey,
+    /// Next row of the retention queue, or of the free rows.
+    pub(super) next: SlotKey,
+    pub(super) tier: u8,
+    pub(super) idempotent: bool,
+    pub(super) phase: RowPhase,
+    pub(super) reason: Option<ReasonCode>,
+}
+
+/// Size of a claim in the arena.
+pub(super) const ROW_BYTES: usize = size_of::<ClaimRow>();
+const _: () = assert!(ROW_BYTES == 64);
+
+/// Rows are allocated in chunks, so that growth copies nothing.
+const CHUNK_ROWS: usize = 4_096;
+
+#[derive(Clone, Debug)]
+pub(super) struct ClaimArena {
+    chunks: Vec<Vec<ClaimRow>>,
+    first_free: SlotKey,
+    used: usize,
+}
+
+impl ClaimArena {
+    pub(super) fn new() -> Self {
+        Self { chunks: Vec::new(), first_free: SlotKey::NONE, used: 0 }
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.used
+    }
+
+    pub(super) fn row(&self, slot: SlotKey) -> &ClaimRow {
+        &self.chunks[slot.0 as usize / CHUNK_ROWS][slot.0 as usize % CHUNK_ROWS]
+    }
+
+    pub(super) fn row_mut(&mut self, slot: SlotKey) -> &mut ClaimRow {
+        &mut self.chunks[slot.0 as usize / CHUNK_ROWS][slot.0 as usize % CHUNK_ROWS]
+    }
+
+    pub(super) fn insert(&mut self, row: ClaimRow) -> SlotKey {
+        self.used += 1;
+        if self.first_free != SlotKey::NONE {
+            let slot = self.first_free;
+            self.first_free = self.row(slot).next;
+            *self.row_mut(slot) = row;
+            return slot;
+        }
+        if self.chunks.last().is_none_or(|chunk| chunk.len() == CHUNK_ROWS) {
+            self.chunks.push(Vec::with_capacity(CHUNK_ROWS));
+        }
+        let position = (self.chunks.len() - 1) * CHUNK_ROWS;
+        let chunk = self.chunks.last_mut().expect("a chunk was just added");
+        chunk.push(row);
+        SlotKey((position + chunk.len() - 1) as u32)
+    }
+
+    pub(super) fn remove(&mut self, slot: SlotKey) {
+        let first_free = self.first_free;
+        self.row_mut(slot).next = first_free;
+        self.first_free = slot;
+        self.used -= 1;
+    }
+
+    /// Heap bytes of all chunks.
+    pub(super) fn heap_bytes(&self) -> usize {
+        self.chunks.len() * CHUNK_ROWS * ROW_BYTES
+    }
+}
--- /dev/null
+++ b/crates/core/src/state/suspects.rs
@@ -0,0 +1,75 @@
+//! Fingerprints of requests that are suspected of crashing targets.
+
+use crate::clock::ClockTime;
+use crate::keys::RequestFingerprint;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Time after which a mark is forgotten, in milliseconds. Equal to the longest retention of a
+/// claim, after which a resend of the request is a new one.
+pub const MARK_RETENTION_MS: u64 = super::claim::NON_IDEMPOTENT_RETENTION_MS;
+
+/// A crash of a target while a request with the fingerprint ran on it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRecord {
+    /// Fingerprint of the request.
+    pub fingerprint: RequestFingerprint,
+    /// Name of the target that crashed.
+    pub target: String,
+    /// Wall time of the last such crash.
+    pub at: ClockTime,
+}
+
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub(super) struct SuspectTable {
+    marks: BTreeMap<RequestFingerprint, BTreeMap<String, ClockTime>>,
+    quarantines: BTreeMap<RequestFingerprint, ClockTime>,
+}
+
+impl SuspectTable {
+    pub(super) fn mark(&mut self, fingerprint: RequestFingerprint, target: &str, at: ClockTime) {
+        let targets = self.marks.entry(fingerprint).or_default();
+        let last = targets.entry(target.to_owned()).or_default();
+        *last = at.max(*last);
+    }
+
+    pub(super) fn clear(&mut self, fingerprint: RequestFingerprint) {
+        self.marks.remove(&fingerprint);
+    }
+
+    pub(super) fn quarantine(&mut self, fingerprint: RequestFingerprint, until: ClockTime) {
+        let end = self.quarantines.entry(fingerprint).or_default();
+        *end = until.max(*end);
+    }
+
+    pub(super) fn expire(&mut self, now: ClockTime) {
+        self.quarantines.retain(|_, end| *end > now);
+        self.marks.retain(|_, targets| {
+            targets.retain(|_, at| now.since(*at) <= MARK_RETENTION_MS);
+            !targets.is_empty()
+        });
+    }
+
+    /// End of the quarantine of a fingerprint, if it lasts beyond `now`.
+    pub(super) fn quarantined(
+        &self,
+        fingerprint: RequestFingerprint,
+        now: ClockTime,
+    ) -> Option<ClockTime> {
+        self.quarantines.get(&fingerprint).copied().filter(|&end| end > now)
+    }
+
+    pub(super) fn marks(&self) -> impl Iterator<Item = SuspectRecord> + '_ {
+        self.marks.iter().flat_map(|(&fingerprint, targets)| {
+            targets.iter().map(move |(target, &at)| SuspectRecord {
+                fingerprint,
+                target: target.clone(),
+                at,
+            })
+        })
+    }
+
+    pub(super) fn quarantines_len(&self) -> usize {
+        self.quarantines.len()
+    }
+}
--- /dev/null
+++ b/crates/core/tests/state.rs
@@ -0,0 +1,299 @@
+//! Replies of the replicated state machine, command by command.
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::keys::{
+    ClaimNumber, NodeId, RequestFingerprint, RequestKey, TargetIdentity,
+};
+use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
+use burdockcleat_core::state::{
+    ClaimPhase, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply, EXPIRE_BATCH,
+    EngineOrder, ExpireReply, IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
+    OPERATIONS_KEPT, OWNERLESS_MARGIN_MS, OrderAction, OrderDoneReply, OrderId, OrderResult,
+    ReplicatedState, SnapshotError, StampedCommand, StateCommand, VERSIONS_KEPT,
+};
+use std::sync::Arc;
+
+/// A state with the next log index.
+struct Machine {
+    state: ReplicatedState,
+    index: u64,
+}
+
+impl Machine {
+    fn open() -> Self {
+        Self { state: ReplicatedState::open(), index: 0 }
+    }
+
+    fn apply(&mut self, at: u64, command: StateCommand) -> CommandReply {
+        self.index += 1;
+        let command = StampedCommand { at: ClockTime::from_ms(at), command };
+        self.state.apply(self.index, &command)
+    }
+
+    fn claim(&mut self, at: u64, key: u128, idempotent: bool) -> ClaimReply {
+        match self.apply(at, StateCommand::Claim(request(key, idempotent))) {
+            CommandReply::Claim(reply) => reply,
+            other => panic!("reply to a claim: {other:?}"),
+        }
+    }
+
+    fn finish(&mut self, at: u64, key: u128, claim: u64, outcome: RequestOutcome) -> CommandReply {
+        let (key, claim) = (RequestKey(key), ClaimNumber(claim));
+        self.apply(at, StateCommand::Finish { key, claim, outcome, reason: None })
+    }
+
+    fn release(&mut self, at: u64, key: u128, claim: u64) -> CommandReply {
+        let (key, claim) = (RequestKey(key), ClaimNumber(claim));
+        self.apply(at, StateCommand::Release { key, claim })
+    }
+
+    fn expire(&mut self, at: u64) -> ExpireReply {
+        match self.apply(at, StateCommand::ExpireClaims) {
+            CommandReply::Expired(reply) => reply,
+            other => panic!("reply to an expiry: {other:?}"),
+        }
+    }
+
+    fn edit(
+        &mut self,
+        at: u64,
+        base_version: u64,
+        operation_id: &str,
+        text: &str,
+    ) -> DocumentReply {
+        let (operation_id, author) = (operation_id.to_owned(), "operator".to_owned());
+        let document = Arc::from(text);
+        let command = StateCommand::ApplyDocument { base_version, operation_id, author, document };
+        match self.apply(at, command) {
+            CommandReply::Document(reply) => reply,
+            other => panic!("reply to an edit: {other:?}"),
+        }
+    }
+
+    fn order(&mut self, operation_id: &str) -> OrderId {
+        let action = OrderAction::LoadModel { model: "m".to_owned(), version: "1".to_owned() };
+        let order = EngineOrder { target: "engine-1".to_owned(), action };
+        let operation_id = operation_id.to_owned();
+        match self.apply(0, StateCommand::IssueOrder { order, operation_id }) {
+            CommandReply::OrderIssued(id) => id,
+            other => panic!("reply to an order: {other:?}"),
+        }
+    }
+}
+
+fn request(key: u128, idempotent: bool) -> ClaimRequest {
+    ClaimRequest {
+        key: RequestKey(key),
+        fingerprint: RequestFingerprint(7),
+        target: TargetIdentity { name: "engine-1".to_owned(), incarnation: 3 },
+        address: "127.0.0.1:9001".to_owned(),
+        entry: NodeId(1),
+        workspace: "depot".to_owned(),
+        pool: "chat".to_owned(),
+        tier: 1,
+        idempotent,
+        deadline: ClockTime::from_ms(1_000),
+    }
+}
+
+/// Guards against an edit that overwrites a concurrent one, and against a resent edit that
+/// conflicts with itself or is applied twice.
+#[test]
+fn edits_compare_the_base_version_and_resends_get_the_first_reply() {
+    let mut machine = Machine::open();
+    assert_eq!(machine.edit(5, 0, "a", "one"), DocumentReply::Accepted { version: 1 });
+    assert_eq!(machine.edit(6, 0, "b", "two"), DocumentReply::Conflict { current: 1 });
+    assert_eq!(machine.edit(7, 1, "c", "three"), DocumentReply::Accepted { version: 2 });
+    assert_eq!(machine.edit(8, 0, "a", "one"), DocumentReply::Accepted { version: 1 });
+    assert_eq!(machine.edit(9, 2, "b", "two"), DocumentReply::Conflict { current: 1 });
+    let config = machine.state.config();
+    assert_eq!((config.version, &*config.document), (2, "three"));
+    let history = machine.state.history();
+    assert_eq!(history.iter().map(|record| record.version).collect::<Vec<_>>(), [2, 1]);
+    assert_eq!((history[0].at, history[0].operation_id.as_str()), (ClockTime::from_ms(7), "c"));
+}
+
+/// Guards against an unbounded memory of operation ids and against one that is shorter than
+/// stated.
+#[test]
+fn operation_ids_are_kept_for_the_stated_number_of_operations() {
+    let mut machine = Machine::open();
+    machine.edit(0, 0, "first", "text");
+    for number in 1..OPERATIONS_KEPT {
+        machine.order(&format!("order-{number}"));
+    }
+    assert_eq!(machine.edit(0, 0, "first", "text"), DocumentReply::Accepted { version: 1 });
+    machine.order("one more");
+    assert_eq!(machine.edit(0, 0, "first", "text"), DocumentReply::Conflict { current: 1 });
+}
+
+/// Guards against a history that loses a text or keeps more than stated.
+#[test]
+fn history_keeps_the_text_of_the_last_versions() {
+    let mut machine = Machine::open();
+    let total = VERSIONS_KEPT as u64 + 6;
+    for version in 0..total {
+        machine.edit(version, version, &format!("op-{version}"), &text_of(version + 1));
+    }
+    let oldest = total - VERSIONS_KEPT as u64 + 1;
+    assert_eq!(machine.state.document(oldest - 1), None);
+    for version in oldest..=total {
+        assert_eq!(machine.state.document(version).as_deref(), Some(&*text_of(version)));
+    }
+    assert_eq!(machine.state.history().len(), VERSIONS_KEPT);
+}
+
+/// A text whose changed middle differs in length from version to version, with letters of more
+/// than one byte next to the change.
+fn text_of(version: u64) -> String {
+    let middle = ["é", "è", "", "ab", "日", "本語"][version as usize % 6];
+    format!("head é{middle}è tail {}", version / 3)
+}
+
+/// Guards against a second claim of a key that is open or has ended, and against one that is
+/// impossible after a release.
+#[test]
+fn a_key_is_claimed_again_only_after_a_release() {
+    let mut machine = Machine::open();
+    assert_eq!(machine.claim(0, 9, true), ClaimReply::Created(ClaimNumber(1)));
+    assert!(matches!(machine.claim(0, 9, true), ClaimReply::AlreadyOpen(_)));
+    assert_eq!(machine.release(0, 9, 1), CommandReply::Close(CloseReply::Accepted));
+    assert_eq!(machine.claim(0, 9, true), ClaimReply::Created(ClaimNumber(4)));
+    let wrong = CommandReply::Close(CloseReply::WrongClaim);
+    assert_eq!(machine.release(0, 9, 1), wrong);
+    assert_eq!(machine.finish(0, 9, 1, RequestOutcome::Failed), wrong);
+    let accepted = CommandReply::Close(CloseReply::Accepted);
+    assert_eq!(machine.finish(3, 9, 4, RequestOutcome::Completed), accepted);
+    let ClaimReply::AlreadyEnded(record) = machine.claim(4, 9, true) else {
+        panic!("claimed again after the end")
+    };
+    assert_eq!(
+        record.phase,
+        ClaimPhase::Ended {
+            at: ClockTime::from_ms(3),
+            outcome: RequestOutcome::Completed,
+            reason: None
+        }
+    );
+    let late = CommandReply::Close(CloseReply::AlreadyEnded(record));
+    assert_eq!(machine.finish(5, 9, 4, RequestOutcome::Failed), late);
+    assert_eq!(machine.release(5, 9, 4), late);
+}
+
+/// Guards against claims that are dropped before the end of their retention, or kept after it.
+#[test]
+fn ended_claims_are_kept_for_the_retention_of_their_kind() {
+    let mut machine = Machine::open();
+    for (key, idempotent) in [(1, true), (2, false)] {
+        machine.claim(0, key, idempotent);
+    }
+    machine.finish(100, 1, 1, RequestOutcome::Completed);
+    machine.finish(100, 2, 2, RequestOutcome::Completed);
+    for (retention, left) in [(IDEMPOTENT_RETENTION_MS, 1), (NON_IDEMPOTENT_RETENTION_MS, 0)] {
+        assert_eq!(machine.expire(100 + retention).removed, 0);
+        assert_eq!(machine.expire(101 + retention).removed, 1);
+        assert_eq!(machine.state.summary().claims, left);
+    }
+}
+
+/// Guards against a lost owner's claim that is dropped, or that blocks its target for ever.
+#[test]
+fn an_ownerless_claim_ends_as_unknown_after_its_deadline() {
+    let mut machine = Machine::open();
+    machine.claim(0, 1, true);
+    let lost = StateCommand::OwnerLost { entry: NodeId(1) };
+    assert_eq!(machine.apply(1, lost), CommandReply::OwnerLost(vec![ClaimNumber(1)]));
+    assert_eq!(machine.state.open_claims_of(NodeId(1)).count(), 1);
+    assert_eq!(machine.expire(1_000 + OWNERLESS_MARGIN_MS), ExpireReply::default());
+    assert_eq!(machine.expire(1_001 + OWNERLESS_MARGIN_MS).ended, [ClaimNumber(1)]);
+    let record = machine.state.claim(RequestKey(1)).unwrap();
+    assert!(matches!(
+        record.phase,
+        ClaimPhase::Ended {
+            outcome: RequestOutcome::Unknown,
+            reason: Some(ReasonCode::OwnerLost),
+            ..
+        }
+    ));
+    assert!(matches!(machine.claim(9_000, 1, true), ClaimReply::AlreadyEnded(_)));
+}
+
+/// Guards against an expiry after a long pause that stalls every replica.
+#[test]
+fn one_expiry_removes_a_bounded_number_of_claims() {
+    let mut machine = Machine::open();
+    for key in 0..EXPIRE_BATCH as u128 + 1 {
+        let ClaimReply::Created(claim) = machine.claim(0, key, true) else { panic!("not created") };
+        machine.finish(0, key, claim.0, RequestOutcome::Completed);
+    }
+    let first = machine.expire(IDEMPOTENT_RETENTION_MS + 1);
+    assert_eq!((first.removed, first.more), (EXPIRE_BATCH, true));
+    let second = machine.expire(IDEMPOTENT_RETENTION_MS + 1);
+    assert_eq!((second.removed, second.more), (1, false));
+}
+
+/// Guards against a leader with a slow clock that moves the time of the machine back.
+#[test]
+fn the_time_of_the_machine_never_goes_back() {
+    let mut machine = Machine::open();
+    machine.apply(500, StateCommand::Barrier);
+    machine.edit(20, 0, "a", "text");
+    assert_eq!(machine.state.history()[0].at, ClockTime::from_ms(500));
+}
+
+/// Guards against a table that reports room above the limit or refuses too early.
+#[test]
+fn the_limit_and_its_reserve_are_reported() {
+    let mut machine = Machine::open();
+    machine.state.set_claim_limit(20);
+    for key in 0..22 {
+        assert_eq!(machine.state.claims_full(), key >= 20);
+        assert!(!machine.state.reserve_exhausted());
+        machine.claim(0, key, true);
+    }
+    assert!(machine.state.reserve_exhausted());
+}
+
+/// Guards against a resent order with a second effect, and against a second result.
+#[test]
+fn a_resent_order_keeps_its_fencing_number_and_its_result() {
+    let mut machine = Machine::open();
+    machine.apply(0, StateCommand::Barrier);
+    let id = machine.order("load");
+    assert_eq!((id, machine.order("load")), (OrderId(2), OrderId(2)));
+    assert_eq!(machine.state.orders().count(), 1);
+    let done = |result: &OrderResult| StateCommand::OrderDone { id, result: result.clone() };
+    let accepted = CommandReply::OrderDone(OrderDoneReply::Accepted);
+    assert_eq!(machine.apply(0, done(&OrderResult::Unknown)), accepted);
+    let kept = CommandReply::OrderDone(OrderDoneReply::AlreadyDone(OrderResult::Unknown));
+    assert_eq!(machine.apply(0, done(&OrderResult::Succeeded)), kept);
+}
+
+/// Guards against a quarantine that outlives its end or is shortened by a later command.
+#[test]
+fn quarantine_lasts_until_its_latest_end() {
+    let mut machine = Machine::open();
+    let fingerprint = RequestFingerprint(4);
+    for until in [900, 600] {
+        let until = ClockTime::from_ms(until);
+        machine.apply(0, StateCommand::Quarantine { fingerprint, until });
+    }
+    let ends = |at| machine.state.quarantined(fingerprint, ClockTime::from_ms(at));
+    assert_eq!((ends(899), ends(900)), (Some(ClockTime::from_ms(900)), None));
+}
+
+/// Guards against a damaged or foreign snapshot that is restored in part.
+#[test]
+fn damaged_snapshots_are_refused() {
+    let mut machine = Machine::open();
+    machine.claim(0, 1, true);
+    let snapshot = machine.state.snapshot();
+    assert!(matches!(ReplicatedState::restore(&[1, 0]), Err(SnapshotError::TooShort { .. })));
+    for position in 0..snapshot.len() {
+        let mut damaged = snapshot.clone();
+        damaged[position] ^= 0x10;
+        assert!(ReplicatedState::restore(&damaged).is_err(), "byte {position} was changed");
+    }
+    let cut = &snapshot[..snapshot.len() - 1];
+    assert!(matches!(ReplicatedState::restore(cut), Err(SnapshotError::Checksum { .. })));
+}
