Test the state machine against a naive version

A fault in the index, the retention queues or the interned values would show only after many claims.

--- /dev/null
+++ b/crates/core/tests/state_differential.rs
@@ -0,0 +1,428 @@
+//! Differential tests of the replicated state machine against a naive version that keeps plain
+//! maps and scans them, with snapshots restored at random points.
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::keys::{
+    ClaimNumber, NodeId, RequestFingerprint, RequestKey, TargetIdentity,
+};
+use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
+use burdockcleat_core::state::{
+    ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply,
+    EngineOrder, ExpireReply, IDEMPOTENT_RETENTION_MS, MARK_RETENTION_MS,
+    NON_IDEMPOTENT_RETENTION_MS, OWNERLESS_MARGIN_MS, OrderAction, OrderDoneReply, OrderId,
+    OrderRecord, OrderResult, ReplicatedState, StampedCommand, StateCommand,
+};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use std::collections::BTreeMap;
+
+/// Replicated state as plain maps.
+#[derive(Default)]
+struct NaiveState {
+    now: ClockTime,
+    claims: BTreeMap<RequestKey, ClaimRecord>,
+    documents: Vec<String>,
+    edits: BTreeMap<String, DocumentReply>,
+    issued: BTreeMap<String, OrderId>,
+    orders: BTreeMap<OrderId, OrderRecord>,
+    marks: BTreeMap<(RequestFingerprint, String), ClockTime>,
+    quarantines: BTreeMap<RequestFingerprint, ClockTime>,
+}
+
+impl NaiveState {
+    fn apply(&mut self, index: u64, stamped: &StampedCommand) -> CommandReply {
+        self.now = self.now.max(stamped.at);
+        match &stamped.command {
+            StateCommand::Barrier => CommandReply::Done,
+            StateCommand::ApplyDocument { base_version, operation_id, document, .. } => {
+                CommandReply::Document(self.edit(*base_version, operation_id, document))
+            }
+            StateCommand::Claim(request) => CommandReply::Claim(self.claim(index, request)),
+            StateCommand::Release { key, claim } => {
+                let reply = self.check_open(*key, *claim);
+                if reply == CloseReply::Accepted {
+                    self.claims.remove(key);
+                }
+                CommandReply::Close(reply)
+            }
+            StateCommand::Finish { key, claim, outcome, reason } => {
+                let reply = self.check_open(*key, *claim);
+                let (at, outcome, reason) = (self.now, *outcome, *reason);
+                if reply == CloseReply::Accepted {
+                    let record = self.claims.get_mut(key).unwrap();
+                    record.phase = ClaimPhase::Ended { at, outcome, reason };
+                }
+                CommandReply::Close(reply)
+            }
+            StateCommand::OwnerLost { entry } => CommandReply::OwnerLost(self.lose_owner(*entry)),
+            StateCommand::ExpireClaims => CommandReply::Expired(self.expire()),
+            StateCommand::SuspectMark { fingerprint, target, at } => {
+                let last = self.marks.entry((*fingerprint, target.clone())).or_default();
+                *last = (*last).max(*at);
+                CommandReply::Done
+            }
+            StateCommand::SuspectClear { fingerprint } => {
+                self.marks.retain(|(marked, _), _| marked != fingerprint);
+                CommandReply::Done
+            }
+            StateCommand::Quarantine { fingerprint, until } => {
+                let end = self.quarantines.entry(*fingerprint).or_default();
+                *end = (*end).max(*until);
+                CommandReply::Done
+            }
+            StateCommand::IssueOrder { order, operation_id } => {
+                let id = *self.issued.entry(operation_id.clone()).or_insert(OrderId(index));
+                let record = OrderRecord { id, order: order.clone(), result: None };
+                self.orders.entry(id).or_insert(record);
+                CommandReply::OrderIssued(id)
+            }
+            StateCommand::OrderDone { id, result } => {
+                CommandReply::OrderDone(self.finish_order(*id, result))
+            }
+        }
+    }
+
+    fn edit(&mut self, base: u64, id: &str, document: &str) -> DocumentReply {
+        if let Some(reply) = self.edits.get(id) {
+            return *reply;
+        }
+        let current = self.documents.len() as u64;
+        let reply = if base == current {
+            self.documents.push(document.to_owned());
+            DocumentReply::Accepted { version: current + 1 }
+        } else {
+            DocumentReply::Conflict { current }
+        };
+        self.edits.insert(id.to_owned(), reply);
+        reply
+    }
+
+    fn claim(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
+        match self.claims.get(&request.key) {
+            Some(record) if is_open(record) => ClaimReply::AlreadyOpen(record.clone()),
+            Some(record) => ClaimReply::AlreadyEnded(record.clone()),
+            None => {
+                let claim = ClaimNumber(index);
+                let phase = ClaimPhase::Open { deadline: request.deadline, ownerless: false };
+                let record = ClaimRecord {
+                    key: request.key,
+                    claim,
+                    fingerprint: request.fingerprint,
+                    target: request.target.clone(),
+                    address: request.address.clone(),
+                    entry: request.entry,
+                    workspace: request.workspace.as_str().into(),
+                    pool: request.pool.as_str().into(),
+                    tier: request.tier,
+                    idempotent: request.idempotent,
+                    phase,
+                };
+                self.claims.insert(request.key, record);
+                ClaimReply::Created(claim)
+            }
+        }
+    }
+
+    fn check_open(&self, key: RequestKey, claim: ClaimNumber) -> CloseReply {
+        match self.claims.get(&key) {
+            Some(record) if record.claim != claim => CloseReply::WrongClaim,
+            Some(record) if is_open(record) => CloseReply::Accepted,
+            Some(record) => CloseReply::AlreadyEnded(record.clone()),
+            None => CloseReply::WrongClaim,
+        }
+    }
+
+    fn lose_owner(&mut self, entry: NodeId) -> Vec<ClaimNumber> {
+        let mut changed = Vec::new();
+        for record in self.claims.values_mut().filter(|record| record.entry == entry) {
+            if let ClaimPhase::Open { ownerless, .. } = &mut record.phase
+                && !*ownerless
+            {
+                *ownerless = true;
+                changed.push(record.claim);
+            }
+        }
+        changed.sort();
+        changed
+    }
+
+    fn expire(&mut self) -> ExpireReply {
+        let now = self.now;
+        let mut reply = ExpireReply::default();
+        for record in self.claims.values_mut() {
+            if let ClaimPhase::Open { deadline, ownerless: true } = record.phase
+                && now.since(deadline) > OWNERLESS_MARGIN_MS
+            {
+                let (outcome, reason) = (RequestOutcome::Unknown, Some(ReasonCode::OwnerLost));
+                record.phase = ClaimPhase::Ended { at: now, outcome, reason };
+                reply.ended.push(record.claim);
+            }
+        }
+        reply.ended.sort();
+        let before = self.claims.len();
+        self.claims.retain(|_, record| match record.phase {
+            ClaimPhase::Open { .. } => true,
+            ClaimPhase::Ended { at, .. } => now.since(at) <= retention_of(record),
+        });
+        reply.removed = before - self.claims.len();
+        self.marks.retain(|_, at| now.since(*at) <= MARK_RETENTION_MS);
+        self.quarantines.retain(|_, end| *end > now);
+        reply
+    }
+
+    fn finish_order(&mut self, id: OrderId, result: &OrderResult) -> OrderDoneReply {
+        let Some(record) = self.orders.get_mut(&id) else { return OrderDoneReply::UnknownOrder };
+        if let Some(kept) = &record.result {
+            return OrderDoneReply::AlreadyDone(kept.clone());
+        }
+        record.result = Some(result.clone());
+        OrderDoneReply::Accepted
+    }
+}
+
+fn is_open(record: &ClaimRecord) -> bool {
+    matches!(record.phase, ClaimPhase::Open { .. })
+}
+
+fn retention_of(record: &ClaimRecord) -> u64 {
+    if record.idempotent { IDEMPOTENT_RETENTION_MS } else { NON_IDEMPOTENT_RETENTION_MS }
+}
+
+fn target_of(number: u8) -> TargetIdentity {
+    TargetIdentity { name: format!("engine-{}", number % 2), incarnation: u64::from(number) }
+}
+
+/// Panics unless every query of the machine agrees with a scan of the naive maps.
+fn compare_queries(state: &ReplicatedState, naive: &NaiveState, keys: u128) {
+    for key in (0..keys).map(RequestKey) {
+        assert_eq!(state.claim(key).as_ref(), naive.claims.get(&key));
+    }
+    let mut open: Vec<_> = naive.claims.values().filter(|record| is_open(record)).collect();
+    open.sort_by_key(|record| record.claim);
+    assert!(state.open_claims().eq(open.iter().map(|&record| record.clone())));
+    for entry in (0..3).map(NodeId) {
+        let expected = open.iter().filter(|record| record.entry == entry);
+        assert!(state.open_claims_of(entry).eq(expected.map(|&record| record.clone())));
+    }
+    for target in (0..4).map(target_of) {
+        let expected = open.iter().filter(|record| record.target == target);
+        assert!(state.open_claims_at(&target).eq(expected.map(|&record| record.clone())));
+    }
+    let config = state.config();
+    assert_eq!(config.version, naive.documents.len() as u64);
+    let first = config.version.saturating_sub(63).max(1);
+    for version in first..=config.version {
+        let expected = &naive.documents[version as usize - 1];
+        assert_eq!(state.document(version).as_deref(), Some(expected.as_str()));
+    }
+    assert!(state.orders().eq(naive.orders.values()));
+    let marks = state.suspects().map(|mark| ((mark.fingerprint, mark.target), mark.at));
+    assert!(marks.eq(naive.marks.clone()));
+    for fingerprint in (0..3).map(RequestFingerprint) {
+        let end = naive.quarantines.get(&fingerprint).copied().filter(|&end| end > naive.now);
+        assert_eq!(state.quarantined(fingerprint, naive.now), end);
+    }
+    let summary = state.summary();
+    assert_eq!((summary.claims, summary.claims_open), (naive.claims.len(), open.len()));
+}
+
+#[derive(Clone, Debug)]
+struct Step {
+    elapsed_ms: u64,
+    behind_ms: u64,
+    restore: bool,
+    command: StateCommand,
+}
+
+prop_compose! {
+    fn claim_request(keys: u128)(
+        key in 0..keys,
+        fingerprint in 0..3_u64,
+        target in 0..4_u8,
+        entry in 0..3_u64,
+        name in 0..4_u8,
+        idempotent in any::<bool>(),
+        deadline in 0..40_000_u64,
+    ) -> ClaimRequest {
+        ClaimRequest {
+            key: RequestKey(key),
+            fingerprint: RequestFingerprint(fingerprint),
+            target: target_of(target),
+            address: format!("127.0.0.1:{}", 9_000 + u16::from(target)),
+            entry: NodeId(entry),
+            workspace: format!("workspace-{name}"),
+            pool: format!("pool-{}", name % 2),
+            tier: name,
+            idempotent,
+            deadline: ClockTime::from_ms(deadline),
+        }
+    }
+}
+
+fn outcome() -> impl Strategy<Value = RequestOutcome> {
+    prop_oneof![
+        Just(RequestOutcome::Completed),
+        Just(RequestOutcome::Failed),
+        Just(RequestOutcome::Unknown),
+    ]
+}
+
+/// Claim commands. Claim numbers are drawn among `0..indexes`; [`run`] maps a zero to the
+/// current claim of the key.
+fn claim_command(keys: u128, indexes: u64) -> impl Strategy<Value = StateCommand> {
+    let number = prop_oneof![3 => Just(0), 1 => 0..indexes].prop_map(ClaimNumber);
+    let key = (0..keys).prop_map(RequestKey);
+    let reason = prop_oneof![Just(None), Just(Some(ReasonCode::UpstreamCut))];
+    prop_oneof![
+        6 => claim_request(keys).prop_map(StateCommand::Claim),
+        2 => (key.clone(), number.clone())
+            .prop_map(|(key, claim)| StateCommand::Release { key, claim }),
+        4 => (key, number, outcome(), reason).prop_map(|(key, claim, outcome, reason)| {
+            StateCommand::Finish { key, claim, outcome, reason }
+        }),
+        1 => (0..3_u64).prop_map(|entry| StateCommand::OwnerLost { entry: NodeId(entry) }),
+        2 => Just(StateCommand::ExpireClaims),
+        1 => Just(StateCommand::Barrier),
+    ]
+}
+
+fn other_command() -> impl Strategy<Value = StateCommand> {
+    let fingerprint = (0..3_u64).prop_map(RequestFingerprint);
+    let time = (0..100_000_u64).prop_map(ClockTime::from_ms);
+    let target = (0..2_u8).prop_map(|number| format!("engine-{number}"));
+    let order = target.clone().prop_map(|target| EngineOrder {
+        target,
+        action: OrderAction::SetRole { role: "prefill".to_owned() },
+    });
+    let result = prop_oneof![Just(OrderResult::Succeeded), Just(OrderResult::Unknown)];
+    let operation = (0..60_u8).prop_map(|number| format!("operation-{number}"));
+    prop_oneof![
+        (0..8_u64, operation.clone(), "[a-cé]{0,8}").prop_map(|(base, operation_id, text)| {
+            let (author, document) = ("operator".to_owned(), text.into());
+            StateCommand::ApplyDocument { base_version: base, operation_id, author, document }
+        }),
+        (fingerprint.clone(), target, time.clone()).prop_map(|(fingerprint, target, at)| {
+            StateCommand::SuspectMark { fingerprint, target, at }
+        }),
+        fingerprint.clone().prop_map(|fingerprint| StateCommand::SuspectClear { fingerprint }),
+        (fingerprint, time)
+            .prop_map(|(fingerprint, until)| StateCommand::Quarantine { fingerprint, until }),
+        (order, operation)
+            .prop_map(|(order, operation_id)| StateCommand::IssueOrder { order, operation_id }),
+        (0..200_u64, result)
+            .prop_map(|(id, result)| StateCommand::OrderDone { id: OrderId(id), result }),
+    ]
+}
+
+fn step(command: impl Strategy<Value = StateCommand>) -> impl Strategy<Value = Step> {
+    let elapsed_ms = prop_oneof![
+        10 => 0..2_000_u64,
+        2 => Just(OWNERLESS_MARGIN_MS),
+        1 => Just(IDEMPOTENT_RETENTION_MS),
+        1 => Just(NON_IDEMPOTENT_RETENTION_MS / 2),
+    ];
+    let behind_ms = prop_oneof![9 => Just(0), 1 => 0..5_000_u64];
+    let restore = prop_oneof![9 => Just(false), 1 => Just(true)];
+    (elapsed_ms, behind_ms, restore, command).prop_map(
+        |(elapsed_ms, behind_ms, restore, command)| Step {
+            elapsed_ms,
+            behind_ms,
+            restore,
+            command,
+        },
+    )
+}
+
+/// Replaces a claim number of zero by that of the key's current claim.
+fn resolve(command: &mut StateCommand, naive: &NaiveState) {
+    let (StateCommand::Release { key, claim } | StateCommand::Finish { key, claim, .. }) = command
+    else {
+        return;
+    };
+    if claim.0 == 0
+        && let Some(record) = naive.claims.get(key)
+    {
+        *claim = record.claim;
+    }
+}
+
+/// Runs the steps on both versions. Restoring keeps the old machine as well, and both must give
+/// the same replies from then on.
+fn run(steps: Vec<Step>, keys: u128, compare_each: bool) {
+    let mut naive = NaiveState::default();
+    let mut states = vec![ReplicatedState::open()];
+    let mut clock = ClockTime::default();
+    for (position, step) in steps.into_iter().enumerate() {
+        clock = clock.plus(step.elapsed_ms);
+        let at = ClockTime::from_ms(clock.as_ms().saturating_sub(step.behind_ms));
+        let mut command = step.command;
+        resolve(&mut command, &naive);
+        let stamped = StampedCommand { at, command };
+        let index = position as u64 + 1;
+        let expected = naive.apply(index, &stamped);
+        for state in &mut states {
+            assert_eq!(state.apply(index, &stamped), expected);
+        }
+        if step.restore {
+            let snapshot = states[0].snapshot();
+            let restored = ReplicatedState::restore(&snapshot).unwrap();
+            assert_eq!(restored.snapshot(), snapshot);
+            states.truncate(1);
+            states.push(restored);
+        }
+        if compare_each {
+            compare_queries(&states[states.len() - 1], &naive, keys);
+        }
+    }
+    for state in &states {
+        compare_queries(state, &naive, keys);
+        assert_eq!(state.snapshot(), states[0].snapshot());
+    }
+}
+
+fn seeded(seed: u64, cases: u32) -> ProptestConfig {
+    ProptestConfig { cases, rng_seed: RngSeed::Fixed(seed), ..ProptestConfig::default() }
+}
+
+proptest! {
+    #![proptest_config(seeded(0x5eed_0001, 400))]
+
+    /// Guards against a reply or query that differs from the plain reading of the rules, and
+    /// against a restored replica that diverges, with few keys, so that each key goes through
+    /// many lives.
+    #[test]
+    fn claims_match_the_naive_version(
+        steps in prop::collection::vec(step(claim_command(6, 120)), 1..120),
+    ) {
+        run(steps, 6, true);
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(0x5eed_0002, 24))]
+
+    /// Guards against faults of the index and the retention queues that need many claims:
+    /// growth, deletion within a probe run, reuse of freed rows.
+    #[test]
+    fn large_tables_match_the_naive_version(
+        steps in prop::collection::vec(step(claim_command(4_000, 3_000)), 2_000..3_000),
+    ) {
+        run(steps, 4_000, false);
+    }
+}
+
+proptest! {
+    #![proptest_config(seeded(0x5eed_0003, 200))]
+
+    /// Guards against configuration, orders, marks or quarantines that differ from the plain
+    /// reading of the rules or are lost in a snapshot.
+    #[test]
+    fn other_commands_match_the_naive_version(
+        steps in prop::collection::vec(
+            step(prop_oneof![3 => other_command(), 1 => claim_command(3, 100)]),
+            1..160,
+        ),
+    ) {
+        run(steps, 3, true);
+    }
+}
