--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod keys;
 pub mod message;
 pub mod outcome;
+pub mod state;
