Add settings, structured logs, metrics and the entry's filter chain

The entry authenticates, routes, submits, dispatches over a connection of its own, and streams events one by one. A dispatch counts as never sent only if the connector saw no connection.

--- /dev/null
+++ b/crates/burdockcleat/src/entry/answer.rs
@@ -0,0 +1,192 @@
+//! Writes answers to callers.
+
+use super::caller::CallerConnection;
+use super::chain::ChainRecord;
+use super::dispatch::{RunRecord, ServiceAnswer};
+use super::refusal::{CallerError, FilterRefusal};
+use super::request::{AnswerForm, RequestId};
+use super::stream::UsageCounts;
+use burdockcleat_core::outcome::RequestOutcome;
+use chunked_transfer::Encoder;
+use serde_json::{Value, json};
+use std::io::{self, Write};
+use tiny_http::{Header, Request, Response, StatusCode};
+
+type CallerWriter = Box<dyn Write + Send>;
+
+/// The answer to one caller, whatever its form.
+pub struct CallerAnswer {
+    caller: CallerConnection,
+    id: RequestId,
+    /// The request until its answer starts.
+    request: Option<Request>,
+    /// The stream once it has started.
+    writer: Option<EventWriter>,
+    /// Text of a completion that is sent as one body.
+    collected: Option<String>,
+    service: Option<ServiceAnswer>,
+}
+
+impl CallerAnswer {
+    /// Prepares the answer to a request.
+    pub fn new(request: Request, caller: &CallerConnection, id: RequestId) -> Self {
+        Self {
+            caller: caller.clone(),
+            id,
+            request: Some(request),
+            writer: None,
+            collected: None,
+            service: None,
+        }
+    }
+
+    /// Passes on one token, or collects it if the caller wants one body.
+    ///
+    /// # Errors
+    /// Fails if the caller has gone.
+    pub fn deliver(&mut self, form: AnswerForm, mut event: Value) -> io::Result<()> {
+        if form == AnswerForm::WholeCompletion {
+            let text = event.get("text").and_then(Value::as_str).unwrap_or_default();
+            self.collected.get_or_insert_default().push_str(text);
+            return Ok(());
+        }
+        event["id"] = self.id.text.as_str().into();
+        self.stream()?.send(&event.to_string())
+    }
+
+    /// Keeps the whole answer of a plain service until its outcome is reported.
+    pub fn take_service(&mut self, service: ServiceAnswer) {
+        self.service = Some(service);
+    }
+
+    /// Ends the answer of a request that ran.
+    pub fn end(self, record: &RunRecord) -> ChainRecord {
+        let chain = if record.outcome == RequestOutcome::Completed {
+            let written = self.complete(record.usage);
+            let outcome = RequestOutcome::Completed;
+            if let Err(error) = written {
+                log::debug!(event = "answer_not_delivered"; "{error}");
+            }
+            ChainRecord { tier: None, outcome, reason: None, run: None, in_time: false }
+        } else {
+            self.refuse(record.refusal())
+        };
+        ChainRecord { run: Some(*record), ..chain }
+    }
+
+    /// Ends the answer with an error.
+    pub fn refuse(mut self, refusal: FilterRefusal) -> ChainRecord {
+        let error = refusal.into_error(&self.id.text, self.id.generated);
+        if let Some(writer) = self.writer.take() {
+            writer.fail(&error);
+        } else if let Some(request) = self.request.take() {
+            send_error(request, &error);
+        }
+        ChainRecord {
+            tier: None,
+            outcome: error.outcome,
+            reason: Some(error.reason),
+            run: None,
+            in_time: false,
+        }
+    }
+
+    /// Ends a whole answer.
+    ///
+    /// # Errors
+    /// Fails if the caller has gone.
+    pub fn complete(mut self, usage: UsageCounts) -> io::Result<()> {
+        if let Some(service) = self.service.take() {
+            let Some(request) = self.request.take() else { return Ok(()) };
+            return send_whole(request, service.status, &service.content_type, service.body);
+        }
+        let usage = json!({
+            "prompt_tokens": usage.prompt_tokens,
+            "cached_tokens": usage.cached_tokens,
+            "completion_tokens": usage.completion_tokens,
+        });
+        if let Some(text) = self.collected.take() {
+            let Some(request) = self.request.take() else { return Ok(()) };
+            let body = json!({ "id": self.id.text, "text": text, "usage": usage });
+            return send_whole(request, 200, "application/json", body.to_string().into_bytes());
+        }
+        let event = json!({ "id": self.id.text, "usage": usage });
+        let stream = self.stream()?;
+        stream.send(&event.to_string())?;
+        stream.send("[DONE]")
+    }
+
+    /// The event stream; the first call writes the head of the answer.
+    fn stream(&mut self) -> io::Result<&mut EventWriter> {
+        if let Some(request) = self.request.take() {
+            self.writer = Some(EventWriter::open(request, self.caller.clone())?);
+        }
+        self.writer.as_mut().ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
+
+/// Answers a request that has no stream yet with an error.
+fn send_error(request: Request, error: &CallerError) {
+    let retry_after = error.retry_after_ms.map(|ms| ms.div_ceil(1_000).max(1).to_string());
+    let mut response =
+        Response::from_string(error.to_json()).with_status_code(StatusCode(error.status()));
+    add_header(&mut response, "content-type", "application/json");
+    if let Some(seconds) = retry_after {
+        add_header(&mut response, "retry-after", &seconds);
+    }
+    // A failed write means that the caller has gone; there is nobody left to tell.
+    let _ = request.respond(response);
+}
+
+/// Answers a request with a whole body.
+fn send_whole(request: Request, status: u16, content_type: &str, body: Vec<u8>) -> io::Result<()> {
+    let mut response = Response::from_data(body).with_status_code(StatusCode(status));
+    add_header(&mut response, "content-type", content_type);
+    request.respond(response)
+}
+
+/// Adds a header, unless HTTP does not allow its value.
+fn add_header<R: io::Read>(response: &mut Response<R>, name: &str, value: &str) {
+    if let Ok(header) = Header::from_bytes(name, value) {
+        response.add_header(header);
+    }
+}
+
+/// A server-sent event stream to a caller.
+struct EventWriter {
+    encoder: Encoder<CallerWriter>,
+    caller: CallerConnection,
+}
+
+impl EventWriter {
+    /// Writes the head of the answer.
+    ///
+    /// # Errors
+    /// Fails if the caller has gone.
+    fn open(request: Request, caller: CallerConnection) -> io::Result<Self> {
+        let mut writer = request.into_writer();
+        writer.write_all(
+            b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-store\r\n\
+              transfer-encoding: chunked\r\n\r\n",
+        )?;
+        writer.flush()?;
+        Ok(Self { encoder: Encoder::new(writer), caller })
+    }
+
+    /// Sends one event at once.
+    ///
+    /// # Errors
+    /// Fails if the caller has gone.
+    fn send(&mut self, data: &str) -> io::Result<()> {
+        write!(self.encoder, "data: {data}\n\n")?;
+        // The encoder and the socket writer below it both buffer.
+        self.encoder.flush()?;
+        self.encoder.get_mut().flush()
+    }
+
+    /// Ends an answer that is not whole: an error event, no final event and no final chunk.
+    fn fail(mut self, error: &CallerError) {
+        let _ = self.send(&error.to_json());
+        self.caller.truncate();
+    }
+}
--- /dev/null
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -0,0 +1,212 @@
+//! Binds the sockets of the entry and runs its threads.
+
+use super::caller::CallerConnection;
+use super::chain::FilterChain;
+use super::metrics::EntryMetrics;
+use super::session::{ControlSession, SessionError, SessionSummary};
+use crate::settings::EntrySettings;
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::keys::NodeId;
+use serde::Serialize;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+use thiserror::Error;
+use tiny_http::{Request, Response, Server, StatusCode};
+
+/// Interval at which a drain checks whether requests are still in flight.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// Time for the last reports to reach the leader before the process exits.
+const REPORT_GRACE: Duration = Duration::from_millis(300);
+/// Stack of a handler thread, which only moves buffers.
+const HANDLER_STACK_BYTES: usize = 256 << 10;
+
+/// An entry that could not be started.
+#[derive(Debug, Error)]
+pub enum EntryError {
+    /// An address is not available.
+    #[error("listening on {address}: {source}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// What the server reported.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// The session could not be opened.
+    #[error("opening the session with the control instances")]
+    Session(#[from] SessionError),
+    /// A thread could not be created.
+    #[error("starting a thread of the entry")]
+    Thread(#[source] std::io::Error),
+}
+
+/// Dump of the entry's state.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct EntryDump {
+    /// Name of the instance.
+    pub name: String,
+    /// Failure domain of the instance.
+    pub failure_domain: String,
+    /// Identity of this run.
+    pub node: String,
+    /// Whether the balancer may send requests.
+    pub ready: bool,
+    /// Whether a graceful shutdown is under way.
+    pub draining: bool,
+    /// Requests in flight.
+    pub in_flight: usize,
+    /// Links, configuration and attempts.
+    pub session: SessionSummary,
+    /// Totals since the start.
+    pub metrics: serde_json::Value,
+}
+
+struct EntryShared {
+    settings: EntrySettings,
+    node: NodeId,
+    session: ControlSession,
+    metrics: EntryMetrics,
+    draining: AtomicBool,
+    closing: AtomicBool,
+    in_flight: AtomicUsize,
+}
+
+/// A running entry.
+#[derive(Clone)]
+pub struct EntryServer {
+    shared: Arc<EntryShared>,
+    caller_addr: SocketAddr,
+    operator_addr: SocketAddr,
+}
+
+impl EntryServer {
+    /// Binds both addresses and starts serving.
+    ///
+    /// # Errors
+    /// Fails if an address is not available or a thread cannot be created.
+    pub fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
+        let callers = listen(settings.listen)?;
+        let operators = listen(settings.operator_listen)?;
+        let node = NodeId(rand::random());
+        let session =
+            ControlSession::open(&settings.name, node, &settings.secret, &settings.control)?;
+        let caller_addr = callers.server_addr().to_ip().unwrap_or(settings.listen);
+        let operator_addr = operators.server_addr().to_ip().unwrap_or(settings.operator_listen);
+        let shared = Arc::new(EntryShared {
+            settings,
+            node,
+            session,
+            metrics: EntryMetrics::open(),
+            draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            in_flight: AtomicUsize::new(0),
+        });
+        let worker = shared.clone();
+        spawn("callers", move || {
+            for request in callers.incoming_requests() {
+                worker.accept(request);
+            }
+        })?;
+        let worker = shared.clone();
+        spawn("operators", move || {
+            for request in operators.incoming_requests() {
+                worker.serve_operator(request);
+            }
+        })?;
+        log::info!(event = "entry_started", callers:% = caller_addr, operators:% = operator_addr; "serving");
+        Ok(Self { shared, caller_addr, operator_addr })
+    }
+
+    /// Address for callers.
+    pub fn caller_addr(&self) -> SocketAddr {
+        self.caller_addr
+    }
+
+    /// Address for probes, dump and metrics.
+    pub fn operator_addr(&self) -> SocketAddr {
+        self.operator_addr
+    }
+
+    /// Shuts down gracefully: withdraws readiness, lets the balancer notice, finishes every
+    /// request in flight, and reports their outcomes.
+    pub fn drain(&self) {
+        let shared = &self.shared;
+        shared.draining.store(true, Ordering::SeqCst);
+        log::info!(event = "drain_started"; "readiness withdrawn");
+        thread::sleep(Duration::from_millis(shared.settings.drain_grace_ms));
+        shared.closing.store(true, Ordering::SeqCst);
+        while shared.in_flight.load(Ordering::SeqCst) > 0 {
+            thread::sleep(DRAIN_POLL);
+        }
+        shared.session.say_goodbye();
+        thread::sleep(REPORT_GRACE);
+        log::info!(event = "drain_finished"; "all requests have ended");
+    }
+}
+
+fn listen(address: SocketAddr) -> Result<Server, EntryError> {
+    Server::http(address).map_err(|source| EntryError::Listen { address, source })
+}
+
+fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), EntryError> {
+    let builder = thread::Builder::new().name(name.into()).stack_size(HANDLER_STACK_BYTES);
+    builder.spawn(work).map(|_| ()).map_err(EntryError::Thread)
+}
+
+impl EntryShared {
+    fn is_ready(&self) -> bool {
+        !self.draining.load(Ordering::SeqCst) && self.session.is_ready()
+    }
+
+    /// Serves one request on a thread of its own.
+    fn accept(self: &Arc<Self>, request: Request) {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        let worker = self.clone();
+        let arrived = ClockTime::monotonic();
+        let started = spawn("caller", move || {
+            let chain = FilterChain {
+                session: &worker.session,
+                caller: CallerConnection::new(|| false, || {}),
+                closing: worker.closing.load(Ordering::SeqCst),
+                arrived,
+            };
+            let record = chain.serve(request);
+            worker.metrics.record(&record);
+            worker.in_flight.fetch_sub(1, Ordering::SeqCst);
+        });
+        if let Err(error) = started {
+            // The request is dropped with the closure; tiny_http answers it with status 500.
+            log::error!(event = "thread_failed"; "{error}");
+            self.in_flight.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn serve_operator(&self, request: Request) {
+        let (status, body) = match request.url() {
+            "/healthz" => (200, "{\"alive\":true}".to_owned()),
+            "/readyz" if self.is_ready() => (200, "{\"ready\":true}".to_owned()),
+            "/readyz" => (503, "{\"ready\":false}".to_owned()),
+            "/dump" => (200, serde_json::to_string(&self.dump()).unwrap_or_default()),
+            "/metrics" => (200, self.metrics.collect().to_string()),
+            _ => (404, "{\"error\":\"not_found\"}".to_owned()),
+        };
+        let response = Response::from_string(body).with_status_code(StatusCode(status));
+        let _ = request.respond(response);
+    }
+
+    fn dump(&self) -> EntryDump {
+        EntryDump {
+            name: self.settings.name.clone(),
+            failure_domain: self.settings.failure_domain.clone(),
+            node: self.node.to_string(),
+            ready: self.is_ready(),
+            draining: self.draining.load(Ordering::SeqCst),
+            in_flight: self.in_flight.load(Ordering::SeqCst),
+            session: self.session.summary(),
+            metrics: self.metrics.collect(),
+        }
+    }
+}
--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,5 +1,6 @@
 //! The library behind the daemons and the command line of burdockcleat.
 
+pub mod entry;
 pub mod link;
 #[allow(
     missing_docs,
@@ -11,3 +12,5 @@
 #[rustfmt::skip]
 mod link_capnp;
 pub mod operator;
+pub mod settings;
+pub mod telemetry;
--- /dev/null
+++ b/crates/burdockcleat/src/settings/control.rs
@@ -0,0 +1,119 @@
+//! Settings of the control daemon.
+
+use super::{SettingSpec, SettingsError, SettingsReader};
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+const SPECS: &[SettingSpec] = &[
+    SettingSpec { name: "name", help: "name of this instance", default: None },
+    SettingSpec { name: "failure-domain", help: "failure domain of this instance", default: None },
+    SettingSpec { name: "link-listen", help: "address for our own processes", default: None },
+    SettingSpec {
+        name: "operator-listen",
+        help: "address for operators and targets",
+        default: None,
+    },
+    SettingSpec {
+        name: "operator-url",
+        help: "URL under which operators and targets reach this instance",
+        default: Some(""),
+    },
+    SettingSpec {
+        name: "peers",
+        help: "link addresses of the other control instances, separated by commas",
+        default: Some(""),
+    },
+    SettingSpec { name: "data-folder", help: "folder for log and snapshot", default: None },
+    SettingSpec {
+        name: "form-group",
+        help: "true: form a new group if all peers are empty too; use once",
+        default: Some("false"),
+    },
+    SettingSpec { name: "secret", help: "shared secret of the deployment", default: None },
+    SettingSpec {
+        name: "operator-token",
+        help: "bearer token that operators present",
+        default: None,
+    },
+    SettingSpec { name: "target-token", help: "bearer token that targets present", default: None },
+    SettingSpec { name: "log-level", help: "error, warn, info, debug", default: Some("info") },
+];
+
+/// Settings of the control daemon.
+#[derive(Clone, Debug)]
+pub struct ControlSettings {
+    /// Name of this instance, unique in the deployment.
+    pub name: String,
+    /// Failure domain of this instance.
+    pub failure_domain: String,
+    /// Address for links of our own processes.
+    pub link_listen: SocketAddr,
+    /// Address for operators and targets.
+    pub operator_listen: SocketAddr,
+    /// URL under which operators and targets reach this instance; empty means the address.
+    pub operator_url: String,
+    /// Link addresses of the other control instances.
+    pub peers: Vec<SocketAddr>,
+    /// Folder for log and snapshot.
+    pub data_folder: PathBuf,
+    /// Whether a new group may be formed if all peers are empty.
+    pub form_group: bool,
+    /// Shared secret of the deployment.
+    pub secret: String,
+    /// Bearer token that operators present.
+    pub operator_token: String,
+    /// Bearer token that targets present.
+    pub target_token: String,
+    /// Least severe level that is logged.
+    pub log_level: log::LevelFilter,
+}
+
+impl ControlSettings {
+    /// Reads and checks all settings.
+    ///
+    /// # Errors
+    /// Returns every fault, or the help text if it was asked for.
+    pub fn read(
+        flags: impl IntoIterator<Item = OsString>,
+        environment: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, SettingsError> {
+        let mut reader = SettingsReader::read("burdockcleat-control", SPECS, flags, environment)?;
+        let settings = Self::collect(&mut reader);
+        reader.finish(settings)
+    }
+
+    fn collect(reader: &mut SettingsReader) -> Option<Self> {
+        // Every value is read before the first `?`, so that all faults are found.
+        let name = reader.nonempty("name");
+        let failure_domain = reader.nonempty("failure-domain");
+        let link_listen = reader.parsed("link-listen", "an address such as 10.0.0.1:7000");
+        let operator_listen = reader.parsed("operator-listen", "an address such as 10.0.0.1:7001");
+        let operator_url = reader.text("operator-url");
+        let peers = reader.addresses("peers");
+        let data_folder = reader.nonempty("data-folder");
+        let form_group = reader.parsed("form-group", "true or false");
+        let secret = reader.nonempty("secret");
+        let operator_token = reader.nonempty("operator-token");
+        let target_token = reader.nonempty("target-token");
+        let log_level = reader.parsed("log-level", "error, warn, info or debug");
+        let operator_listen: SocketAddr = operator_listen?;
+        Some(Self {
+            name,
+            failure_domain,
+            link_listen: link_listen?,
+            operator_listen,
+            operator_url: match operator_url.is_empty() {
+                true => format!("http://{operator_listen}"),
+                false => operator_url,
+            },
+            peers,
+            data_folder: data_folder.into(),
+            form_group: form_group?,
+            secret,
+            operator_token,
+            target_token,
+            log_level: log_level?,
+        })
+    }
+}
--- a/crates/burdockcleat/tests/link.rs
+++ b/crates/burdockcleat/tests/link.rs
@@ -1,5 +1,7 @@
 //! Links between processes over real sockets.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
 use burdockcleat::link::{LinkEvent, LinkHandle, LinkIdentity, LinkKey, PeerRole};
 use burdockcleat_core::keys::NodeId;
 use std::net::{Ipv4Addr, SocketAddr};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -210,6 +210,8 @@
         claim: ClaimNumber,
         /// Why.
         reason: ReasonCode,
+        /// Time after which a resend under a new id has a chance, in milliseconds.
+        retry_after_ms: u32,
     },
 }
 
