--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod keys;
 pub mod message;
 pub mod outcome;
+pub mod replica;
