--- /dev/null
+++ b/crates/burdockcleat/src/storage/record.rs
@@ -0,0 +1,53 @@
+//! Framing of records: length, CRC-32 of length and payload, payload in postcard format.
+
+use super::StorageError;
+use burdockcleat_core::replica::LogEntry;
+use crc32fast::Hasher;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+const HEADER_BYTES: usize = 8;
+
+/// Record of the log. Each batch is one record, so at most the last record can be torn.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct LogRecord {
+    /// All entries from this index on are removed first.
+    pub(super) truncate_from: Option<u64>,
+    /// Entries that follow the ones before.
+    pub(super) entries: Vec<LogEntry>,
+}
+
+fn checksum(length: [u8; 4], payload: &[u8]) -> [u8; 4] {
+    let mut hasher = Hasher::new();
+    hasher.update(&length);
+    hasher.update(payload);
+    hasher.finalize().to_le_bytes()
+}
+
+pub(super) fn frame_of<T: Serialize>(value: &T, file: &Path) -> Result<Vec<u8>, StorageError> {
+    let encode = |source| StorageError::Encode { file: file.to_path_buf(), source };
+    let payload = postcard::to_stdvec(value).map_err(encode)?;
+    let length = u32::try_from(payload.len())
+        .map_err(|_| encode(postcard::Error::SerializeBufferFull))?
+        .to_le_bytes();
+    let mut frame = Vec::with_capacity(HEADER_BYTES + payload.len());
+    frame.extend_from_slice(&length);
+    frame.extend_from_slice(&checksum(length, &payload));
+    frame.extend_from_slice(&payload);
+    Ok(frame)
+}
+
+/// Payload and end of the frame at `offset`, or `None` if it is cut off or fails its checksum.
+pub(super) fn read_frame(bytes: &[u8], offset: usize) -> Option<(&[u8], usize)> {
+    let header = bytes.get(offset..offset.checked_add(HEADER_BYTES)?)?;
+    let length: [u8; 4] = header[..4].try_into().ok()?;
+    let start = offset + HEADER_BYTES;
+    let end = start.checked_add(usize::try_from(u32::from_le_bytes(length)).ok()?)?;
+    let payload = bytes.get(start..end)?;
+    (checksum(length, payload) == header[4..]).then_some((payload, end))
+}
+
+/// Whether a whole frame starts anywhere from `offset` on.
+pub(super) fn has_frame_after(bytes: &[u8], offset: usize) -> bool {
+    (offset..bytes.len()).any(|at| read_frame(bytes, at).is_some())
+}
--- /dev/null
+++ b/crates/burdockcleat/src/storage/segment.rs
@@ -0,0 +1,167 @@
+//! The log in segment files.
+
+use super::error::{StorageStep, attempt};
+use super::record::{LogRecord, frame_of, has_frame_after, read_frame};
+use super::{StorageError, sync_folder};
+use burdockcleat_core::replica::LogEntry;
+use std::fs::{self, File, OpenOptions};
+use std::io::Write;
+use std::path::{Path, PathBuf};
+
+/// A new segment starts when the current one reaches this size.
+const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
+
+const PREFIX: &str = "log-";
+
+#[derive(Debug)]
+struct Segment {
+    number: u64,
+    path: PathBuf,
+    bytes: u64,
+    /// Highest index of an entry in the segment.
+    last_index: u64,
+}
+
+#[derive(Debug)]
+pub(super) struct SegmentLog {
+    folder: PathBuf,
+    segments: Vec<Segment>,
+    /// The last segment, open for appending.
+    active: Option<File>,
+    syncs: u64,
+}
+
+impl SegmentLog {
+    /// Reads all segments and removes a torn record at the end.
+    pub(super) fn open(folder: &Path) -> Result<(Self, Vec<LogEntry>), StorageError> {
+        let mut log = Self {
+            folder: folder.to_path_buf(),
+            segments: list_segments(folder)?,
+            active: None,
+            syncs: 0,
+        };
+        let mut entries = Vec::new();
+        let count = log.segments.len();
+        for (at, segment) in log.segments.iter_mut().enumerate() {
+            read_segment(segment, at + 1 == count, &mut entries)?;
+        }
+        if let Some(segment) = log.segments.last() {
+            let opened = OpenOptions::new().append(true).open(&segment.path);
+            log.active = Some(attempt(opened, StorageStep::Open, &segment.path)?);
+        }
+        Ok((log, entries))
+    }
+
+    pub(super) fn bytes(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+
+    pub(super) fn sync_count(&self) -> u64 {
+        self.syncs
+    }
+
+    /// Appends a record with one write and one sync.
+    pub(super) fn append(&mut self, record: &LogRecord) -> Result<(), StorageError> {
+        if self.segments.last().is_none_or(|segment| segment.bytes >= SEGMENT_BYTES) {
+            self.start_segment()?;
+        }
+        let (Some(segment), Some(file)) = (self.segments.last_mut(), self.active.as_mut()) else {
+            return Ok(());
+        };
+        let bytes = frame_of(record, &segment.path)?;
+        segment.last_index = segment.last_index.max(last_index(record));
+        attempt(file.write_all(&bytes), StorageStep::Write, &segment.path)?;
+        attempt(file.sync_data(), StorageStep::Sync, &segment.path)?;
+        segment.bytes += bytes.len() as u64;
+        self.syncs += 1;
+        Ok(())
+    }
+
+    fn start_segment(&mut self) -> Result<(), StorageError> {
+        let number = self.segments.last().map_or(1, |segment| segment.number + 1);
+        let path = self.folder.join(format!("{PREFIX}{number:010}"));
+        let created = OpenOptions::new().create_new(true).append(true).open(&path);
+        self.active = Some(attempt(created, StorageStep::Create, &path)?);
+        sync_folder(&self.folder)?;
+        self.segments.push(Segment { number, path, bytes: 0, last_index: 0 });
+        Ok(())
+    }
+
+    /// Removes the oldest segments while the snapshot at `index` contains all their entries.
+    pub(super) fn remove_before(&mut self, index: u64) -> Result<(), StorageError> {
+        let old = self.segments.iter().take_while(|segment| segment.last_index <= index).count();
+        let removable = old.min(self.segments.len().saturating_sub(1));
+        for segment in self.segments.drain(..removable) {
+            attempt(fs::remove_file(&segment.path), StorageStep::Remove, &segment.path)?;
+        }
+        Ok(())
+    }
+}
+
+fn last_index(record: &LogRecord) -> u64 {
+    record.entries.last().map_or(0, |entry| entry.index)
+}
+
+fn list_segments(folder: &Path) -> Result<Vec<Segment>, StorageError> {
+    let mut segments = Vec::new();
+    for item in attempt(fs::read_dir(folder), StorageStep::ListFolder, folder)? {
+        let path = attempt(item, StorageStep::ListFolder, folder)?.path();
+        let name = path.file_name().and_then(|name| name.to_str()).unwrap_or_default();
+        let Some(number) = name.strip_prefix(PREFIX).and_then(|digits| digits.parse().ok()) else {
+            continue;
+        };
+        segments.push(Segment { number, path, bytes: 0, last_index: 0 });
+    }
+    segments.sort_by_key(|segment| segment.number);
+    Ok(segments)
+}
+
+fn read_segment(
+    segment: &mut Segment,
+    is_last: bool,
+    entries: &mut Vec<LogEntry>,
+) -> Result<(), StorageError> {
+    let bytes = attempt(fs::read(&segment.path), StorageStep::Read, &segment.path)?;
+    let mut offset = 0;
+    while offset < bytes.len() {
+        let corrupt =
+            || StorageError::Corrupt { file: segment.path.clone(), offset: offset as u64 };
+        let Some((payload, end)) = read_frame(&bytes, offset) else {
+            // Each batch is synced before the next is written. A bad record with a good one
+            // after it was acknowledged, so it is not torn.
+            if !is_last || has_frame_after(&bytes, offset + 1) {
+                return Err(corrupt());
+            }
+            shorten(&segment.path, offset as u64)?;
+            break;
+        };
+        let record = postcard::from_bytes(payload).map_err(|_| corrupt())?;
+        segment.last_index = segment.last_index.max(last_index(&record));
+        if !apply(record, entries) {
+            return Err(corrupt());
+        }
+        offset = end;
+    }
+    segment.bytes = offset as u64;
+    Ok(())
+}
+
+/// Applies a record to the entries read so far. Fails if the entries have a gap.
+fn apply(record: LogRecord, entries: &mut Vec<LogEntry>) -> bool {
+    if let Some(from) = record.truncate_from {
+        entries.retain(|entry| entry.index < from);
+    }
+    for entry in record.entries {
+        if entries.last().is_some_and(|last| last.index + 1 != entry.index) {
+            return false;
+        }
+        entries.push(entry);
+    }
+    true
+}
+
+fn shorten(path: &Path, bytes: u64) -> Result<(), StorageError> {
+    let file = attempt(OpenOptions::new().write(true).open(path), StorageStep::Open, path)?;
+    attempt(file.set_len(bytes), StorageStep::Shorten, path)?;
+    attempt(file.sync_all(), StorageStep::Sync, path)
+}
