--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -13,4 +13,5 @@
 mod link_capnp;
 pub mod operator;
 pub mod settings;
+pub mod storage;
 pub mod telemetry;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod keys;
 pub mod message;
 pub mod outcome;
+pub mod replica;
 pub mod state;
