Add the pool scheduler, the target registry and the rate estimates

The control leader needs its scheduling decisions as pure step functions, so that daemons, experiments and differential tests run the same code. This first version fixes the public interface: PoolScheduler::step takes PoolInput and returns PoolOutput; TargetRegistry turns announcements, leaves and silence into TargetChange; RateTable and PrefixIndex hold the online estimates; SuspectTable holds the crash marks.

--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,181 @@
+//! Online estimates of prefill and decode rates, stragglers, and prefix cache prediction.
+//!
+//! A report costs O(1); [`RateTable::tick`] sorts the targets of each hardware generation.
+
+mod prefix;
+mod rate;
+
+pub use prefix::{PrefixIndex, PrefixSettings};
+pub use rate::{DecayedRatio, RateEstimate, RateSettings};
+
+use crate::clock::ClockTime;
+use crate::registry::TargetKey;
+use slotmap::SecondaryMap;
+use std::collections::HashMap;
+
+/// Rates of the targets of one pool, with the mean of each hardware generation.
+#[derive(Clone, Debug)]
+pub struct RateTable {
+    settings: RateSettings,
+    targets: SecondaryMap<TargetKey, TargetRates>,
+    generations: HashMap<String, usize>,
+    means: Vec<RateEstimate>,
+}
+
+#[derive(Clone, Debug)]
+struct TargetRates {
+    generation: usize,
+    estimate: RateEstimate,
+    /// Decode rate over a short window, for the detection of stragglers.
+    recent: DecayedRatio,
+    slow_since: Option<ClockTime>,
+    straggler: bool,
+}
+
+impl RateTable {
+    /// An empty table.
+    pub fn new(settings: RateSettings) -> Self {
+        Self {
+            settings,
+            targets: SecondaryMap::new(),
+            generations: HashMap::new(),
+            means: Vec::new(),
+        }
+    }
+
+    /// Adds a target of a hardware generation; a known target keeps its rates.
+    pub fn insert(&mut self, target: TargetKey, generation: &str) {
+        let next = self.means.len();
+        let generation = *self.generations.entry(generation.to_owned()).or_insert(next);
+        if generation == next {
+            self.means.push(RateEstimate::default());
+        }
+        if self.targets.contains_key(target) {
+            return;
+        }
+        let rates = TargetRates {
+            generation,
+            estimate: RateEstimate::default(),
+            recent: DecayedRatio::default(),
+            slow_since: None,
+            straggler: false,
+        };
+        self.targets.insert(target, rates);
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, target: TargetKey) {
+        self.targets.remove(target);
+    }
+
+    /// Enters that `tokens` prompt tokens were computed in `span_ms`.
+    pub fn prefill(&mut self, now: ClockTime, target: TargetKey, tokens: f64, span_ms: f64) {
+        let half_life = self.settings.half_life_ms;
+        let Some(rates) = self.targets.get_mut(target) else { return };
+        rates.estimate.prefill.add(now, half_life, tokens, span_ms);
+        self.means[rates.generation].prefill.add(now, half_life, tokens, span_ms);
+    }
+
+    /// Enters that one stream received `tokens` in `span_ms`.
+    pub fn decode(&mut self, now: ClockTime, target: TargetKey, tokens: f64, span_ms: f64) {
+        let half_life = self.settings.half_life_ms;
+        let Some(rates) = self.targets.get_mut(target) else { return };
+        rates.estimate.decode.add(now, half_life, tokens, span_ms);
+        rates.recent.add(now, self.settings.straggler_window_ms, tokens, span_ms);
+        self.means[rates.generation].decode.add(now, half_life, tokens, span_ms);
+    }
+
+    /// Prefill rate in tokens per millisecond.
+    pub fn prefill_rate(&self, now: ClockTime, target: TargetKey) -> f64 {
+        let prior = self.settings.prefill_tokens_per_s / 1_000.0;
+        self.rate(now, target, |estimate| estimate.prefill, prior)
+    }
+
+    /// Decode rate of one stream in tokens per millisecond.
+    pub fn decode_rate(&self, now: ClockTime, target: TargetKey) -> f64 {
+        let prior = self.settings.decode_tokens_per_s / 1_000.0;
+        self.rate(now, target, |estimate| estimate.decode, prior)
+    }
+
+    /// Prefill and decode rate over all generations, each weighted by its observations.
+    pub fn mean_rates(&self, now: ClockTime) -> (f64, f64) {
+        let RateSettings { half_life_ms, prior_ms, .. } = self.settings;
+        let mut total = RateEstimate::default();
+        for mean in &self.means {
+            total.prefill.merge(now, half_life_ms, &mean.prefill);
+            total.decode.merge(now, half_life_ms, &mean.decode);
+        }
+        let prefill_prior = self.settings.prefill_tokens_per_s / 1_000.0;
+        let decode_prior = self.settings.decode_tokens_per_s / 1_000.0;
+        (
+            total.prefill.with_prior(now, half_life_ms, prior_ms, prefill_prior),
+            total.decode.with_prior(now, half_life_ms, prior_ms, decode_prior),
+        )
+    }
+
+    /// Whether the target decoded at less than half of its generation's median for long enough.
+    pub fn straggler(&self, target: TargetKey) -> bool {
+        self.targets.get(target).is_some_and(|rates| rates.straggler)
+    }
+
+    /// Compares the targets of each generation. To be called several times a second.
+    pub fn tick(&mut self, now: ClockTime) {
+        for generation in 0..self.means.len() {
+            let median = self.median_decode(now, generation);
+            let bound = median.map(|rate| rate * self.settings.straggler_fraction);
+            for (_, rates) in &mut self.targets {
+                if rates.generation == generation {
+                    rates.compare(now, bound, &self.settings);
+                }
+            }
+        }
+    }
+
+    fn rate(
+        &self,
+        now: ClockTime,
+        target: TargetKey,
+        part: impl Fn(&RateEstimate) -> DecayedRatio,
+        default: f64,
+    ) -> f64 {
+        let Some(rates) = self.targets.get(target) else { return default };
+        let RateSettings { half_life_ms, prior_ms, .. } = self.settings;
+        let mean =
+            part(&self.means[rates.generation]).with_prior(now, half_life_ms, prior_ms, default);
+        part(&rates.estimate).with_prior(now, half_life_ms, prior_ms, mean)
+    }
+
+    fn median_decode(&self, now: ClockTime, generation: usize) -> Option<f64> {
+        let window = self.settings.straggler_window_ms;
+        let mut seen: Vec<f64> = self
+            .targets
+            .values()
+            .filter(|rates| rates.generation == generation)
+            .filter_map(|rates| rates.recent.value(now, window, self.settings.straggler_min_ms))
+            .collect();
+        // With fewer than three targets the median says nothing about which of them is slow.
+        if seen.len() < 3 {
+            return None;
+        }
+        seen.sort_by(f64::total_cmp);
+        Some(seen[seen.len() / 2])
+    }
+}
+
+impl TargetRates {
+    fn compare(&mut self, now: ClockTime, bound: Option<f64>, settings: &RateSettings) {
+        let recent =
+            self.recent.value(now, settings.straggler_window_ms, settings.straggler_min_ms);
+        let slow = match (recent, bound) {
+            (Some(rate), Some(bound)) => rate < bound,
+            _ => false,
+        };
+        if !slow {
+            self.slow_since = None;
+            self.straggler = false;
+            return;
+        }
+        let since = *self.slow_since.get_or_insert(now);
+        self.straggler = now.since(since) >= settings.straggler_after_ms;
+    }
+}
--- /dev/null
+++ b/crates/core/src/estimate/rate.rs
@@ -0,0 +1,97 @@
+//! Exponentially weighted rates.
+
+use crate::clock::ClockTime;
+
+/// Settings of the rate estimates.
+#[derive(Clone, Debug)]
+pub struct RateSettings {
+    /// Half-life of a sample in the rate estimates, in milliseconds.
+    pub half_life_ms: f64,
+    /// Weight of the generation's mean, as observation time in milliseconds. As samples decay, an
+    /// idle target returns to the mean.
+    pub prior_ms: f64,
+    /// Prefill rate assumed before the first report, in tokens per second.
+    pub prefill_tokens_per_s: f64,
+    /// Decode rate of one stream assumed before the first report, in tokens per second.
+    pub decode_tokens_per_s: f64,
+    /// Share of the median decode rate below which a target counts as slow.
+    pub straggler_fraction: f64,
+    /// Time for which a target must be slow to count as a straggler, in milliseconds.
+    pub straggler_after_ms: u64,
+    /// Half-life of the samples in the comparison, in milliseconds. The half-life of the rate
+    /// estimates would delay the detection of a target at quarter speed by 16 s.
+    pub straggler_window_ms: f64,
+    /// Observed stream time that a target needs to be compared, in milliseconds.
+    pub straggler_min_ms: f64,
+}
+
+impl Default for RateSettings {
+    fn default() -> Self {
+        Self {
+            half_life_ms: 10_000.0,
+            prior_ms: 500.0,
+            prefill_tokens_per_s: 4_000.0,
+            decode_tokens_per_s: 40.0,
+            straggler_fraction: 0.5,
+            straggler_after_ms: 2_000,
+            straggler_window_ms: 1_000.0,
+            straggler_min_ms: 100.0,
+        }
+    }
+}
+
+/// A quotient of two sums whose terms lose half of their weight per half-life.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DecayedRatio {
+    amount: f64,
+    span_ms: f64,
+    updated: ClockTime,
+}
+
+impl DecayedRatio {
+    /// Adds an observation.
+    pub fn add(&mut self, now: ClockTime, half_life_ms: f64, amount: f64, span_ms: f64) {
+        let weight = self.weight(now, half_life_ms);
+        self.amount = self.amount * weight + amount;
+        self.span_ms = self.span_ms * weight + span_ms;
+        self.updated = self.updated.max(now);
+    }
+
+    /// Adds the observations of another quotient.
+    pub fn merge(&mut self, now: ClockTime, half_life_ms: f64, other: &Self) {
+        let weight = other.weight(now, half_life_ms);
+        self.add(now, half_life_ms, other.amount * weight, other.span_ms * weight);
+    }
+
+    /// The quotient, if at least `min_ms` of weighted observation time is left.
+    pub fn value(&self, now: ClockTime, half_life_ms: f64, min_ms: f64) -> Option<f64> {
+        let span = self.span_ms * self.weight(now, half_life_ms);
+        if span < min_ms { None } else { Some(self.amount / self.span_ms) }
+    }
+
+    /// The quotient, drawn to `prior` with the weight of `prior_ms` of observation.
+    pub fn with_prior(&self, now: ClockTime, half_life_ms: f64, prior_ms: f64, prior: f64) -> f64 {
+        let weight = self.weight(now, half_life_ms);
+        (self.amount * weight + prior * prior_ms) / (self.span_ms * weight + prior_ms)
+    }
+
+    /// The decayed sum of amounts.
+    pub fn amount(&self, now: ClockTime, half_life_ms: f64) -> f64 {
+        self.amount * self.weight(now, half_life_ms)
+    }
+
+    fn weight(&self, now: ClockTime, half_life_ms: f64) -> f64 {
+        // The cast is exact for spans below 2^52 ms.
+        (-(now.since(self.updated) as f64) / half_life_ms).exp2()
+    }
+}
+
+/// Prefill and decode rate of one target or of the mean of a generation, in tokens per
+/// millisecond.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RateEstimate {
+    /// Prompt tokens computed per millisecond.
+    pub prefill: DecayedRatio,
+    /// Tokens generated per stream and millisecond.
+    pub decode: DecayedRatio,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,9 @@
 //! differential tests run the same code.
 
 pub mod clock;
+pub mod estimate;
 pub mod keys;
 pub mod message;
 pub mod outcome;
+pub mod pool;
+pub mod registry;
--- /dev/null
+++ b/crates/core/src/pool/queue.rs
@@ -0,0 +1,202 @@
+//! Waiting requests: by model, tier, workspace and deadline.
+//!
+//! An insertion, removal or choice of the next request costs O(log n).
+
+use super::request::RequestSlot;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Virtual time units per token of cost at weight 1.
+const VIRTUAL_UNITS: f64 = 1_000.0;
+
+/// What the queue has to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct QueueItem {
+    pub slot: RequestSlot,
+    /// Index of the model.
+    pub class: usize,
+    pub tier: u8,
+    /// Index of the flow within the tier.
+    pub flow: usize,
+    /// Order within the flow: the deadline or the arrival.
+    pub order: u64,
+    /// Arrival number.
+    pub sequence: u64,
+    /// Estimated service time, for the estimated wait.
+    pub service_ms: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct TierIndex {
+    by_age: BTreeSet<(u64, RequestSlot)>,
+    service_ms: f64,
+}
+
+/// Requests of one workspace in one tier and model.
+#[derive(Clone, Debug, Default)]
+struct FlowQueue {
+    virtual_time: u64,
+    requests: BTreeSet<(u64, u64, RequestSlot)>,
+}
+
+/// Flows of one tier and model, served in the order of their virtual times.
+#[derive(Clone, Debug, Default)]
+struct FlowSet {
+    clock: u64,
+    flows: HashMap<usize, FlowQueue>,
+    active: BTreeSet<(u64, usize)>,
+}
+
+impl FlowSet {
+    fn insert(&mut self, item: &QueueItem) {
+        let flow = self.flows.entry(item.flow).or_default();
+        if flow.requests.is_empty() {
+            // A flow that was idle starts at the present, so idle time earns no credit.
+            flow.virtual_time = flow.virtual_time.max(self.clock);
+            self.active.insert((flow.virtual_time, item.flow));
+        }
+        flow.requests.insert((item.order, item.sequence, item.slot));
+    }
+
+    fn remove(&mut self, item: &QueueItem) {
+        let Some(flow) = self.flows.get_mut(&item.flow) else { return };
+        if flow.requests.remove(&(item.order, item.sequence, item.slot)) && flow.requests.is_empty()
+        {
+            self.active.remove(&(flow.virtual_time, item.flow));
+        }
+    }
+
+    fn charge(&mut self, flow_index: usize, cost: f64, weight: f64) {
+        let Some(flow) = self.flows.get_mut(&flow_index) else { return };
+        self.clock = self.clock.max(flow.virtual_time);
+        let was_active = self.active.remove(&(flow.virtual_time, flow_index));
+        // Costs are bounded by u32 token counts; the cast saturates.
+        flow.virtual_time += (cost * VIRTUAL_UNITS / weight.max(1e-6)) as u64 + 1;
+        if was_active {
+            self.active.insert((flow.virtual_time, flow_index));
+        }
+    }
+
+    fn candidates(&self, limit: usize) -> impl Iterator<Item = RequestSlot> {
+        self.active
+            .iter()
+            .filter_map(|(_, flow)| self.flows.get(flow))
+            .flat_map(move |flow| flow.requests.iter().take(limit).map(|(_, _, slot)| *slot))
+            .take(limit)
+    }
+}
+
+/// All waiting requests of a pool.
+#[derive(Clone, Debug, Default)]
+pub(super) struct PoolQueue {
+    tiers: BTreeMap<u8, TierIndex>,
+    classes: Vec<BTreeMap<u8, FlowSet>>,
+    service_ms: f64,
+    length: usize,
+}
+
+impl PoolQueue {
+    pub fn insert(&mut self, item: &QueueItem) {
+        let tier = self.tiers.entry(item.tier).or_default();
+        tier.by_age.insert((item.sequence, item.slot));
+        self.length += 1;
+        self.enter_flow(item);
+    }
+
+    pub fn remove(&mut self, item: &QueueItem, parked: bool) {
+        let Some(tier) = self.tiers.get_mut(&item.tier) else { return };
+        if !tier.by_age.remove(&(item.sequence, item.slot)) {
+            return;
+        }
+        self.length -= 1;
+        if !parked {
+            self.leave_flow(item);
+        }
+        if self.tiers.get(&item.tier).is_some_and(|tier| tier.by_age.is_empty()) {
+            self.tiers.remove(&item.tier);
+        }
+    }
+
+    /// Makes a waiting request eligible for placement.
+    pub fn enter_flow(&mut self, item: &QueueItem) {
+        if self.classes.len() <= item.class {
+            self.classes.resize_with(item.class + 1, BTreeMap::new);
+        }
+        self.classes[item.class].entry(item.tier).or_default().insert(item);
+        self.tiers.entry(item.tier).or_default().service_ms += item.service_ms;
+        self.service_ms += item.service_ms;
+    }
+
+    /// Excludes a waiting request from placement and from the estimated wait.
+    pub fn leave_flow(&mut self, item: &QueueItem) {
+        if let Some(flows) = self.classes[item.class].get_mut(&item.tier) {
+            flows.remove(item);
+        }
+        if let Some(tier) = self.tiers.get_mut(&item.tier) {
+            tier.service_ms -= item.service_ms;
+        }
+        self.service_ms = (self.service_ms - item.service_ms).max(0.0);
+    }
+
+    /// Charges the cost of a placed request to its flow.
+    pub fn charge(&mut self, item: &QueueItem, cost: f64, weight: f64) {
+        if let Some(flows) = self.classes[item.class].get_mut(&item.tier) {
+            flows.charge(item.flow, cost, weight);
+        }
+    }
+
+    /// Requests of a model that are next, of its highest waiting tier only.
+    pub fn candidates(&self, class: usize, limit: usize) -> Vec<RequestSlot> {
+        self.classes
+            .get(class)
+            .and_then(|tiers| tiers.values().find(|flows| !flows.active.is_empty()))
+            .map(|flows| flows.candidates(limit).collect())
+            .unwrap_or_default()
+    }
+
+    /// Highest tier of a model with a request that can be placed.
+    pub fn first_tier(&self, class: usize) -> Option<u8> {
+        let tiers = self.classes.get(class)?;
+        tiers.iter().find(|(_, flows)| !flows.active.is_empty()).map(|(tier, _)| *tier)
+    }
+
+    pub fn classes(&self) -> usize {
+        self.classes.len()
+    }
+
+    pub fn len(&self) -> usize {
+        self.length
+    }
+
+    /// Lowest tier with a waiting request, and the newest request of it.
+    pub fn newest_of_lowest(&self) -> Option<(u8, RequestSlot)> {
+        let (tier, index) = self.tiers.last_key_value()?;
+        index.by_age.last().map(|(_, slot)| (*tier, *slot))
+    }
+
+    /// Newest request of any tier.
+    pub fn newest(&self) -> Option<RequestSlot> {
+        let newest = self.tiers.values().filter_map(|index| index.by_age.last()).max();
+        newest.map(|(_, slot)| *slot)
+    }
+
+    /// Waiting requests of tiers below `tier`, the lowest tier and the newest request first.
+    pub fn below(&self, tier: u8) -> impl Iterator<Item = RequestSlot> {
+        self.tiers
+            .range(tier.saturating_add(1)..)
+            .rev()
+            .filter(move |(rank, _)| **rank > tier)
+            .flat_map(|(_, index)| index.by_age.iter().rev().map(|(_, slot)| *slot))
+    }
+
+    /// Estimated service time of all requests that can be placed.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
+    /// Estimated service time and number of the requests in this tier and the tiers above.
+    pub fn ahead(&self, tier: u8) -> (f64, usize) {
+        self.tiers.range(..=tier).fold((0.0, 0), |(service, count), (_, index)| {
+            (service + index.service_ms, count + index.by_age.len())
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/request.rs
@@ -0,0 +1,162 @@
+//! Records of requests and targets inside one pool.
+
+use super::queue::QueueItem;
+use crate::clock::ClockTime;
+use crate::estimate::PrefixIndex;
+use crate::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey, TargetIdentity};
+use crate::registry::{TargetAnnouncement, TargetKey};
+use slotmap::new_key_type;
+
+new_key_type! {
+    /// Key of a request in the scheduler's arena.
+    pub(super) struct RequestSlot;
+}
+
+/// A request that waits or runs.
+#[derive(Clone, Debug)]
+pub(super) struct RequestRecord {
+    pub key: RequestKey,
+    pub attempt: u32,
+    pub entry: NodeId,
+    pub fingerprint: RequestFingerprint,
+    pub workspace: usize,
+    pub idempotent: bool,
+    pub submitted: ClockTime,
+    pub deadline: ClockTime,
+    pub prompt_tokens: u32,
+    /// Output limit of the caller.
+    pub output_limit: u32,
+    /// Output expected from the workspace's history.
+    pub output_expected: f64,
+    pub prefix_hashes: Vec<u64>,
+    /// Tokens taken from the workspace's token bucket.
+    pub charged_tokens: f64,
+    /// Place in the queue, kept while the request runs for a return after a release.
+    pub item: QueueItem,
+    /// Targets that refused the connection.
+    pub tried: Vec<TargetKey>,
+    /// When the request is looked at again without another event.
+    pub timer: Option<ClockTime>,
+    /// A waiting request and the running request that gives way to it, or a request above the
+    /// concurrency limit and the running request that justifies it.
+    pub partner: Option<RequestSlot>,
+    pub phase: RequestPhase,
+}
+
+#[derive(Clone, Debug)]
+pub(super) enum RequestPhase {
+    Waiting(WaitState),
+    Running(RunState),
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct WaitState {
+    /// Whether a slot is sought by preemption.
+    pub urgent: bool,
+    /// Times that a request of the same tier was placed out of order before this one.
+    pub overtaken: u32,
+    pub parked: Option<ParkReason>,
+}
+
+/// Why a waiting request cannot be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ParkReason {
+    /// Every usable target runs another request that is suspected of crashing targets.
+    Suspect,
+    /// The deadline has passed while a lower tier still runs.
+    Expired,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RunState {
+    /// Absent until the target of a re-entered claim has announced itself.
+    pub target: Option<TargetKey>,
+    pub identity: Option<TargetIdentity>,
+    pub claim: Option<ClaimNumber>,
+    pub placed: ClockTime,
+    pub marked: bool,
+    pub cancelling: Option<ClockTime>,
+    pub owner_lost: Option<ClockTime>,
+    /// Prompt tokens that the target has to compute.
+    pub uncached: f64,
+    /// Prompt tokens of other requests that the target had to compute first.
+    pub ahead: f64,
+    pub first_token: bool,
+    pub tokens: u32,
+    /// When `tokens` was last reported.
+    pub reported: ClockTime,
+}
+
+impl RequestRecord {
+    pub fn running(&self) -> Option<&RunState> {
+        match &self.phase {
+            RequestPhase::Running(state) => Some(state),
+            RequestPhase::Waiting(_) => None,
+        }
+    }
+
+    pub fn running_mut(&mut self) -> Option<&mut RunState> {
+        match &mut self.phase {
+            RequestPhase::Running(state) => Some(state),
+            RequestPhase::Waiting(_) => None,
+        }
+    }
+
+    pub fn waiting(&self) -> Option<&WaitState> {
+        match &self.phase {
+            RequestPhase::Waiting(state) => Some(state),
+            RequestPhase::Running(_) => None,
+        }
+    }
+
+    pub fn waiting_mut(&mut self) -> Option<&mut WaitState> {
+        match &mut self.phase {
+            RequestPhase::Waiting(state) => Some(state),
+            RequestPhase::Running(_) => None,
+        }
+    }
+}
+
+impl RunState {
+    /// Whether the owner can be told to cancel.
+    pub fn reachable(&self) -> bool {
+        self.claim.is_some() && self.owner_lost.is_none()
+    }
+
+    /// Work that a cancel would discard, in tokens.
+    pub fn work(&self) -> f64 {
+        if self.first_token { self.uncached + f64::from(self.tokens) } else { 0.0 }
+    }
+}
+
+/// One incarnation of a target of the pool.
+#[derive(Clone, Debug)]
+pub(super) struct PoolTarget {
+    pub announcement: TargetAnnouncement,
+    /// Whether the target may get new work.
+    pub eligible: bool,
+    /// Whether the target has left; it is forgotten after its last request ended.
+    pub left: bool,
+    pub running: Vec<RequestSlot>,
+    /// Prompt tokens of own dispatches that are not past their first token.
+    pub prefill_ahead: f64,
+    pub prefix: PrefixIndex,
+    /// Suspected requests that run here.
+    pub marked: u32,
+    /// Fingerprints of requests whose connection to this incarnation was cut.
+    pub cut: Vec<RequestFingerprint>,
+    /// Number of the last placement, for round robin.
+    pub last_placed: u64,
+    /// When progress of any stream was last reported.
+    pub progressed: ClockTime,
+}
+
+impl PoolTarget {
+    pub fn slots(&self) -> usize {
+        if self.eligible { self.announcement.slots as usize } else { 0 }
+    }
+
+    pub fn has_free_slot(&self) -> bool {
+        self.running.len() < self.slots()
+    }
+}
--- /dev/null
+++ b/crates/core/src/pool/route.rs
@@ -0,0 +1,284 @@
+//! Placement: the next request and the target for it.
+
+use super::PoolScheduler;
+use super::event::PoolOutput;
+use super::request::{ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState};
+use super::settings::RoutingPolicy;
+use crate::clock::ClockTime;
+use crate::outcome::ReasonCode;
+use crate::registry::TargetKey;
+
+/// Smallest gain in the share of cached prompt tokens for which a request overtakes another.
+const OVERTAKE_GAIN: f64 = 0.25;
+
+/// A target for a request, with the estimates that led to it.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    slot: RequestSlot,
+    target: TargetKey,
+    cached_share: f64,
+}
+
+impl PoolScheduler {
+    /// Places waiting requests while targets have free slots.
+    pub(super) fn dispatch(&mut self, now: ClockTime) {
+        if self.queue.len() == 0 || !self.targets.values().any(PoolTarget::has_free_slot) {
+            return;
+        }
+        let mut blocked = vec![false; self.queue.classes()];
+        while let Some(class) = self.next_class(&blocked) {
+            match self.choose(now, class) {
+                Some(choice) => self.place(now, choice.slot, choice.target, false),
+                None => blocked[class] = true,
+            }
+        }
+    }
+
+    /// The model whose next request has the highest tier, or among equals is the oldest.
+    fn next_class(&self, blocked: &[bool]) -> Option<usize> {
+        (0..blocked.len())
+            .filter(|class| !blocked[*class])
+            .filter_map(|class| {
+                let tier = self.queue.first_tier(class)?;
+                let first = self.queue.candidates(class, 1).first().copied()?;
+                Some((tier, self.requests[first].item.sequence, class))
+            })
+            .min()
+            .map(|(_, _, class)| class)
+    }
+
+    fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
+        let mut best: Option<Choice> = None;
+        let mut passed = Vec::new();
+        for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
+            let Some(choice) = self.route(now, slot) else {
+                self.park_suspect(now, slot);
+                continue;
+            };
+            let better = best.is_none_or(|best| {
+                choice.cached_share > best.cached_share + OVERTAKE_GAIN && self.may_overtake(now)
+            });
+            if better {
+                passed.extend(best.map(|best| best.slot));
+                best = Some(choice);
+            }
+            if !self.overtakable(slot) {
+                break;
+            }
+        }
+        for slot in passed {
+            if let Some(state) = self.requests[slot].waiting_mut() {
+                state.overtaken += 1;
+            }
+        }
+        best
+    }
+
+    fn may_overtake(&self, _now: ClockTime) -> bool {
+        self.settings.switches.prefix_term
+            && self.settings.routing == RoutingPolicy::EstimatedCompletion
+    }
+
+    fn overtakable(&self, slot: RequestSlot) -> bool {
+        self.requests[slot].waiting().is_some_and(|state| {
+            !state.urgent && (state.overtaken as usize) < self.settings.lookahead
+        })
+    }
+
+    /// The best target with a free slot for a request.
+    fn route(&mut self, now: ClockTime, slot: RequestSlot) -> Option<Choice> {
+        let marked = self.suspects.marked(now, self.requests[slot].fingerprint);
+        let record = &self.requests[slot];
+        let model = &self.classes[record.item.class];
+        let usable: Vec<TargetKey> = self
+            .targets
+            .iter()
+            .filter(|(key, target)| {
+                target.has_free_slot()
+                    && target.announcement.serves(model)
+                    && !record.tried.contains(key)
+                    && !(marked && target.marked > 0)
+            })
+            .map(|(key, _)| *key)
+            .collect();
+        let avoid = self.settings.switches.straggler_avoidance;
+        let fast: Vec<TargetKey> =
+            usable.iter().copied().filter(|key| !(avoid && self.rates.straggler(*key))).collect();
+        let usable = if fast.is_empty() { usable } else { fast };
+        let target = self.pick(now, slot, &usable)?;
+        let record = &self.requests[slot];
+        let cached = self.cached(record, target);
+        let cached_share = cached / f64::from(record.prompt_tokens.max(1));
+        Some(Choice { slot, target, cached_share })
+    }
+
+    fn pick(
+        &mut self,
+        now: ClockTime,
+        slot: RequestSlot,
+        usable: &[TargetKey],
+    ) -> Option<TargetKey> {
+        if usable.is_empty() {
+            return None;
+        }
+        let in_flight = |key: &TargetKey| self.targets[key].running.len();
+        match self.settings.routing {
+            RoutingPolicy::EstimatedCompletion => {
+                let record = &self.requests[slot];
+                usable
+                    .iter()
+                    .map(|key| (self.completion_ms(now, record, *key), in_flight(key), *key))
+                    .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
+                    .map(|(_, _, key)| key)
+            }
+            RoutingPolicy::Random { .. } => {
+                self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                // The remainder is below the length, so the casts are exact.
+                let index = split_mix(self.random_state) % usable.len() as u64;
+                usable.get(index as usize).copied()
+            }
+            RoutingPolicy::RoundRobin => {
+                usable.iter().copied().min_by_key(|key| self.targets[key].last_placed)
+            }
+            RoutingPolicy::LeastReported => usable.iter().copied().min_by_key(|key| {
+                let target = &self.targets[key];
+                let load = target.announcement.load;
+                // Equal reports are common; without rotation one target would get them all.
+                (load.running + load.waiting, target.last_placed)
+            }),
+            RoutingPolicy::LeastInFlight => usable.iter().copied().min_by_key(in_flight),
+        }
+    }
+
+    /// Estimated time until the request would complete at a target.
+    fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+        if self.is_service(record.item.class) {
+            return 0.0;
+        }
+        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
+        let prefill_ms = (self.targets[&key].prefill_ahead + uncached)
+            / self.rates.prefill_rate(now, key).max(1e-6);
+        prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
+    }
+
+    fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
+        if !self.settings.switches.prefix_term {
+            return 0.0;
+        }
+        self.targets[&key].prefix.cached_tokens(&record.prefix_hashes, record.prompt_tokens)
+    }
+
+    /// Gives the slot of a target to a waiting request.
+    pub(super) fn place(
+        &mut self,
+        now: ClockTime,
+        slot: RequestSlot,
+        key: TargetKey,
+        above_limit: bool,
+    ) {
+        let record = &self.requests[slot];
+        let cost = self.cost_tokens(record);
+        let weight = self.workspaces.state(record.workspace).settings.weight;
+        let cached = self.cached(record, key);
+        let marked = self.suspects.marked(now, record.fingerprint);
+        self.queue.charge(&record.item, cost, weight);
+        self.leave_queue(slot);
+        self.placements += 1;
+        let record = &mut self.requests[slot];
+        let uncached = f64::from(record.prompt_tokens) - cached;
+        let Some(target) = self.targets.get_mut(&key) else { return };
+        record.phase = RequestPhase::Running(RunState {
+            target: Some(key),
+            identity: None,
+            claim: None,
+            placed: now,
+            marked,
+            cancelling: None,
+            owner_lost: None,
+            uncached,
+            ahead: target.prefill_ahead,
+            first_token: false,
+            tokens: 0,
+            reported: now,
+        });
+        target.running.push(slot);
+        target.prefill_ahead += uncached;
+        target.marked += u32::from(marked);
+        target.last_placed = self.placements;
+        target.prefix.dispatched(&record.prefix_hashes);
+        if target.running.len() == 1 {
+            target.progressed = now;
+        }
+        self.outputs.push(PoolOutput::Place {
+            key: record.key,
+            attempt: record.attempt,
+            entry: record.entry,
+            target: key,
+            above_limit,
+        });
+        let tier = record.item.tier;
+        self.running.entry(tier).or_default().insert(slot);
+        if above_limit {
+            self.above.insert((tier, slot));
+        }
+        self.unpaired.entry(tier).or_default().insert(slot);
+        self.set_timer(slot, None);
+        self.retries.granted(now, &self.settings);
+    }
+
+    /// Sets aside a request that no target can take because of other suspected requests, so that
+    /// it does not block those behind it.
+    fn park_suspect(&mut self, now: ClockTime, slot: RequestSlot) {
+        let record = &self.requests[slot];
+        if !self.suspects.marked(now, record.fingerprint) {
+            return;
+        }
+        if self.suspects.quarantine(now, record.fingerprint).is_some() {
+            return self.refuse(now, slot, ReasonCode::CrashesTargets);
+        }
+        let model = &self.classes[record.item.class];
+        let isolated = self.targets.values().any(|target| {
+            target.has_free_slot() && target.announcement.serves(model) && target.marked > 0
+        });
+        if isolated {
+            self.park(slot, ParkReason::Suspect);
+        }
+    }
+
+    pub(super) fn park(&mut self, slot: RequestSlot, reason: ParkReason) {
+        let record = &mut self.requests[slot];
+        let item = record.item;
+        let Some(state) = record.waiting_mut() else { return };
+        if state.parked.replace(reason).is_none() {
+            self.queue.leave_flow(&item);
+        }
+        match reason {
+            ParkReason::Suspect => self.parked.insert(slot),
+            ParkReason::Expired => {
+                self.parked.remove(&slot);
+                self.expired.insert((item.tier, slot))
+            }
+        };
+    }
+
+    /// Makes parked suspects eligible again after a target has become free of suspects.
+    pub(super) fn unpark_suspects(&mut self) {
+        for slot in std::mem::take(&mut self.parked) {
+            let record = &mut self.requests[slot];
+            let item = record.item;
+            if let Some(state) = record.waiting_mut()
+                && state.parked.take().is_some()
+            {
+                self.queue.enter_flow(&item);
+            }
+        }
+    }
+}
+
+/// Output function of the SplitMix64 generator.
+fn split_mix(state: u64) -> u64 {
+    let mut mixed = state;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/core/src/registry/announcement.rs
@@ -0,0 +1,101 @@
+//! The announcement that a target sends as its heartbeat.
+
+use crate::keys::TargetIdentity;
+use serde::{Deserialize, Serialize};
+
+/// Whether a target runs models or is a plain service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// An engine that runs models and reports tokens.
+    #[default]
+    Model,
+    /// A plain HTTP service without tokens.
+    Service,
+}
+
+/// Load as the target sees it. It arrives late and is only a secondary signal.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that the target runs.
+    pub running: u32,
+    /// Requests that the target has admitted but not started.
+    pub waiting: u32,
+    /// Number of the report; a report with an older number is ignored.
+    pub sequence: u64,
+}
+
+/// One change of a target's prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event, one more than that of the event before.
+    pub sequence: u64,
+    /// What changed.
+    pub change: CacheChange,
+}
+
+/// The kinds of change of a prefix cache.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheChange {
+    /// Blocks with these cumulative hashes were stored.
+    Stored(Vec<u64>),
+    /// Blocks with these cumulative hashes were removed.
+    Removed(Vec<u64>),
+    /// The whole cache was emptied.
+    Cleared,
+}
+
+/// Body of `POST /v1/targets/announce`.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetAnnouncement {
+    /// Name of the target, unique in the deployment.
+    pub name: String,
+    /// Number that the target raises at each start.
+    pub incarnation: u64,
+    /// Address for dispatches, `ip:port`.
+    pub address: String,
+    /// Pool that the target belongs to.
+    pub pool: String,
+    /// Whether the target runs models.
+    #[serde(default)]
+    pub kind: TargetKind,
+    /// Hardware generation; rates are compared within one generation only.
+    #[serde(default)]
+    pub generation: String,
+    /// Failure domain of the target.
+    #[serde(default)]
+    pub failure_domain: String,
+    /// Models that are loaded and ready.
+    #[serde(default)]
+    pub models: Vec<String>,
+    /// Requests that the target runs at once.
+    pub slots: u32,
+    /// Whether the target rejects orders with an older fencing number.
+    #[serde(default)]
+    pub enforces_fencing: bool,
+    /// Who may send orders to the target, empty if nobody may.
+    #[serde(default)]
+    pub order_issuer: String,
+    /// Load at the time of the announcement.
+    #[serde(default)]
+    pub load: LoadReport,
+    /// Changes of the prefix cache since the announcement before.
+    #[serde(default)]
+    pub cache_events: Vec<CacheEvent>,
+}
+
+impl TargetAnnouncement {
+    /// Name and incarnation of the target.
+    pub fn identity(&self) -> TargetIdentity {
+        TargetIdentity { name: self.name.clone(), incarnation: self.incarnation }
+    }
+
+    /// Whether the target can run a request for this model; empty for plain services.
+    pub fn serves(&self, model: &str) -> bool {
+        match self.kind {
+            TargetKind::Service => model.is_empty(),
+            TargetKind::Model => self.models.iter().any(|loaded| loaded == model),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/pool/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the pool scheduler.
+
+mod placement;
+mod preemption;
+mod support;
