--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,8 +6,11 @@
 
 pub mod clock;
 pub mod document;
+pub mod estimate;
 pub mod keys;
 pub mod message;
 pub mod outcome;
+pub mod pool;
+pub mod registry;
 pub mod replica;
 pub mod state;
