--- /dev/null
+++ b/crates/burdockcleat/src/control/event.rs
@@ -0,0 +1,65 @@
+//! Events of the control thread.
+
+use crate::link::LinkEvent;
+use crate::operator::{ApplyRequest, DrainRequest, OrderRequest};
+use burdockcleat_core::keys::TargetIdentity;
+use burdockcleat_core::registry::TargetAnnouncement;
+use serde::Serialize;
+use std::sync::mpsc::Sender;
+
+/// An input of the control thread.
+pub enum ControlEvent {
+    /// Something happened on a link.
+    Link(LinkEvent),
+    /// An operator or a target called.
+    Call {
+        /// What is asked.
+        call: OperatorCall,
+        /// Where the answer goes.
+        reply: Sender<CallReply>,
+    },
+    /// An order to an engine has been answered.
+    OrderAnswered(super::orders::OrderAnswer),
+    /// The process must stop after handing over its leadership.
+    Stop(Sender<()>),
+}
+
+/// A call over HTTP, decoded and authenticated.
+#[derive(Clone, Debug)]
+pub enum OperatorCall {
+    /// Reads the configuration in force.
+    ReadConfig,
+    /// Applies a document.
+    Apply(ApplyRequest),
+    /// Lists the kept versions.
+    History,
+    /// Reads the state of the deployment.
+    Status,
+    /// Dumps the state of this instance.
+    Dump,
+    /// Drains an entry or a target.
+    Drain(DrainRequest),
+    /// Orders an engine to load a model.
+    Order(OrderRequest),
+    /// A target announces itself.
+    Announce(Box<TargetAnnouncement>),
+    /// A target leaves.
+    Leave(TargetIdentity),
+}
+
+/// Answer to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CallReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body in JSON.
+    pub body: String,
+}
+
+impl CallReply {
+    /// Builds an answer from a body.
+    pub fn json<T: Serialize>(status: u16, body: &T) -> Self {
+        // The bodies are plain structs with string keys, which always encode.
+        Self { status, body: serde_json::to_string(body).unwrap_or_default() }
+    }
+}
--- /dev/null
+++ b/crates/burdockcleat/src/control/node.rs
@@ -0,0 +1,596 @@
+//! The control thread: feeds events to the replicated log, applies what is committed, and runs
+//! the controllers.
+
+use super::config::ConfigController;
+use super::event::{CallReply, ControlEvent, OperatorCall};
+use super::members::MemberController;
+use super::orders::{OrderController, OrderSender};
+use super::peer::{PeerIntroduction, PeerMessage};
+use super::replies::{PendingCall, ReplyController, not_leading, unconfirmed};
+use crate::link::{LinkEvent, LinkHandle, LinkKey, PeerRole};
+use crate::settings::ControlSettings;
+use crate::storage::{LogStorage, StorageError};
+use burdockcleat_core::admission::{AdmissionController, StepTime};
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::document::ConfigDocument;
+use burdockcleat_core::keys::NodeId;
+use burdockcleat_core::message::{ControlMessage, EntryMessage, decode_frame, encode_frame};
+use burdockcleat_core::replica::{
+    EntryPayload, LogEntry, LogPosition, LogReplica, MemberRecord, ReplicaConfig, ReplicaError,
+    ReplicaInput, ReplicaMessage, StoredState,
+};
+use burdockcleat_core::state::{
+    CommandReply, DocumentReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand,
+};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::Duration;
+use thiserror::Error;
+
+/// Interval of the log's timer.
+const LOG_TICK_MS: u64 = 20;
+/// Interval of the controllers' timers.
+const CONTROLLER_TICK_MS: u64 = 50;
+/// Interval at which the leader looks for a membership change.
+const MEMBER_TICK_MS: u64 = 200;
+/// Events that are handled before their output is synced and sent, so that a burst shares syncs.
+const MAX_EVENTS_PER_FLUSH: usize = 2_000;
+/// Applied entries after which the log is replaced by a snapshot.
+const COMPACT_AFTER: u64 = 20_000;
+
+/// A fault that stops the control thread.
+#[derive(Debug, Error)]
+pub enum NodeError {
+    /// The data folder cannot be read or written.
+    #[error("using the data folder")]
+    Storage(#[from] StorageError),
+    /// A snapshot cannot be read.
+    #[error("restoring the state from a snapshot")]
+    Snapshot(#[from] SnapshotError),
+    /// A committed record cannot be read, which means that another version wrote it.
+    #[error("decoding log record {index}")]
+    Record {
+        /// Index of the record.
+        index: u64,
+        /// What the codec reported.
+        #[source]
+        source: burdockcleat_core::message::FrameError,
+    },
+}
+
+/// All state of a control instance.
+pub struct ControlNode {
+    pub(super) settings: ControlSettings,
+    pub(super) link: LinkHandle,
+    pub(super) storage: LogStorage,
+    pub(super) replica: LogReplica,
+    pub(super) state: ReplicatedState,
+    pub(super) members: MemberController,
+    pub(super) config: ConfigController,
+    pub(super) replies: ReplyController,
+    pub(super) orders: OrderController,
+    /// Present while this instance leads and has committed a record of its term.
+    pub(super) admission: Option<AdmissionController>,
+    stopping: Option<Sender<()>>,
+    next_log_tick: ClockTime,
+    next_controller_tick: ClockTime,
+    next_member_tick: ClockTime,
+}
+
+impl ControlNode {
+    /// Reads the data folder.
+    ///
+    /// # Errors
+    /// Fails if the folder or the snapshot cannot be read.
+    pub fn open(
+        settings: ControlSettings,
+        link: LinkHandle,
+        storage: LogStorage,
+        stored: StoredState,
+        orders: OrderSender,
+    ) -> Result<Self, NodeError> {
+        let now = ClockTime::monotonic();
+        let empty = stored.entries.is_empty() && stored.snapshot.is_none();
+        let state = match &stored.snapshot {
+            Some(image) => ReplicatedState::restore(&image.data)?,
+            None => ReplicatedState::open(),
+        };
+        let record = MemberRecord {
+            node: storage.node(),
+            address: settings.link_listen,
+            domain: settings.failure_domain.clone(),
+        };
+        let operator_url = settings.operator_url.clone();
+        let me = PeerIntroduction { record, operator_url, empty };
+        let members = MemberController::open(me, &settings.peers, settings.form_group);
+        let config = ReplicaConfig::of_node(storage.node(), rand::random());
+        let mut node = Self {
+            replica: LogReplica::open(config, stored, now),
+            settings,
+            link,
+            storage,
+            state,
+            members,
+            config: ConfigController::default(),
+            replies: ReplyController::default(),
+            orders: OrderController::open(orders),
+            admission: None,
+            stopping: None,
+            next_log_tick: now,
+            next_controller_tick: now,
+            next_member_tick: now,
+        };
+        node.form_group()?;
+        Ok(node)
+    }
+
+    /// Handles events until the process stops.
+    ///
+    /// # Errors
+    /// Stops if the data folder fails: an instance that cannot sync must not acknowledge.
+    pub fn run(&mut self, inbox: &Receiver<ControlEvent>) -> Result<(), NodeError> {
+        loop {
+            let now = ClockTime::monotonic();
+            let next = self.next_log_tick.min(self.next_controller_tick);
+            match inbox.recv_timeout(Duration::from_millis(next.since(now).max(1))) {
+                Ok(event) => self.handle(event)?,
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return Ok(()),
+            }
+            for _ in 0..MAX_EVENTS_PER_FLUSH {
+                let Ok(event) = inbox.try_recv() else { break };
+                self.handle(event)?;
+            }
+            self.tick();
+            self.flush()?;
+            if self.stopped() {
+                return Ok(());
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ControlEvent) -> Result<(), NodeError> {
+        match event {
+            ControlEvent::Link(event) => self.handle_link(event)?,
+            ControlEvent::Call { call, reply } => self.handle_call(call, reply),
+            ControlEvent::OrderAnswered(answer) => {
+                if let Some(command) = self.orders.answered(answer) {
+                    self.propose(command);
+                }
+            }
+            ControlEvent::Stop(done) => {
+                log::info!(event = "control_stopping"; "handing over leadership");
+                // Without another voter there is nobody to hand over to.
+                let _ = self.replica.step(ClockTime::monotonic(), ReplicaInput::Transfer);
+                self.stopping = Some(done);
+            }
+        }
+        Ok(())
+    }
+
+    /// Whether a requested stop may happen: this instance no longer leads, or cannot hand over.
+    fn stopped(&mut self) -> bool {
+        let Some(done) = &self.stopping else { return false };
+        if self.replica.is_leader() && self.replica.is_transferring() {
+            return false;
+        }
+        let _ = done.send(());
+        true
+    }
+
+    fn handle_link(&mut self, event: LinkEvent) -> Result<(), NodeError> {
+        let now = ClockTime::monotonic();
+        match event {
+            LinkEvent::Up { link, role: PeerRole::Control, .. } => {
+                let introduction = PeerMessage::Introduce(self.members.introduction().clone());
+                self.link.send(link, encode_frame(&introduction));
+            }
+            LinkEvent::Up { link, role: PeerRole::Entry, node, .. } => {
+                self.config.link(now, node, link);
+            }
+            LinkEvent::Down { link } => self.unlink(now, link),
+            LinkEvent::Frame { link, frame } => match self.config.node(link) {
+                Some(node) => self.receive_entry(link, node, &frame),
+                None => self.receive_peer(link, &frame)?,
+            },
+        }
+        Ok(())
+    }
+
+    fn unlink(&mut self, now: ClockTime, link: LinkKey) {
+        if let Some(node) = self.members.unlink(now, link) {
+            // The peer's messages in flight are lost; the input cannot be refused.
+            let _ = self.replica.step(now, ReplicaInput::PeerDown(node));
+        }
+        if let Some(entry) = self.config.unlink(link) {
+            let time = step_time();
+            if let Some(admission) = &mut self.admission {
+                admission.unlink(time, entry);
+            }
+        }
+    }
+
+    fn receive_peer(&mut self, link: LinkKey, frame: &[u8]) -> Result<(), NodeError> {
+        match decode_frame::<PeerMessage>(frame) {
+            Ok(PeerMessage::Introduce(peer)) => {
+                self.members.introduce(link, peer);
+                self.form_group()?;
+            }
+            Ok(PeerMessage::Replica(message)) => {
+                let Some(from) = self.members.peer(link) else { return Ok(()) };
+                let input = ReplicaInput::Receive { from, message };
+                // Messages of peers are never refused.
+                let _ = self.replica.step(ClockTime::monotonic(), input);
+            }
+            Err(error) => {
+                log::warn!(event = "frame_invalid", link = link.0; "{error}");
+                self.link.close(link);
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts a new group if all instances of it have empty folders.
+    fn form_group(&mut self) -> Result<(), NodeError> {
+        let Some(members) = self.members.new_group() else { return Ok(()) };
+        if self.replica.log_length() > 0 || self.replica.term() > 0 {
+            return Ok(());
+        }
+        log::info!(event = "group_formed", voters = members.voters.len(); "forming a new group");
+        let stored = StoredState::initial(members);
+        self.storage.initialize(&stored)?;
+        let config = ReplicaConfig::of_node(self.storage.node(), rand::random());
+        self.replica = LogReplica::open(config, stored, ClockTime::monotonic());
+        self.members.note_log();
+        Ok(())
+    }
+
+    fn receive_entry(&mut self, link: LinkKey, node: NodeId, frame: &[u8]) {
+        let message = match decode_frame::<EntryMessage>(frame) {
+            Ok(message) => message,
+            Err(error) => {
+                log::warn!(event = "frame_invalid", link = link.0; "{error}");
+                self.link.close(link);
+                return;
+            }
+        };
+        self.note_entry(node, &message);
+        if let Some(admission) = &mut self.admission {
+            admission.receive(step_time(), node, message, &self.state);
+        }
+    }
+
+    /// Keeps what the configuration controller needs, and answers signs of life.
+    fn note_entry(&mut self, node: NodeId, message: &EntryMessage) {
+        let Some(entry) = self.config.entry_mut(node) else { return };
+        entry.heard = ClockTime::monotonic();
+        match message {
+            EntryMessage::Hello { name, entry_time, config_version, .. } => {
+                entry.name.clone_from(name);
+                entry.entry_time = *entry_time;
+                entry.config_version = *config_version;
+                self.welcome(node, *entry_time);
+            }
+            EntryMessage::Heartbeat { entry_time, config_version } => {
+                entry.entry_time = *entry_time;
+                entry.config_version = *config_version;
+                self.welcome(node, *entry_time);
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells an entry whether this instance leads. A leader's answer waits for a commit, so that
+    /// a leader that was cut off cannot pass for current.
+    fn welcome(&mut self, node: NodeId, entry_time: ClockTime) {
+        let leading = self.admission.is_some();
+        let message = ControlMessage::Welcome {
+            leading,
+            term: self.replica.term(),
+            leader: self.replica.leader(),
+            config_version: self.state.config().version,
+            entry_time,
+        };
+        match leading {
+            true => self.confirm(vec![(node, message)]),
+            false => self.send_entry(node, &message),
+        }
+    }
+
+    fn handle_call(&mut self, call: OperatorCall, reply: Sender<CallReply>) {
+        let local = match &call {
+            OperatorCall::Dump => Some(self.dump_reply()),
+            OperatorCall::Status => Some(self.status_reply()),
+            _ if self.admission.is_none() => Some(not_leading(self.leader_url())),
+            _ => None,
+        };
+        if let Some(answer) = local {
+            // The receiver gives up after its timeout; then nobody waits for the answer.
+            let _ = reply.send(answer);
+            return;
+        }
+        match call {
+            OperatorCall::Announce(announcement) => {
+                let _ = reply.send(self.announce(*announcement));
+            }
+            OperatorCall::Leave(identity) => {
+                if let Some(admission) = &mut self.admission {
+                    admission.leave(step_time(), &identity);
+                }
+                let _ = reply.send(CallReply { status: 200, body: "{}".into() });
+            }
+            OperatorCall::Apply(request) => {
+                let command = StateCommand::ApplyDocument {
+                    base_version: request.base_version,
+                    operation_id: request.operation_id,
+                    author: request.author,
+                    document: request.document.into(),
+                };
+                self.propose_call(command, reply, super::report::apply_reply);
+            }
+            OperatorCall::ReadConfig => {
+                let answer = super::report::config_reply(&self.state.config());
+                self.propose_call(StateCommand::Barrier, reply, move |_| answer);
+            }
+            OperatorCall::History => {
+                let answer = super::report::history_reply(&self.state);
+                self.propose_call(StateCommand::Barrier, reply, move |_| answer);
+            }
+            OperatorCall::Order(request) => match self.order_command(&request) {
+                Ok(command) => self.propose_call(command, reply, super::report::order_reply),
+                Err(answer) => {
+                    let _ = reply.send(answer);
+                }
+            },
+            OperatorCall::Drain(request) => {
+                let _ = reply.send(self.drain(&request));
+            }
+            OperatorCall::Dump | OperatorCall::Status => {}
+        }
+    }
+
+    /// Proposes a command whose reply answers a call.
+    fn propose_call(
+        &mut self,
+        command: StateCommand,
+        reply: Sender<CallReply>,
+        build: impl FnOnce(&CommandReply) -> CallReply + Send + 'static,
+    ) {
+        match self.propose(command) {
+            Some(position) => {
+                self.replies.hold_call(position, PendingCall { reply, build: Box::new(build) });
+            }
+            None => {
+                let _ = reply.send(unconfirmed());
+            }
+        }
+    }
+
+    fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
+        let stamped = StampedCommand { at: ClockTime::wall(), command };
+        let payload = EntryPayload::Command(encode_frame(&stamped));
+        let now = ClockTime::monotonic();
+        match self.replica.step(now, ReplicaInput::Propose(payload)) {
+            Ok(position) => position,
+            Err(error) => {
+                log::debug!(event = "proposal_refused"; "{error}");
+                None
+            }
+        }
+    }
+
+    /// Sends messages after a record that is appended now is committed.
+    fn confirm(&mut self, messages: Vec<(NodeId, ControlMessage)>) {
+        if messages.is_empty() {
+            return;
+        }
+        if let Some(position) = self.propose(StateCommand::Barrier) {
+            self.replies.hold_messages(position, messages);
+        }
+    }
+
+    pub(super) fn send_entry(&mut self, node: NodeId, message: &ControlMessage) {
+        if let Some(entry) = self.config.entry_mut(node) {
+            self.link.send(entry.link, encode_frame(message));
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = ClockTime::monotonic();
+        if now >= self.next_log_tick {
+            self.next_log_tick = now.plus(LOG_TICK_MS);
+            // A tick is never refused.
+            let _ = self.replica.step(now, ReplicaInput::Tick);
+        }
+        if !self.replica.is_leader() {
+            self.stop_leading();
+        }
+        if now >= self.next_controller_tick {
+            self.next_controller_tick = now.plus(CONTROLLER_TICK_MS);
+            self.tick_controllers(now);
+        }
+        if now >= self.next_member_tick {
+            self.next_member_tick = now.plus(MEMBER_TICK_MS);
+            self.change_members(now);
+        }
+    }
+
+    fn tick_controllers(&mut self, now: ClockTime) {
+        let Some(admission) = &mut self.admission else { return };
+        admission.tick(step_time(), &self.state);
+        let lease = self.replica.lease_valid(now);
+        if let (true, Some(admission)) = (lease, &self.admission) {
+            self.orders.send_due(now, &self.state, admission.registry());
+        }
+        self.push_config(now);
+    }
+
+    fn push_config(&mut self, now: ClockTime) {
+        for (node, message) in self.config.due(now, &self.state.config()) {
+            self.send_entry(node, &message);
+        }
+    }
+
+    fn change_members(&mut self, now: ClockTime) {
+        if self.admission.is_none() {
+            return;
+        }
+        let Some(next) = self.members.next_change(now, self.replica.members()) else { return };
+        let input = ReplicaInput::Propose(EntryPayload::Members(next.clone()));
+        match self.replica.step(now, input) {
+            Ok(_) => {
+                log::info!(event = "members_changing", voters = next.voters.len(), learners = next.learners.len(); "proposing a membership");
+            }
+            Err(ReplicaError::ChangeInProgress { .. } | ReplicaError::LearnerBehind { .. }) => {}
+            Err(error) => log::debug!(event = "members_refused"; "{error}"),
+        }
+    }
+
+    /// Persists, sends and applies until there is nothing left to do.
+    fn flush(&mut self) -> Result<(), NodeError> {
+        loop {
+            self.drain_admission();
+            let output = self.replica.take_output();
+            let idle =
+                !output.needs_sync() && output.messages.is_empty() && output.committed.is_empty();
+            if idle {
+                return Ok(());
+            }
+            if output.needs_sync() {
+                self.storage.persist(&output)?;
+                self.members.note_log();
+            }
+            if let Some(persisted) = output.persisted() {
+                // The confirmation of a sync is never refused.
+                let _ = self.replica.step(ClockTime::monotonic(), persisted);
+            }
+            for (node, message) in output.messages {
+                self.send_peer(node, message);
+            }
+            if let (true, Some(image)) = (output.restore, &output.snapshot) {
+                log::info!(event = "snapshot_installed", index = image.index; "state replaced");
+                self.state = ReplicatedState::restore(&image.data)?;
+            }
+            for entry in output.committed {
+                self.apply(&entry)?;
+            }
+            self.compact();
+        }
+    }
+
+    fn send_peer(&self, node: NodeId, message: ReplicaMessage) {
+        if let Some(link) = self.members.link(node) {
+            self.link.send(link, encode_frame(&PeerMessage::Replica(message)));
+        }
+    }
+
+    fn drain_admission(&mut self) {
+        let Some(admission) = &mut self.admission else { return };
+        let output = admission.take_output();
+        for command in output.commands {
+            self.propose(command);
+        }
+        for (node, message) in output.messages {
+            self.send_entry(node, &message);
+        }
+        self.confirm(output.confirmed);
+    }
+
+    fn apply(&mut self, entry: &LogEntry) -> Result<(), NodeError> {
+        let position = LogPosition { index: entry.index, term: entry.term };
+        match &entry.payload {
+            EntryPayload::Command(bytes) => {
+                let stamped: StampedCommand = decode_frame(bytes)
+                    .map_err(|source| NodeError::Record { index: entry.index, source })?;
+                let reply = self.state.apply(entry.index, &stamped);
+                self.applied(&stamped.command, &reply);
+                for (node, message) in self.replies.committed(position, &reply) {
+                    self.send_entry(node, &message);
+                }
+            }
+            EntryPayload::Noop => {
+                if self.replica.is_leader() && entry.term == self.replica.term() {
+                    self.start_leading();
+                }
+            }
+            EntryPayload::Members(members) => {
+                log::info!(event = "members_changed", voters = members.voters.len(), learners = members.learners.len(); "membership committed");
+            }
+        }
+        Ok(())
+    }
+
+    fn applied(&mut self, command: &StateCommand, reply: &CommandReply) {
+        if let CommandReply::Document(DocumentReply::Accepted { version }) = reply {
+            log::info!(event = "config_accepted", version = *version; "configuration committed");
+            self.configure();
+        }
+        if let Some(admission) = &mut self.admission {
+            admission.committed(step_time(), command, reply);
+        }
+    }
+
+    /// Puts the committed document in force here and at the entries.
+    fn configure(&mut self) {
+        let config = self.state.config();
+        match ConfigDocument::parse(&config.document) {
+            Ok(document) => {
+                self.state.set_claim_limit(document.limits().claim_limit as usize);
+                self.orders.configure(document.limits());
+                if let Some(admission) = &mut self.admission {
+                    admission.configure(step_time(), &document);
+                }
+            }
+            Err(faults) => {
+                log::error!(event = "config_invalid", version = config.version; "{} faults", faults.len());
+            }
+        }
+        if self.admission.is_some() {
+            self.push_config(ClockTime::monotonic());
+        }
+    }
+
+    fn start_leading(&mut self) {
+        let now = ClockTime::monotonic();
+        log::info!(event = "leading", term = self.replica.term(); "leading with a committed record");
+        let config = self.state.config();
+        let document = ConfigDocument::parse(&config.document).unwrap_or_default();
+        self.admission = Some(AdmissionController::open(step_time(), &document, &self.state));
+        self.orders.start_leading(now);
+        let entries: Vec<_> =
+            self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
+        for (node, entry_time) in entries {
+            self.welcome(node, entry_time);
+        }
+    }
+
+    fn stop_leading(&mut self) {
+        if self.admission.take().is_none() {
+            return;
+        }
+        log::info!(event = "not_leading", term = self.replica.term(); "leadership ended");
+        self.replies.fail_all();
+        self.orders.stop_leading();
+        let entries: Vec<_> =
+            self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
+        for (node, entry_time) in entries {
+            self.welcome(node, entry_time);
+        }
+    }
+
+    fn compact(&mut self) {
+        let applied = self.state.applied();
+        if self.replica.log_length() < COMPACT_AFTER {
+            return;
+        }
+        let image: Arc<[u8]> = self.state.snapshot().into();
+        if let Err(error) = self.replica.compact(applied, image) {
+            log::warn!(event = "compact_refused"; "{error}");
+        }
+    }
+}
+
+/// Both clocks now.
+pub(super) fn step_time() -> StepTime {
+    StepTime { now: ClockTime::monotonic(), wall: ClockTime::wall() }
+}
--- /dev/null
+++ b/crates/burdockcleat/src/control/peer.rs
@@ -0,0 +1,24 @@
+//! Messages between control instances.
+
+use burdockcleat_core::replica::{MemberRecord, ReplicaMessage};
+use serde::{Deserialize, Serialize};
+
+/// A message between two control instances.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// First message on a link.
+    Introduce(PeerIntroduction),
+    /// A message of the replicated log.
+    Replica(ReplicaMessage),
+}
+
+/// Who a control instance is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerIntroduction {
+    /// Identity, address and failure domain.
+    pub record: MemberRecord,
+    /// URL for operators and targets.
+    pub operator_url: String,
+    /// Whether the data folder has never held a log.
+    pub empty: bool,
+}
--- /dev/null
+++ b/crates/burdockcleat/src/control/replies.rs
@@ -0,0 +1,116 @@
+//! Answers that wait for the commit of a record.
+
+use super::event::CallReply;
+use crate::operator::{ErrorCode, ErrorReply, LeaderReply};
+use burdockcleat_core::keys::NodeId;
+use burdockcleat_core::message::ControlMessage;
+use burdockcleat_core::replica::LogPosition;
+use burdockcleat_core::state::CommandReply;
+use std::collections::BTreeMap;
+use std::sync::mpsc::Sender;
+
+/// Builds the answer to a call from the reply of the state machine.
+type ReplyBuilder = Box<dyn FnOnce(&CommandReply) -> CallReply + Send>;
+
+/// A call that waits.
+pub struct PendingCall {
+    /// Where the answer goes.
+    pub reply: Sender<CallReply>,
+    /// How the answer is built.
+    pub build: ReplyBuilder,
+}
+
+#[derive(Default)]
+struct PendingRecord {
+    calls: Vec<PendingCall>,
+    messages: Vec<(NodeId, ControlMessage)>,
+}
+
+/// Answers that wait, by the log position that must be committed first.
+#[derive(Default)]
+pub struct ReplyController {
+    pending: BTreeMap<u64, (u64, PendingRecord)>,
+}
+
+impl ReplyController {
+    /// Holds a call until the record is committed.
+    pub fn hold_call(&mut self, position: LogPosition, call: PendingCall) {
+        self.record(position).calls.push(call);
+    }
+
+    /// Holds messages until the record is committed.
+    pub fn hold_messages(
+        &mut self,
+        position: LogPosition,
+        messages: Vec<(NodeId, ControlMessage)>,
+    ) {
+        self.record(position).messages.extend(messages);
+    }
+
+    /// Answers what waits for a record, and returns the messages that may now be sent.
+    ///
+    /// If the record has another term than the one that was proposed, another leader wrote this
+    /// index and the proposals of this instance are lost.
+    pub fn committed(
+        &mut self,
+        position: LogPosition,
+        reply: &CommandReply,
+    ) -> Vec<(NodeId, ControlMessage)> {
+        let mut messages = Vec::new();
+        while let Some(entry) = self.pending.first_entry() {
+            if *entry.key() > position.index {
+                break;
+            }
+            let (index, (term, record)) = entry.remove_entry();
+            if (LogPosition { index, term }) != position {
+                fail_calls(record);
+                continue;
+            }
+            for call in record.calls {
+                // A receiver that has given up is gone; its caller asks again.
+                let _ = call.reply.send((call.build)(reply));
+            }
+            messages.extend(record.messages);
+        }
+        messages
+    }
+
+    /// Fails everything that waits, because this instance no longer leads.
+    pub fn fail_all(&mut self) {
+        for (_, record) in std::mem::take(&mut self.pending).into_values() {
+            fail_calls(record);
+        }
+    }
+
+    /// Number of records that answers wait for.
+    pub fn len(&self) -> usize {
+        self.pending.len()
+    }
+
+    /// Whether no answer waits.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    fn record(&mut self, position: LogPosition) -> &mut PendingRecord {
+        let fresh = || (position.term, PendingRecord::default());
+        &mut self.pending.entry(position.index).or_insert_with(fresh).1
+    }
+}
+
+fn fail_calls(record: PendingRecord) {
+    for call in record.calls {
+        let _ = call.reply.send(unconfirmed());
+    }
+}
+
+/// The decision may still take effect; a resend with the same operation id finds out.
+pub fn unconfirmed() -> CallReply {
+    let message = "no majority confirmed the decision in time; resend with the same id".into();
+    CallReply::json(503, &ErrorReply { error: ErrorCode::Unconfirmed, message })
+}
+
+/// This instance does not lead.
+pub fn not_leading(leader: Option<String>) -> CallReply {
+    CallReply::json(421, &LeaderReply { leader })
+}
--- /dev/null
+++ b/crates/burdockcleat/src/control/server.rs
@@ -0,0 +1,153 @@
+//! Binds the sockets of a control instance and runs its threads.
+
+use super::event::ControlEvent;
+use super::http::{AccessTokens, serve};
+use super::node::{ControlNode, NodeError};
+use crate::link::{LinkError, LinkHandle, LinkIdentity, PeerRole};
+use crate::settings::ControlSettings;
+use crate::storage::{LogStorage, StorageError};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use thiserror::Error;
+use tiny_http::Server;
+
+/// Threads that serve operators and targets.
+const HTTP_THREADS: usize = 8;
+/// Time that a hand-over of leadership may take before the process stops without it.
+const STOP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A control instance that could not be started or that stopped with a fault.
+#[derive(Debug, Error)]
+pub enum ControlError {
+    /// An address is not available.
+    #[error("listening on {address}: {source}")]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// What the server reported.
+        source: Box<dyn std::error::Error + Send + Sync>,
+    },
+    /// The data folder cannot be opened.
+    #[error("opening the data folder")]
+    Storage(#[from] StorageError),
+    /// The links could not be started.
+    #[error("opening the links")]
+    Link(#[from] LinkError),
+    /// The control thread failed.
+    #[error("running the control thread")]
+    Node(#[from] NodeError),
+    /// A thread could not be created.
+    #[error("starting a thread")]
+    Thread(#[source] std::io::Error),
+    /// The control thread ended by a panic.
+    #[error("the control thread panicked")]
+    Panicked,
+}
+
+/// A running control instance.
+pub struct ControlServer {
+    events: Sender<ControlEvent>,
+    worker: JoinHandle<Result<(), NodeError>>,
+}
+
+impl ControlServer {
+    /// Opens the data folder, binds both addresses and starts serving.
+    ///
+    /// # Errors
+    /// Fails if the folder or an address is not available.
+    pub fn bind(settings: ControlSettings) -> Result<Self, ControlError> {
+        let (storage, stored) = LogStorage::open(&settings.data_folder)?;
+        let address = settings.operator_listen;
+        let http =
+            Server::http(address).map_err(|source| ControlError::Listen { address, source })?;
+        let (events, inbox) = channel();
+        let identity = LinkIdentity {
+            role: PeerRole::Control,
+            node: storage.node(),
+            secret: settings.secret.as_str().into(),
+        };
+        // Of two instances, the one with the lower address dials, so that there is one link.
+        let dial: Vec<_> =
+            settings.peers.iter().copied().filter(|peer| settings.link_listen < *peer).collect();
+        let link = LinkHandle::spawn(
+            identity,
+            Some(settings.link_listen),
+            &dial,
+            events.clone(),
+            ControlEvent::Link,
+        )?;
+        let tokens = AccessTokens {
+            operator: settings.operator_token.clone(),
+            target: settings.target_token.clone(),
+        };
+        spawn_http(&Arc::new(http), &tokens, &events)?;
+        let answers = events.clone();
+        let orders = Arc::new(move |answer| {
+            // The control thread has stopped; its successor sends the order again.
+            let _ = answers.send(ControlEvent::OrderAnswered(answer));
+        });
+        log::info!(event = "control_started", operators:% = address, links:% = settings.link_listen; "serving");
+        let node = ControlNode::open(settings, link, storage, stored, orders)?;
+        let worker = spawn_node(node, inbox)?;
+        Ok(Self { events, worker })
+    }
+
+    /// Whether the control thread still runs.
+    pub fn is_running(&self) -> bool {
+        !self.worker.is_finished()
+    }
+
+    /// Hands over leadership and stops.
+    ///
+    /// # Errors
+    /// Reports the fault that stopped the control thread, if there was one.
+    pub fn stop(self) -> Result<(), ControlError> {
+        let (done, stopped) = channel();
+        if self.events.send(ControlEvent::Stop(done)).is_ok() {
+            // After the timeout the process stops as if it had crashed, which is safe.
+            let _ = stopped.recv_timeout(STOP_TIMEOUT);
+        }
+        if !self.worker.is_finished() {
+            return Ok(());
+        }
+        self.worker.join().map_err(|_| ControlError::Panicked)?.map_err(ControlError::Node)
+    }
+}
+
+fn spawn_node(
+    mut node: ControlNode,
+    inbox: Receiver<ControlEvent>,
+) -> Result<JoinHandle<Result<(), NodeError>>, ControlError> {
+    thread::Builder::new()
+        .name("control".into())
+        .spawn(move || {
+            let result = node.run(&inbox);
+            if let Err(error) = &result {
+                log::error!(event = "control_failed"; "{error}");
+            }
+            result
+        })
+        .map_err(ControlError::Thread)
+}
+
+fn spawn_http(
+    server: &Arc<Server>,
+    tokens: &AccessTokens,
+    events: &Sender<ControlEvent>,
+) -> Result<(), ControlError> {
+    for _ in 0..HTTP_THREADS {
+        let (server, tokens, events) = (server.clone(), tokens.clone(), events.clone());
+        thread::Builder::new()
+            .name("operators".into())
+            .spawn(move || {
+                for request in server.incoming_requests() {
+                    serve(request, &tokens, &events);
+                }
+            })
+            .map_err(ControlError::Thread)?;
+    }
+    Ok(())
+}
--- a/crates/burdockcleat/src/entry/request.rs
+++ b/crates/burdockcleat/src/entry/request.rs
@@ -7,16 +7,13 @@
 use burdockcleat_core::keys::{RequestFingerprint, RequestKey};
 use burdockcleat_core::message::SubmitRequest;
 use burdockcleat_core::outcome::ReasonCode;
+use burdockcleat_core::prompt::{block_hashes, token_count};
 use serde::Deserialize;
 use std::io::Read;
 use std::sync::Arc;
 use tiny_http::Request;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Characters per token of the estimate. Engines report exact counts later.
-const CHARS_PER_TOKEN: usize = 4;
-/// Characters of one prefix block: 16 tokens, the block size that engines commonly cache by.
-const BLOCK_CHARS: usize = 64;
 /// Prefix blocks that are reported. More would cost more control traffic than they save.
 const MAX_BLOCKS: usize = 64;
 const MAX_REQUEST_ID_CHARS: usize = 128;
@@ -172,7 +169,7 @@
         tier: choice.tier.rank,
         idempotent: choice.idempotent,
         deadline_in_ms,
-        prompt_tokens: token_estimate(prompt),
+        prompt_tokens: token_count(prompt),
         output_tokens: match &completion {
             Some(body) => body.max_tokens.unwrap_or(choice.pool.default_output_tokens),
             None => 0,
@@ -257,19 +254,9 @@
     RequestFingerprint(xxh3_64(&bytes))
 }
 
-fn token_estimate(prompt: &str) -> u32 {
-    u32::try_from(prompt.len().div_ceil(CHARS_PER_TOKEN)).unwrap_or(u32::MAX)
-}
-
-/// Cumulative hashes of the prompt's whole blocks.
+/// Hashes of the first blocks of the prompt.
 fn prefix_hashes(prompt: &str) -> Vec<u64> {
-    let bytes = prompt.as_bytes();
-    let mut previous = 0_u64;
-    let blocks = bytes.chunks_exact(BLOCK_CHARS).take(MAX_BLOCKS);
-    blocks
-        .map(|block| {
-            previous = xxhash_rust::xxh3::xxh3_64_with_seed(block, previous);
-            previous
-        })
-        .collect()
+    let mut hashes = block_hashes(prompt);
+    hashes.truncate(MAX_BLOCKS);
+    hashes
 }
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -130,6 +130,11 @@
         self.operator_addr
     }
 
+    /// Whether an operator asked this entry to shut down gracefully.
+    pub fn drain_asked(&self) -> bool {
+        self.shared.session.drain_asked()
+    }
+
     /// Shuts down gracefully: withdraws readiness, lets the balancer notice, finishes every
     /// request in flight, and reports their outcomes.
     pub fn drain(&self) {
--- a/crates/burdockcleat/src/entry/session.rs
+++ b/crates/burdockcleat/src/entry/session.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
@@ -107,6 +108,7 @@
     name: Arc<str>,
     link: LinkHandle,
     state: Arc<Mutex<SessionState>>,
+    drain_asked: Arc<AtomicBool>,
 }
 
 /// State of the session for the dump.
@@ -145,7 +147,8 @@
         let (events, inbox) = channel();
         let identity = LinkIdentity { role: PeerRole::Entry, node, secret: secret.into() };
         let link = LinkHandle::spawn(identity, None, control, events, |event| event)?;
-        let session = Self { name: name.into(), link, state: Arc::default() };
+        let session =
+            Self { name: name.into(), link, state: Arc::default(), drain_asked: Arc::default() };
         let worker = session.clone();
         thread::Builder::new()
             .name("session".into())
@@ -239,6 +242,11 @@
         self.send_to_leader(&EntryMessage::Goodbye);
     }
 
+    /// Whether an operator asked this entry to shut down gracefully.
+    pub fn drain_asked(&self) -> bool {
+        self.drain_asked.load(Ordering::SeqCst)
+    }
+
     /// State for the dump.
     pub fn summary(&self) -> SessionSummary {
         let state = self.lock();
@@ -356,8 +364,8 @@
 
     fn receive(&self, link: LinkKey, message: ControlMessage) {
         match message {
-            ControlMessage::Welcome { leading, term, config_version, .. } => {
-                self.receive_welcome(link, leading, term, config_version);
+            ControlMessage::Welcome { leading, term, config_version, entry_time, .. } => {
+                self.receive_welcome(link, (leading, term), config_version, entry_time);
             }
             ControlMessage::Config { version, document } => self.install(version, &document),
             ControlMessage::Grant(ticket) => {
@@ -382,6 +390,7 @@
                     let _ = run.cancel.send(CancelOrder { reason, retry_after_ms });
                 }
             }
+            ControlMessage::Drain => self.drain_asked.store(true, Ordering::SeqCst),
         }
     }
 
@@ -402,7 +411,13 @@
         attempt.answers.send(event).is_ok()
     }
 
-    fn receive_welcome(&self, link: LinkKey, leading: bool, term: u64, config_version: u64) {
+    fn receive_welcome(
+        &self,
+        link: LinkKey,
+        (leading, term): (bool, u64),
+        config_version: u64,
+        entry_time: ClockTime,
+    ) {
         let mut state = self.lock();
         if !leading || term < state.term {
             if state.leader == Some(link) {
@@ -411,7 +426,8 @@
             return;
         }
         state.term = term;
-        state.last_leader = Some(ClockTime::monotonic());
+        // The time of the question, not of the answer: a frozen leader answers late.
+        state.last_leader = state.last_leader.max(Some(entry_time));
         state.confirmed_version = state.confirmed_version.max(Some(config_version));
         if state.leader == Some(link) {
             state.unreported.clear();
--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,5 +1,6 @@
 //! The library behind the daemons and the command line of burdockcleat.
 
+pub mod control;
 pub mod entry;
 pub mod link;
 #[allow(
--- /dev/null
+++ b/crates/core/src/admission.rs
@@ -0,0 +1,325 @@
+//! Admission at the control leader: from a submit to a committed claim and its grant.
+//!
+//! The controller ties the replicated claims, the target registry and the pool schedulers
+//! together. It is a step function: its caller proposes the commands, sends the messages, and
+//! feeds committed commands back. Messages in [`AdmissionOutput::confirmed`] must be sent only
+//! after a record that was appended after the step is committed, since they claim that a request
+//! did not run and a leader that was replaced unnoticed must not say so.
+
+mod claim;
+mod entry;
+mod settings;
+
+pub use settings::pool_settings;
+
+use crate::clock::ClockTime;
+use crate::document::ConfigDocument;
+use crate::keys::{ClaimNumber, NodeId, RequestKey, TargetIdentity};
+use crate::message::{ControlMessage, SubmitRequest};
+use crate::outcome::{ReasonCode, RequestOutcome};
+use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
+use crate::registry::{AnnounceError, TargetAnnouncement, TargetChange, TargetRegistry};
+use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
+use std::collections::{BTreeMap, HashMap};
+
+/// Time without a link after which an entry counts as lost, in milliseconds.
+///
+/// Longer than the redial interval of the links, so that a broken connection alone does not end
+/// the claims of a running entry.
+pub const ENTRY_LOST_MS: u64 = 2_000;
+/// Interval of the command that removes old claims, in milliseconds.
+const EXPIRE_INTERVAL_MS: u64 = 5_000;
+/// When to come back if an outcome is not known yet, in milliseconds.
+const UNKNOWN_RETRY_MS: u32 = 2_000;
+
+/// Both clocks at the time of a step.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StepTime {
+    /// Monotonic clock, for everything in memory.
+    pub now: ClockTime,
+    /// Wall clock, for everything in the log.
+    pub wall: ClockTime,
+}
+
+/// What the caller of the controller has to do.
+#[derive(Debug, Default)]
+pub struct AdmissionOutput {
+    /// Commands to propose, in order.
+    pub commands: Vec<StateCommand>,
+    /// Messages to send at once.
+    pub messages: Vec<(NodeId, ControlMessage)>,
+    /// Messages to send once a record appended after this step is committed.
+    pub confirmed: Vec<(NodeId, ControlMessage)>,
+}
+
+/// One attempt of an entry.
+#[derive(Clone, Debug)]
+struct AttemptRecord {
+    entry: NodeId,
+    request: SubmitRequest,
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum RequestStage {
+    /// It waits in its pool.
+    Waiting,
+    /// Its claim is proposed.
+    Claiming { target: TargetIdentity, address: String },
+    /// Its claim is committed.
+    Granted { claim: ClaimNumber },
+    /// Its owner gave the claim back, and the release is proposed.
+    Releasing { claim: ClaimNumber, retry: bool },
+}
+
+/// A request that the leader knows of and that has not ended.
+#[derive(Clone, Debug)]
+struct TrackedRequest {
+    pool: String,
+    stage: RequestStage,
+    /// The attempt that gets the grant; absent for a claim of an earlier leader.
+    owner: Option<AttemptRecord>,
+    /// Other attempts with the same key.
+    duplicates: Vec<AttemptRecord>,
+    /// Whether the entry reported that the request runs.
+    started: bool,
+}
+
+/// What the leader knows of an entry.
+#[derive(Clone, Copy, Debug)]
+struct EntryRecord {
+    /// Newest reading of the entry's clock.
+    entry_time: ClockTime,
+    /// Since when the entry has no link, if it has none.
+    unlinked: Option<ClockTime>,
+}
+
+/// Admits requests over all pools.
+pub struct AdmissionController {
+    registry: TargetRegistry,
+    pools: BTreeMap<String, PoolScheduler>,
+    requests: HashMap<RequestKey, TrackedRequest>,
+    entries: BTreeMap<NodeId, EntryRecord>,
+    claims_full: bool,
+    next_expiry: ClockTime,
+    output: AdmissionOutput,
+}
+
+impl AdmissionController {
+    /// Starts as the leader of a new term with the state as of the term's first commit.
+    ///
+    /// Open claims count as running. The pools neither grant nor shed before the entries have
+    /// reported or the rebuild time is over.
+    pub fn open(time: StepTime, document: &ConfigDocument, state: &ReplicatedState) -> Self {
+        let mut controller = Self {
+            registry: TargetRegistry::default(),
+            pools: BTreeMap::new(),
+            requests: HashMap::new(),
+            entries: BTreeMap::new(),
+            claims_full: false,
+            next_expiry: time.now.plus(EXPIRE_INTERVAL_MS),
+            output: AdmissionOutput::default(),
+        };
+        controller.configure(time, document);
+        let mut claims: BTreeMap<String, Vec<OpenClaim>> = BTreeMap::new();
+        for record in state.open_claims() {
+            controller.track_claim(&record);
+            let pool = record.pool.to_string();
+            claims.entry(pool).or_default().extend(open_claim(time, &record));
+        }
+        let names: Vec<String> = controller.pools.keys().cloned().collect();
+        for name in names {
+            let claims = claims.remove(&name).unwrap_or_default();
+            controller.step_pool(time, &name, PoolInput::Rebuild { claims, entries: Vec::new() });
+            let marks = settings::suspect_changes(state);
+            controller.step_pool(time, &name, PoolInput::RestoreSuspects(marks));
+        }
+        controller
+    }
+
+    /// Puts a document in force.
+    pub fn configure(&mut self, time: StepTime, document: &ConfigDocument) {
+        for rule in document.pools() {
+            let settings = pool_settings(document, rule);
+            if let Some(pool) = self.pools.get_mut(&rule.name) {
+                let outputs = pool.step(time.now, PoolInput::Settings(Box::new(settings)));
+                self.act(time, &rule.name, outputs);
+                continue;
+            }
+            let pool = PoolScheduler::new(settings);
+            self.pools.insert(rule.name.clone(), pool);
+            self.replay_targets(time, &rule.name);
+        }
+        // A pool that was removed stays until its requests have ended; no rule leads to it.
+    }
+
+    /// Tells a new pool of the targets that announced themselves before the pool existed.
+    fn replay_targets(&mut self, time: StepTime, pool: &str) {
+        let known: Vec<TargetAnnouncement> = self
+            .registry
+            .iter()
+            .map(|(_, record)| record.announcement.clone())
+            .filter(|announcement| announcement.pool == pool)
+            .collect();
+        for announcement in known {
+            // A refreshed announcement of a known incarnation is never refused.
+            let _ = self.announce(time, announcement);
+        }
+    }
+
+    /// Enters the announcement of a target.
+    ///
+    /// # Errors
+    /// Fails if the incarnation has ended or the announcement is inconsistent.
+    pub fn announce(
+        &mut self,
+        time: StepTime,
+        announcement: TargetAnnouncement,
+    ) -> Result<(), AnnounceError> {
+        let (_, changes) = self.registry.announce(time.now, announcement)?;
+        self.apply_changes(time, changes);
+        Ok(())
+    }
+
+    /// Ends an incarnation of a target for good.
+    pub fn leave(&mut self, time: StepTime, identity: &TargetIdentity) {
+        let change = self.registry.leave(identity);
+        self.apply_changes(time, change);
+    }
+
+    /// Notes that time has passed. Expected every 50 ms.
+    pub fn tick(&mut self, time: StepTime, state: &ReplicatedState) {
+        let changes = self.registry.tick(time.now);
+        self.apply_changes(time, changes);
+        self.end_lost_entries(time);
+        if self.claims_full != state.claims_full() {
+            self.claims_full = state.claims_full();
+            let full = self.claims_full;
+            self.step_all(time, || PoolInput::ClaimTable { full });
+        }
+        if time.now >= self.next_expiry {
+            self.next_expiry = time.now.plus(EXPIRE_INTERVAL_MS);
+            self.output.commands.push(StateCommand::ExpireClaims);
+        }
+        self.step_all(time, || PoolInput::Tick);
+    }
+
+    /// Takes what has to be done since the last call.
+    pub fn take_output(&mut self) -> AdmissionOutput {
+        std::mem::take(&mut self.output)
+    }
+
+    /// The targets that are announced.
+    pub fn registry(&self) -> &TargetRegistry {
+        &self.registry
+    }
+
+    /// The scheduler of each pool by name.
+    pub fn pools(&self) -> &BTreeMap<String, PoolScheduler> {
+        &self.pools
+    }
+
+    /// Number of requests that wait or run.
+    pub fn request_count(&self) -> usize {
+        self.requests.len()
+    }
+
+    fn apply_changes(&mut self, time: StepTime, changes: impl IntoIterator<Item = TargetChange>) {
+        for change in changes {
+            let input = PoolInput::Target { target: change.target, change: change.kind };
+            self.step_pool(time, &change.pool, input);
+        }
+    }
+
+    fn track_claim(&mut self, record: &ClaimRecord) {
+        let tracked = TrackedRequest {
+            pool: record.pool.to_string(),
+            stage: RequestStage::Granted { claim: record.claim },
+            owner: None,
+            duplicates: Vec::new(),
+            started: false,
+        };
+        self.requests.insert(record.key, tracked);
+    }
+
+    fn step_pool(&mut self, time: StepTime, name: &str, input: PoolInput) {
+        let Some(pool) = self.pools.get_mut(name) else { return };
+        let outputs = pool.step(time.now, input);
+        self.act(time, name, outputs);
+    }
+
+    fn step_all(&mut self, time: StepTime, input: impl Fn() -> PoolInput) {
+        let names: Vec<String> = self.pools.keys().cloned().collect();
+        for name in names {
+            self.step_pool(time, &name, input());
+        }
+    }
+
+    /// Carries out what a pool decided.
+    fn act(&mut self, time: StepTime, pool: &str, outputs: Vec<PoolOutput>) {
+        for output in outputs {
+            match output {
+                PoolOutput::Place { key, attempt, entry, target, .. } => {
+                    self.place(time, pool, key, (entry, attempt), target);
+                }
+                PoolOutput::Cancel { key, claim, entry, reason, retry_after_ms } => {
+                    let cancel = ControlMessage::Cancel { key, claim, reason, retry_after_ms };
+                    self.output.messages.push((entry, cancel));
+                }
+                PoolOutput::Refuse { key, outcome, reason, retry_after_ms, .. } => {
+                    self.refuse_all(key, outcome, reason, retry_after_ms);
+                }
+                PoolOutput::Suspect(change) => {
+                    self.output.commands.push(settings::suspect_command(time, &change));
+                }
+            }
+        }
+    }
+
+    /// Refuses every attempt of a request that will not run.
+    fn refuse_all(
+        &mut self,
+        key: RequestKey,
+        outcome: RequestOutcome,
+        reason: ReasonCode,
+        retry_after_ms: u32,
+    ) {
+        let Some(tracked) = self.requests.remove(&key) else { return };
+        for attempt in tracked.owner.into_iter().chain(tracked.duplicates) {
+            self.refuse(&attempt, outcome, reason, retry_after_ms);
+        }
+    }
+
+    /// Refuses one attempt. Only `not_run` needs the confirmation of a majority.
+    fn refuse(
+        &mut self,
+        attempt: &AttemptRecord,
+        outcome: RequestOutcome,
+        reason: ReasonCode,
+        retry_after_ms: u32,
+    ) {
+        let (key, number) = (attempt.request.key, attempt.request.attempt);
+        let refusal =
+            ControlMessage::Refuse { key, attempt: number, outcome, reason, retry_after_ms };
+        match outcome {
+            RequestOutcome::NotRun => self.output.confirmed.push((attempt.entry, refusal)),
+            _ => self.output.messages.push((attempt.entry, refusal)),
+        }
+    }
+}
+
+/// The claim as the scheduler needs it, with its deadline on the monotonic clock.
+fn open_claim(time: StepTime, record: &ClaimRecord) -> Option<OpenClaim> {
+    let ClaimPhase::Open { deadline, .. } = record.phase else { return None };
+    Some(OpenClaim {
+        key: record.key,
+        claim: record.claim,
+        entry: record.entry,
+        target: record.target.clone(),
+        workspace: record.workspace.to_string(),
+        fingerprint: record.fingerprint,
+        tier: record.tier,
+        idempotent: record.idempotent,
+        deadline: time.now.plus(deadline.since(time.wall)),
+    })
+}
--- /dev/null
+++ b/crates/core/src/admission/claim.rs
@@ -0,0 +1,253 @@
+//! From a placement to the grant, and what a committed command means for the requests.
+
+use super::{
+    AdmissionController, AttemptRecord, RequestStage, StepTime, TrackedRequest, UNKNOWN_RETRY_MS,
+};
+use crate::clock::ClockTime;
+use crate::keys::{ClaimNumber, NodeId, RequestKey};
+use crate::message::{ControlMessage, GrantTicket};
+use crate::outcome::{ReasonCode, RequestOutcome};
+use crate::pool::PoolInput;
+use crate::registry::TargetKey;
+use crate::state::{
+    ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, ReplicatedState,
+    StateCommand,
+};
+
+impl AdmissionController {
+    /// Takes a command that was committed and applied.
+    pub fn committed(&mut self, time: StepTime, command: &StateCommand, reply: &CommandReply) {
+        match (command, reply) {
+            (StateCommand::Claim(request), CommandReply::Claim(reply)) => match reply {
+                ClaimReply::Created(claim) => self.grant(time, request, *claim),
+                ClaimReply::AlreadyOpen(record) | ClaimReply::AlreadyEnded(record) => {
+                    self.claim_refused(time, record);
+                }
+            },
+            (StateCommand::Release { key, claim }, CommandReply::Close(reply)) => {
+                self.released(time, *key, *claim, reply);
+            }
+            (StateCommand::Finish { key, claim, .. }, CommandReply::Close(_)) => {
+                let ended = self.requests.get(key).is_some_and(|tracked| {
+                    matches!(tracked.stage, RequestStage::Granted { claim: held } if held == *claim)
+                });
+                if ended {
+                    self.requests.remove(key);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Proposes the claim of a request that a pool placed.
+    pub(super) fn place(
+        &mut self,
+        time: StepTime,
+        pool: &str,
+        key: RequestKey,
+        owner: (NodeId, u32),
+        target: TargetKey,
+    ) {
+        let announced = self.registry.get(target).map(|record| &record.announcement);
+        let tracked = self.requests.get_mut(&key).filter(|tracked| {
+            tracked
+                .owner
+                .as_ref()
+                .is_some_and(|attempt| (attempt.entry, attempt.request.attempt) == owner)
+        });
+        let (Some(announced), Some(tracked)) = (announced, tracked) else {
+            self.step_pool(time, pool, PoolInput::ClaimRefused { key });
+            return;
+        };
+        let Some(AttemptRecord { entry, request }) = &tracked.owner else { return };
+        let claim = ClaimRequest {
+            key,
+            fingerprint: request.fingerprint,
+            target: announced.identity(),
+            address: announced.address.clone(),
+            entry: *entry,
+            workspace: request.workspace.clone(),
+            pool: pool.to_owned(),
+            tier: request.tier,
+            idempotent: request.idempotent,
+            deadline: time.wall.plus(u64::from(request.deadline_in_ms)),
+        };
+        tracked.stage =
+            RequestStage::Claiming { target: claim.target.clone(), address: claim.address.clone() };
+        self.output.commands.push(StateCommand::Claim(claim));
+    }
+
+    fn grant(&mut self, time: StepTime, request: &ClaimRequest, claim: ClaimNumber) {
+        let Some(tracked) = self.requests.get_mut(&request.key) else { return };
+        let (pool, duplicates) = (tracked.pool.clone(), std::mem::take(&mut tracked.duplicates));
+        tracked.stage = RequestStage::Granted { claim };
+        let attempt = tracked.owner.as_ref().map_or(0, |owner| owner.request.attempt);
+        let ticket = GrantTicket {
+            key: request.key,
+            attempt,
+            claim,
+            target: request.target.clone(),
+            address: request.address.clone(),
+            entry_time: self.entry_time(request.entry),
+        };
+        self.output.messages.push((request.entry, ControlMessage::Grant(ticket)));
+        for duplicate in duplicates {
+            let resume = ControlMessage::Resume {
+                key: request.key,
+                attempt: duplicate.request.attempt,
+                target: request.target.clone(),
+                address: request.address.clone(),
+                recorded: None,
+            };
+            self.output.messages.push((duplicate.entry, resume));
+        }
+        self.step_pool(time, &pool, PoolInput::ClaimCommitted { key: request.key, claim });
+    }
+
+    /// Sends the grant of a committed claim again to the attempt that still waits for it.
+    pub(super) fn grant_again(&mut self, record: &ClaimRecord, attempt: AttemptRecord) {
+        let ticket = GrantTicket {
+            key: record.key,
+            attempt: attempt.request.attempt,
+            claim: record.claim,
+            target: record.target.clone(),
+            address: record.address.clone(),
+            entry_time: self.entry_time(record.entry),
+        };
+        self.output.messages.push((record.entry, ControlMessage::Grant(ticket)));
+        if let Some(tracked) = self.requests.get_mut(&record.key) {
+            tracked.owner = Some(attempt);
+        }
+    }
+
+    /// A claim that another leader had recorded came first.
+    fn claim_refused(&mut self, time: StepTime, record: &ClaimRecord) {
+        let Some(tracked) = self.requests.remove(&record.key) else { return };
+        self.step_pool(time, &tracked.pool, PoolInput::ClaimRefused { key: record.key });
+        for attempt in tracked.owner.into_iter().chain(tracked.duplicates) {
+            self.resume(record, &attempt);
+        }
+        if matches!(record.phase, ClaimPhase::Open { .. }) {
+            self.track_claim(record);
+        }
+    }
+
+    /// Points an attempt to the target that ran or runs the request.
+    pub(super) fn resume(&mut self, record: &ClaimRecord, attempt: &AttemptRecord) {
+        let (key, number) = (record.key, attempt.request.attempt);
+        if record.fingerprint != attempt.request.fingerprint {
+            self.refuse(attempt, RequestOutcome::Failed, ReasonCode::IdReused, 0);
+            return;
+        }
+        let recorded = match record.phase {
+            ClaimPhase::Open { .. } => None,
+            ClaimPhase::Ended { outcome, .. } => Some(outcome),
+        };
+        let replaced = self.registry.iter().any(|(_, known)| {
+            let announced = &known.announcement;
+            announced.name == record.target.name
+                && announced.incarnation > record.target.incarnation
+        });
+        let address = if replaced { String::new() } else { record.address.clone() };
+        let target = record.target.clone();
+        let message = ControlMessage::Resume { key, attempt: number, target, address, recorded };
+        self.output.messages.push((attempt.entry, message));
+    }
+
+    fn released(
+        &mut self,
+        time: StepTime,
+        key: RequestKey,
+        claim: ClaimNumber,
+        reply: &CloseReply,
+    ) {
+        let Some(tracked) = self.requests.get_mut(&key) else { return };
+        let RequestStage::Releasing { claim: held, retry } = tracked.stage else { return };
+        if held != claim {
+            return;
+        }
+        let pool = tracked.pool.clone();
+        if *reply != CloseReply::Accepted {
+            self.requests.remove(&key);
+            return;
+        }
+        let known = tracked.owner.is_some();
+        tracked.stage = RequestStage::Waiting;
+        if !(retry && known) {
+            self.requests.remove(&key);
+        }
+        self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: retry && known });
+    }
+
+    /// Proposes the release of a claim that its owner did not use.
+    pub(super) fn release(&mut self, key: RequestKey, claim: ClaimNumber, retry: bool) {
+        let Some(tracked) = self.requests.get_mut(&key) else { return };
+        if tracked.stage != (RequestStage::Granted { claim }) {
+            return;
+        }
+        tracked.stage = RequestStage::Releasing { claim, retry };
+        self.output.commands.push(StateCommand::Release { key, claim });
+    }
+
+    /// Withdraws an attempt whose caller is gone or whose deadline has passed.
+    pub(super) fn withdraw(
+        &mut self,
+        time: StepTime,
+        from: NodeId,
+        key: RequestKey,
+        number: u32,
+        state: &ReplicatedState,
+    ) {
+        let is_attempt =
+            |attempt: &AttemptRecord| attempt.entry == from && attempt.request.attempt == number;
+        let Some(tracked) = self.requests.get_mut(&key) else {
+            let outcome = match state.claim(key) {
+                None => RequestOutcome::NotRun,
+                Some(_) => RequestOutcome::Unknown,
+            };
+            self.answer_withdrawal(from, key, number, outcome);
+            return;
+        };
+        if let Some(position) = tracked.duplicates.iter().position(is_attempt) {
+            tracked.duplicates.remove(position);
+            // The other attempt may still run, so this one cannot be told that it did not.
+            self.answer_withdrawal(from, key, number, RequestOutcome::Unknown);
+            return;
+        }
+        let owns = tracked.owner.as_ref().is_some_and(is_attempt);
+        if !owns || tracked.stage != RequestStage::Waiting {
+            // A grant is on its way; the entry releases it.
+            return;
+        }
+        let tracked = self.requests.remove(&key);
+        let Some(TrackedRequest { pool, mut duplicates, .. }) = tracked else { return };
+        self.step_pool(time, &pool, PoolInput::Withdraw { key });
+        if duplicates.is_empty() {
+            self.answer_withdrawal(from, key, number, RequestOutcome::NotRun);
+            return;
+        }
+        self.answer_withdrawal(from, key, number, RequestOutcome::Unknown);
+        let next = duplicates.remove(0);
+        self.enqueue(time, &pool, next, duplicates);
+    }
+
+    fn answer_withdrawal(
+        &mut self,
+        entry: NodeId,
+        key: RequestKey,
+        attempt: u32,
+        outcome: RequestOutcome,
+    ) {
+        let reason = ReasonCode::DeadlinePassed;
+        let retry_after_ms = UNKNOWN_RETRY_MS;
+        let refusal = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
+        match outcome {
+            RequestOutcome::NotRun => self.output.confirmed.push((entry, refusal)),
+            _ => self.output.messages.push((entry, refusal)),
+        }
+    }
+
+    fn entry_time(&self, entry: NodeId) -> ClockTime {
+        self.entries.get(&entry).map_or(ClockTime::default(), |record| record.entry_time)
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/entry.rs
@@ -0,0 +1,210 @@
+//! Messages of the entries.
+
+use super::{
+    AdmissionController, AttemptRecord, ENTRY_LOST_MS, EntryRecord, RequestStage, StepTime,
+    TrackedRequest, UNKNOWN_RETRY_MS,
+};
+use crate::keys::NodeId;
+use crate::message::{EntryMessage, FinishReport, HeldClaim, StreamProgress, SubmitRequest};
+use crate::outcome::{ReasonCode, RequestOutcome};
+use crate::pool::PoolInput;
+use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
+use std::collections::BTreeMap;
+
+impl AdmissionController {
+    /// Takes a message of an entry.
+    pub fn receive(
+        &mut self,
+        time: StepTime,
+        from: NodeId,
+        message: EntryMessage,
+        state: &ReplicatedState,
+    ) {
+        match message {
+            EntryMessage::Hello { entry_time, running, .. } => {
+                self.entries.insert(from, EntryRecord { entry_time, unlinked: None });
+                self.entry_reported(time, from, &running);
+            }
+            EntryMessage::Heartbeat { entry_time, .. } => {
+                let record = EntryRecord { entry_time, unlinked: None };
+                self.entries.insert(from, record);
+            }
+            EntryMessage::Submit(request) => self.submit(time, from, request, state),
+            EntryMessage::Withdraw { key, attempt } => {
+                self.withdraw(time, from, key, attempt, state);
+            }
+            EntryMessage::Progress(reports) => self.progress(time, reports),
+            EntryMessage::Finish(report) => self.finish(time, report),
+            EntryMessage::Release { key, claim, retry } => self.release(key, claim, retry),
+            EntryMessage::Goodbye => {
+                if let Some(record) = self.entries.get_mut(&from) {
+                    record.unlinked.get_or_insert(time.now);
+                }
+            }
+        }
+    }
+
+    /// Notes that an entry has no link any more.
+    pub fn unlink(&mut self, time: StepTime, entry: NodeId) {
+        if let Some(record) = self.entries.get_mut(&entry) {
+            record.unlinked.get_or_insert(time.now);
+        }
+    }
+
+    pub(super) fn end_lost_entries(&mut self, time: StepTime) {
+        let lost: Vec<NodeId> = self
+            .entries
+            .iter()
+            .filter(|(_, record)| {
+                record.unlinked.is_some_and(|since| time.now.since(since) >= ENTRY_LOST_MS)
+            })
+            .map(|(entry, _)| *entry)
+            .collect();
+        for entry in lost {
+            self.entries.remove(&entry);
+            self.forget_attempts(time, entry);
+            self.step_all(time, || PoolInput::EntryLost { entry });
+            self.output.commands.push(StateCommand::OwnerLost { entry });
+        }
+    }
+
+    /// Drops the attempts of a lost entry. Claims stay.
+    fn forget_attempts(&mut self, time: StepTime, entry: NodeId) {
+        let mut orphaned = Vec::new();
+        self.requests.retain(|key, tracked| {
+            tracked.duplicates.retain(|attempt| attempt.entry != entry);
+            let owned = tracked.owner.as_ref().is_some_and(|attempt| attempt.entry == entry);
+            if !owned || tracked.stage != RequestStage::Waiting {
+                return true;
+            }
+            orphaned.push((*key, tracked.pool.clone(), std::mem::take(&mut tracked.duplicates)));
+            false
+        });
+        for (key, pool, mut duplicates) in orphaned {
+            self.step_pool(time, &pool, PoolInput::Withdraw { key });
+            if !duplicates.is_empty() {
+                let next = duplicates.remove(0);
+                self.enqueue(time, &pool, next, duplicates);
+            }
+        }
+    }
+
+    fn submit(
+        &mut self,
+        time: StepTime,
+        from: NodeId,
+        request: SubmitRequest,
+        state: &ReplicatedState,
+    ) {
+        let attempt = AttemptRecord { entry: from, request };
+        match state.claim(attempt.request.key) {
+            Some(record) => self.submit_claimed(&record, attempt),
+            None => self.submit_unclaimed(time, attempt),
+        }
+    }
+
+    /// The key has a claim: the attempt waits for its release, gets its grant again, or resumes.
+    fn submit_claimed(&mut self, record: &ClaimRecord, attempt: AttemptRecord) {
+        let open = matches!(record.phase, ClaimPhase::Open { .. });
+        let Some(tracked) = self.requests.get_mut(&record.key).filter(|_| open) else {
+            self.resume(record, &attempt);
+            return;
+        };
+        let own = record.entry == attempt.entry
+            && tracked
+                .owner
+                .as_ref()
+                .is_none_or(|owner| owner.request.attempt == attempt.request.attempt);
+        match (&tracked.stage, own) {
+            // The entry repeats the release and then the submit to a new leader.
+            (RequestStage::Releasing { .. }, true) => tracked.owner = Some(attempt),
+            // The grant was lost with a link: the entry still waits for it.
+            (RequestStage::Granted { .. }, true) if !tracked.started => {
+                self.grant_again(record, attempt);
+            }
+            _ => self.resume(record, &attempt),
+        }
+    }
+
+    fn submit_unclaimed(&mut self, time: StepTime, attempt: AttemptRecord) {
+        let pool = attempt.request.pool.clone();
+        if !self.pools.contains_key(&pool) {
+            self.refuse(&attempt, RequestOutcome::NotRun, ReasonCode::NoRoute, UNKNOWN_RETRY_MS);
+            return;
+        }
+        let Some(tracked) = self.requests.get_mut(&attempt.request.key) else {
+            self.enqueue(time, &pool, attempt, Vec::new());
+            return;
+        };
+        let Some(owner) = &tracked.owner else { return };
+        if owner.request.fingerprint != attempt.request.fingerprint {
+            self.refuse(&attempt, RequestOutcome::Failed, ReasonCode::IdReused, 0);
+            return;
+        }
+        let is_same = |known: &AttemptRecord| {
+            known.entry == attempt.entry && known.request.attempt == attempt.request.attempt
+        };
+        if !is_same(owner) && !tracked.duplicates.iter().any(is_same) {
+            tracked.duplicates.push(attempt);
+        }
+    }
+
+    /// Puts a request into the queue of its pool.
+    pub(super) fn enqueue(
+        &mut self,
+        time: StepTime,
+        pool: &str,
+        owner: AttemptRecord,
+        duplicates: Vec<AttemptRecord>,
+    ) {
+        let (entry, request) = (owner.entry, owner.request.clone());
+        let tracked = TrackedRequest {
+            pool: pool.to_owned(),
+            stage: RequestStage::Waiting,
+            owner: Some(owner),
+            duplicates,
+            started: false,
+        };
+        self.requests.insert(request.key, tracked);
+        self.step_pool(time, pool, PoolInput::Submit { entry, request });
+    }
+
+    fn entry_reported(&mut self, time: StepTime, entry: NodeId, running: &[HeldClaim]) {
+        for held in running {
+            self.mark_started(held);
+        }
+        self.step_all(time, || PoolInput::EntryReported { entry, running: running.to_vec() });
+    }
+
+    fn mark_started(&mut self, held: &HeldClaim) {
+        if let Some(tracked) = self.requests.get_mut(&held.key) {
+            tracked.started = true;
+        }
+    }
+
+    fn progress(&mut self, time: StepTime, reports: Vec<StreamProgress>) {
+        let mut by_pool: BTreeMap<String, Vec<StreamProgress>> = BTreeMap::new();
+        for report in reports {
+            if let Some(tracked) = self.requests.get_mut(&report.key) {
+                tracked.started = true;
+                by_pool.entry(tracked.pool.clone()).or_default().push(report);
+            }
+        }
+        for (pool, reports) in by_pool {
+            self.step_pool(time, &pool, PoolInput::Progress(reports));
+        }
+    }
+
+    fn finish(&mut self, time: StepTime, report: FinishReport) {
+        self.output.commands.push(StateCommand::Finish {
+            key: report.key,
+            claim: report.claim,
+            outcome: report.outcome,
+            reason: report.reason,
+        });
+        let Some(tracked) = self.requests.get(&report.key) else { return };
+        let pool = tracked.pool.clone();
+        // The slot is free at once; the record of the outcome follows with the commit.
+        self.step_pool(time, &pool, PoolInput::Finish(report));
+    }
+}
--- /dev/null
+++ b/crates/core/src/admission/settings.rs
@@ -0,0 +1,74 @@
+//! Translation between the document, the replicated state and the schedulers.
+
+use super::StepTime;
+use crate::document::{ConfigDocument, PoolRule};
+use crate::keys::TargetIdentity;
+use crate::pool::{PoolSettings, TierSettings, WorkspaceSettings};
+use crate::registry::SuspectChange;
+use crate::state::{ReplicatedState, StateCommand};
+
+/// Seconds of its rate that a workspace may use at once after a pause.
+const BURST_SECONDS: f64 = 10.0;
+
+/// Settings of a pool's scheduler as the document states them.
+pub fn pool_settings(document: &ConfigDocument, rule: &PoolRule) -> PoolSettings {
+    let mut tiers: Vec<_> = document.tiers().iter().collect();
+    tiers.sort_by_key(|tier| tier.rank);
+    let workspaces = document.workspaces().iter().map(|workspace| {
+        let tokens_per_second = f64::from(workspace.tokens_per_second_limit);
+        let settings = WorkspaceSettings {
+            weight: f64::from(workspace.weight),
+            max_in_flight: workspace.in_flight_limit,
+            tokens_per_second: Some(tokens_per_second),
+            burst_tokens: tokens_per_second * BURST_SECONDS,
+        };
+        (workspace.name.clone(), settings)
+    });
+    let mut settings = PoolSettings {
+        tiers: tiers
+            .iter()
+            .map(|tier| TierSettings { max_queue_ms: u64::from(tier.max_queue_ms) })
+            .collect(),
+        workspaces: workspaces.collect(),
+        queue_limit: rule.queue_limit as usize,
+        preempt_slack_ms: u64::from(rule.preempt_slack_ms),
+        max_attempts: rule.attempts_max,
+        retry_share: f64::from(rule.retry_budget_percent) / 100.0,
+        ..PoolSettings::default()
+    };
+    settings.rates.half_life_ms = f64::from(rule.rate_half_life_ms);
+    settings
+}
+
+/// Marks of the replicated log for a new leader's schedulers.
+pub(super) fn suspect_changes(state: &ReplicatedState) -> Vec<SuspectChange> {
+    let marks = state.suspects().filter_map(|record| {
+        let target = parse_crash(&record.target)?;
+        Some(SuspectChange::Mark { fingerprint: record.fingerprint, target })
+    });
+    marks.collect()
+}
+
+/// The command that records a change of the marks.
+pub(super) fn suspect_command(time: StepTime, change: &SuspectChange) -> StateCommand {
+    match change {
+        SuspectChange::Mark { fingerprint, target } => StateCommand::SuspectMark {
+            fingerprint: *fingerprint,
+            target: crash_text(target),
+            at: time.wall,
+        },
+        SuspectChange::Clear { fingerprint } => {
+            StateCommand::SuspectClear { fingerprint: *fingerprint }
+        }
+    }
+}
+
+/// The crashed incarnation as one text. Two crashes of one target are two marks.
+fn crash_text(target: &TargetIdentity) -> String {
+    format!("{}#{}", target.name, target.incarnation)
+}
+
+fn parse_crash(text: &str) -> Option<TargetIdentity> {
+    let (name, incarnation) = text.rsplit_once('#')?;
+    Some(TargetIdentity { name: name.to_owned(), incarnation: incarnation.parse().ok()? })
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! source inside, and time is passed in. The daemons, the specification search and the
 //! differential tests run the same code.
 
+pub mod admission;
 pub mod clock;
 pub mod document;
 pub mod estimate;
@@ -11,6 +12,7 @@
 pub mod message;
 pub mod outcome;
 pub mod pool;
+pub mod prompt;
 pub mod registry;
 pub mod replica;
 pub mod state;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -166,6 +166,10 @@
         leader: Option<NodeId>,
         /// Version of the configuration in force.
         config_version: u64,
+        /// Reading of the entry's clock in the message that this answers.
+        ///
+        /// A frozen sender may deliver the answer late; the entry sees it by this time.
+        entry_time: ClockTime,
     },
     /// A configuration that is in force.
     Config {
@@ -213,6 +217,8 @@
         /// Time after which a resend under a new id has a chance, in milliseconds.
         retry_after_ms: u32,
     },
+    /// The entry must shut down gracefully.
+    Drain,
 }
 
 /// A frame that could not be decoded.
--- a/crates/core/tests/pool/placement.rs
+++ b/crates/core/tests/pool/placement.rs
@@ -11,7 +11,7 @@
     let input =
         |number| PoolInput::Submit { entry: crate::support::ENTRY, request: request(number, 0) };
     assert_eq!(placed(&harness.step_uncommitted(input(1))), [1]);
-    assert_eq!(placed(&harness.step_uncommitted(input(2))), []);
+    assert!(placed(&harness.step_uncommitted(input(2))).is_empty());
 }
 
 /// Guards against slots that are lost when a request ends.
@@ -19,7 +19,7 @@
 fn finish_frees_the_slot_for_the_next_request() {
     let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
     assert_eq!(placed(&harness.submit(request(1, 0))), [1]);
-    assert_eq!(placed(&harness.submit(request(2, 0))), []);
+    assert!(placed(&harness.submit(request(2, 0))).is_empty());
     assert_eq!(placed(&harness.finish(1)), [2]);
 }
 
@@ -43,5 +43,5 @@
     harness.submit(request(2, 0));
     assert_eq!(refused(&harness.submit(request(3, 0))), [(3, ReasonCode::WorkspaceLimit)]);
     harness.finish(1);
-    assert_eq!(refused(&harness.submit(request(4, 0))), []);
+    assert!(refused(&harness.submit(request(4, 0))).is_empty());
 }
--- a/crates/core/tests/pool/preemption.rs
+++ b/crates/core/tests/pool/preemption.rs
@@ -35,7 +35,7 @@
 fn equal_tier_is_not_preempted() {
     let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
     harness.submit(request(1, 0));
-    assert_eq!(cancelled(&harness.submit(urgent(2, 0))), []);
+    assert!(cancelled(&harness.submit(urgent(2, 0))).is_empty());
     let outputs = harness.advance(1_000);
     assert_eq!(refused(&outputs), [(2, ReasonCode::DeadlinePassed)]);
     assert_eq!(harness.violations, 0);
@@ -49,7 +49,7 @@
     harness.submit(lasting(1, 1));
     let outputs = harness.submit(urgent(2, 0));
     assert_eq!((cancelled(&outputs), above_limit(&outputs)), (vec![], 1));
-    assert_eq!(placed(&harness.submit(urgent(3, 0))), []);
+    assert!(placed(&harness.submit(urgent(3, 0))).is_empty());
     let outputs = harness.finish(2);
     assert_eq!((placed(&outputs), above_limit(&outputs)), (vec![3], 1));
 }
@@ -117,7 +117,7 @@
     let mut harness =
         PoolHarness::new(PoolSettings { tiers, ..PoolSettings::default() }, &[target(1, 1)]);
     harness.submit(request(1, 1));
-    assert_eq!(cancelled(&harness.submit(request(2, 0))), []);
+    assert!(cancelled(&harness.submit(request(2, 0))).is_empty());
     assert_eq!(cancelled(&harness.advance(2_000)), [1]);
 }
 
--- /dev/null
+++ b/crates/testbed/src/deployment.rs
@@ -0,0 +1,357 @@
+//! Starts a deployment of real processes on loopback addresses, for tests and the local run.
+
+use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+use tempfile::TempDir;
+use thiserror::Error;
+
+/// Port of callers at an entry, and of operators at a control instance.
+const HTTP_PORT: u16 = 7300;
+/// Port of operators at an entry, and of links at a control instance.
+const SECOND_PORT: u16 = 7301;
+/// Interval at which a condition is checked.
+const POLL: Duration = Duration::from_millis(25);
+
+/// Bearer token that operators present in these deployments.
+pub const OPERATOR_TOKEN: &str = "testbed-operator";
+/// Bearer token that targets present in these deployments.
+pub const TARGET_TOKEN: &str = "testbed-target";
+const SECRET: &str = "testbed-secret";
+
+/// A deployment that could not be started or controlled.
+#[derive(Debug, Error)]
+pub enum DeploymentError {
+    /// A temporary folder could not be created.
+    #[error("creating a data folder")]
+    Folder(#[source] std::io::Error),
+    /// A daemon could not be started. The daemons must be built before.
+    #[error("starting {program}")]
+    Start {
+        /// Path of the daemon.
+        program: PathBuf,
+        /// What the system reported.
+        #[source]
+        source: std::io::Error,
+    },
+    /// A signal could not be sent.
+    #[error("sending a signal to {name}")]
+    Signal {
+        /// Name of the process.
+        name: String,
+        /// What the system reported.
+        #[source]
+        source: std::io::Error,
+    },
+    /// A condition did not hold in time.
+    #[error("waiting {limit_ms} ms for {what}")]
+    Timeout {
+        /// What was waited for.
+        what: String,
+        /// How long.
+        limit_ms: u64,
+    },
+    /// A call to a process failed.
+    #[error("calling {url}")]
+    Call {
+        /// URL of the call.
+        url: String,
+        /// What the client reported.
+        #[source]
+        source: Box<ureq::Error>,
+    },
+}
+
+/// Signals that tests send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessSignal {
+    /// Ends the process at once.
+    Kill,
+    /// Asks for a graceful shutdown.
+    Terminate,
+    /// Freezes the process.
+    Stop,
+    /// Wakes a frozen process.
+    Continue,
+}
+
+impl ProcessSignal {
+    fn flag(self) -> &'static str {
+        match self {
+            Self::Kill => "-KILL",
+            Self::Terminate => "-TERM",
+            Self::Stop => "-STOP",
+            Self::Continue => "-CONT",
+        }
+    }
+}
+
+/// A process of the deployment.
+struct ProcessRecord {
+    child: Child,
+    command: Vec<String>,
+}
+
+/// Real control and entry processes on loopback addresses.
+pub struct Deployment {
+    folder: TempDir,
+    /// Third octet of all addresses, so that deployments in one test program do not collide.
+    network: [u8; 3],
+    controls: usize,
+    processes: BTreeMap<String, ProcessRecord>,
+}
+
+static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
+
+impl Deployment {
+    /// Prepares a deployment with this number of control instances. Nothing is started yet.
+    ///
+    /// # Errors
+    /// Fails if no temporary folder can be created.
+    pub fn open(controls: usize) -> Result<Self, DeploymentError> {
+        let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
+        let process = std::process::id();
+        // Tests of different programs run at the same time, so the process id picks the network.
+        let second = 16 + u8::try_from(process % 200).unwrap_or(0);
+        let network = [127, second, NEXT_NETWORK.fetch_add(1, Ordering::Relaxed)];
+        Ok(Self { folder, network, controls, processes: BTreeMap::new() })
+    }
+
+    fn address(&self, host: usize, port: u16) -> SocketAddr {
+        let [first, second, third] = self.network;
+        let host = u8::try_from(host).unwrap_or(u8::MAX);
+        SocketAddr::from((Ipv4Addr::new(first, second, third, host), port))
+    }
+
+    fn control_host(index: usize) -> usize {
+        index + 1
+    }
+
+    fn entry_host(index: usize) -> usize {
+        index + 101
+    }
+
+    /// Link address of a control instance.
+    pub fn control_link(&self, index: usize) -> SocketAddr {
+        self.address(Self::control_host(index), SECOND_PORT)
+    }
+
+    /// Base URL of a control instance.
+    pub fn control_url(&self, index: usize) -> String {
+        format!("http://{}", self.address(Self::control_host(index), HTTP_PORT))
+    }
+
+    /// Base URLs of all control instances.
+    pub fn control_urls(&self) -> Vec<String> {
+        (0..self.controls).map(|index| self.control_url(index)).collect()
+    }
+
+    /// Base URL of an entry for callers.
+    pub fn entry_url(&self, index: usize) -> String {
+        format!("http://{}", self.address(Self::entry_host(index), HTTP_PORT))
+    }
+
+    /// Base URL of an entry for operators.
+    pub fn entry_operator_url(&self, index: usize) -> String {
+        format!("http://{}", self.address(Self::entry_host(index), SECOND_PORT))
+    }
+
+    /// Name of the process of a control instance.
+    pub fn control_name(index: usize) -> String {
+        format!("control-{index}")
+    }
+
+    /// Name of the process of an entry.
+    pub fn entry_name(index: usize) -> String {
+        format!("entry-{index}")
+    }
+
+    /// Data folder of a control instance.
+    pub fn data_folder(&self, index: usize) -> PathBuf {
+        self.folder.path().join(Self::control_name(index))
+    }
+
+    /// File that receives the log of a process.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.log"))
+    }
+
+    /// Starts a control instance with its data folder, which may be empty.
+    ///
+    /// # Errors
+    /// Fails if the daemon cannot be started.
+    pub fn start_control(&mut self, index: usize) -> Result<(), DeploymentError> {
+        let peers: Vec<String> = (0..self.controls)
+            .filter(|peer| *peer != index)
+            .map(|peer| self.control_link(peer).to_string())
+            .collect();
+        let name = Self::control_name(index);
+        let command = vec![
+            "burdockcleat-control".into(),
+            format!("--name={name}"),
+            format!("--failure-domain=domain-{}", index % 3),
+            format!("--link-listen={}", self.control_link(index)),
+            format!("--operator-listen={}", self.address(Self::control_host(index), HTTP_PORT)),
+            format!("--peers={}", peers.join(",")),
+            format!("--data-folder={}", self.data_folder(index).display()),
+            "--form-group=true".into(),
+            format!("--secret={SECRET}"),
+            format!("--operator-token={OPERATOR_TOKEN}"),
+            format!("--target-token={TARGET_TOKEN}"),
+        ];
+        self.start(name, command)
+    }
+
+    /// Starts an entry.
+    ///
+    /// # Errors
+    /// Fails if the daemon cannot be started.
+    pub fn start_entry(&mut self, index: usize) -> Result<(), DeploymentError> {
+        let control: Vec<String> =
+            (0..self.controls).map(|peer| self.control_link(peer).to_string()).collect();
+        let name = Self::entry_name(index);
+        let command = vec![
+            "burdockcleat-entry".into(),
+            format!("--name={name}"),
+            format!("--failure-domain=domain-{}", index % 3),
+            format!("--listen={}", self.address(Self::entry_host(index), HTTP_PORT)),
+            format!("--operator-listen={}", self.address(Self::entry_host(index), SECOND_PORT)),
+            format!("--control={}", control.join(",")),
+            format!("--secret={SECRET}"),
+            "--drain-grace-ms=500".into(),
+        ];
+        self.start(name, command)
+    }
+
+    /// Starts a process again with the same settings.
+    ///
+    /// # Errors
+    /// Fails if the daemon cannot be started.
+    pub fn restart(&mut self, name: &str) -> Result<(), DeploymentError> {
+        let Some(mut record) = self.processes.remove(name) else { return Ok(()) };
+        // The process has ended, or is ended here; both leave nothing to handle.
+        let _ = record.child.kill();
+        let _ = record.child.wait();
+        self.start(name.to_owned(), record.command)
+    }
+
+    fn start(&mut self, name: String, command: Vec<String>) -> Result<(), DeploymentError> {
+        let program = daemon_folder().join(&command[0]);
+        let log = std::fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.log_file(&name))
+            .map_err(DeploymentError::Folder)?;
+        let child = Command::new(&program)
+            .args(&command[1..])
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .map_err(|source| DeploymentError::Start { program, source })?;
+        self.processes.insert(name, ProcessRecord { child, command });
+        Ok(())
+    }
+
+    /// Sends a signal to a process of this deployment.
+    ///
+    /// # Errors
+    /// Fails if the signal cannot be sent.
+    pub fn signal(&mut self, name: &str, signal: ProcessSignal) -> Result<(), DeploymentError> {
+        let Some(record) = self.processes.get_mut(name) else { return Ok(()) };
+        let status = Command::new("kill")
+            .args([signal.flag(), &record.child.id().to_string()])
+            .status()
+            .map_err(|source| DeploymentError::Signal { name: name.to_owned(), source })?;
+        if signal == ProcessSignal::Kill && status.success() {
+            let _ = record.child.wait();
+        }
+        Ok(())
+    }
+
+    /// Waits for a process to end by itself.
+    ///
+    /// # Errors
+    /// Fails if it does not end in time.
+    pub fn wait_exit(
+        &mut self,
+        name: &str,
+        limit_ms: u64,
+    ) -> Result<Option<ExitStatus>, DeploymentError> {
+        let Some(record) = self.processes.get_mut(name) else { return Ok(None) };
+        let mut status = None;
+        wait_until(&format!("{name} to exit"), limit_ms, || {
+            status = record.child.try_wait().ok().flatten();
+            status.is_some()
+        })?;
+        Ok(status)
+    }
+
+    /// Removes the data folder of a control instance that does not run.
+    ///
+    /// # Errors
+    /// Fails if the folder cannot be removed.
+    pub fn lose_folder(&self, index: usize) -> Result<(), DeploymentError> {
+        std::fs::remove_dir_all(self.data_folder(index)).map_err(DeploymentError::Folder)
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for record in self.processes.values_mut() {
+            let _ = record.child.kill();
+            let _ = record.child.wait();
+        }
+        if std::thread::panicking() {
+            self.print_logs();
+        }
+    }
+}
+
+impl Deployment {
+    /// Prints the end of each process's log, for a failed test.
+    fn print_logs(&self) {
+        const LINES: usize = 40;
+        for name in self.processes.keys() {
+            let text = std::fs::read_to_string(self.log_file(name)).unwrap_or_default();
+            let lines: Vec<&str> = text.lines().collect();
+            eprintln!("--- {name}");
+            for line in &lines[lines.len().saturating_sub(LINES)..] {
+                eprintln!("{line}");
+            }
+        }
+    }
+}
+
+/// Folder of the built daemons: that of the test program, or the one above its `deps`.
+fn daemon_folder() -> PathBuf {
+    let program = std::env::current_exe().unwrap_or_default();
+    let folder = program.parent().unwrap_or_else(|| Path::new("."));
+    match folder.file_name().is_some_and(|name| name == "deps") {
+        true => folder.parent().unwrap_or(folder).to_path_buf(),
+        false => folder.to_path_buf(),
+    }
+}
+
+/// Checks a condition until it holds.
+///
+/// # Errors
+/// Fails if it does not hold in time.
+pub fn wait_until(
+    what: &str,
+    limit_ms: u64,
+    mut condition: impl FnMut() -> bool,
+) -> Result<(), DeploymentError> {
+    let limit = ClockTime::monotonic().plus(limit_ms);
+    while !condition() {
+        if ClockTime::monotonic() >= limit {
+            return Err(DeploymentError::Timeout { what: what.to_owned(), limit_ms });
+        }
+        std::thread::sleep(POLL);
+    }
+    Ok(())
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,4 @@
-//! Testbed.
+//! Fake targets, load program and deployments of real processes, for tests and measurements.
+
+pub mod deployment;
+pub mod probe;
--- /dev/null
+++ b/crates/testbed/src/probe.rs
@@ -0,0 +1,265 @@
+//! Calls to the processes of a deployment, as operators and callers make them.
+
+use crate::deployment::{Deployment, DeploymentError, OPERATOR_TOKEN, wait_until};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::time::{Duration, Instant};
+use ureq::Agent;
+
+/// Bound on one call of an operator.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for a group to form and elect a leader.
+const LEADER_LIMIT_MS: u64 = 15_000;
+/// Time for an entry to become ready.
+const READY_LIMIT_MS: u64 = 15_000;
+
+/// Status and body of an answer.
+#[derive(Clone, Debug, PartialEq)]
+pub struct JsonAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body, null if it is not JSON.
+    pub body: Value,
+}
+
+fn agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .timeout_global(Some(timeout))
+        .http_status_as_error(false)
+        .max_idle_connections(0)
+        .build();
+    config.new_agent()
+}
+
+fn call_error(url: &str, source: ureq::Error) -> DeploymentError {
+    DeploymentError::Call { url: url.to_owned(), source: Box::new(source) }
+}
+
+/// Reads a URL as an operator.
+///
+/// # Errors
+/// Fails if no answer arrives.
+pub fn get(url: &str) -> Result<JsonAnswer, DeploymentError> {
+    let request = agent(OPERATOR_TIMEOUT)
+        .get(url)
+        .header("authorization", format!("Bearer {OPERATOR_TOKEN}"));
+    let mut response = request.call().map_err(|error| call_error(url, error))?;
+    let body = response.body_mut().read_json().unwrap_or(Value::Null);
+    Ok(JsonAnswer { status: response.status().as_u16(), body })
+}
+
+/// Posts JSON as an operator.
+///
+/// # Errors
+/// Fails if no answer arrives.
+pub fn post(url: &str, body: &Value) -> Result<JsonAnswer, DeploymentError> {
+    let request = agent(OPERATOR_TIMEOUT)
+        .post(url)
+        .header("authorization", format!("Bearer {OPERATOR_TOKEN}"));
+    let mut response = request.send_json(body).map_err(|error| call_error(url, error))?;
+    let body = response.body_mut().read_json().unwrap_or(Value::Null);
+    Ok(JsonAnswer { status: response.status().as_u16(), body })
+}
+
+impl Deployment {
+    /// Index of the control instance that leads, if one says so.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.control_urls().len()).find(|index| {
+            let status = get(&format!("{}/v1/status", self.control_url(*index)));
+            status.is_ok_and(|answer| answer.body["leading"] == true)
+        })
+    }
+
+    /// Waits until a control instance leads.
+    ///
+    /// # Errors
+    /// Fails if none does in time.
+    pub fn wait_leader(&self) -> Result<usize, DeploymentError> {
+        let mut leader = None;
+        wait_until("a control leader", LEADER_LIMIT_MS, || {
+            leader = self.leader();
+            leader.is_some()
+        })?;
+        Ok(leader.unwrap_or_default())
+    }
+
+    /// Waits until an entry is ready.
+    ///
+    /// # Errors
+    /// Fails if it is not in time.
+    pub fn wait_ready(&self, entry: usize) -> Result<(), DeploymentError> {
+        let url = format!("{}/readyz", self.entry_operator_url(entry));
+        wait_until(&format!("entry {entry} to be ready"), READY_LIMIT_MS, || {
+            get(&url).is_ok_and(|answer| answer.status == 200)
+        })
+    }
+
+    /// Applies a document at a control instance.
+    ///
+    /// # Errors
+    /// Fails if no answer arrives.
+    pub fn apply(
+        &self,
+        control: usize,
+        base_version: u64,
+        operation_id: &str,
+        document: &str,
+    ) -> Result<JsonAnswer, DeploymentError> {
+        let body = json!({
+            "base_version": base_version,
+            "operation_id": operation_id,
+            "author": "testbed",
+            "document": document,
+        });
+        post(&format!("{}/v1/config", self.control_url(control)), &body)
+    }
+
+    /// State dump of an entry.
+    ///
+    /// # Errors
+    /// Fails if no answer arrives.
+    pub fn entry_dump(&self, entry: usize) -> Result<Value, DeploymentError> {
+        Ok(get(&format!("{}/dump", self.entry_operator_url(entry)))?.body)
+    }
+
+    /// State dump of a control instance.
+    ///
+    /// # Errors
+    /// Fails if no answer arrives.
+    pub fn control_dump(&self, control: usize) -> Result<Value, DeploymentError> {
+        Ok(get(&format!("{}/v1/dump", self.control_url(control)))?.body)
+    }
+}
+
+/// A completion request of a caller.
+#[derive(Clone, Debug)]
+pub struct CompletionCall {
+    /// Base URL of the entry.
+    pub entry_url: String,
+    /// Credential of the workspace.
+    pub credential: String,
+    /// Request id.
+    pub request_id: String,
+    /// Model.
+    pub model: String,
+    /// Prompt.
+    pub prompt: String,
+    /// Tokens of the answer.
+    pub max_tokens: u32,
+    /// Time until the deadline, in milliseconds.
+    pub deadline_ms: u32,
+    /// Further headers.
+    pub headers: Vec<(String, String)>,
+}
+
+/// What a caller received.
+#[derive(Clone, Debug, Default)]
+pub struct CompletionAnswer {
+    /// HTTP status; 0 if no answer arrived.
+    pub status: u16,
+    /// Events with a token, as they arrived.
+    pub tokens: Vec<Value>,
+    /// Time of each token since the request was sent.
+    pub times: Vec<Duration>,
+    /// Counts at the end.
+    pub usage: Value,
+    /// Whether the final event arrived.
+    pub done: bool,
+    /// Whether the body ended as HTTP demands.
+    pub well_formed: bool,
+    /// The `error` object, if the answer was an error or ended with one.
+    pub error: Value,
+}
+
+impl CompletionAnswer {
+    /// Outcome that the caller was told, `completed` for a whole answer.
+    pub fn outcome(&self) -> &str {
+        if self.done {
+            return "completed";
+        }
+        self.error["outcome"].as_str().unwrap_or("none")
+    }
+}
+
+impl CompletionCall {
+    /// Sends the request and reads the answer to its end.
+    pub fn send(&self) -> CompletionAnswer {
+        self.send_with(|_| {})
+    }
+
+    /// Sends the request and shows each token as it arrives.
+    pub fn send_with(&self, mut on_token: impl FnMut(&Value)) -> CompletionAnswer {
+        let started = Instant::now();
+        let limit = Duration::from_millis(u64::from(self.deadline_ms) + 10_000);
+        let mut request = agent(limit)
+            .post(format!("{}/v1/completions", self.entry_url))
+            .header("authorization", format!("Bearer {}", self.credential))
+            .header("x-request-id", &self.request_id)
+            .header("x-deadline-ms", self.deadline_ms.to_string());
+        for (name, value) in &self.headers {
+            request = request.header(name, value);
+        }
+        let body = json!({
+            "model": self.model,
+            "prompt": self.prompt,
+            "max_tokens": self.max_tokens,
+            "stream": true,
+        });
+        let mut answer = CompletionAnswer::default();
+        let Ok(mut response) = request.send_json(body) else { return answer };
+        answer.status = response.status().as_u16();
+        if answer.status != 200 {
+            let body: Value = response.body_mut().read_json().unwrap_or(Value::Null);
+            answer.error = body["error"].clone();
+            answer.well_formed = true;
+            return answer;
+        }
+        let mut lines = BufReader::new(response.body_mut().as_reader()).lines();
+        loop {
+            let line = match lines.next() {
+                None => {
+                    answer.well_formed = true;
+                    return answer;
+                }
+                Some(Err(_)) => return answer,
+                Some(Ok(line)) => line,
+            };
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                answer.done = true;
+                continue;
+            }
+            let event: Value = serde_json::from_str(data).unwrap_or(Value::Null);
+            if !event["error"].is_null() {
+                answer.error = event["error"].clone();
+            } else if !event["usage"].is_null() {
+                answer.usage = event["usage"].clone();
+            } else {
+                answer.times.push(started.elapsed());
+                on_token(&event);
+                answer.tokens.push(event);
+            }
+        }
+    }
+}
+
+/// Calls a plain service through an entry.
+///
+/// # Errors
+/// Fails if no answer arrives.
+pub fn call_service(
+    entry_url: &str,
+    credential: &str,
+    request_id: &str,
+    path: &str,
+    body: &Value,
+) -> Result<JsonAnswer, DeploymentError> {
+    let url = format!("{entry_url}{path}");
+    let request = agent(Duration::from_secs(30))
+        .post(&url)
+        .header("authorization", format!("Bearer {credential}"))
+        .header("x-request-id", request_id);
+    let mut response = request.send_json(body).map_err(|error| call_error(&url, error))?;
+    let body = response.body_mut().read_json().unwrap_or(Value::Null);
+    Ok(JsonAnswer { status: response.status().as_u16(), body })
+}
