Test that an applied document reaches every entry

Three control processes form a group, elect a leader and accept the bureau's example document; two entries report it and become ready.

--- /dev/null
+++ b/crates/testbed/tests/cluster.rs
@@ -0,0 +1,34 @@
+//! Control instances and entries as real processes.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_testbed::deployment::{Deployment, wait_until};
+
+const DOCUMENT: &str = include_str!("../../../examples/bureau.toml");
+
+/// Guards against an accepted configuration that does not reach every entry, and against an entry
+/// that is ready without it.
+#[test]
+fn an_applied_document_is_in_force_at_every_entry() {
+    let mut deployment = Deployment::open(3).unwrap();
+    for index in 0..3 {
+        deployment.start_control(index).unwrap();
+    }
+    for index in 0..2 {
+        deployment.start_entry(index).unwrap();
+    }
+    let leader = deployment.wait_leader().unwrap();
+    let answer = deployment.apply(leader, 0, "op-1", DOCUMENT).unwrap();
+    assert_eq!((answer.status, &answer.body["version"]), (200, &1.into()));
+    for index in 0..2 {
+        deployment.wait_ready(index).unwrap();
+        let dump = deployment.entry_dump(index).unwrap();
+        assert_eq!(dump["session"]["config-version"], 1);
+    }
+    for index in 0..3 {
+        wait_until("the version at every control instance", 5_000, || {
+            deployment.control_dump(index).unwrap()["status"]["config_version"] == 1
+        })
+        .unwrap();
+    }
+}
