Record refusals so that a late attempt cannot run after not_run

A barrier confirms that no claim existed when the leader decided. It does not stop a submit of an earlier attempt that arrives later, for example from an entry that was frozen, so the request can still run after its caller was told `not_run`. `Refuse { key, until, reason }` is refused by the machine if the key has a claim, and blocks claims of the key until `until`. Leaders may go on to use `Barrier` where a false `not_run` wastes work only.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -13,6 +13,7 @@
 mod intern;
 mod operations;
 mod orders;
+mod refusals;
 mod retention;
 mod row;
 mod suspects;
@@ -24,12 +25,13 @@
 };
 pub use command::{
     ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply, ExpireReply, OrderDoneReply,
-    StampedCommand, StateCommand,
+    RefuseReply, StampedCommand, StateCommand,
 };
 pub use config::{ConfigView, VERSIONS_KEPT, VersionRecord};
 pub use image::SnapshotError;
 pub use operations::OPERATIONS_KEPT;
 pub use orders::{ENDED_ORDERS_KEPT, EngineOrder, OrderAction, OrderId, OrderRecord, OrderResult};
+pub use refusals::RefusalRecord;
 pub use suspects::{MARK_RETENTION_MS, SuspectRecord};
 
 use crate::clock::ClockTime;
@@ -38,6 +40,7 @@
 use config::ConfigHistory;
 use operations::{OperationLog, OperationResult};
 use orders::OrderTable;
+use refusals::RefusalTable;
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use suspects::SuspectTable;
@@ -61,6 +64,8 @@
     pub claim_limit: usize,
     /// Bytes of the claim table.
     pub claim_bytes: usize,
+    /// Refusals in the table.
+    pub refusals: usize,
     /// Orders without a result.
     pub orders_open: usize,
     /// Operation ids whose results are kept.
@@ -80,6 +85,7 @@
     config: ConfigHistory,
     operations: OperationLog,
     claims: ClaimTable,
+    refusals: RefusalTable,
     orders: OrderTable,
     suspects: SuspectTable,
 }
@@ -105,6 +111,7 @@
             config: ConfigHistory::new(),
             operations: OperationLog::default(),
             claims: ClaimTable::new(rules),
+            refusals: RefusalTable::default(),
             orders: OrderTable::default(),
             suspects: SuspectTable::default(),
         }
@@ -120,7 +127,11 @@
             StateCommand::ApplyDocument { base_version, operation_id, author, document } => {
                 self.apply_document(*base_version, operation_id, author, document)
             }
-            StateCommand::Claim(request) => CommandReply::Claim(self.claims.claim(index, request)),
+            StateCommand::Claim(request) => CommandReply::Claim(self.claim_key(index, request)),
+            StateCommand::Refuse { key, until, reason } => {
+                let record = RefusalRecord { key: *key, until: *until, reason: *reason };
+                CommandReply::Refuse(self.refuse_key(record))
+            }
             StateCommand::Release { key, claim } => {
                 CommandReply::Close(self.claims.release(*key, *claim))
             }
@@ -131,10 +142,7 @@
             StateCommand::OwnerLost { entry } => {
                 CommandReply::OwnerLost(self.claims.lose_owner(*entry))
             }
-            StateCommand::ExpireClaims => {
-                self.suspects.expire(self.now);
-                CommandReply::Expired(self.claims.expire(self.now))
-            }
+            StateCommand::ExpireClaims => CommandReply::Expired(self.expire()),
             StateCommand::SuspectMark { fingerprint, target, at } => {
                 self.suspects.mark(*fingerprint, target, *at);
                 CommandReply::Done
@@ -156,6 +164,30 @@
         }
     }
 
+    fn claim_key(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
+        match self.refusals.find(request.key, self.now) {
+            Some(record) => ClaimReply::Refused(record),
+            None => self.claims.claim(index, request),
+        }
+    }
+
+    fn refuse_key(&mut self, record: RefusalRecord) -> RefuseReply {
+        if let Some(claim) = self.claims.find(record.key) {
+            return RefuseReply::AlreadyClaimed(claim);
+        }
+        self.refusals.insert(record);
+        RefuseReply::Recorded
+    }
+
+    fn expire(&mut self) -> ExpireReply {
+        self.suspects.expire(self.now);
+        let mut reply = self.claims.expire(self.now);
+        let removed = self.refusals.expire(self.now, EXPIRE_BATCH);
+        reply.removed += removed;
+        reply.more |= removed == EXPIRE_BATCH;
+        reply
+    }
+
     fn apply_document(
         &mut self,
         base_version: u64,
@@ -211,6 +243,11 @@
         self.claims.find(key)
     }
 
+    /// The refusal of a key, if it lasts beyond the machine's time.
+    pub fn refusal(&self, key: RequestKey) -> Option<RefusalRecord> {
+        self.refusals.find(key, self.now)
+    }
+
     /// All open claims, in ascending order of their numbers.
     pub fn open_claims(&self) -> impl Iterator<Item = ClaimRecord> + '_ {
         self.claims.open_records()
@@ -277,6 +314,7 @@
             claims_ownerless: self.claims.ownerless_len(),
             claim_limit: self.claim_limit,
             claim_bytes: self.claims.heap_bytes(),
+            refusals: self.refusals.len(),
             orders_open: self.orders.open_len(),
             operations: self.operations.len(),
             marks: self.suspects.marks().collect(),
--- a/crates/core/src/state/command.rs
+++ b/crates/core/src/state/command.rs
@@ -2,6 +2,7 @@
 
 use super::claim::ClaimRecord;
 use super::orders::{EngineOrder, OrderId, OrderResult};
+use super::refusals::RefusalRecord;
 use crate::clock::ClockTime;
 use crate::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey, TargetIdentity};
 use crate::outcome::{ReasonCode, RequestOutcome};
@@ -63,6 +64,19 @@
     },
     /// Claims a request key for one dispatch.
     Claim(ClaimRequest),
+    /// Records that a request was refused as `not_run`, unless the key has a claim.
+    ///
+    /// Its commit confirms the refusal, as that of `Barrier` would. In addition, no attempt of
+    /// the request can be claimed before `until`, not even one that the leader has not seen.
+    Refuse {
+        /// Key of the request.
+        key: RequestKey,
+        /// Wall time from which the key may be claimed again. It should lie after the deadlines
+        /// of all attempts.
+        until: ClockTime,
+        /// Why the request is refused.
+        reason: ReasonCode,
+    },
     /// The owner states that it did not dispatch and will not.
     Release {
         /// Key of the request.
@@ -135,6 +149,8 @@
     Document(DocumentReply),
     /// Reply to `Claim`.
     Claim(ClaimReply),
+    /// Reply to `Refuse`.
+    Refuse(RefuseReply),
     /// Reply to `Release` and `Finish`.
     Close(CloseReply),
     /// Reply to `OwnerLost`: the claims that became ownerless, in ascending order.
@@ -171,6 +187,17 @@
     AlreadyOpen(ClaimRecord),
     /// The request has ended and is within its retention.
     AlreadyEnded(ClaimRecord),
+    /// The request was refused as `not_run`, and the refusal is in force.
+    Refused(RefusalRecord),
+}
+
+/// Reply to a refusal. The caller may be told `not_run` only after `Recorded`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RefuseReply {
+    /// The refusal is in force.
+    Recorded,
+    /// The key has a claim, so the request may have run.
+    AlreadyClaimed(ClaimRecord),
 }
 
 /// Reply to a release or a finish.
@@ -189,7 +216,7 @@
 pub struct ExpireReply {
     /// Ownerless claims that ended with outcome `unknown`, in ascending order.
     pub ended: Vec<ClaimNumber>,
-    /// Number of ended claims that were removed.
+    /// Number of ended claims and refusals that were removed.
     pub removed: usize,
     /// Whether the bound per command was reached and another command is needed.
     pub more: bool,
--- a/crates/core/src/state/image.rs
+++ b/crates/core/src/state/image.rs
@@ -12,6 +12,7 @@
 use super::intern::{InternKey, InternTable};
 use super::operations::{OperationLog, OperationResult};
 use super::orders::OrderTable;
+use super::refusals::{RefusalRecord, RefusalTable};
 use super::row::{ClaimRow, RowPhase, SlotKey};
 use super::suspects::SuspectTable;
 use crate::clock::ClockTime;
@@ -73,6 +74,7 @@
     claim_limit: u64,
     config: ConfigHistory,
     operations: Vec<(Arc<str>, OperationResult)>,
+    refusals: Vec<RefusalRecord>,
     orders: OrderTable,
     suspects: SuspectTable,
     targets: Vec<(TargetIdentity, String)>,
@@ -180,6 +182,7 @@
             claim_limit: self.claim_limit as u64,
             config: self.config.clone(),
             operations: self.operations.image(),
+            refusals: self.refusals.image(),
             orders: self.orders.clone(),
             suspects: self.suspects.clone(),
             targets: targets.map(|place| (place.identity.clone(), place.address.clone())).collect(),
@@ -219,6 +222,7 @@
             claim_limit: usize::try_from(header.claim_limit).unwrap_or(usize::MAX),
             config: header.config,
             operations: OperationLog::from_image(header.operations),
+            refusals: RefusalTable::from_image(header.refusals),
             claims,
             orders: header.orders,
             suspects: header.suspects,
--- a/crates/core/tests/state_differential.rs
+++ b/crates/core/tests/state_differential.rs
@@ -10,7 +10,8 @@
     ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply,
     EngineOrder, ExpireReply, IDEMPOTENT_RETENTION_MS, MARK_RETENTION_MS,
     NON_IDEMPOTENT_RETENTION_MS, OWNERLESS_MARGIN_MS, OrderAction, OrderDoneReply, OrderId,
-    OrderRecord, OrderResult, ReplicatedState, StampedCommand, StateCommand,
+    OrderRecord, OrderResult, RefusalRecord, RefuseReply, ReplicatedState, StampedCommand,
+    StateCommand,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -21,6 +22,7 @@
 struct NaiveState {
     now: ClockTime,
     claims: BTreeMap<RequestKey, ClaimRecord>,
+    refusals: BTreeMap<RequestKey, RefusalRecord>,
     documents: Vec<String>,
     edits: BTreeMap<String, DocumentReply>,
     issued: BTreeMap<String, OrderId>,
@@ -38,6 +40,14 @@
                 CommandReply::Document(self.edit(*base_version, operation_id, document))
             }
             StateCommand::Claim(request) => CommandReply::Claim(self.claim(index, request)),
+            StateCommand::Refuse { key, until, reason } => {
+                if let Some(record) = self.claims.get(key) {
+                    return CommandReply::Refuse(RefuseReply::AlreadyClaimed(record.clone()));
+                }
+                let record = RefusalRecord { key: *key, until: *until, reason: *reason };
+                self.refusals.insert(*key, record);
+                CommandReply::Refuse(RefuseReply::Recorded)
+            }
             StateCommand::Release { key, claim } => {
                 let reply = self.check_open(*key, *claim);
                 if reply == CloseReply::Accepted {
@@ -98,6 +108,9 @@
     }
 
     fn claim(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
+        if let Some(record) = self.refusal(request.key) {
+            return ClaimReply::Refused(record);
+        }
         match self.claims.get(&request.key) {
             Some(record) if is_open(record) => ClaimReply::AlreadyOpen(record.clone()),
             Some(record) => ClaimReply::AlreadyEnded(record.clone()),
@@ -123,6 +136,10 @@
         }
     }
 
+    fn refusal(&self, key: RequestKey) -> Option<RefusalRecord> {
+        self.refusals.get(&key).copied().filter(|record| record.until > self.now)
+    }
+
     fn check_open(&self, key: RequestKey, claim: ClaimNumber) -> CloseReply {
         match self.claims.get(&key) {
             Some(record) if record.claim != claim => CloseReply::WrongClaim,
@@ -159,12 +176,13 @@
             }
         }
         reply.ended.sort();
-        let before = self.claims.len();
+        let before = self.claims.len() + self.refusals.len();
+        self.refusals.retain(|_, record| record.until > now);
         self.claims.retain(|_, record| match record.phase {
             ClaimPhase::Open { .. } => true,
             ClaimPhase::Ended { at, .. } => now.since(at) <= retention_of(record),
         });
-        reply.removed = before - self.claims.len();
+        reply.removed = before - self.claims.len() - self.refusals.len();
         self.marks.retain(|_, at| now.since(*at) <= MARK_RETENTION_MS);
         self.quarantines.retain(|_, end| *end > now);
         reply
@@ -196,6 +214,7 @@
 fn compare_queries(state: &ReplicatedState, naive: &NaiveState, keys: u128) {
     for key in (0..keys).map(RequestKey) {
         assert_eq!(state.claim(key).as_ref(), naive.claims.get(&key));
+        assert_eq!(state.refusal(key), naive.refusal(key));
     }
     let mut open: Vec<_> = naive.claims.values().filter(|record| is_open(record)).collect();
     open.sort_by_key(|record| record.claim);
@@ -272,9 +291,13 @@
 fn claim_command(keys: u128, indexes: u64) -> impl Strategy<Value = StateCommand> {
     let number = prop_oneof![3 => Just(0), 1 => 0..indexes].prop_map(ClaimNumber);
     let key = (0..keys).prop_map(RequestKey);
+    let until = (0..200_000_u64).prop_map(ClockTime::from_ms);
     let reason = prop_oneof![Just(None), Just(Some(ReasonCode::UpstreamCut))];
     prop_oneof![
         6 => claim_request(keys).prop_map(StateCommand::Claim),
+        1 => (key.clone(), until).prop_map(|(key, until)| {
+            StateCommand::Refuse { key, until, reason: ReasonCode::Overloaded }
+        }),
         2 => (key.clone(), number.clone())
             .prop_map(|(key, claim)| StateCommand::Release { key, claim }),
         4 => (key, number, outcome(), reason).prop_map(|(key, claim, outcome, reason)| {
