--- /dev/null
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -0,0 +1,134 @@
+//! Compares the routing policies and the scheduler with single mechanisms switched off.
+//!
+//! The engines are small fakes at the scheduler's interface, so the figures compare policies with
+//! each other and predict no deployment.
+//!
+//! `cargo run --release -p burdockcleat-core --example policy_experiment -- [SEEDS] [FIRST_SEED]`
+
+mod engine;
+mod workload;
+mod world;
+
+use burdockcleat_core::pool::{PoolSettings, RoutingPolicy};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use workload::{ARRIVALS_MS, Deployment};
+use world::{ExperimentWorld, RunFigures};
+
+const LOADS: [f64; 3] = [0.5, 1.0, 1.5];
+/// Threads of a run of the experiment; the machine is shared.
+const THREADS: usize = 4;
+
+type Variant = (&'static str, fn(&mut PoolSettings));
+
+const VARIANTS: [Variant; 13] = [
+    ("estimated completion", |_| {}),
+    ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
+    ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
+    ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
+    ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
+    ("- prefix term", |s| s.switches.prefix_term = false),
+    ("- lookahead", |s| s.lookahead = 1),
+    ("- preemption", |s| s.switches.preemption = false),
+    ("- fair share", |s| s.switches.fair_share = false),
+    ("- deadline order", |s| s.switches.deadline_order = false),
+    ("- straggler avoidance", |s| s.switches.straggler_avoidance = false),
+    ("- tiered shedding", |s| s.switches.tiered_shedding = false),
+    ("plain", |s| {
+        s.routing = RoutingPolicy::LeastReported;
+        s.switches.preemption = false;
+        s.switches.fair_share = false;
+        s.switches.deadline_order = false;
+        s.switches.straggler_avoidance = false;
+        s.switches.tiered_shedding = false;
+    }),
+];
+
+/// Requests per second that the engines complete when the queue is never empty, routed by own
+/// in-flight count and without faults.
+fn capacity(deployment: Deployment) -> f64 {
+    let mut settings = deployment.settings();
+    settings.routing = RoutingPolicy::LeastInFlight;
+    settings.switches.preemption = false;
+    settings.queue_limit = 1_000_000;
+    for tier in &mut settings.tiers {
+        tier.max_queue_ms = 1_000_000;
+    }
+    let mut plan = deployment.requests(400.0, 99);
+    for request in &mut plan {
+        request.deadline_ms = ARRIVALS_MS as u32;
+        request.tier = 0;
+    }
+    plan.retain(|request| request.at < ARRIVALS_MS / 2);
+    let figures = ExperimentWorld::new(deployment, settings, plan).run(false);
+    // The last requests reach their deadlines after one and a half times the arrivals.
+    f64::from(figures.tiers[0].1) * 1_000.0 / (ARRIVALS_MS as f64 * 1.5)
+}
+
+fn single_run(deployment: Deployment, variant: Variant, rate: f64, seed: u64) -> RunFigures {
+    let mut settings = deployment.settings();
+    variant.1(&mut settings);
+    ExperimentWorld::new(deployment, settings, deployment.requests(rate, seed)).run(true)
+}
+
+/// Runs all seeds of all variants on a few threads.
+fn all_runs(deployment: Deployment, rate: f64, seeds: &[u64]) -> Vec<Vec<RunFigures>> {
+    let next = AtomicUsize::new(0);
+    let results = Mutex::new(vec![vec![RunFigures::default(); seeds.len()]; VARIANTS.len()]);
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let job = next.fetch_add(1, Ordering::Relaxed);
+                    let (variant, seed) = (job / seeds.len(), job % seeds.len());
+                    if variant >= VARIANTS.len() {
+                        return;
+                    }
+                    let figures = single_run(deployment, VARIANTS[variant], rate, seeds[seed]);
+                    if let Ok(mut results) = results.lock() {
+                        results[variant][seed] = figures;
+                    }
+                }
+            });
+        }
+    });
+    results.into_inner().unwrap_or_default()
+}
+
+/// Median and range in percent.
+fn spread(runs: &[RunFigures], figure: impl Fn(&RunFigures) -> f64) -> String {
+    let mut values: Vec<f64> = runs.iter().map(|run| figure(run) * 100.0).collect();
+    values.sort_by(f64::total_cmp);
+    let Some((low, high)) = values.first().zip(values.last()) else { return String::new() };
+    format!("{:5.1} ({:5.1}-{:5.1})", values[values.len() / 2], low, high)
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse().ok());
+    let (count, first): (u64, u64) = (arguments.next().unwrap_or(5), arguments.next().unwrap_or(1));
+    let seeds: Vec<u64> = (first..first + count).collect();
+    println!("seeds {seeds:?}; medians (range) in percent");
+    for deployment in [Deployment::Bureau, Deployment::Kerlouan] {
+        let capacity = capacity(deployment);
+        for load in LOADS {
+            println!("\n{} at {load} of {capacity:.1} requests/s", deployment.name());
+            println!(
+                "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                "variant", "tier 0", "tier 1", "tier 2", "wasted prefill", "cancels", "tier rule"
+            );
+            let results = all_runs(deployment, capacity * load, &seeds);
+            for ((name, _), runs) in VARIANTS.iter().zip(&results) {
+                println!(
+                    "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                    name,
+                    spread(runs, |run| run.goodput(0)),
+                    spread(runs, |run| run.goodput(1)),
+                    spread(runs, |run| run.goodput(2)),
+                    spread(runs, RunFigures::waste),
+                    runs.iter().map(|run| run.cancels).sum::<u32>(),
+                    runs.iter().map(|run| run.violations).sum::<u32>(),
+                );
+            }
+        }
+    }
+}
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -3,3 +3,4 @@
 mod placement;
 mod preemption;
 mod support;
+mod tier_rule;
--- a/crates/core/tests/pool/support.rs
+++ b/crates/core/tests/pool/support.rs
@@ -92,15 +92,20 @@
         let mut all = outputs.clone();
         for output in outputs {
             let PoolOutput::Place { key, target, .. } = output else { continue };
-            self.next_claim += 1;
-            let claim = ClaimNumber(self.next_claim);
-            self.claims.insert(key, claim);
+            let claim = self.commit(key);
             self.places.insert(key, target);
             all.extend(self.step(PoolInput::ClaimCommitted { key, claim }));
         }
         all
     }
 
+    /// Draws the number of a claim.
+    pub fn commit(&mut self, key: RequestKey) -> ClaimNumber {
+        self.next_claim += 1;
+        self.claims.insert(key, ClaimNumber(self.next_claim));
+        ClaimNumber(self.next_claim)
+    }
+
     pub fn step_uncommitted(&mut self, input: PoolInput) -> Vec<PoolOutput> {
         let outputs = self.scheduler.step(self.now, input);
         let violated = outputs.iter().filter_map(|output| self.scheduler.tier_violation(output));
