--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -31,10 +31,10 @@
 use std::sync::Arc;
 use thiserror::Error;
 
-/// Largest number of bytes of entries in one append, and of data in one snapshot part.
+/// Default of [`ReplicaConfig::batch_bytes`].
 pub const MAX_BATCH_BYTES: usize = 256 * 1024;
 
-/// Largest entry. An entry above [`MAX_BATCH_BYTES`] travels alone.
+/// Largest entry.
 ///
 /// A configuration document of 7,100 workspaces has about 700 KB.
 pub const MAX_ENTRY_BYTES: usize = 4 * 1024 * 1024;
@@ -55,6 +55,9 @@
     /// Entries kept in front of a snapshot, so that a follower that is slightly behind needs no
     /// snapshot.
     pub keep_entries: u64,
+    /// Largest number of bytes of entries in one append, and of data in one snapshot part. A larger
+    /// entry travels alone.
+    pub batch_bytes: usize,
     /// Seed of the election timeouts.
     pub seed: u64,
 }
@@ -69,6 +72,7 @@
             heartbeat_ms: 100,
             lease_ms: 500,
             keep_entries: 4_096,
+            batch_bytes: MAX_BATCH_BYTES,
             seed,
         }
     }
@@ -85,8 +89,6 @@
     pub previous_entry: bool,
     /// A leader commits by counting replicas only entries of its own term.
     pub own_term_commit: bool,
-    /// A leader counts its own copy of an entry only after it is synced.
-    pub count_synced: bool,
     /// A membership change waits for the one before.
     pub single_change: bool,
     /// No vote for the minimum election timeout after an acknowledged heartbeat.
@@ -104,7 +106,6 @@
             recent_log: true,
             previous_entry: true,
             own_term_commit: true,
-            count_synced: true,
             single_change: true,
             hold_votes: true,
             hold_after_restart: true,
@@ -136,7 +137,7 @@
 }
 
 /// What the caller must do, in the order of the fields.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct ReplicaOutput {
     /// Term and vote to write.
     pub vote: Option<VoteRecord>,
@@ -241,7 +242,7 @@
 }
 
 /// One replica of the log.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct LogReplica {
     config: ReplicaConfig,
     rules: RuleSet,
@@ -433,9 +434,6 @@
     fn append_own(&mut self, payload: EntryPayload) -> LogPosition {
         let position = LogPosition { index: self.log.last().index + 1, term: self.vote.term };
         self.push_entry(LogEntry { index: position.index, term: position.term, payload });
-        if !self.rules.count_synced {
-            self.persisted(position);
-        }
         position
     }
 
--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -10,7 +10,12 @@
 
 impl LogReplica {
     fn mark(&self) -> LeaderMark {
-        LeaderMark { term: self.vote.term, commit_index: self.commit_index, sent: self.now }
+        LeaderMark {
+            term: self.vote.term,
+            commit_index: self.commit_index,
+            sent: self.now,
+            batch_bytes: self.config.batch_bytes,
+        }
     }
 
     /// Queues for each peer what can be sent to it now.
@@ -179,7 +184,7 @@
         let Some(peer) = self.peer(node) else { return };
         let next = peer.match_index + 1;
         if self.log.term_at(peer.match_index).is_some() {
-            let entries = self.log.batch(next, super::MAX_BATCH_BYTES);
+            let entries = self.log.batch(next, mark.batch_bytes);
             let message = append_of(&self.log, mark, next, entries);
             self.send(node, message);
         }
--- a/crates/core/src/replica/peer.rs
+++ b/crates/core/src/replica/peer.rs
@@ -1,6 +1,5 @@
 //! What a leader knows of one other member, and what it sends next.
 
-use super::MAX_BATCH_BYTES;
 use super::entry::{LogPosition, SnapshotImage};
 use super::log::{EntryLog, position_of};
 use super::message::{AppendRequest, AppendResult, ReplicaMessage, SnapshotPart};
@@ -45,6 +44,7 @@
     pub(super) term: u64,
     pub(super) commit_index: u64,
     pub(super) sent: ClockTime,
+    pub(super) batch_bytes: usize,
 }
 
 impl PeerProgress {
@@ -164,13 +164,13 @@
         match &mut self.mode {
             PeerMode::Probe { waiting } => {
                 if !std::mem::replace(waiting, true) {
-                    let entries = log.batch(self.next_index, MAX_BATCH_BYTES);
+                    let entries = log.batch(self.next_index, mark.batch_bytes);
                     messages.push(append_of(log, mark, self.next_index, entries));
                 }
             }
             PeerMode::Pipeline { in_flight } => {
                 while self.next_index <= log.last().index && in_flight.len() < MAX_IN_FLIGHT {
-                    let entries = log.batch(self.next_index, MAX_BATCH_BYTES);
+                    let entries = log.batch(self.next_index, mark.batch_bytes);
                     let Some(last) = entries.last().map(|entry| entry.index) else { break };
                     messages.push(append_of(log, mark, self.next_index, entries));
                     in_flight.push_back(last);
@@ -179,7 +179,7 @@
             }
             PeerMode::Snapshot { image, offset, waiting, asked } => {
                 if !std::mem::replace(waiting, true) {
-                    let end = image.data.len().min(*offset + MAX_BATCH_BYTES);
+                    let end = image.data.len().min(*offset + mark.batch_bytes);
                     messages.push(part_of(image, mark, *offset..end));
                     *offset = end;
                 } else if heartbeat {
@@ -203,7 +203,7 @@
 ) -> ReplicaMessage {
     let index = next_index - 1;
     let previous = LogPosition { index, term: log.term_at(index).unwrap_or_default() };
-    let LeaderMark { term, commit_index, sent } = mark;
+    let LeaderMark { term, commit_index, sent, .. } = mark;
     ReplicaMessage::Append(AppendRequest { term, previous, commit_index, sent, entries })
 }
 
