--- /dev/null
+++ b/crates/core/examples/document_scale.rs
@@ -0,0 +1,94 @@
+//! Time and size of parse and delta by number of workspaces.
+//!
+//! Run with `cargo run --release -p burdockcleat-core --example document_scale`. Times are
+//! medians with the range of the runs.
+
+use burdockcleat_core::document::{ConfigDocument, CredentialDigest, DocumentDelta};
+use std::fmt::Write;
+use std::hint::black_box;
+use std::time::Instant;
+
+const RUNS: usize = 15;
+const LOOKUPS: usize = 1_000;
+const TIERS: usize = 5;
+const POOLS: usize = 12;
+
+fn main() {
+    println!(
+        "| workspaces | text | parse | parse, one fault | items | delta of 1 change | apply | delta size | lookup |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|");
+    for count in [100, 1_000, 3_500, 7_100] {
+        measure(count);
+    }
+}
+
+fn measure(count: usize) {
+    let text = document_text(count, 1);
+    let old = ConfigDocument::parse(&text).expect("a valid document");
+    let new = ConfigDocument::parse(&document_text(count, 2)).expect("a valid document");
+    let faulty = text.replace("weight = 1\n", "weight = 0\ncolour = 3\n");
+    let delta = DocumentDelta::between(&old, &new);
+    assert_eq!(delta.apply(&old).as_ref(), Ok(&new));
+    let size = serde_json::to_string(&delta).expect("a delta serialises").len();
+    let credentials: Vec<String> = (0..LOOKUPS).map(|turn| credential(turn % count)).collect();
+    let lookup =
+        timed(|| credentials.iter().filter_map(|c| old.workspace_by_credential(c)).count());
+    println!(
+        "| {count} | {} KB | {} | {} | {} | {} | {} | {size} B | {} |",
+        old.to_toml().len() / 1_000,
+        show(timed(|| ConfigDocument::parse(&text).is_ok())),
+        show(timed(|| ConfigDocument::parse(&faulty).is_ok())),
+        show(timed(|| old.items())),
+        show(timed(|| DocumentDelta::between(&old, &new))),
+        show(timed(|| delta.apply(&old).is_ok())),
+        show(lookup.map(|ms| ms / LOOKUPS as f64)),
+    );
+}
+
+/// Smallest, median and largest time of the runs in milliseconds.
+fn timed<T>(mut run: impl FnMut() -> T) -> [f64; 3] {
+    let mut times: Vec<f64> = (0..RUNS)
+        .map(|_| {
+            let start = Instant::now();
+            black_box(run());
+            start.elapsed().as_secs_f64() * 1_000.0
+        })
+        .collect();
+    times.sort_by(f64::total_cmp);
+    [times[0], times[RUNS / 2], times[RUNS - 1]]
+}
+
+fn show([least, median, most]: [f64; 3]) -> String {
+    if median < 0.05 {
+        let [least, median, most] = [least, median, most].map(|ms| ms * 1_000.0);
+        return format!("{median:.2} µs ({least:.2} to {most:.2})");
+    }
+    format!("{median:.2} ms ({least:.2} to {most:.2})")
+}
+
+fn credential(index: usize) -> String {
+    format!("credential of workspace {index}")
+}
+
+fn document_text(count: usize, weight: usize) -> String {
+    let mut text = "credential-salt = \"scale\"\n".to_owned();
+    for rank in 0..TIERS {
+        let _ = writeln!(text, "[[tiers]]\nname = \"tier-{rank}\"\nrank = {rank}");
+    }
+    for pool in 0..POOLS {
+        let _ = writeln!(text, "[[pools]]\nname = \"pool-{pool}\"\nmodels = [\"model-{pool}\"]");
+        let _ = writeln!(text, "[[rules]]\nname = \"rule-{pool}\"\nmodel = \"model-{pool}\"");
+        let _ = writeln!(text, "pool = \"pool-{pool}\"\ntier = \"tier-{}\"", pool % TIERS);
+    }
+    for index in 0..count {
+        let weight = if index == count / 2 { weight } else { 3 };
+        let digest = CredentialDigest::compute("scale", &credential(index));
+        let _ = writeln!(text, "[[workspaces]]\nname = \"workspace-{index}\"");
+        let _ = writeln!(text, "credentials = [\"{digest}\"]\nweight = {weight}");
+        let _ = writeln!(text, "in-flight-limit = {}", 8 + index % 50);
+        let _ = writeln!(text, "pools = [\"pool-{}\"]", index % POOLS);
+        let _ = writeln!(text, "tiers = [\"tier-{}\", \"tier-4\"]", index % (TIERS - 1));
+    }
+    text
+}
--- a/crates/core/src/document/delta.rs
+++ b/crates/core/src/document/delta.rs
@@ -7,7 +7,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use thiserror::Error;
-use xxhash_rust::xxh3::xxh3_64;
 
 /// The items that differ between two documents.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -57,16 +56,17 @@
 
     /// The delta that leads from the document with these items to `new`.
     pub fn since(old: &ItemMap, new: &ConfigDocument) -> Self {
-        let mut missing: BTreeSet<&str> = old.paths().collect();
+        let mut items = ItemMap::default();
         let mut changed = Vec::new();
         visit_items(new.tables(), |path, text| {
-            missing.remove(path.as_str());
-            if old.get(&path) != Some(xxh3_64(text.as_bytes())) {
+            items.insert(path.clone(), &text);
+            if old.get(&path) != items.get(&path) {
                 changed.push((path, text));
             }
         });
-        let removed = missing.into_iter().map(str::to_owned).collect();
-        Self { base: old.digest(), result: new.items().digest(), removed, changed }
+        let missing = old.paths().filter(|path| items.get(path).is_none());
+        let removed = missing.map(str::to_owned).collect();
+        Self { base: old.digest(), result: items.digest(), removed, changed }
     }
 
     /// Applies the delta to the document that it was made for.
@@ -96,7 +96,7 @@
             tiers: self.patch_list(&tables.tiers, &changed)?,
             workspaces: self.patch_list(&tables.workspaces, &changed)?,
             pools: self.patch_list(&tables.pools, &changed)?,
-            rules: arrange(self.patch_list(&tables.rules, &changed)?, &changed)?,
+            rules: arrange(self.patch_list(&tables.rules, &changed)?, &tables.rules, &changed)?,
             limits: read_or(&changed, LIMITS, &tables.limits)?,
         })
     }
@@ -120,13 +120,14 @@
     }
 }
 
-/// Brings the rules into the order that the delta states, if it states one.
+/// Brings the rules into the order that the delta states, or else into the one they had.
 fn arrange(
     rules: Vec<RouteRule>,
+    had: &[RouteRule],
     changed: &BTreeMap<&str, &str>,
 ) -> Result<Vec<RouteRule>, DeltaError> {
-    let kept = rules.iter().map(|rule| rule.name.clone()).collect();
-    let order: Vec<String> = read_or(changed, RULE_ORDER, &kept)?;
+    let had = had.iter().map(|rule| rule.name.clone()).collect();
+    let order: Vec<String> = read_or(changed, RULE_ORDER, &had)?;
     let mut by_name: BTreeMap<String, RouteRule> =
         rules.into_iter().map(|rule| (rule.name.clone(), rule)).collect();
     order
--- a/crates/core/src/document/item.rs
+++ b/crates/core/src/document/item.rs
@@ -1,7 +1,8 @@
 //! Items of a document: the units of comparison and of deltas.
 //!
 //! An item is one table of a list, the limits, the salt or the order of the rules. Its text is
-//! JSON without the fields that have their default.
+//! JSON with all fields: without those that have their default, two releases with different
+//! defaults would read the same text as different items.
 
 use super::ConfigDocument;
 use super::tables::{DocumentTables, LimitSettings, PoolRule, RouteRule, TierRule, WorkspaceRule};
@@ -51,6 +52,10 @@
 pub struct ItemMap(BTreeMap<String, u64>);
 
 impl ItemMap {
+    pub(super) fn insert(&mut self, path: String, text: &str) {
+        self.0.insert(path, xxh3_64(text.as_bytes()));
+    }
+
     /// Hash of the item's text.
     pub fn get(&self, path: &str) -> Option<u64> {
         self.0.get(path).copied()
@@ -76,35 +81,35 @@
 impl ConfigDocument {
     /// Hash of each item's text by path, such as `workspaces.atelier`.
     pub fn items(&self) -> ItemMap {
-        let mut items = BTreeMap::new();
-        visit_items(self.tables(), |path, text| {
-            items.insert(path, xxh3_64(text.as_bytes()));
-        });
-        ItemMap(items)
+        let mut items = ItemMap::default();
+        visit_items(self.tables(), |path, text| items.insert(path, &text));
+        items
     }
 }
 
 /// Passes path and text of every item to `visit`.
 pub(super) fn visit_items(tables: &DocumentTables, mut visit: impl FnMut(String, String)) {
-    visit(SALT.to_owned(), Value::from(tables.credential_salt.as_str()).to_string());
+    visit(SALT.to_owned(), text_of(&tables.credential_salt));
     visit_list(&tables.tiers, &mut visit);
     visit_list(&tables.workspaces, &mut visit);
     visit_list(&tables.pools, &mut visit);
     visit_list(&tables.rules, &mut visit);
-    visit(RULE_ORDER.to_owned(), Value::from(rule_order(tables)).to_string());
-    visit(
-        LIMITS.to_owned(),
-        Value::Object(compact(&tables.limits, &defaults_of::<LimitSettings>())).to_string(),
-    );
+    visit(RULE_ORDER.to_owned(), text_of(&rule_order(tables)));
+    visit(LIMITS.to_owned(), text_of(&tables.limits));
 }
 
 fn visit_list<T: NamedTable>(list: &[T], visit: &mut impl FnMut(String, String)) {
-    let defaults = defaults_of::<T>();
     for item in list {
-        visit(item.path(), Value::Object(compact(item, &defaults)).to_string());
+        visit(item.path(), text_of(item));
     }
 }
 
+/// JSON text of an item.
+fn text_of<T: Serialize>(item: &T) -> String {
+    // Serialisation to JSON fails only for maps with keys that are no strings; items have none.
+    serde_json::to_string(item).unwrap_or_default()
+}
+
 /// Names of the rules in order.
 pub(super) fn rule_order(tables: &DocumentTables) -> Vec<String> {
     tables.rules.iter().map(|rule| rule.name.clone()).collect()
