Add the operator client and the command line

The command line had no code. Eight subcommands read their options through one table; HTTP goes through OperatorClient, which follows 421 to the leader, asks the next instance when one is unreachable, and sends a write unchanged in every attempt so that all attempts carry one operation id. A lost reply ends with exit status 4 and the id to resend with.

--- /dev/null
+++ b/crates/burdockcleat/src/cmd/dump.rs
@@ -0,0 +1,44 @@
+//! `dump`: prints the state of one process.
+
+use super::{Arguments, CommandError, CommandSpec};
+use crate::operator::{ClientError, fetch, paths};
+use std::io::Write;
+
+/// Path of the dump at an entry's operator port.
+const ENTRY_DUMP: &str = "/dump";
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "dump",
+    summary: "print the whole state of one process",
+    help: "\
+Prints the state of the process at URL as JSON. Other processes are not asked.
+
+Usage: burdockcleat dump URL [--timeout SECS]
+
+  URL              http://host:port of a control instance, or of the operator port of an entry;
+                   with a path, exactly this path is read
+  --timeout SECS   longest wait for the reply, 1 to 600 (default 10)
+
+Exit status: 0 printed, 1 refused, 2 wrong usage, 3 the process is not in reach.
+",
+    values: &["URL"],
+    options: &["timeout"],
+    run,
+};
+
+fn run(arguments: &Arguments, out: &mut dyn Write) -> Result<(), CommandError> {
+    let url = arguments.value("URL").trim_end_matches('/');
+    let settings = arguments.client_settings()?;
+    let has_path = url.strip_prefix("http://").is_some_and(|rest| rest.contains('/'));
+    let text = if has_path {
+        fetch(url, settings)?
+    } else {
+        match fetch(&format!("{url}{}", paths::DUMP), settings) {
+            Err(ClientError::Refused { status: 404, .. }) => {
+                fetch(&format!("{url}{ENTRY_DUMP}"), settings)?
+            }
+            other => other?,
+        }
+    };
+    Ok(writeln!(out, "{}", text.trim_end())?)
+}
--- /dev/null
+++ b/crates/burdockcleat/src/cmd/history.rs
@@ -0,0 +1,52 @@
+//! `history`: lists the kept versions of the configuration.
+
+use super::{Arguments, CommandError, CommandSpec, write_json};
+use std::io::Write;
+use std::time::{Duration, UNIX_EPOCH};
+
+pub(super) const SPEC: CommandSpec = CommandSpec {
+    name: "history",
+    summary: "list the kept versions of the configuration",
+    help: "\
+Lists the kept versions of the configuration, newest first: version, time of the leader's clock
+in UTC, number of changes, author and operation id.
+
+Usage: burdockcleat history [OPTIONS]
+
+  --control URLS   control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --timeout SECS   longest wait for a reply, 1 to 600 (default 10)
+  --json           print {\"versions\": [...]} instead of text
+
+Exit status: 0 listed, 1 refused, 2 wrong usage, 3 no leading control instance in reach.
+",
+    values: &[],
+    options: &["control", "timeout", "json"],
+    run,
+};
+
+fn run(arguments: &Arguments, out: &mut dyn Write) -> Result<(), CommandError> {
+    let reply = arguments.client()?.history()?;
+    if arguments.json() {
+        return write_json(out, &reply);
+    }
+    for entry in &reply.versions {
+        let time = UNIX_EPOCH
+            .checked_add(Duration::from_millis(entry.time_ms))
+            .map_or_else(|| "-".to_owned(), format_time);
+        let (version, changes) = (entry.version, entry.changes);
+        let (author, operation) = (&entry.author, &entry.operation_id);
+        writeln!(out, "{version:>8}  {time}  {changes:>5} changes  {author}  {operation}")?;
+    }
+    Ok(())
+}
+
+fn format_time(time: std::time::SystemTime) -> String {
+    /// Last second of the year 9999, the latest time that the formatter accepts.
+    const LATEST_SECONDS: u64 = 253_402_300_799;
+    match time.duration_since(UNIX_EPOCH) {
+        Ok(elapsed) if elapsed.as_secs() <= LATEST_SECONDS => {
+            humantime::format_rfc3339_seconds(time).to_string()
+        }
+        _ => "-".to_owned(),
+    }
+}
--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,3 +1,4 @@
 //! Library.
 
+pub mod cmd;
 pub mod operator;
--- a/crates/burdockcleat/src/operator.rs
+++ b/crates/burdockcleat/src/operator.rs
@@ -2,6 +2,11 @@
 //!
 //! `docs/operator-api.md` describes the interface. Field names are `snake_case` in JSON.
 
+mod client;
+
+pub use client::{ClientError, ClientSettings, OperatorClient, fetch};
+
+use burdockcleat_core::document::DocumentFault;
 use serde::{Deserialize, Serialize};
 
 /// Paths of the interface.
@@ -74,8 +79,8 @@
     pub message: String,
 }
 
-impl From<&burdockcleat_core::document::DocumentFault> for FaultText {
-    fn from(fault: &burdockcleat_core::document::DocumentFault) -> Self {
+impl From<&DocumentFault> for FaultText {
+    fn from(fault: &DocumentFault) -> Self {
         Self { path: fault.path.clone(), message: fault.kind.to_string() }
     }
 }
