Record refusals in the log before a caller is told not_run

A barrier alone leaves a late submit of an earlier attempt free to run the request. The admission now proposes the state machine's Refuse command, which also blocks the key until the time to come back.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -493,7 +493,6 @@
         for (node, message) in output.messages {
             self.send_entry(node, &message);
         }
-        self.confirm(output.confirmed);
     }
 
     fn apply(&mut self, entry: &LogEntry) -> Result<(), NodeError> {
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -2,9 +2,8 @@
 //!
 //! The controller ties the replicated claims, the target registry and the pool schedulers
 //! together. It is a step function: its caller proposes the commands, sends the messages, and
-//! feeds committed commands back. Messages in [`AdmissionOutput::confirmed`] must be sent only
-//! after a record that was appended after the step is committed, since they claim that a request
-//! did not run and a leader that was replaced unnoticed must not say so.
+//! feeds committed commands back. A refusal as `not_run` leaves only after its record is
+//! committed, since a leader that was replaced unnoticed must not say that a request did not run.
 
 mod claim;
 mod entry;
@@ -48,8 +47,6 @@
     pub commands: Vec<StateCommand>,
     /// Messages to send at once.
     pub messages: Vec<(NodeId, ControlMessage)>,
-    /// Messages to send once a record appended after this step is committed.
-    pub confirmed: Vec<(NodeId, ControlMessage)>,
 }
 
 /// One attempt of an entry.
@@ -94,12 +91,22 @@
     unlinked: Option<ClockTime>,
 }
 
+/// A refusal whose record is proposed.
+#[derive(Clone, Copy, Debug)]
+struct PendingRefusal {
+    entry: NodeId,
+    attempt: u32,
+    reason: ReasonCode,
+    retry_after_ms: u32,
+}
+
 /// Admits requests over all pools.
 pub struct AdmissionController {
     registry: TargetRegistry,
     pools: BTreeMap<String, PoolScheduler>,
     requests: HashMap<RequestKey, TrackedRequest>,
     entries: BTreeMap<NodeId, EntryRecord>,
+    refusals: HashMap<RequestKey, Vec<PendingRefusal>>,
     claims_full: bool,
     next_expiry: ClockTime,
     output: AdmissionOutput,
@@ -116,6 +123,7 @@
             pools: BTreeMap::new(),
             requests: HashMap::new(),
             entries: BTreeMap::new(),
+            refusals: HashMap::new(),
             claims_full: false,
             next_expiry: time.now.plus(EXPIRE_INTERVAL_MS),
             output: AdmissionOutput::default(),
@@ -267,7 +275,7 @@
                     self.output.messages.push((entry, cancel));
                 }
                 PoolOutput::Refuse { key, outcome, reason, retry_after_ms, .. } => {
-                    self.refuse_all(key, outcome, reason, retry_after_ms);
+                    self.refuse_all(time, key, outcome, reason, retry_after_ms);
                 }
                 PoolOutput::Suspect(change) => {
                     self.output.commands.push(settings::suspect_command(time, &change));
@@ -279,32 +287,64 @@
     /// Refuses every attempt of a request that will not run.
     fn refuse_all(
         &mut self,
+        time: StepTime,
         key: RequestKey,
         outcome: RequestOutcome,
         reason: ReasonCode,
         retry_after_ms: u32,
     ) {
         let Some(tracked) = self.requests.remove(&key) else { return };
-        for attempt in tracked.owner.into_iter().chain(tracked.duplicates) {
-            self.refuse(&attempt, outcome, reason, retry_after_ms);
+        let refusals: Vec<PendingRefusal> = tracked
+            .owner
+            .into_iter()
+            .chain(tracked.duplicates)
+            .map(|attempt| PendingRefusal {
+                entry: attempt.entry,
+                attempt: attempt.request.attempt,
+                reason,
+                retry_after_ms,
+            })
+            .collect();
+        if outcome == RequestOutcome::NotRun {
+            let until = time.wall.plus(u64::from(retry_after_ms));
+            self.propose_refusal(key, until, reason, refusals);
+            return;
+        }
+        for refusal in refusals {
+            self.send_refusal(key, outcome, refusal);
         }
     }
 
-    /// Refuses one attempt. Only `not_run` needs the confirmation of a majority.
-    fn refuse(
+    /// Proposes the record of a refusal; its attempts are told after the commit.
+    ///
+    /// The key cannot be claimed before `until`, so a resend before the time to come back costs
+    /// one look-up, and a late message of an earlier attempt cannot run the request.
+    fn propose_refusal(
         &mut self,
-        attempt: &AttemptRecord,
-        outcome: RequestOutcome,
+        key: RequestKey,
+        until: ClockTime,
         reason: ReasonCode,
-        retry_after_ms: u32,
+        refusals: Vec<PendingRefusal>,
     ) {
-        let (key, number) = (attempt.request.key, attempt.request.attempt);
-        let refusal =
-            ControlMessage::Refuse { key, attempt: number, outcome, reason, retry_after_ms };
-        match outcome {
-            RequestOutcome::NotRun => self.output.confirmed.push((attempt.entry, refusal)),
-            _ => self.output.messages.push((attempt.entry, refusal)),
-        }
+        self.refusals.entry(key).or_default().extend(refusals);
+        self.output.commands.push(StateCommand::Refuse { key, until, reason });
+    }
+
+    fn send_refusal(&mut self, key: RequestKey, outcome: RequestOutcome, refusal: PendingRefusal) {
+        let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
+        let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
+        self.output.messages.push((entry, message));
+    }
+
+    /// Refuses one attempt with an outcome that needs no record.
+    fn refuse(&mut self, attempt: &AttemptRecord, outcome: RequestOutcome, reason: ReasonCode) {
+        let refusal = PendingRefusal {
+            entry: attempt.entry,
+            attempt: attempt.request.attempt,
+            reason,
+            retry_after_ms: UNKNOWN_RETRY_MS,
+        };
+        self.send_refusal(attempt.request.key, outcome, refusal);
     }
 }
 
--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -1,7 +1,8 @@
 //! From a placement to the grant, and what a committed command means for the requests.
 
 use super::{
-    AdmissionController, AttemptRecord, RequestStage, StepTime, TrackedRequest, UNKNOWN_RETRY_MS,
+    AdmissionController, AttemptRecord, PendingRefusal, RequestStage, StepTime, TrackedRequest,
+    UNKNOWN_RETRY_MS,
 };
 use crate::clock::ClockTime;
 use crate::keys::{ClaimNumber, NodeId, RequestKey};
@@ -10,8 +11,8 @@
 use crate::pool::PoolInput;
 use crate::registry::TargetKey;
 use crate::state::{
-    ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, ReplicatedState,
-    StateCommand,
+    ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, RefusalRecord,
+    RefuseReply, ReplicatedState, StateCommand,
 };
 
 impl AdmissionController {
@@ -23,7 +24,11 @@
                 ClaimReply::AlreadyOpen(record) | ClaimReply::AlreadyEnded(record) => {
                     self.claim_refused(time, record);
                 }
+                ClaimReply::Refused(record) => self.claim_blocked(time, record),
             },
+            (StateCommand::Refuse { key, .. }, CommandReply::Refuse(reply)) => {
+                self.refusal_recorded(*key, reply);
+            }
             (StateCommand::Release { key, claim }, CommandReply::Close(reply)) => {
                 self.released(time, *key, *claim, reply);
             }
@@ -132,13 +137,37 @@
         }
     }
 
+    /// A refusal of an earlier leader is in force.
+    fn claim_blocked(&mut self, time: StepTime, record: &RefusalRecord) {
+        let Some(tracked) = self.requests.get(&record.key) else { return };
+        let pool = tracked.pool.clone();
+        self.step_pool(time, &pool, PoolInput::ClaimRefused { key: record.key });
+        let retry_after_ms = retry_after(time, record);
+        self.refuse_all(time, record.key, RequestOutcome::NotRun, record.reason, retry_after_ms);
+    }
+
+    /// Tells the attempts of a refusal after its commit.
+    fn refusal_recorded(&mut self, key: RequestKey, reply: &RefuseReply) {
+        for refusal in self.refusals.remove(&key).unwrap_or_default() {
+            match reply {
+                RefuseReply::Recorded => self.send_refusal(key, RequestOutcome::NotRun, refusal),
+                RefuseReply::AlreadyClaimed(record) => {
+                    self.resume_attempt(record, refusal.entry, refusal.attempt);
+                }
+            }
+        }
+    }
+
     /// Points an attempt to the target that ran or runs the request.
     pub(super) fn resume(&mut self, record: &ClaimRecord, attempt: &AttemptRecord) {
-        let (key, number) = (record.key, attempt.request.attempt);
         if record.fingerprint != attempt.request.fingerprint {
-            self.refuse(attempt, RequestOutcome::Failed, ReasonCode::IdReused, 0);
+            self.refuse(attempt, RequestOutcome::Failed, ReasonCode::IdReused);
             return;
         }
+        self.resume_attempt(record, attempt.entry, attempt.request.attempt);
+    }
+
+    fn resume_attempt(&mut self, record: &ClaimRecord, entry: NodeId, attempt: u32) {
         let recorded = match record.phase {
             ClaimPhase::Open { .. } => None,
             ClaimPhase::Ended { outcome, .. } => Some(outcome),
@@ -150,8 +179,9 @@
         });
         let address = if replaced { String::new() } else { record.address.clone() };
         let target = record.target.clone();
-        let message = ControlMessage::Resume { key, attempt: number, target, address, recorded };
-        self.output.messages.push((attempt.entry, message));
+        let key = record.key;
+        let message = ControlMessage::Resume { key, attempt, target, address, recorded };
+        self.output.messages.push((entry, message));
     }
 
     fn released(
@@ -205,13 +235,13 @@
                 None => RequestOutcome::NotRun,
                 Some(_) => RequestOutcome::Unknown,
             };
-            self.answer_withdrawal(from, key, number, outcome);
+            self.answer_withdrawal(time, from, key, number, outcome);
             return;
         };
         if let Some(position) = tracked.duplicates.iter().position(is_attempt) {
             tracked.duplicates.remove(position);
             // The other attempt may still run, so this one cannot be told that it did not.
-            self.answer_withdrawal(from, key, number, RequestOutcome::Unknown);
+            self.answer_withdrawal(time, from, key, number, RequestOutcome::Unknown);
             return;
         }
         let owns = tracked.owner.as_ref().is_some_and(is_attempt);
@@ -223,27 +253,30 @@
         let Some(TrackedRequest { pool, mut duplicates, .. }) = tracked else { return };
         self.step_pool(time, &pool, PoolInput::Withdraw { key });
         if duplicates.is_empty() {
-            self.answer_withdrawal(from, key, number, RequestOutcome::NotRun);
+            self.answer_withdrawal(time, from, key, number, RequestOutcome::NotRun);
             return;
         }
-        self.answer_withdrawal(from, key, number, RequestOutcome::Unknown);
+        self.answer_withdrawal(time, from, key, number, RequestOutcome::Unknown);
         let next = duplicates.remove(0);
         self.enqueue(time, &pool, next, duplicates);
     }
 
+    /// Answers a withdrawal. It does not block the key: a caller that hung up may resend at once.
     fn answer_withdrawal(
         &mut self,
+        time: StepTime,
         entry: NodeId,
         key: RequestKey,
         attempt: u32,
         outcome: RequestOutcome,
     ) {
         let reason = ReasonCode::DeadlinePassed;
-        let retry_after_ms = UNKNOWN_RETRY_MS;
-        let refusal = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
+        let refusal = PendingRefusal { entry, attempt, reason, retry_after_ms: UNKNOWN_RETRY_MS };
         match outcome {
-            RequestOutcome::NotRun => self.output.confirmed.push((entry, refusal)),
-            _ => self.output.messages.push((entry, refusal)),
+            RequestOutcome::NotRun => {
+                self.propose_refusal(key, time.wall, reason, vec![refusal]);
+            }
+            _ => self.send_refusal(key, outcome, refusal),
         }
     }
 
@@ -251,3 +284,8 @@
         self.entries.get(&entry).map_or(ClockTime::default(), |record| record.entry_time)
     }
 }
+
+/// Time until a refusal ends, in milliseconds.
+pub(super) fn retry_after(time: StepTime, record: &RefusalRecord) -> u32 {
+    u32::try_from(record.until.since(time.wall)).unwrap_or(u32::MAX)
+}
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -1,8 +1,9 @@
 //! Messages of the entries.
 
+use super::claim::retry_after;
 use super::{
-    AdmissionController, AttemptRecord, ENTRY_LOST_MS, EntryRecord, RequestStage, StepTime,
-    TrackedRequest, UNKNOWN_RETRY_MS,
+    AdmissionController, AttemptRecord, ENTRY_LOST_MS, EntryRecord, PendingRefusal, RequestStage,
+    StepTime, TrackedRequest, UNKNOWN_RETRY_MS,
 };
 use crate::keys::NodeId;
 use crate::message::{EntryMessage, FinishReport, HeldClaim, StreamProgress, SubmitRequest};
@@ -97,8 +98,22 @@
         state: &ReplicatedState,
     ) {
         let attempt = AttemptRecord { entry: from, request };
-        match state.claim(attempt.request.key) {
-            Some(record) => self.submit_claimed(&record, attempt),
+        if let Some(record) = state.claim(attempt.request.key) {
+            self.submit_claimed(&record, attempt);
+            return;
+        }
+        let refusal = state.refusal(attempt.request.key);
+        match refusal.filter(|record| record.until > time.wall) {
+            Some(record) => {
+                let refusal = PendingRefusal {
+                    entry: attempt.entry,
+                    attempt: attempt.request.attempt,
+                    reason: record.reason,
+                    retry_after_ms: retry_after(time, &record),
+                };
+                // The recorded refusal keeps the key from being claimed until it ends.
+                self.send_refusal(attempt.request.key, RequestOutcome::NotRun, refusal);
+            }
             None => self.submit_unclaimed(time, attempt),
         }
     }
@@ -129,7 +144,14 @@
     fn submit_unclaimed(&mut self, time: StepTime, attempt: AttemptRecord) {
         let pool = attempt.request.pool.clone();
         if !self.pools.contains_key(&pool) {
-            self.refuse(&attempt, RequestOutcome::NotRun, ReasonCode::NoRoute, UNKNOWN_RETRY_MS);
+            let refusal = PendingRefusal {
+                entry: attempt.entry,
+                attempt: attempt.request.attempt,
+                reason: ReasonCode::NoRoute,
+                retry_after_ms: UNKNOWN_RETRY_MS,
+            };
+            let key = attempt.request.key;
+            self.propose_refusal(key, time.wall, ReasonCode::NoRoute, vec![refusal]);
             return;
         }
         let Some(tracked) = self.requests.get_mut(&attempt.request.key) else {
@@ -138,7 +160,7 @@
         };
         let Some(owner) = &tracked.owner else { return };
         if owner.request.fingerprint != attempt.request.fingerprint {
-            self.refuse(&attempt, RequestOutcome::Failed, ReasonCode::IdReused, 0);
+            self.refuse(&attempt, RequestOutcome::Failed, ReasonCode::IdReused);
             return;
         }
         let is_same = |known: &AttemptRecord| {
