Test admission across withdrawals, releases and a change of leader

The tests found one fault: a release that an entry repeats to a new leader was returned to the scheduler as a retry, but the scheduler restores claims from the log without the request, so the request was lost.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -80,6 +80,8 @@
     duplicates: Vec<AttemptRecord>,
     /// Whether the entry reported that the request runs.
     started: bool,
+    /// Whether the claim was restored from the log, without the request itself.
+    restored: bool,
 }
 
 /// What the leader knows of an entry.
@@ -246,6 +248,7 @@
             owner: None,
             duplicates: Vec::new(),
             started: false,
+            restored: true,
         };
         self.requests.insert(record.key, tracked);
     }
--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -201,12 +201,17 @@
             self.requests.remove(&key);
             return;
         }
-        let known = tracked.owner.is_some();
-        tracked.stage = RequestStage::Waiting;
-        if !(retry && known) {
-            self.requests.remove(&key);
+        if retry && !tracked.restored {
+            tracked.stage = RequestStage::Waiting;
+            self.step_pool(time, &pool, PoolInput::Release { key, claim, retry });
+            return;
+        }
+        let owner = self.requests.remove(&key).and_then(|tracked| tracked.owner);
+        self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: false });
+        if let (true, Some(owner)) = (retry, owner) {
+            // The scheduler knows a restored claim without its request, so it is submitted anew.
+            self.enqueue(time, &pool, owner, Vec::new());
         }
-        self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: retry && known });
     }
 
     /// Proposes the release of a claim that its owner did not use.
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -186,6 +186,7 @@
             owner: Some(owner),
             duplicates,
             started: false,
+            restored: false,
         };
         self.requests.insert(request.key, tracked);
         self.step_pool(time, pool, PoolInput::Submit { entry, request });
--- /dev/null
+++ b/crates/core/tests/admission.rs
@@ -0,0 +1,204 @@
+//! Admission at the control leader, with a log that commits at once or on demand.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+#[path = "admission/harness.rs"]
+mod harness;
+
+use burdockcleat_core::keys::ClaimNumber;
+use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, GrantTicket};
+use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
+use harness::{AdmissionHarness, ENTRY_A, ENTRY_B, submit};
+
+fn grant(message: &ControlMessage) -> Option<&GrantTicket> {
+    match message {
+        ControlMessage::Grant(ticket) => Some(ticket),
+        _ => None,
+    }
+}
+
+fn outcome(message: &ControlMessage) -> Option<RequestOutcome> {
+    match message {
+        ControlMessage::Refuse { outcome, .. } => Some(*outcome),
+        _ => None,
+    }
+}
+
+/// Guards against a second dispatch of a request that its caller sent through two entries.
+#[test]
+fn a_resend_through_another_entry_resumes() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit(1, 7)));
+    harness.commit();
+    let sent = harness.take_messages();
+    let grants: Vec<_> = sent.iter().filter(|(_, message)| grant(message).is_some()).collect();
+    assert_eq!(grants.len(), 1);
+    assert_eq!(grants[0].0, ENTRY_A);
+    let resumed = sent.iter().any(|(entry, message)| {
+        *entry == ENTRY_B && matches!(message, ControlMessage::Resume { attempt: 7, .. })
+    });
+    assert!(resumed, "{sent:?}");
+}
+
+/// Guards against a grant that leaves before its claim is safe at a majority.
+#[test]
+fn a_grant_waits_for_the_commit_of_its_claim() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    assert!(harness.take_messages().is_empty());
+    harness.commit();
+    assert!(grant(&harness.take_messages()[0].1).is_some());
+}
+
+/// Guards against "not run" from a leader that was replaced without knowing it.
+#[test]
+fn a_refusal_waits_for_the_commit_of_its_record() {
+    let mut harness = AdmissionHarness::open();
+    let mut request = submit(1, 1);
+    request.pool = "unknown".into();
+    harness.receive(ENTRY_A, EntryMessage::Submit(request));
+    assert!(harness.take_messages().is_empty());
+    harness.commit();
+    assert_eq!(outcome(&harness.take_messages()[0].1), Some(RequestOutcome::NotRun));
+}
+
+/// Guards against a request that runs after another attempt of it was told that it did not.
+#[test]
+fn a_withdrawal_with_another_attempt_waiting_is_unknown() {
+    let mut harness = AdmissionHarness::open();
+    harness.fill_slots();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit(1, 2)));
+    let key = submit(1, 1).key;
+    harness.receive(ENTRY_A, EntryMessage::Withdraw { key, attempt: 1 });
+    harness.commit();
+    let sent = harness.take_messages();
+    assert_eq!(outcome(&sent[0].1), Some(RequestOutcome::Unknown));
+    harness.announce("engine-2", 1);
+    harness.commit();
+    let sent = harness.take_messages();
+    assert_eq!(sent[0].0, ENTRY_B);
+    assert!(grant(&sent[0].1).is_some());
+}
+
+/// Guards against a lost grant: the old leader died after the commit and before the message.
+#[test]
+fn a_new_leader_repeats_the_grant_to_the_attempt_that_waits() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let lost = harness.take_messages();
+    let claim = grant(&lost[0].1).unwrap().claim;
+    harness.replace_leader();
+    harness.hello(ENTRY_A, &[]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let sent = harness.take_messages();
+    assert_eq!(grant(&sent[0].1).map(|ticket| ticket.claim), Some(claim));
+}
+
+/// Guards against a second grant after a failover for a request that already runs.
+#[test]
+fn a_new_leader_does_not_grant_a_running_request_to_a_resend() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let claim = grant(&harness.take_messages()[0].1).unwrap().claim;
+    harness.replace_leader();
+    harness.hello(ENTRY_A, &[(submit(1, 1).key, claim)]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 9)));
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let sent = harness.take_messages();
+    assert_eq!(sent.len(), 2);
+    assert!(sent.iter().all(|(_, message)| matches!(message, ControlMessage::Resume { .. })));
+}
+
+/// Guards against a request that is stuck because its target could not be reached.
+#[test]
+fn a_released_request_is_granted_again_with_a_new_claim() {
+    let mut harness = AdmissionHarness::open();
+    harness.announce("engine-2", 1);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let first = grant(&harness.take_messages()[0].1).unwrap().clone();
+    let release = EntryMessage::Release { key: first.key, claim: first.claim, retry: true };
+    harness.receive(ENTRY_A, release);
+    harness.commit();
+    let second = grant(&harness.take_messages()[0].1).unwrap().clone();
+    assert!(second.claim > first.claim);
+    assert_ne!(second.target, first.target);
+}
+
+/// Guards against a release after a failover that loses the request, which the entry repeats
+/// before it submits again.
+#[test]
+fn a_release_and_submit_repeated_to_a_new_leader_are_granted() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let first = grant(&harness.take_messages()[0].1).unwrap().clone();
+    harness.replace_leader();
+    harness.hello(ENTRY_A, &[]);
+    let release = EntryMessage::Release { key: first.key, claim: first.claim, retry: true };
+    harness.receive(ENTRY_A, release);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    harness.end_rebuild();
+    let sent = harness.take_messages();
+    let second = sent.iter().find_map(|(_, message)| grant(message)).expect("a second grant");
+    assert!(second.claim > first.claim);
+}
+
+/// Guards against a resend that learns nothing, or runs again, after the request ended.
+#[test]
+fn a_resend_after_the_end_gets_the_recorded_outcome() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let ticket = grant(&harness.take_messages()[0].1).unwrap().clone();
+    harness.receive(ENTRY_A, EntryMessage::Finish(finish(&ticket, RequestOutcome::Completed)));
+    harness.commit();
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit(1, 5)));
+    harness.commit();
+    let sent = harness.take_messages();
+    let recorded = Some(RequestOutcome::Completed);
+    assert!(
+        matches!(&sent[0].1, ControlMessage::Resume { recorded: found, .. } if *found == recorded)
+    );
+}
+
+/// Guards against an answer to another request under a reused id.
+#[test]
+fn a_reused_id_with_another_content_is_refused() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    harness.take_messages();
+    let mut other = submit(1, 2);
+    other.fingerprint.0 += 1;
+    harness.receive(ENTRY_B, EntryMessage::Submit(other));
+    let sent = harness.take_messages();
+    assert!(matches!(
+        sent[0].1,
+        ControlMessage::Refuse {
+            outcome: RequestOutcome::Failed,
+            reason: ReasonCode::IdReused,
+            ..
+        }
+    ));
+}
+
+fn finish(ticket: &GrantTicket, outcome: RequestOutcome) -> FinishReport {
+    FinishReport {
+        key: ticket.key,
+        claim: ClaimNumber(ticket.claim.0),
+        outcome,
+        reason: None,
+        cached_tokens: 0,
+        output_tokens: 8,
+        first_token_ms: 10,
+        total_ms: 50,
+    }
+}
--- /dev/null
+++ b/crates/core/tests/admission/harness.rs
@@ -0,0 +1,169 @@
+//! A leader's admission with a log that commits when the test says so.
+
+use burdockcleat_core::admission::{AdmissionController, StepTime};
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::document::ConfigDocument;
+use burdockcleat_core::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey};
+use burdockcleat_core::message::{ControlMessage, EntryMessage, HeldClaim, SubmitRequest};
+use burdockcleat_core::registry::TargetAnnouncement;
+use burdockcleat_core::state::{ReplicatedState, StampedCommand, StateCommand};
+
+pub const ENTRY_A: NodeId = NodeId(101);
+pub const ENTRY_B: NodeId = NodeId(102);
+const DOCUMENT: &str = include_str!("../../../../examples/bureau.toml");
+const WORKSPACE: &str = "provincial-depots";
+const MODEL: &str = "hinge-spares-13b";
+const POOL: &str = "hinge-model";
+const SLOTS: u32 = 4;
+
+/// A request with this number, as attempt `attempt` of its entry.
+pub fn submit(number: u64, attempt: u32) -> SubmitRequest {
+    SubmitRequest {
+        key: RequestKey::derive(WORKSPACE, &number.to_string()),
+        attempt,
+        fingerprint: RequestFingerprint(number),
+        workspace: WORKSPACE.into(),
+        pool: POOL.into(),
+        model: MODEL.into(),
+        tier: 0,
+        idempotent: true,
+        deadline_in_ms: 20_000,
+        prompt_tokens: 40,
+        output_tokens: 8,
+        prefix_hashes: Vec::new(),
+    }
+}
+
+pub struct AdmissionHarness {
+    pub state: ReplicatedState,
+    pub admission: AdmissionController,
+    now: u64,
+    index: u64,
+    uncommitted: Vec<StateCommand>,
+    messages: Vec<(NodeId, ControlMessage)>,
+}
+
+impl AdmissionHarness {
+    /// A leader with two linked entries and one engine.
+    pub fn open() -> Self {
+        let mut harness = Self::without_targets();
+        harness.announce("engine-1", 1);
+        harness
+    }
+
+    /// A leader with two linked entries.
+    fn without_targets() -> Self {
+        let state = ReplicatedState::open();
+        let admission = AdmissionController::open(time(0), &document(), &state);
+        let (uncommitted, messages) = (Vec::new(), Vec::new());
+        let mut harness = Self { state, admission, now: 0, index: 0, uncommitted, messages };
+        harness.hello(ENTRY_A, &[]);
+        harness.hello(ENTRY_B, &[]);
+        harness.end_rebuild();
+        harness
+    }
+
+    /// Lets the rebuild time of a new leader pass.
+    pub fn end_rebuild(&mut self) {
+        self.now += 1_100;
+        for engine in self.engines() {
+            self.admission.announce(time(self.now), engine).unwrap();
+        }
+        self.admission.tick(time(self.now), &self.state);
+        self.collect();
+        self.commit();
+    }
+
+    fn engines(&self) -> Vec<TargetAnnouncement> {
+        let known = self.admission.registry().iter();
+        known.map(|(_, record)| record.announcement.clone()).collect()
+    }
+
+    /// An engine announces itself.
+    pub fn announce(&mut self, name: &str, incarnation: u64) {
+        let announcement = TargetAnnouncement {
+            name: name.into(),
+            incarnation,
+            address: format!("127.0.0.1:{}", 9_000 + name.len()),
+            pool: POOL.into(),
+            models: vec![MODEL.into()],
+            slots: SLOTS,
+            ..TargetAnnouncement::default()
+        };
+        self.admission.announce(time(self.now), announcement).unwrap();
+        self.collect();
+    }
+
+    /// Runs requests on all slots of the engine.
+    pub fn fill_slots(&mut self) {
+        for number in 100..100 + u64::from(SLOTS) {
+            self.receive(ENTRY_A, EntryMessage::Submit(submit(number, SLOTS + 1)));
+        }
+        self.commit();
+        assert_eq!(self.take_messages().len(), SLOTS as usize);
+    }
+
+    /// An entry introduces itself with the claims that it runs.
+    pub fn hello(&mut self, entry: NodeId, running: &[(RequestKey, ClaimNumber)]) {
+        let running = running.iter().map(|(key, claim)| HeldClaim { key: *key, claim: *claim });
+        let hello = EntryMessage::Hello {
+            name: entry.to_string(),
+            entry_time: ClockTime::from_ms(self.now),
+            config_version: 1,
+            running: running.collect(),
+        };
+        self.receive(entry, hello);
+    }
+
+    /// A message of an entry arrives.
+    pub fn receive(&mut self, entry: NodeId, message: EntryMessage) {
+        self.admission.receive(time(self.now), entry, message, &self.state);
+        self.collect();
+    }
+
+    /// Commits and applies everything proposed, and what follows from it.
+    pub fn commit(&mut self) {
+        while !self.uncommitted.is_empty() {
+            for command in std::mem::take(&mut self.uncommitted) {
+                self.index += 1;
+                let at = time(self.now).wall;
+                let stamped = StampedCommand { at, command };
+                let reply = self.state.apply(self.index, &stamped);
+                self.admission.committed(time(self.now), &stamped.command, &reply);
+            }
+            self.collect();
+        }
+    }
+
+    /// The leader dies with everything uncommitted; another one takes over the applied state.
+    pub fn replace_leader(&mut self) {
+        let engines = self.engines();
+        self.uncommitted.clear();
+        self.messages.clear();
+        self.now += 800;
+        self.admission = AdmissionController::open(time(self.now), &document(), &self.state);
+        for engine in engines {
+            self.admission.announce(time(self.now), engine).unwrap();
+        }
+        self.collect();
+    }
+
+    /// Messages sent since the last call.
+    pub fn take_messages(&mut self) -> Vec<(NodeId, ControlMessage)> {
+        std::mem::take(&mut self.messages)
+    }
+
+    fn collect(&mut self) {
+        let output = self.admission.take_output();
+        self.uncommitted.extend(output.commands);
+        self.messages.extend(output.messages);
+    }
+}
+
+fn document() -> ConfigDocument {
+    ConfigDocument::parse(DOCUMENT).expect("the example is valid")
+}
+
+fn time(now: u64) -> StepTime {
+    StepTime { now: ClockTime::from_ms(now), wall: ClockTime::from_ms(1_000_000 + now) }
+}
