Connect links from the instance's own address and separate the advertised one

An instance on a machine with several addresses is now told apart by its own address, and may be reached under another one than it listens on.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -97,7 +97,7 @@
         };
         let record = MemberRecord {
             node: storage.node(),
-            address: settings.link_listen,
+            address: settings.link_address,
             domain: settings.failure_domain.clone(),
         };
         let operator_url = settings.operator_url.clone();
--- a/crates/burdockcleat/src/control/server.rs
+++ b/crates/burdockcleat/src/control/server.rs
@@ -68,10 +68,11 @@
             role: PeerRole::Control,
             node: storage.node(),
             secret: settings.secret.as_str().into(),
+            source: settings.link_listen.ip(),
         };
         // Of two instances, the one with the lower address dials, so that there is one link.
         let dial: Vec<_> =
-            settings.peers.iter().copied().filter(|peer| settings.link_listen < *peer).collect();
+            settings.peers.iter().copied().filter(|peer| settings.link_address < *peer).collect();
         let link = LinkHandle::spawn(
             identity,
             Some(settings.link_listen),
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -91,8 +91,14 @@
         let callers = listen(settings.listen)?;
         let operators = listen(settings.operator_listen)?;
         let node = NodeId(rand::random());
-        let session =
-            ControlSession::open(&settings.name, node, &settings.secret, &settings.control)?;
+        let source = settings.listen.ip();
+        let session = ControlSession::open(
+            &settings.name,
+            node,
+            &settings.secret,
+            source,
+            &settings.control,
+        )?;
         let caller_addr = callers.server_addr().to_ip().unwrap_or(settings.listen);
         let operator_addr = operators.server_addr().to_ip().unwrap_or(settings.operator_listen);
         let shared = Arc::new(EntryShared {
--- a/crates/burdockcleat/src/entry/session.rs
+++ b/crates/burdockcleat/src/entry/session.rs
@@ -15,7 +15,7 @@
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use serde::Serialize;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -142,10 +142,11 @@
         name: &str,
         node: NodeId,
         secret: &str,
+        source: IpAddr,
         control: &[SocketAddr],
     ) -> Result<Self, SessionError> {
         let (events, inbox) = channel();
-        let identity = LinkIdentity { role: PeerRole::Entry, node, secret: secret.into() };
+        let identity = LinkIdentity { role: PeerRole::Entry, node, secret: secret.into(), source };
         let link = LinkHandle::spawn(identity, None, control, events, |event| event)?;
         let session =
             Self { name: name.into(), link, state: Arc::default(), drain_asked: Arc::default() };
--- a/crates/burdockcleat/src/link.rs
+++ b/crates/burdockcleat/src/link.rs
@@ -7,7 +7,7 @@
 
 use crate::link_capnp::hello::Role;
 use burdockcleat_core::keys::NodeId;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
 use std::thread;
@@ -44,6 +44,9 @@
     pub node: NodeId,
     /// Shared secret of the deployment.
     pub secret: Arc<str>,
+    /// Address that this process connects from, so that firewalls and peers can tell it by its
+    /// own address on a machine that has several.
+    pub source: IpAddr,
 }
 
 /// What happened on a link.
--- a/crates/burdockcleat/src/settings/control.rs
+++ b/crates/burdockcleat/src/settings/control.rs
@@ -9,6 +9,11 @@
     SettingSpec { name: "name", help: "name of this instance", default: None },
     SettingSpec { name: "failure-domain", help: "failure domain of this instance", default: None },
     SettingSpec { name: "link-listen", help: "address for our own processes", default: None },
+    SettingSpec {
+        name: "link-address",
+        help: "address under which our own processes reach this instance",
+        default: Some(""),
+    },
     SettingSpec {
         name: "operator-listen",
         help: "address for operators and targets",
@@ -49,6 +54,8 @@
     pub failure_domain: String,
     /// Address for links of our own processes.
     pub link_listen: SocketAddr,
+    /// Address under which our own processes reach this instance; empty means `link_listen`.
+    pub link_address: SocketAddr,
     /// Address for operators and targets.
     pub operator_listen: SocketAddr,
     /// URL under which operators and targets reach this instance; empty means the address.
@@ -87,8 +94,13 @@
         // Every value is read before the first `?`, so that all faults are found.
         let name = reader.nonempty("name");
         let failure_domain = reader.nonempty("failure-domain");
-        let link_listen = reader.parsed("link-listen", "an address such as 10.0.0.1:7000");
+        let link_listen: Option<SocketAddr> =
+            reader.parsed("link-listen", "an address such as 10.0.0.1:7000");
         let operator_listen = reader.parsed("operator-listen", "an address such as 10.0.0.1:7001");
+        let link_address = match reader.text("link-address").is_empty() {
+            true => link_listen,
+            false => reader.parsed("link-address", "an address such as 10.0.0.1:7000"),
+        };
         let operator_url = reader.text("operator-url");
         let peers = reader.addresses("peers");
         let data_folder = reader.nonempty("data-folder");
@@ -102,6 +114,7 @@
             name,
             failure_domain,
             link_listen: link_listen?,
+            link_address: link_address?,
             operator_listen,
             operator_url: match operator_url.is_empty() {
                 true => format!("http://{operator_listen}"),
--- a/crates/burdockcleat/tests/link.rs
+++ b/crates/burdockcleat/tests/link.rs
@@ -11,7 +11,8 @@
 const WAIT: Duration = Duration::from_secs(10);
 
 fn identity(role: PeerRole, node: u64, secret: &str) -> LinkIdentity {
-    LinkIdentity { role, node: NodeId(node), secret: secret.into() }
+    let source = Ipv4Addr::LOCALHOST.into();
+    LinkIdentity { role, node: NodeId(node), secret: secret.into(), source }
 }
 
 fn listen(secret: &str) -> (LinkHandle, Receiver<LinkEvent>) {
