--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -1,8 +1,9 @@
 //! Starts a deployment of real processes on loopback addresses, for tests and the local run.
 
+use crate::relay::{CutSet, PartitionRelay};
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -14,6 +15,8 @@
 const HTTP_PORT: u16 = 7300;
 /// Port of operators at an entry, and of links at a control instance.
 const SECOND_PORT: u16 = 7301;
+/// Distance between the host number of a control instance and that of its relay.
+const RELAY_HOSTS: usize = 50;
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(25);
 
@@ -29,6 +32,9 @@
     /// A temporary folder could not be created.
     #[error("creating a data folder")]
     Folder(#[source] std::io::Error),
+    /// A relay could not be started.
+    #[error("starting a relay")]
+    Relay(#[source] std::io::Error),
     /// A daemon could not be started. The daemons must be built before.
     #[error("starting {program}")]
     Start {
@@ -102,6 +108,7 @@
     /// Third octet of all addresses, so that deployments in one test program do not collide.
     network: [u8; 3],
     controls: usize,
+    cuts: CutSet,
     processes: BTreeMap<String, ProcessRecord>,
 }
 
@@ -118,7 +125,51 @@
         // Tests of different programs run at the same time, so the process id picks the network.
         let second = 16 + u8::try_from(process % 200).unwrap_or(0);
         let network = [127, second, NEXT_NETWORK.fetch_add(1, Ordering::Relaxed)];
-        Ok(Self { folder, network, controls, processes: BTreeMap::new() })
+        let (cuts, processes) = (CutSet::default(), BTreeMap::new());
+        let deployment = Self { folder, network, controls, cuts, processes };
+        for index in 0..controls {
+            let (relay, target) = (deployment.control_link(index), deployment.control_own(index));
+            PartitionRelay::spawn(relay, target, deployment.cuts.clone())
+                .map_err(DeploymentError::Relay)?;
+        }
+        Ok(deployment)
+    }
+
+    /// Cuts the links between two processes silently.
+    pub fn cut(&self, left: &str, right: &str) {
+        self.cuts.cut(self.host(left), self.host(right));
+    }
+
+    /// Cuts a process off from all control instances silently.
+    pub fn isolate(&self, name: &str) {
+        for index in 0..self.controls {
+            let control = Self::control_name(index);
+            if control != name {
+                self.cut(name, &control);
+            }
+        }
+    }
+
+    /// Cuts a control instance off from all entries as well.
+    pub fn isolate_from_entries(&self, control: &str, entries: usize) {
+        for index in 0..entries {
+            self.cut(control, &Self::entry_name(index));
+        }
+    }
+
+    /// Heals all cuts.
+    pub fn heal(&self) {
+        self.cuts.heal();
+    }
+
+    /// Address that a process connects from.
+    fn host(&self, name: &str) -> IpAddr {
+        let number = name.rsplit('-').next().and_then(|digits| digits.parse().ok()).unwrap_or(0);
+        let host = match name.starts_with("control") {
+            true => Self::control_host(number),
+            false => Self::entry_host(number),
+        };
+        self.address(host, SECOND_PORT).ip()
     }
 
     fn address(&self, host: usize, port: u16) -> SocketAddr {
@@ -135,8 +186,13 @@
         index + 101
     }
 
-    /// Link address of a control instance.
+    /// Address of the relay under which a control instance is reached by links.
     pub fn control_link(&self, index: usize) -> SocketAddr {
+        self.address(Self::control_host(index) + RELAY_HOSTS, SECOND_PORT)
+    }
+
+    /// Address on which a control instance listens for links.
+    fn control_own(&self, index: usize) -> SocketAddr {
         self.address(Self::control_host(index), SECOND_PORT)
     }
 
@@ -194,7 +250,8 @@
             "burdockcleat-control".into(),
             format!("--name={name}"),
             format!("--failure-domain=domain-{}", index % 3),
-            format!("--link-listen={}", self.control_link(index)),
+            format!("--link-listen={}", self.control_own(index)),
+            format!("--link-address={}", self.control_link(index)),
             format!("--operator-listen={}", self.address(Self::control_host(index), HTTP_PORT)),
             format!("--peers={}", peers.join(",")),
             format!("--data-folder={}", self.data_folder(index).display()),
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod deployment;
 pub mod probe;
+pub mod relay;
--- /dev/null
+++ b/crates/testbed/src/relay.rs
@@ -0,0 +1,98 @@
+//! TCP relay that cuts single links silently, as a network partition does.
+
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+const BUFFER_BYTES: usize = 64 << 10;
+
+#[derive(Default)]
+struct CutTable {
+    pairs: Mutex<BTreeSet<(IpAddr, IpAddr)>>,
+    healed: Condvar,
+}
+
+/// Pairs of addresses that cannot reach each other.
+///
+/// Bytes between them are held back and connections stay open, so that neither side notices
+/// anything but silence. After healing, the bytes arrive late.
+#[derive(Clone, Default)]
+pub struct CutSet {
+    shared: Arc<CutTable>,
+}
+
+impl CutSet {
+    /// Cuts both directions between two addresses.
+    pub fn cut(&self, left: IpAddr, right: IpAddr) {
+        self.lock().extend([(left, right), (right, left)]);
+    }
+
+    /// Heals everything.
+    pub fn heal(&self) {
+        self.lock().clear();
+        self.shared.healed.notify_all();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<(IpAddr, IpAddr)>> {
+        self.shared.pairs.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait_open(&self, pair: (IpAddr, IpAddr)) {
+        let mut cuts = self.lock();
+        while cuts.contains(&pair) {
+            cuts = self.shared.healed.wait(cuts).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
+/// Relays connections to one process.
+pub struct PartitionRelay;
+
+impl PartitionRelay {
+    /// Listens on `address` and relays to `target`, which is known by its own address in the cuts.
+    /// The threads end with the process.
+    ///
+    /// # Errors
+    /// Fails if the address is not available.
+    pub fn spawn(address: SocketAddr, target: SocketAddr, cuts: CutSet) -> std::io::Result<()> {
+        let listener = TcpListener::bind(address)?;
+        thread::Builder::new().name("relay".into()).spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let cuts = cuts.clone();
+                thread::spawn(move || relay(&stream, target, &cuts));
+            }
+        })?;
+        Ok(())
+    }
+}
+
+fn relay(caller: &TcpStream, target: SocketAddr, cuts: &CutSet) {
+    let Ok(source) = caller.peer_addr() else { return };
+    let pair = (source.ip(), target.ip());
+    cuts.wait_open(pair);
+    let Ok(callee) = TcpStream::connect(target) else {
+        let _ = caller.shutdown(Shutdown::Both);
+        return;
+    };
+    let _ = caller.set_nodelay(true);
+    let _ = callee.set_nodelay(true);
+    thread::scope(|scope| {
+        scope.spawn(|| copy(caller, &callee, pair, cuts));
+        copy(&callee, caller, pair, cuts);
+    });
+}
+
+/// Copies one direction until it ends, and ends the other with it.
+fn copy(mut from: &TcpStream, mut to: &TcpStream, pair: (IpAddr, IpAddr), cuts: &CutSet) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok(length) = from.read(&mut buffer) {
+        cuts.wait_open(pair);
+        if length == 0 || to.write_all(&buffer[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
