Send the final chunk at once and keep it back on a cut stream

A caller waited 60 s after the final event, since the chunk encoder's last write stayed in the socket writer's buffer. A writer below the encoder now flushes on drop, and swallows the final chunk of an answer that is not whole.

A resend of a plain service call that had just ended was told that the outcome is unknown, because the finish was not committed yet. Such attempts now wait for the record.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -525,7 +525,7 @@
             self.configure();
         }
         if let Some(admission) = &mut self.admission {
-            admission.committed(step_time(), command, reply);
+            admission.committed(step_time(), command, reply, &self.state);
         }
     }
 
--- a/crates/burdockcleat/src/entry/answer.rs
+++ b/crates/burdockcleat/src/entry/answer.rs
@@ -12,7 +12,34 @@
 use std::io::{self, Write};
 use tiny_http::{Header, Request, Response, StatusCode};
 
-type CallerWriter = Box<dyn Write + Send>;
+/// The socket writer below the chunk encoder.
+///
+/// The encoder writes the final chunk when it is dropped. It must reach the socket at the end of a
+/// whole answer, and must not be written at the end of one that is not whole.
+struct CallerWriter {
+    inner: Box<dyn Write + Send>,
+    truncated: bool,
+}
+
+impl Write for CallerWriter {
+    fn write(&mut self, buffer: &[u8]) -> io::Result<usize> {
+        match self.truncated {
+            true => Ok(buffer.len()),
+            false => self.inner.write(buffer),
+        }
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
+
+impl Drop for CallerWriter {
+    fn drop(&mut self) {
+        // The caller may have gone; there is nobody left to tell.
+        let _ = self.inner.flush();
+    }
+}
 
 /// The answer to one caller, whatever its form.
 pub struct CallerAnswer {
@@ -164,7 +191,7 @@
     /// # Errors
     /// Fails if the caller has gone.
     fn open(request: Request, caller: CallerConnection) -> io::Result<Self> {
-        let mut writer = request.into_writer();
+        let mut writer = CallerWriter { inner: request.into_writer(), truncated: false };
         writer.write_all(
             b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-store\r\n\
               transfer-encoding: chunked\r\n\r\n",
@@ -187,6 +214,7 @@
     /// Ends an answer that is not whole: an error event, no final event and no final chunk.
     fn fail(mut self, error: &CallerError) {
         let _ = self.send(&error.to_json());
+        self.encoder.get_mut().truncated = true;
         self.caller.truncate();
     }
 }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -56,6 +56,17 @@
     request: SubmitRequest,
 }
 
+impl AttemptRecord {
+    /// Whether the target streams the answer, so that it can be resumed.
+    fn is_stream(&self) -> bool {
+        !self.request.model.is_empty()
+    }
+
+    fn is_same(&self, other: &Self) -> bool {
+        self.entry == other.entry && self.request.attempt == other.request.attempt
+    }
+}
+
 /// How far a request has come.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum RequestStage {
--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -17,7 +17,13 @@
 
 impl AdmissionController {
     /// Takes a command that was committed and applied.
-    pub fn committed(&mut self, time: StepTime, command: &StateCommand, reply: &CommandReply) {
+    pub fn committed(
+        &mut self,
+        time: StepTime,
+        command: &StateCommand,
+        reply: &CommandReply,
+        state: &ReplicatedState,
+    ) {
         match (command, reply) {
             (StateCommand::Claim(request), CommandReply::Claim(reply)) => match reply {
                 ClaimReply::Created(claim) => self.grant(time, request, *claim),
@@ -33,12 +39,7 @@
                 self.released(time, *key, *claim, reply);
             }
             (StateCommand::Finish { key, claim, .. }, CommandReply::Close(_)) => {
-                let ended = self.requests.get(key).is_some_and(|tracked| {
-                    matches!(tracked.stage, RequestStage::Granted { claim: held } if held == *claim)
-                });
-                if ended {
-                    self.requests.remove(key);
-                }
+                self.finished(*key, *claim, state);
             }
             _ => {}
         }
@@ -84,7 +85,12 @@
 
     fn grant(&mut self, time: StepTime, request: &ClaimRequest, claim: ClaimNumber) {
         let Some(tracked) = self.requests.get_mut(&request.key) else { return };
-        let (pool, duplicates) = (tracked.pool.clone(), std::mem::take(&mut tracked.duplicates));
+        let pool = tracked.pool.clone();
+        // A stream can be resumed while it runs; a call of a plain service only has an outcome.
+        let duplicates = match tracked.owner.as_ref().is_some_and(AttemptRecord::is_stream) {
+            true => std::mem::take(&mut tracked.duplicates),
+            false => Vec::new(),
+        };
         tracked.stage = RequestStage::Granted { claim };
         let attempt = tracked.owner.as_ref().map_or(0, |owner| owner.request.attempt);
         let ticket = GrantTicket {
@@ -109,6 +115,21 @@
         self.step_pool(time, &pool, PoolInput::ClaimCommitted { key: request.key, claim });
     }
 
+    /// Forgets a request that has ended and tells the attempts that waited for its outcome.
+    fn finished(&mut self, key: RequestKey, claim: ClaimNumber, state: &ReplicatedState) {
+        let ended = self.requests.get(&key).is_some_and(|tracked| {
+            matches!(tracked.stage, RequestStage::Granted { claim: held } if held == claim)
+        });
+        if !ended {
+            return;
+        }
+        let Some(tracked) = self.requests.remove(&key) else { return };
+        let Some(record) = state.claim(key) else { return };
+        for attempt in tracked.duplicates {
+            self.resume(&record, &attempt);
+        }
+    }
+
     /// Sends the grant of a committed claim again to the attempt that still waits for it.
     pub(super) fn grant_again(&mut self, record: &ClaimRecord, attempt: AttemptRecord) {
         let ticket = GrantTicket {
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -137,6 +137,12 @@
             (RequestStage::Granted { .. }, true) if !tracked.started => {
                 self.grant_again(record, attempt);
             }
+            (RequestStage::Granted { .. }, _)
+                if !attempt.is_stream() && record.fingerprint == attempt.request.fingerprint =>
+            {
+                tracked.duplicates.retain(|known| !known.is_same(&attempt));
+                tracked.duplicates.push(attempt);
+            }
             _ => self.resume(record, &attempt),
         }
     }
@@ -163,10 +169,8 @@
             self.refuse(&attempt, RequestOutcome::Failed, ReasonCode::IdReused);
             return;
         }
-        let is_same = |known: &AttemptRecord| {
-            known.entry == attempt.entry && known.request.attempt == attempt.request.attempt
-        };
-        if !is_same(owner) && !tracked.duplicates.iter().any(is_same) {
+        let known = tracked.duplicates.iter().any(|known| known.is_same(&attempt));
+        if !owner.is_same(&attempt) && !known {
             tracked.duplicates.push(attempt);
         }
     }
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -42,9 +42,7 @@
 /// Identity of one run of a control instance's data folder or of one run of an entry process.
 ///
 /// A control instance that lost its data folder draws a new one.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct NodeId(pub u64);
 
 impl fmt::Display for NodeId {
@@ -54,15 +52,11 @@
 }
 
 /// Number of a claim: the log index of the record that created it. Later claims have larger numbers.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimNumber(pub u64);
 
 /// Content fingerprint of a request, equal for resends under new request ids.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct RequestFingerprint(pub u64);
 
 /// One run of a target: its name stays, its incarnation grows with each restart.
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -1,7 +1,7 @@
 //! Messages between entry and control instances.
 //!
 //! A message is encoded with postcard. The types of the hot path have hand-written serde
-//! visitors in [`hot`]; they are positional, so a change of their fields needs a new
+//! visitors in the `hot` module; they are positional, so a change of their fields needs a new
 //! [`PROTOCOL_VERSION`].
 
 mod hot;
--- a/crates/core/tests/admission/harness.rs
+++ b/crates/core/tests/admission/harness.rs
@@ -129,7 +129,8 @@
                 let at = time(self.now).wall;
                 let stamped = StampedCommand { at, command };
                 let reply = self.state.apply(self.index, &stamped);
-                self.admission.committed(time(self.now), &stamped.command, &reply);
+                let time = time(self.now);
+                self.admission.committed(time, &stamped.command, &reply, &self.state);
             }
             self.collect();
         }
