Add the console of forms

Operators without the command line edit the document in a browser. A field is named by its path in the document, so the posted form goes through the same reader and validation as TOML text and each fault is shown beside its field. Base version and operation id are hidden fields; a conflict shows what the others changed and what the posted document would change. Posts need the token of the process, an Origin of the same host and a Host that is an address.

--- a/crates/burdockcleat/src/cmd.rs
+++ b/crates/burdockcleat/src/cmd.rs
@@ -42,6 +42,8 @@
 Environment:
   BURDOCKCLEAT_CONTROL  URLs of the control instances, separated by commas, used without --control
 
+With --json, an error is printed as {\"error\", ...} on standard output as well.
+
 Exit status:
   0  done
   1  refused: the document has faults, or another edit came first (conflict)
--- a/crates/burdockcleat/src/cmd/dump.rs
+++ b/crates/burdockcleat/src/cmd/dump.rs
@@ -13,16 +13,17 @@
     help: "\
 Prints the state of the process at URL as JSON. Other processes are not asked.
 
-Usage: burdockcleat dump URL [--timeout SECS]
+Usage: burdockcleat dump URL [OPTIONS]
 
   URL              http://host:port of a control instance, or of the operator port of an entry;
                    with a path, exactly this path is read
   --timeout SECS   longest wait for the reply, 1 to 600 (default 10)
+  --json           accepted as for other commands; the output is always JSON
 
 Exit status: 0 printed, 1 refused, 2 wrong usage, 3 the process is not in reach.
 ",
     values: &["URL"],
-    options: &["timeout"],
+    options: &["timeout", "json"],
     run,
 };
 
--- /dev/null
+++ b/crates/burdockcleat/src/console/page.rs
@@ -0,0 +1,242 @@
+//! Renders the pages of the console. `maud` escapes every value.
+
+use super::fields::{
+    FieldKind, FormField, LIMIT_FIELDS, LIMITS, PLACE, REMOVE, RULES, SALT, SECTIONS, field_name,
+    split_name,
+};
+use super::{
+    AUTHOR, BASE_VERSION, ConsoleOutcome, ConsoleView, FORM_TOKEN, OPERATION_ID, PostRefusal,
+};
+use burdockcleat_core::document::{DocumentChange, DocumentFault};
+use maud::{DOCTYPE, Markup, html};
+use std::collections::{BTreeSet, HashMap};
+
+const STYLE: &str = "body{font:15px sans-serif;margin:2em auto;max-width:72em;padding:0 1em}\
+     fieldset{margin:0 0 1em;display:flex;flex-wrap:wrap;gap:.6em 1em}\
+     label{display:flex;flex-direction:column;font-size:.85em}\
+     textarea{min-width:38em}.fault{color:#a00}.notice{border:1px solid;padding:.5em 1em}\
+     input:not([type=checkbox]),textarea{font:inherit}code{white-space:pre-wrap}";
+
+/// Renders the form with the outcome of the last post and every fault beside its field.
+pub fn render_page(view: &ConsoleView) -> String {
+    let form = FormState::collect(view);
+    let sections: Vec<Markup> = SECTIONS
+        .iter()
+        .map(|section| {
+            let rows = form.indexes(section.name);
+            let next = rows.last().map_or(0, |index| index + 1);
+            html! {
+                h2 id=(section.name) { (section.title) }
+                @if section.name == RULES {
+                    p { "Rules are tried by place; the first that matches decides." }
+                }
+                @for index in rows { (form.row(section.name, index, &section.fields, true)) }
+                p { "New:" }
+                (form.row(section.name, next, &section.fields, false))
+            }
+        })
+        .collect();
+    let salt = FormField { key: SALT, kind: FieldKind::Text };
+    let body = html! {
+        h1 { "Configuration" }
+        (outcome_notice(view))
+        (form.other_faults())
+        form method="post" autocomplete="off" {
+            input type="hidden" name=(BASE_VERSION) value=(view.base_version);
+            input type="hidden" name=(OPERATION_ID) value=(view.operation_id);
+            input type="hidden" name=(FORM_TOKEN) value=(view.token.as_str());
+            p { "Based on version " strong { (view.base_version) } ". An empty number has its default." }
+            label { "author" input name=(AUTHOR) value=(view.author) maxlength="128"; }
+            @for section in &sections { (section) }
+            h2 id=(LIMITS) { "Limits" }
+            fieldset {
+                @for field in LIMIT_FIELDS.iter() { (form.input(&format!("{LIMITS}.{}", field.key), *field)) }
+                (form.input(SALT, salt))
+            }
+            button type="submit" { (submit_text(&view.outcome)) }
+        }
+    };
+    page(&body)
+}
+
+/// Renders the page for a post that was refused before its document was read.
+pub fn render_refusal(refusal: PostRefusal) -> String {
+    page(&html! {
+        h1 { "Refused" }
+        p.notice { (refusal) "." }
+        p { "Nothing has changed." }
+    })
+}
+
+fn page(body: &Markup) -> String {
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head { meta charset="utf-8"; title { "burdockcleat" } style { (STYLE) } }
+            body { (body) }
+        }
+    }
+    .into_string()
+}
+
+fn submit_text(outcome: &ConsoleOutcome) -> String {
+    match outcome {
+        ConsoleOutcome::Conflict { current_version, .. } => {
+            format!("Apply this document over version {current_version}")
+        }
+        ConsoleOutcome::Unknown => "Send the same edit again".to_owned(),
+        ConsoleOutcome::Editing | ConsoleOutcome::Applied { .. } => "Apply".to_owned(),
+    }
+}
+
+fn outcome_notice(view: &ConsoleView) -> Markup {
+    match &view.outcome {
+        ConsoleOutcome::Editing => html! {},
+        ConsoleOutcome::Applied { version } => html! {
+            p.notice { "Version " (version) " is in force." }
+        },
+        ConsoleOutcome::Unknown => html! {
+            p.notice {
+                "The reply was lost: the edit may be in force. Send it again without changes; "
+                "an edit with the same operation id is applied once."
+            }
+        },
+        ConsoleOutcome::Conflict { current_version, theirs, yours } => html! {
+            section.notice {
+                h2 { "Conflict" }
+                p {
+                    "Another edit came first: version " (current_version) " is in force. "
+                    "Nothing of this edit was applied."
+                }
+                @if let Some(theirs) = theirs {
+                    h3 { "What the other edits changed" }
+                    (change_list(theirs))
+                }
+                h3 { "What this document would change now" }
+                (change_list(yours))
+                p { "The form below holds your document, now based on version " (current_version) "." }
+            }
+        },
+    }
+}
+
+fn change_list(changes: &[DocumentChange]) -> Markup {
+    html! {
+        @if changes.is_empty() { p { "Nothing." } }
+        ul { @for change in changes { li { code { (change) } } } }
+    }
+}
+
+/// Values and faults by field.
+struct FormState<'a> {
+    values: HashMap<&'a str, &'a str>,
+    rows: HashMap<&'a str, BTreeSet<usize>>,
+    faults: HashMap<String, Vec<&'a DocumentFault>>,
+    /// Faults of no field: of a whole list, of the text, or of a field that the form lacks.
+    others: Vec<&'a DocumentFault>,
+}
+
+impl<'a> FormState<'a> {
+    fn collect(view: &'a ConsoleView) -> Self {
+        let mut state = Self {
+            values: HashMap::new(),
+            rows: HashMap::new(),
+            faults: HashMap::new(),
+            others: Vec::new(),
+        };
+        for (name, value) in &view.fields {
+            state.values.insert(name, value);
+            if let Some((section, index, key)) = split_name(name)
+                && SECTIONS.iter().any(|known| known.name == section)
+                // An empty new row comes back with its place only, if with anything.
+                && (!value.trim().is_empty() && key != PLACE)
+            {
+                state.rows.entry(section).or_default().insert(index);
+            }
+        }
+        for fault in &view.faults {
+            match state.field_of(&fault.path) {
+                Some(name) => state.faults.entry(name).or_default().push(fault),
+                None => state.others.push(fault),
+            }
+        }
+        state
+    }
+
+    /// Name of the shown field that a fault belongs to.
+    fn field_of(&self, path: &str) -> Option<String> {
+        if path == SALT {
+            return Some(path.to_owned());
+        }
+        if let Some(key) = path.strip_prefix(LIMITS).and_then(|rest| rest.strip_prefix('.')) {
+            return LIMIT_FIELDS.iter().any(|field| field.key == key).then(|| path.to_owned());
+        }
+        let (section, index, rest) = split_name(path)?;
+        // A fault of one element of a list belongs to the field of the list.
+        let key = rest.split_once('[').map_or(rest, |(key, _)| key);
+        let known = SECTIONS.iter().find(|known| known.name == section)?;
+        let shown = self.rows.get(section).is_some_and(|rows| rows.contains(&index))
+            && known.fields.iter().any(|field| field.key == key);
+        shown.then(|| field_name(section, index, key))
+    }
+
+    fn indexes(&self, section: &str) -> Vec<usize> {
+        self.rows.get(section).map(|rows| rows.iter().copied().collect()).unwrap_or_default()
+    }
+
+    fn other_faults(&self) -> Markup {
+        html! {
+            @if !self.others.is_empty() || !self.faults.is_empty() {
+                p.fault { "The document has faults. Nothing has changed." }
+            }
+            ul.fault { @for fault in &self.others { li { (fault) } } }
+        }
+    }
+
+    fn row(&self, section: &str, index: usize, fields: &[FormField], exists: bool) -> Markup {
+        html! {
+            fieldset {
+                @for field in fields { (self.input(&field_name(section, index, field.key), *field)) }
+                @if exists {
+                    label { "remove" input type="checkbox" name=(field_name(section, index, REMOVE))
+                        checked[self.values.contains_key(field_name(section, index, REMOVE).as_str())]; }
+                }
+            }
+        }
+    }
+
+    fn input(&self, name: &str, field: FormField) -> Markup {
+        let value = self.values.get(name).copied().unwrap_or_default();
+        html! {
+            label {
+                (field.key)
+                @match field.kind {
+                    FieldKind::Text | FieldKind::Names => { input name=(name) value=(value); }
+                    // The text may be no number after a fault, so the input must not refuse it.
+                    FieldKind::Number { min, max } => {
+                        input name=(name) value=(value) inputmode="numeric"
+                            title=(format!("{min} to {max}"));
+                    }
+                    FieldKind::Lines => { textarea name=(name) rows="2" { "\n" (value) } }
+                    FieldKind::Choice(words) => { (select(name, value, words)) }
+                    FieldKind::Decision => { (select(name, value, &["true", "false"])) }
+                }
+                @for fault in self.faults.get(name).into_iter().flatten() {
+                    span.fault role="alert" { (fault.kind) }
+                }
+            }
+        }
+    }
+}
+
+/// A selection that also keeps a value which is none of the words.
+fn select(name: &str, value: &str, words: &[&str]) -> Markup {
+    let unknown = !value.is_empty() && !words.contains(&value);
+    html! {
+        select name=(name) {
+            option value="" selected[value.is_empty()] { "default" }
+            @for word in words { option value=(word) selected[*word == value] { (word) } }
+            @if unknown { option value=(value) selected { (value) } }
+        }
+    }
+}
--- /dev/null
+++ b/crates/burdockcleat/src/console/token.rs
@@ -0,0 +1,99 @@
+//! Refuses posts that another site caused.
+
+use super::{AUTHOR, BASE_VERSION, FORM_TOKEN, OPERATION_ID};
+use std::net::{IpAddr, SocketAddr};
+use thiserror::Error;
+
+/// Random text of a process that its forms carry back.
+///
+/// Another site cannot read a page of the console, so it does not know the token. It needs no
+/// session: all operators who reach the console may do the same.
+#[derive(Clone, Debug)]
+pub struct FormToken(String);
+
+impl FormToken {
+    /// Makes the token from a random number that the process draws at its start.
+    pub fn from_random(number: u128) -> Self {
+        Self(format!("{number:032x}"))
+    }
+
+    /// Text for the hidden field.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// Whether the posted text is this token. The time does not depend on where they differ.
+    pub fn accepts(&self, posted: &str) -> bool {
+        let pairs = self.0.bytes().zip(posted.bytes());
+        posted.len() == self.0.len() && pairs.fold(0, |differing, (a, b)| differing | (a ^ b)) == 0
+    }
+}
+
+/// The hidden fields and the author of an accepted post.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConsolePost {
+    /// Version that the edit started from.
+    pub base_version: u64,
+    /// Id of the edit.
+    pub operation_id: String,
+    /// Who makes the edit.
+    pub author: String,
+}
+
+/// Why a post is refused before its document is read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum PostRefusal {
+    /// The token is missing or another one, for example after a restart of the process.
+    #[error("the form is not from this process or is too old; open the console again")]
+    ForeignToken,
+    /// The header `Origin` names another site.
+    #[error("the form was sent by another site")]
+    ForeignOrigin,
+    /// The header `Host` is missing or a name, which may have been pointed at this address.
+    #[error("the console must be opened by IP address")]
+    ForeignHost,
+    /// The base version or the operation id is missing or malformed.
+    #[error("the form is incomplete; open the console again")]
+    Incomplete,
+}
+
+/// Checks where a post comes from and reads its hidden fields.
+///
+/// `host` and `origin` are the headers of the request. A browser sends `Origin` with each post; a
+/// client that sends none is not a browser and is identified by the token alone.
+///
+/// # Errors
+/// Says why the post is refused.
+pub fn check_post(
+    token: &FormToken,
+    host: Option<&str>,
+    origin: Option<&str>,
+    posted: &[(String, String)],
+) -> Result<ConsolePost, PostRefusal> {
+    let host = host.filter(|host| is_address(host)).ok_or(PostRefusal::ForeignHost)?;
+    if origin.is_some_and(|origin| origin.strip_prefix("http://") != Some(host)) {
+        return Err(PostRefusal::ForeignOrigin);
+    }
+    let field = |name| posted.iter().find(|(key, _)| key == name).map(|(_, value)| value.trim());
+    if !field(FORM_TOKEN).is_some_and(|text| token.accepts(text)) {
+        return Err(PostRefusal::ForeignToken);
+    }
+    let base_version = field(BASE_VERSION).and_then(|text| text.parse().ok());
+    let operation_id = field(OPERATION_ID).filter(|id| is_operation_id(id));
+    let (Some(base_version), Some(operation_id)) = (base_version, operation_id) else {
+        return Err(PostRefusal::Incomplete);
+    };
+    let author = field(AUTHOR).filter(|author| !author.is_empty()).unwrap_or("console");
+    let (operation_id, author) = (operation_id.to_owned(), author.to_owned());
+    Ok(ConsolePost { base_version, operation_id, author })
+}
+
+fn is_address(host: &str) -> bool {
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    let bare = host.trim_start_matches('[').trim_end_matches(']');
+    name == "localhost" || host.parse::<SocketAddr>().is_ok() || bare.parse::<IpAddr>().is_ok()
+}
+
+fn is_operation_id(id: &str) -> bool {
+    (1..=128).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,4 +1,5 @@
 //! Library.
 
 pub mod cmd;
+pub mod console;
 pub mod operator;
