--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,6 +1,7 @@
 //! The library behind the daemons and the command line of burdockcleat.
 
 pub mod cmd;
+pub mod console;
 pub mod control;
 pub mod entry;
 pub mod link;
