Add fake engine and fake service that answer, announce and stream

The entry and control lanes need targets to integrate against.

The engine batches continuously, keeps a bounded prefix cache, buffers streams for resumption and takes orders; both targets announce themselves and follow a redirect to the leader.

--- /dev/null
+++ b/crates/testbed/src/announce.rs
@@ -0,0 +1,383 @@
+//! Announcement of a fake target to the control instances.
+
+use crate::error::TestbedError;
+use crate::sync::locked;
+use burdockcleat_core::clock::ClockTime;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+use ureq::Agent;
+
+/// Cache events held for the next announcement; older ones are lost and leave a gap.
+const EVENT_BACKLOG: usize = 4_096;
+/// Redirects to the leader followed within one announcement.
+const REDIRECT_LIMIT: usize = 3;
+/// Interval at which the load is sampled for lagging reports.
+const SAMPLE_MS: u64 = 50;
+
+/// Whether a target serves models or plain calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// Engine that serves models.
+    Model,
+    /// Plain service.
+    Service,
+}
+
+/// Load that a target reports.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests being computed.
+    pub running: u32,
+    /// Requests waiting inside the target.
+    pub waiting: u32,
+    /// Number of the report; grows by one with each sample.
+    pub sequence: u64,
+}
+
+/// What happened to blocks of the prefix cache.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheEventKind {
+    /// The blocks were added.
+    Stored,
+    /// The blocks were removed.
+    Removed,
+}
+
+/// Change of the prefix cache. A missing sequence number means lost events.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheEvent {
+    /// Number of the event, from 1, without gaps unless events were lost.
+    pub sequence: u64,
+    /// What happened.
+    pub kind: CacheEventKind,
+    /// Model whose prompts the blocks belong to.
+    pub model: String,
+    /// Cumulative block hashes, see [`crate::prompt::block_hashes`].
+    pub hashes: Vec<u64>,
+}
+
+/// Body of `POST /v1/targets/announce`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetAnnouncement {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Grows with each start of the target.
+    pub incarnation: u64,
+    /// Address for dispatches, `ip:port`.
+    pub address: String,
+    /// Pool that the target serves.
+    pub pool: String,
+    /// Kind of target.
+    pub kind: TargetKind,
+    /// Hardware generation.
+    pub generation: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Models that are loaded.
+    pub models: Vec<String>,
+    /// Requests that the target wants at a time.
+    pub slots: u32,
+    /// Whether the target rejects orders with an older fencing number.
+    pub enforces_fencing: bool,
+    /// Load, possibly late.
+    pub load: LoadReport,
+    /// Changes of the prefix cache since the last accepted announcement.
+    pub cache_events: Vec<CacheEvent>,
+}
+
+/// Body of `POST /v1/targets/leave`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetLeave {
+    /// Name of the target.
+    pub name: String,
+    /// Incarnation that ends.
+    pub incarnation: u64,
+}
+
+/// How a fake target presents itself.
+#[derive(Clone, Debug)]
+pub struct TargetSettings {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Incarnation; defaults to the wall clock, so that it grows with each start.
+    pub incarnation: u64,
+    /// Listen address; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// Pool that the target serves.
+    pub pool: String,
+    /// Hardware generation.
+    pub generation: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Models loaded at start.
+    pub models: Vec<String>,
+    /// Slots to announce.
+    pub slots: u32,
+    /// Whether orders with an older fencing number are rejected.
+    pub enforces_fencing: bool,
+    /// Base URLs of the control instances; none means no announcement.
+    pub control_urls: Vec<String>,
+    /// Interval of the announcements.
+    pub heartbeat_ms: u64,
+    /// Age of the load that is reported.
+    pub report_lag_ms: u64,
+    /// Share of cache events that are lost, 0 to 1.
+    pub event_loss: f64,
+}
+
+impl TargetSettings {
+    /// Settings of a target with this name in a pool, with defaults for the rest.
+    pub fn named(name: &str, pool: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            incarnation: ClockTime::wall().as_ms(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            pool: pool.to_owned(),
+            generation: "g1".to_owned(),
+            domain: "d1".to_owned(),
+            models: vec!["m1".to_owned()],
+            slots: 8,
+            enforces_fencing: true,
+            control_urls: Vec::new(),
+            heartbeat_ms: 500,
+            report_lag_ms: 0,
+            event_loss: 0.0,
+        }
+    }
+}
+
+/// Live values of an announcement, read at each heartbeat.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TargetStatus {
+    pub(crate) running: u32,
+    pub(crate) waiting: u32,
+    pub(crate) models: Vec<String>,
+    pub(crate) silent: bool,
+}
+
+/// Reads the live values of a target.
+pub(crate) type StatusProbe = Arc<dyn Fn() -> TargetStatus + Send + Sync>;
+
+/// Cache events that wait for the next announcement.
+#[derive(Default)]
+pub(crate) struct EventQueue {
+    events: VecDeque<CacheEvent>,
+    sequence: u64,
+}
+
+impl EventQueue {
+    pub(crate) fn append(&mut self, kind: CacheEventKind, model: &str, hashes: Vec<u64>) {
+        if hashes.is_empty() {
+            return;
+        }
+        self.sequence += 1;
+        let model = model.to_owned();
+        self.events.push_back(CacheEvent { sequence: self.sequence, kind, model, hashes });
+        if self.events.len() > EVENT_BACKLOG {
+            self.events.pop_front();
+        }
+    }
+
+    fn acknowledge(&mut self, last: u64) {
+        while self.events.front().is_some_and(|event| event.sequence <= last) {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// Thread that announces a target until it is stopped.
+pub(crate) struct TargetAnnouncer {
+    shared: Arc<AnnouncerState>,
+    thread: Option<JoinHandle<()>>,
+}
+
+struct AnnouncerState {
+    settings: TargetSettings,
+    kind: TargetKind,
+    address: SocketAddr,
+    probe: StatusProbe,
+    events: Arc<Mutex<EventQueue>>,
+    stopped: Mutex<bool>,
+    wake: Condvar,
+}
+
+impl TargetAnnouncer {
+    pub(crate) fn spawn(
+        settings: &TargetSettings,
+        kind: TargetKind,
+        address: SocketAddr,
+        events: Arc<Mutex<EventQueue>>,
+        probe: StatusProbe,
+    ) -> Result<Self, TestbedError> {
+        let shared = Arc::new(AnnouncerState {
+            settings: settings.clone(),
+            kind,
+            address,
+            probe,
+            events,
+            stopped: Mutex::new(false),
+            wake: Condvar::new(),
+        });
+        let state = Arc::clone(&shared);
+        let thread = thread::Builder::new()
+            .name("fake-announce".to_owned())
+            .spawn(move || AnnounceLoop::new(state).run())
+            .map_err(TestbedError::Thread)?;
+        Ok(Self { shared, thread: Some(thread) })
+    }
+
+    /// Stops the announcements without a leave.
+    pub(crate) fn stop(&mut self) {
+        *locked(&self.shared.stopped) = true;
+        self.shared.wake.notify_all();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+
+    /// Stops the announcements and ends this incarnation at the control instances.
+    pub(crate) fn leave(&mut self) -> bool {
+        self.stop();
+        let settings = &self.shared.settings;
+        let leave = TargetLeave { name: settings.name.clone(), incarnation: settings.incarnation };
+        let mut client = ControlClient::new(settings.control_urls.clone());
+        let attempts = 2 * settings.control_urls.len();
+        (0..attempts).any(|_| client.post("/v1/targets/leave", &leave))
+    }
+}
+
+struct AnnounceLoop {
+    state: Arc<AnnouncerState>,
+    client: ControlClient,
+    samples: VecDeque<(ClockTime, LoadReport)>,
+    sequence: u64,
+    loss: StdRng,
+}
+
+impl AnnounceLoop {
+    fn new(state: Arc<AnnouncerState>) -> Self {
+        let client = ControlClient::new(state.settings.control_urls.clone());
+        let loss = StdRng::seed_from_u64(state.settings.incarnation);
+        Self { state, client, samples: VecDeque::new(), sequence: 0, loss }
+    }
+
+    fn run(mut self) {
+        let heartbeat = self.state.settings.heartbeat_ms.max(1);
+        let mut next = ClockTime::monotonic();
+        loop {
+            let now = ClockTime::monotonic();
+            let status = (self.state.probe)();
+            self.sample(now, &status);
+            if now >= next && !status.silent {
+                self.announce(now, status);
+                next = ClockTime::monotonic().max(next.plus(heartbeat));
+            }
+            let pause = SAMPLE_MS.min(next.since(ClockTime::monotonic()).max(1));
+            let guard = locked(&self.state.stopped);
+            if *guard {
+                return;
+            }
+            let waited = self.state.wake.wait_timeout(guard, Duration::from_millis(pause));
+            if waited.is_ok_and(|(stopped, _)| *stopped) {
+                return;
+            }
+        }
+    }
+
+    fn sample(&mut self, now: ClockTime, status: &TargetStatus) {
+        self.sequence += 1;
+        let report = LoadReport {
+            running: status.running,
+            waiting: status.waiting,
+            sequence: self.sequence,
+        };
+        self.samples.push_back((now, report));
+        let lag = self.state.settings.report_lag_ms;
+        // The front stays the newest sample that is at least `lag` old.
+        while self.samples.get(1).is_some_and(|(at, _)| now.since(*at) >= lag) {
+            self.samples.pop_front();
+        }
+    }
+
+    fn announce(&mut self, now: ClockTime, status: TargetStatus) {
+        let settings = &self.state.settings;
+        let lagging =
+            self.samples.front().filter(|(at, _)| now.since(*at) >= settings.report_lag_ms);
+        let load = lagging.map(|(_, report)| *report).unwrap_or_default();
+        let mut cache_events: Vec<_> = locked(&self.state.events).events.iter().cloned().collect();
+        let last = cache_events.last().map_or(0, |event| event.sequence);
+        cache_events.retain(|_| !self.loss.random_bool(settings.event_loss.clamp(0.0, 1.0)));
+        let announcement = TargetAnnouncement {
+            name: settings.name.clone(),
+            incarnation: settings.incarnation,
+            address: self.state.address.to_string(),
+            pool: settings.pool.clone(),
+            kind: self.state.kind,
+            generation: settings.generation.clone(),
+            domain: settings.domain.clone(),
+            models: status.models,
+            slots: settings.slots,
+            enforces_fencing: settings.enforces_fencing,
+            load,
+            cache_events,
+        };
+        if self.client.post("/v1/targets/announce", &announcement) {
+            locked(&self.state.events).acknowledge(last);
+        }
+    }
+}
+
+#[derive(Deserialize)]
+struct LeaderHint {
+    leader: String,
+}
+
+/// Client of the control instances that remembers the leader.
+struct ControlClient {
+    agent: Agent,
+    urls: Vec<String>,
+    current: usize,
+    leader: Option<String>,
+}
+
+impl ControlClient {
+    fn new(urls: Vec<String>) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_millis(1_000)))
+            .build();
+        Self { agent: Agent::new_with_config(config), urls, current: 0, leader: None }
+    }
+
+    /// Sends to the leader as last known; a failure selects the next URL for the next call.
+    fn post<T: Serialize>(&mut self, path: &str, body: &T) -> bool {
+        for _ in 0..REDIRECT_LIMIT {
+            let known = self.leader.clone().or_else(|| self.urls.get(self.current).cloned());
+            let Some(base) = known else { return false };
+            let url = format!("{}{path}", base.trim_end_matches('/'));
+            let answer = self.agent.post(&url).send_json(body);
+            match answer {
+                Ok(response) if response.status().is_success() => return true,
+                Ok(mut response) if response.status().as_u16() == 421 => {
+                    let Ok(hint) = response.body_mut().read_json::<LeaderHint>() else { break };
+                    if hint.leader.is_empty() {
+                        break;
+                    }
+                    self.leader = Some(hint.leader);
+                }
+                Ok(_) | Err(_) => break,
+            }
+        }
+        self.leader = None;
+        self.current = (self.current + 1) % self.urls.len().max(1);
+        false
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/engine/cache.rs
@@ -0,0 +1,91 @@
+//! Bounded prefix cache with least-recently-used removal.
+
+use std::collections::{BTreeMap, HashMap};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Block of one model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+struct CacheBlock {
+    model: u64,
+    hash: u64,
+}
+
+/// Blocks removed by an insertion, by model name.
+pub(crate) type RemovedBlocks = Vec<(String, u64)>;
+
+/// Prefix cache that counts in blocks.
+pub(crate) struct PrefixCache {
+    capacity: usize,
+    uses: u64,
+    blocks: HashMap<CacheBlock, u64>,
+    by_use: BTreeMap<u64, CacheBlock>,
+    models: HashMap<u64, String>,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: usize) -> Self {
+        let (blocks, by_use) = (HashMap::new(), BTreeMap::new());
+        Self { capacity, uses: 0, blocks, by_use, models: HashMap::new() }
+    }
+
+    /// Length in blocks of the longest cached prefix; marks its blocks as used.
+    pub(crate) fn lookup(&mut self, model: &str, hashes: &[u64]) -> usize {
+        let model = model_key(model);
+        let cached = |hash: &&u64| self.blocks.contains_key(&CacheBlock { model, hash: **hash });
+        let length = hashes.iter().take_while(cached).count();
+        // The last block is touched first, so that a prefix outlives its extensions.
+        for hash in hashes[..length].iter().rev() {
+            self.touch(CacheBlock { model, hash: *hash });
+        }
+        length
+    }
+
+    /// Adds the blocks of a prompt and returns the added and the removed ones.
+    pub(crate) fn insert(&mut self, model: &str, hashes: &[u64]) -> (Vec<u64>, RemovedBlocks) {
+        let key = model_key(model);
+        self.models.entry(key).or_insert_with(|| model.to_owned());
+        let kept = &hashes[..hashes.len().min(self.capacity)];
+        let mut added = Vec::new();
+        for hash in kept.iter().rev() {
+            if self.touch(CacheBlock { model: key, hash: *hash }) {
+                added.push(*hash);
+            }
+        }
+        added.reverse();
+        let mut removed = Vec::new();
+        while self.blocks.len() > self.capacity {
+            let Some((_, block)) = self.by_use.pop_first() else { break };
+            self.blocks.remove(&block);
+            let model = self.models.get(&block.model).cloned().unwrap_or_default();
+            removed.push((model, block.hash));
+        }
+        (added, removed)
+    }
+
+    /// Removes all blocks of a model and returns their hashes.
+    pub(crate) fn unload(&mut self, model: &str) -> Vec<u64> {
+        let key = model_key(model);
+        let gone: Vec<_> = self.blocks.keys().filter(|block| block.model == key).copied().collect();
+        for block in &gone {
+            if let Some(stamp) = self.blocks.remove(block) {
+                self.by_use.remove(&stamp);
+            }
+        }
+        gone.into_iter().map(|block| block.hash).collect()
+    }
+
+    /// Marks a block as used; true if it is new.
+    fn touch(&mut self, block: CacheBlock) -> bool {
+        self.uses += 1;
+        self.by_use.insert(self.uses, block);
+        let previous = self.blocks.insert(block, self.uses);
+        if let Some(stamp) = previous {
+            self.by_use.remove(&stamp);
+        }
+        previous.is_none()
+    }
+}
+
+fn model_key(model: &str) -> u64 {
+    xxh3_64_with_seed(model.as_bytes(), 1)
+}
--- /dev/null
+++ b/crates/testbed/src/engine/serve.rs
@@ -0,0 +1,334 @@
+//! HTTP interface of the fake engine.
+
+use super::EngineCore;
+use super::batch::{BatchItem, token_event};
+use super::stream::{StreamBuffer, StreamRead};
+use crate::announce::CacheEventKind;
+use crate::fault::FaultSet;
+use crate::http::{EventWriter, header_value, read_body, respond_json};
+use crate::journal::{DispatchEnd, DispatchRecord, OrderRecord};
+use crate::prompt::{block_hashes, body_hash, seeded_text, token_count};
+use crate::sync::locked;
+use burdockcleat_core::clock::ClockTime;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use tiny_http::{Method, Request};
+
+/// Pause between looks at the faults while the engine is frozen.
+const FREEZE_PAUSE: Duration = Duration::from_millis(20);
+/// Largest answer length in tokens.
+const OUTPUT_LIMIT: u32 = 100_000;
+
+#[derive(Deserialize)]
+struct CompletionBody {
+    #[serde(default)]
+    model: String,
+    prompt: String,
+    #[serde(default = "default_tokens")]
+    max_tokens: u32,
+    #[serde(default)]
+    stream: bool,
+}
+
+fn default_tokens() -> u32 {
+    16
+}
+
+/// How the writer of one stream misbehaves.
+struct StreamFault {
+    cut_after: Option<u32>,
+    crossed: bool,
+}
+
+impl EngineCore {
+    /// Answers one request and counts it as open meanwhile.
+    pub(crate) fn handle(&self, request: Request) {
+        self.open_requests.fetch_add(1, Ordering::AcqRel);
+        self.serve(request);
+        self.open_requests.fetch_sub(1, Ordering::AcqRel);
+    }
+
+    fn serve(&self, mut request: Request) {
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        if path.starts_with("/testbed/") {
+            return self.serve_testbed(request, path);
+        }
+        self.wait_while_frozen();
+        let Ok(body) = read_body(&mut request) else { return };
+        let method = request.method().clone();
+        let stream_id = path.strip_prefix("/v1/streams/");
+        match (method, path, stream_id) {
+            (Method::Post, "/v1/completions", _) => self.complete(request, &body),
+            (Method::Post, "/v1/orders", _) => self.order(request, &body),
+            (Method::Get, _, Some(id)) => self.resume(request, id, query),
+            (Method::Delete, _, Some(id)) => self.cancel(request, id),
+            _ => respond_json(request, 404, &error_body("not_found")),
+        }
+    }
+
+    fn serve_testbed(&self, mut request: Request, path: &str) {
+        match path {
+            "/testbed/journal" => {
+                let journal = locked(&self.journal).clone();
+                respond_json(request, 200, &journal);
+            }
+            "/testbed/fault" => {
+                let body = read_body(&mut request).unwrap_or_default();
+                match serde_json::from_slice::<FaultSet>(&body) {
+                    Ok(fault) => {
+                        respond_json(request, 200, &fault);
+                        *locked(&self.fault) = fault;
+                    }
+                    Err(error) => respond_json(request, 400, &error_body(&error.to_string())),
+                }
+            }
+            _ => respond_json(request, 404, &error_body("not_found")),
+        }
+    }
+
+    fn wait_while_frozen(&self) {
+        while locked(&self.fault).freeze && !self.is_stopped() {
+            thread::sleep(FREEZE_PAUSE);
+        }
+    }
+
+    fn complete(&self, request: Request, body: &[u8]) {
+        let Some(id) = header_value(&request, "x-request-id") else {
+            return respond_json(request, 400, &error_body("missing x-request-id"));
+        };
+        let parsed = match serde_json::from_slice::<CompletionBody>(body) {
+            Ok(parsed) => parsed,
+            Err(error) => return respond_json(request, 400, &error_body(&error.to_string())),
+        };
+        let fault = locked(&self.fault).clone();
+        let slot = self.record_dispatch(&id, body, &parsed);
+        if fault.crash_marker.as_ref().is_some_and(|marker| parsed.prompt.contains(marker)) {
+            return self.crash(request);
+        }
+        let refusal = fault.error_status.or_else(|| self.missing_model(&parsed.model));
+        if let Some(status) = refusal {
+            locked(&self.journal).update(slot, |record| record.end = DispatchEnd::Error);
+            return respond_json(request, status, &error_body("engine_error"));
+        }
+        let stream = Arc::new(StreamBuffer::new(&id, &parsed.prompt, self.settings.buffer_events));
+        locked(&self.streams).insert(Arc::clone(&stream));
+        let streamed = parsed.stream;
+        self.submit(new_item(&stream, parsed, slot));
+        if streamed {
+            let fault = StreamFault { cut_after: fault.cut_after, crossed: fault.crossed_frames };
+            self.write_stream(request, &stream, 0, &fault);
+        } else {
+            self.write_whole(request, &stream);
+        }
+    }
+
+    fn record_dispatch(&self, id: &str, body: &[u8], parsed: &CompletionBody) -> Option<usize> {
+        locked(&self.journal).append(DispatchRecord {
+            request_id: id.to_owned(),
+            at_ms: ClockTime::wall().as_ms(),
+            body_hash: body_hash(body),
+            method: "POST".to_owned(),
+            path: "/v1/completions".to_owned(),
+            prompt_tokens: token_count(&parsed.prompt),
+            ..DispatchRecord::default()
+        })
+    }
+
+    fn missing_model(&self, model: &str) -> Option<u16> {
+        let loaded = locked(&self.models).iter().any(|name| name == model);
+        (!model.is_empty() && !loaded).then_some(404)
+    }
+
+    fn crash(&self, request: Request) {
+        log::info!(name = self.settings.target.name.as_str(); "crash marker found");
+        if self.settings.crash_exits {
+            std::process::exit(101);
+        }
+        self.crashed.store(true, Ordering::Release);
+        self.stopped.store(true, Ordering::Release);
+        self.work.notify_all();
+        drop(request);
+    }
+
+    fn resume(&self, request: Request, id: &str, query: &str) {
+        let Some(stream) = locked(&self.streams).find(id) else {
+            return respond_json(request, 404, &error_body("unknown stream"));
+        };
+        let after = query.split('&').find_map(|pair| pair.strip_prefix("after="));
+        let Ok(position) = after.unwrap_or("0").parse::<usize>() else {
+            return respond_json(request, 400, &error_body("after is not a number"));
+        };
+        if matches!(stream.read(position), StreamRead::Evicted) {
+            return respond_json(request, 410, &error_body("events are no longer buffered"));
+        }
+        locked(&self.journal).resumed += 1;
+        let fault = StreamFault { cut_after: None, crossed: false };
+        self.write_stream(request, &stream, position, &fault);
+    }
+
+    fn cancel(&self, request: Request, id: &str) {
+        let Some(stream) = locked(&self.streams).find(id) else {
+            return respond_json(request, 404, &error_body("unknown stream"));
+        };
+        let cancelled = stream.cancel();
+        self.work.notify_all();
+        respond_json(request, 200, &json!({ "id": id, "cancelled": cancelled }));
+    }
+
+    /// Writes events from a position to the end of the stream. A cancelled stream ends
+    /// without `[DONE]`.
+    fn write_stream(
+        &self,
+        request: Request,
+        stream: &StreamBuffer,
+        from: usize,
+        fault: &StreamFault,
+    ) {
+        let Ok(mut writer) = EventWriter::start(request) else { return };
+        let mut position = from;
+        loop {
+            self.wait_while_frozen();
+            if self.is_stopped() || fault.cut_after.is_some_and(|cut| position >= cut as usize) {
+                return writer.break_off();
+            }
+            let sent = match stream.read(position) {
+                StreamRead::Event(event) => {
+                    position += 1;
+                    let crossed = fault.crossed && position == 1;
+                    self.send_event(&mut writer, stream, &event, crossed)
+                }
+                StreamRead::Waiting => Ok(()),
+                StreamRead::Ended => {
+                    let _ = writer.send("[DONE]");
+                    return;
+                }
+                StreamRead::Cancelled => return,
+                StreamRead::Evicted => return writer.break_off(),
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn send_event(
+        &self,
+        writer: &mut EventWriter,
+        stream: &StreamBuffer,
+        event: &str,
+        crossed: bool,
+    ) -> io::Result<()> {
+        writer.send(event)?;
+        if crossed {
+            let other = locked(&self.streams).other(&stream.id);
+            let (id, hash) = other.map_or_else(
+                || ("stray".to_owned(), 0),
+                |other| (other.id.clone(), other.prompt_hash),
+            );
+            writer.send(&token_event(&id, 1, &seeded_text(hash, 1)))?;
+        }
+        Ok(())
+    }
+
+    /// Answers with one JSON document once the stream has ended.
+    fn write_whole(&self, request: Request, stream: &StreamBuffer) {
+        let (mut position, mut text, mut usage) = (0, String::new(), Value::Null);
+        loop {
+            self.wait_while_frozen();
+            if self.is_stopped() {
+                return;
+            }
+            match stream.read(position) {
+                StreamRead::Event(event) => {
+                    position += 1;
+                    let value: Value = serde_json::from_str(&event).unwrap_or_default();
+                    text.push_str(value["text"].as_str().unwrap_or_default());
+                    usage = value["usage"].clone();
+                }
+                StreamRead::Waiting => {}
+                StreamRead::Ended => {
+                    let answer = json!({ "id": stream.id, "text": text, "usage": usage });
+                    return respond_json(request, 200, &answer);
+                }
+                StreamRead::Cancelled => {
+                    return respond_json(request, 499, &error_body("cancelled"));
+                }
+                StreamRead::Evicted => {
+                    return respond_json(request, 500, &error_body("answer exceeds the buffer"));
+                }
+            }
+        }
+    }
+
+    fn order(&self, request: Request, body: &[u8]) {
+        let mut record = match serde_json::from_slice::<OrderRecord>(body) {
+            Ok(record) => record,
+            Err(error) => return respond_json(request, 400, &error_body(&error.to_string())),
+        };
+        record.at_ms = ClockTime::wall().as_ms();
+        let (highest, repeated) = self.order_history(&record.order_id);
+        let stale = self.settings.target.enforces_fencing && record.fencing < highest;
+        record.applied = !stale && !repeated;
+        locked(&self.journal).orders.push(record.clone());
+        if stale {
+            let answer = json!({ "error": { "reason": "stale_fencing", "highest": highest } });
+            return respond_json(request, 409, &answer);
+        }
+        if record.applied {
+            self.apply_order(&record);
+        }
+        let answer = json!({ "order_id": record.order_id, "applied": true, "repeated": repeated });
+        respond_json(request, 200, &answer);
+    }
+
+    /// Highest fencing number applied so far, and whether this order was applied before.
+    fn order_history(&self, order_id: &str) -> (u64, bool) {
+        let journal = locked(&self.journal);
+        let applied = || journal.orders.iter().filter(|order| order.applied);
+        let highest = applied().map(|order| order.fencing).max().unwrap_or(0);
+        (highest, applied().any(|order| order.order_id == order_id))
+    }
+
+    fn apply_order(&self, order: &OrderRecord) {
+        thread::sleep(Duration::from_millis(self.settings.order_ms));
+        match order.kind.as_str() {
+            "unload_model" => {
+                locked(&self.models).retain(|name| *name != order.model);
+                let gone = locked(&self.cache).unload(&order.model);
+                locked(&self.events).append(CacheEventKind::Removed, &order.model, gone);
+            }
+            "load_model" => {
+                let mut models = locked(&self.models);
+                if !models.contains(&order.model) {
+                    models.push(order.model.clone());
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+fn new_item(stream: &Arc<StreamBuffer>, parsed: CompletionBody, slot: Option<usize>) -> BatchItem {
+    let prompt_tokens = token_count(&parsed.prompt).max(1);
+    BatchItem {
+        stream: Arc::clone(stream),
+        blocks: block_hashes(&parsed.prompt),
+        model: parsed.model,
+        prompt_tokens,
+        max_tokens: parsed.max_tokens.clamp(1, OUTPUT_LIMIT),
+        journal_slot: slot,
+        cached_tokens: 0,
+        uncomputed: prompt_tokens,
+        produced: 0,
+    }
+}
+
+fn error_body(reason: &str) -> Value {
+    json!({ "error": { "reason": reason } })
+}
--- /dev/null
+++ b/crates/testbed/tests/engine.rs
@@ -0,0 +1,68 @@
+//! Tests of the fake engine over HTTP.
+
+mod common;
+
+use burdockcleat_testbed::announce::TargetAnnouncement;
+use burdockcleat_testbed::engine::{EngineSettings, FakeEngine};
+use burdockcleat_testbed::prompt::token_text;
+use common::{ControlStub, complete, stream_events};
+use std::time::Duration;
+
+fn fast_engine() -> EngineSettings {
+    let mut settings = EngineSettings::named("e1", "models");
+    settings.prefill_rate = 100_000.0;
+    settings.decode_rate = 500.0;
+    settings
+}
+
+/// Guards against a stream with missing, repeated or foreign tokens or without its end.
+#[test]
+fn stream_is_whole_and_own() {
+    let engine = FakeEngine::spawn(fast_engine()).unwrap();
+    let prompt = "a".repeat(640);
+    let events = complete(engine.address(), "r1", &prompt, 10);
+    assert_eq!(events.len(), 12);
+    for (index, event) in events[..10].iter().enumerate() {
+        assert_eq!(event["id"], "r1");
+        assert_eq!(event["index"], index);
+        assert_eq!(event["text"], token_text(&prompt, index as u32));
+    }
+    assert_eq!(events[10]["usage"]["prompt_tokens"], 160);
+    assert_eq!(events[10]["usage"]["cached_tokens"], 0);
+    assert_eq!(events[11], "[DONE]");
+    assert_eq!(engine.journal().dispatches.len(), 1);
+}
+
+/// Guards against a prefix cache that is not used or a resume that loses events.
+#[test]
+fn prefix_is_cached_and_stream_resumes() {
+    let engine = FakeEngine::spawn(fast_engine()).unwrap();
+    let prompt = "b".repeat(640);
+    complete(engine.address(), "r1", &prompt, 4);
+    let events = complete(engine.address(), "r2", &prompt, 4);
+    assert_eq!(events[4]["usage"]["cached_tokens"], 159);
+    let url = format!("http://{}/v1/streams/r1?after=2", engine.address());
+    let resumed = stream_events(ureq::get(&url).call().unwrap()).unwrap();
+    assert_eq!(resumed[0]["index"], 2);
+    assert_eq!(resumed.len(), 4);
+    let unknown = ureq::get(&url.replace("r1", "r9")).call();
+    assert!(matches!(unknown, Err(ureq::Error::StatusCode(404))));
+}
+
+/// Guards against announcements that ignore a redirect to the leader.
+#[test]
+fn announcement_follows_the_leader() {
+    let leader = ControlStub::spawn(None);
+    let follower = ControlStub::spawn(Some(leader.url()));
+    let mut settings = fast_engine();
+    settings.target.control_urls = vec![follower.url()];
+    settings.target.heartbeat_ms = 50;
+    let mut engine = FakeEngine::spawn(settings).unwrap();
+    let body = leader.next("/v1/targets/announce", Duration::from_secs(5));
+    let announcement: TargetAnnouncement = serde_json::from_value(body).unwrap();
+    assert_eq!(announcement.name, "e1");
+    assert_eq!(announcement.address, engine.address().to_string());
+    assert!(engine.leave());
+    let leave = leader.next("/v1/targets/leave", Duration::from_secs(5));
+    assert_eq!(leave["incarnation"], announcement.incarnation);
+}
