--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,18 @@
 //! Fake targets, load program and deployments of real processes, for tests and measurements.
+//!
+//! Everything here listens on and connects to loopback addresses only.
 
+pub mod announce;
 pub mod deployment;
+pub mod engine;
+pub mod error;
+pub mod fault;
+pub mod flags;
+pub mod journal;
 pub mod probe;
+pub mod prompt;
 pub mod relay;
+pub mod service;
+
+mod http;
+mod sync;
