--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -196,6 +196,9 @@
     /// The proposed membership is not one permitted step from the current one.
     #[error("changing members by more than one permitted step")]
     NotOneChange,
+    /// The leader would remove itself; it has to hand over first.
+    #[error("removing the leader, which has to hand over first")]
+    RemovesLeader,
     /// The learner to promote lacks committed entries.
     #[error("promoting learner {node} with log at {matched} of {commit_index}")]
     LearnerBehind {
@@ -422,6 +425,9 @@
             }
         }
         let change = self.members().change_to(next).ok_or(ReplicaError::NotOneChange)?;
+        if !next.is_voter(self.config.node) {
+            return Err(ReplicaError::RemovesLeader);
+        }
         let MemberChange::Promote(node) = change else { return Ok(()) };
         let matched = self.peer(node).map_or(0, |peer| peer.match_index);
         if matched < self.commit_index {
--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -4,7 +4,7 @@
 use super::log::EntryLog;
 use super::message::{AppendRequest, AppendResult, ReplicaMessage};
 use super::peer::{LeaderMark, PeerProgress, append_of};
-use super::{LogReplica, MemberSet, RoleState};
+use super::{EntryPayload, LogReplica, MemberSet, RoleState};
 use crate::clock::ClockTime;
 use crate::keys::NodeId;
 
@@ -120,11 +120,30 @@
     /// again under the new members.
     pub(super) fn advance_commit(&mut self) {
         while let Some(target) = self.committable() {
+            if self.log.last_change() <= self.commit_index {
+                self.commit_index = target;
+                continue;
+            }
             let before = self.members().clone();
             self.commit_index = target;
             if *self.members() != before {
                 self.members_changed(&before);
             }
+            self.seal_members();
+        }
+    }
+
+    /// Repeats a committed membership in a second entry.
+    ///
+    /// A restarted replica takes the last membership but one as committed. Without the second
+    /// entry it would return to the membership before, and the rest of the members could be
+    /// without a majority if the leader is lost directly after a repair.
+    fn seal_members(&mut self) {
+        if !self.is_leader() || self.log.last_change() > self.commit_index {
+            return;
+        }
+        if let Some(members) = self.log.unsealed_members().cloned() {
+            self.append_own(EntryPayload::Members(members));
         }
     }
 
--- a/crates/core/src/replica/log.rs
+++ b/crates/core/src/replica/log.rs
@@ -123,6 +123,12 @@
         self.history.iter().rev().find(|(at, _)| *at <= index).map(|(_, members)| members)
     }
 
+    /// The last membership, if a replica that restarts could not tell that it is committed.
+    pub(super) fn unsealed_members(&self) -> Option<&MemberSet> {
+        let [.., (_, before), (_, last)] = &self.history[..] else { return None };
+        (before != last).then_some(last)
+    }
+
     /// Index of the last membership entry.
     pub(super) fn last_change(&self) -> u64 {
         self.history.last().map_or(0, |(index, _)| *index)
