--- a/crates/burdockcleat/tests/storage.rs
+++ b/crates/burdockcleat/tests/storage.rs
@@ -1,9 +1,16 @@
 //! Tests of the storage of a replica.
 
+#[path = "storage/folder.rs"]
+mod folder;
+
 use burdockcleat::storage::{LogStorage, StorageError};
-use burdockcleat_core::replica::{MemberSet, StoredState};
+use burdockcleat_core::replica::{MemberSet, ReplicaOutput, StoredState, VoteRecord};
+use folder::{
+    LOG, appended, copy_of, entries, entry, image, open, open_error, single_segment, state,
+};
+use std::fs;
 
-// Guards against two processes that write the same log, and against state lost by a restart.
+// Guards against state that a restart loses, and against two processes that write the same log.
 #[test]
 fn keeps_state_and_refuses_a_second_open() {
     let folder = tempfile::tempdir().unwrap();
@@ -11,10 +18,212 @@
     assert_eq!(stored, StoredState::default());
     let initial = StoredState::initial(MemberSet::default());
     storage.initialize(&initial).unwrap();
-    let second = LogStorage::open(folder.path());
-    assert!(matches!(second, Err(StorageError::FolderInUse { .. })));
+    assert!(matches!(storage.initialize(&initial), Err(StorageError::NotEmpty { .. })));
+    assert!(matches!(open_error(folder.path()), StorageError::FolderInUse { .. }));
     let node = storage.node();
     drop(storage);
-    let (storage, stored) = LogStorage::open(folder.path()).unwrap();
+    let (storage, stored) = open(folder.path());
     assert_eq!((storage.node(), stored), (node, initial));
 }
+
+// Guards against a replica that lost its folder and votes again under its old identity.
+#[test]
+fn lost_folder_gives_a_new_identity() {
+    let parent = tempfile::tempdir().unwrap();
+    let folder = parent.path().join("data");
+    let node = LogStorage::open(&folder).unwrap().0.node();
+    fs::remove_dir_all(&folder).unwrap();
+    let (storage, stored) = LogStorage::open(&folder).unwrap();
+    assert_ne!(storage.node(), node);
+    assert_eq!(stored, StoredState::default());
+}
+
+// Guards against a new identity or an empty vote next to an old log.
+#[test]
+fn missing_files_next_to_a_log_are_errors() {
+    let folder = appended(3);
+    fs::remove_file(folder.path().join("vote")).unwrap();
+    assert!(matches!(open_error(folder.path()), StorageError::VoteMissing { .. }));
+    fs::remove_file(folder.path().join("identity")).unwrap();
+    assert!(matches!(open_error(folder.path()), StorageError::IdentityMissing { .. }));
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = LogStorage::open(folder.path()).unwrap();
+    storage.persist(&state(1, &entries(5..=6, 1))).unwrap();
+    drop(storage);
+    let error = open_error(folder.path());
+    assert!(matches!(error, StorageError::EntriesMissing { expected: 1, found: 5, .. }));
+}
+
+// Guards against one sync per entry, which would bound the claims per second by the disk.
+#[test]
+fn a_batch_is_synced_once() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = LogStorage::open(folder.path()).unwrap();
+    storage.persist(&state(1, &entries(1..=500, 1))).unwrap();
+    storage.persist(&ReplicaOutput::default()).unwrap();
+    assert_eq!(storage.sync_count(), 1);
+}
+
+// Guards against a start that fails or loses acknowledged entries after a crash during a write.
+#[test]
+fn torn_last_record_is_removed_at_every_length() {
+    let folder = appended(2);
+    let whole = single_segment(folder.path());
+    let (mut storage, _) = open(folder.path());
+    storage.persist(&state(2, &entries(3..=4, 2))).unwrap();
+    drop(storage);
+    let longer = single_segment(folder.path());
+    for length in whole.len()..longer.len() {
+        fs::write(folder.path().join(LOG), &longer[..length]).unwrap();
+        let (mut storage, stored) = open(folder.path());
+        assert_eq!(stored.entries, entries(1..=2, 1), "cut at {length}");
+        assert_eq!(single_segment(folder.path()), whole);
+        storage.persist(&state(2, &entries(3..=3, 2))).unwrap();
+        drop(storage);
+        assert_eq!(open(folder.path()).1.entries.len(), 3);
+    }
+    // File systems may leave zeros instead of the data.
+    let mut zeros = whole.clone();
+    zeros.resize(longer.len(), 0);
+    fs::write(folder.path().join(LOG), &zeros).unwrap();
+    assert_eq!(open(folder.path()).1.entries.len(), 2);
+}
+
+// Guards against acknowledged entries that are silently dropped because a record before them is
+// damaged, whichever byte it is.
+#[test]
+fn corrupt_record_in_the_middle_names_file_and_offset() {
+    let folder = appended(3);
+    let whole = single_segment(folder.path());
+    let record = whole.len() / 3;
+    for at in record..2 * record {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x40;
+        fs::write(folder.path().join(LOG), &damaged).unwrap();
+        let StorageError::Corrupt { file, offset } = open_error(folder.path()) else {
+            panic!("damage at {at} is not reported as corrupt");
+        };
+        assert_eq!((file, offset), (folder.path().join(LOG), record as u64));
+    }
+    fs::write(folder.path().join(LOG), &whole).unwrap();
+    assert_eq!(open(folder.path()).1.entries.len(), 3);
+}
+
+// Guards against a damaged vote or snapshot that is taken as missing or as valid.
+#[test]
+fn corrupt_vote_and_snapshot_are_errors() {
+    for name in ["vote", "snapshot", "identity"] {
+        let folder = appended(3);
+        let (mut storage, _) = open(folder.path());
+        let snapshot = Some(image(2, 1));
+        storage.persist(&ReplicaOutput { snapshot, ..ReplicaOutput::default() }).unwrap();
+        drop(storage);
+        let path = folder.path().join(name);
+        let mut bytes = fs::read(&path).unwrap();
+        let last = bytes.len() - 1;
+        bytes[last] ^= 1;
+        fs::write(&path, &bytes).unwrap();
+        let error = open_error(folder.path());
+        assert!(matches!(&error, StorageError::Corrupt { file, offset: 0 } if *file == path));
+    }
+}
+
+// Guards against a crash between the steps of a replacement that loses the old file or takes a
+// half-written new one.
+#[test]
+fn crash_before_the_rename_keeps_the_old_file() {
+    let folder = appended(2);
+    let (mut storage, _) = open(folder.path());
+    let old = fs::read(folder.path().join("vote")).unwrap();
+    storage.persist(&state(9, &[])).unwrap();
+    drop(storage);
+    let new = fs::read(folder.path().join("vote")).unwrap();
+    for length in 0..=new.len() {
+        fs::write(folder.path().join("vote"), &old).unwrap();
+        fs::write(folder.path().join("vote.new"), &new[..length]).unwrap();
+        let (storage, stored) = open(folder.path());
+        assert_eq!(stored.vote, VoteRecord { term: 1, voted_for: None });
+        assert!(!folder.path().join("vote.new").exists());
+        drop(storage);
+    }
+}
+
+// Guards against a crash after the snapshot is renamed and before the log is shortened.
+#[test]
+fn crash_between_snapshot_and_log_keeps_a_valid_state() {
+    let before = appended(4);
+    let after = copy_of(before.path());
+    let (mut storage, _) = open(after.path());
+    // An installed snapshot beyond the log replaces all entries.
+    let installed = ReplicaOutput {
+        snapshot: Some(image(9, 3)),
+        restore: true,
+        truncate_from: Some(1),
+        append: vec![entry(10, 3)],
+        ..ReplicaOutput::default()
+    };
+    storage.persist(&installed).unwrap();
+    drop(storage);
+    let (storage, stored) = open(after.path());
+    assert_eq!((stored.snapshot, stored.entries), (Some(image(9, 3)), vec![entry(10, 3)]));
+    drop(storage);
+    fs::copy(after.path().join("snapshot"), before.path().join("snapshot")).unwrap();
+    for _ in 0..2 {
+        let (storage, stored) = open(before.path());
+        assert_eq!((stored.snapshot, stored.entries), (Some(image(9, 3)), Vec::new()));
+        drop(storage);
+    }
+}
+
+// Guards against entries that come back after a truncation.
+#[test]
+fn truncated_entries_stay_removed() {
+    let folder = appended(5);
+    let (mut storage, _) = open(folder.path());
+    let truncate_from = Some(3);
+    let output = ReplicaOutput { truncate_from, append: vec![entry(3, 2)], ..state(2, &[]) };
+    storage.persist(&output).unwrap();
+    drop(storage);
+    let mut expected = entries(1..=2, 1);
+    expected.push(entry(3, 2));
+    assert_eq!(open(folder.path()).1.entries, expected);
+}
+
+// Guards against a log that grows without bound and against entries lost by removing segments.
+#[test]
+fn old_segments_are_removed_and_a_restart_continues() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = LogStorage::open(folder.path()).unwrap();
+    for index in 1..=12 {
+        let mut large = entry(index, 1);
+        large.payload = burdockcleat_core::replica::EntryPayload::Command(vec![1; 2 << 20]);
+        storage.persist(&state(1, &[large])).unwrap();
+    }
+    let full = storage.log_bytes();
+    let snapshot = Some(image(10, 1));
+    storage.persist(&ReplicaOutput { snapshot, ..ReplicaOutput::default() }).unwrap();
+    assert!(storage.log_bytes() < full / 2);
+    drop(storage);
+    let (mut storage, stored) = open(folder.path());
+    assert_eq!(stored.snapshot, Some(image(10, 1)));
+    let indexes: Vec<u64> = stored.entries.iter().map(|entry| entry.index).collect();
+    assert_eq!(indexes, [9, 10, 11, 12]);
+    storage.persist(&state(1, &entries(13..=13, 1))).unwrap();
+    drop(storage);
+    assert_eq!(open(folder.path()).1.entries.len(), 5);
+}
+
+// Guards against a message that is sent although the write failed, and against a record that is
+// appended behind a half-written one.
+#[test]
+fn nothing_is_written_after_a_failed_write() {
+    let folder = appended(2);
+    let (mut storage, _) = open(folder.path());
+    fs::create_dir(folder.path().join("vote.new")).unwrap();
+    let failed = storage.persist(&state(5, &[])).unwrap_err();
+    assert!(matches!(&failed, StorageError::Io { .. }));
+    assert!(failed.to_string().starts_with("creating "), "{failed}");
+    fs::remove_dir(folder.path().join("vote.new")).unwrap();
+    let refused = storage.persist(&state(5, &entries(3..=3, 5)));
+    assert!(matches!(refused, Err(StorageError::FailedBefore { .. })));
+}
--- /dev/null
+++ b/crates/burdockcleat/tests/storage/folder.rs
@@ -0,0 +1,62 @@
+//! Folders and records for the tests of the storage.
+
+use burdockcleat::storage::{LogStorage, StorageError};
+use burdockcleat_core::replica::{
+    EntryPayload, LogEntry, MemberSet, ReplicaOutput, SnapshotImage, StoredState, VoteRecord,
+};
+use std::fs;
+use std::ops::RangeInclusive;
+use std::path::Path;
+use tempfile::TempDir;
+
+/// Name of the first segment.
+pub const LOG: &str = "log-0000000001";
+
+pub fn entry(index: u64, term: u64) -> LogEntry {
+    LogEntry { index, term, payload: EntryPayload::Command(b"command".to_vec()) }
+}
+
+pub fn entries(indexes: RangeInclusive<u64>, term: u64) -> Vec<LogEntry> {
+    indexes.map(|index| entry(index, term)).collect()
+}
+
+pub fn image(index: u64, term: u64) -> SnapshotImage {
+    SnapshotImage { index, term, members: MemberSet::default(), data: vec![7; 100].into() }
+}
+
+/// An output with a vote in `term` and entries.
+pub fn state(term: u64, append: &[LogEntry]) -> ReplicaOutput {
+    let vote = Some(VoteRecord { term, voted_for: None });
+    ReplicaOutput { vote, append: append.to_vec(), ..ReplicaOutput::default() }
+}
+
+/// A folder with entries of term 1, each in a record of its own.
+pub fn appended(count: u64) -> TempDir {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut storage, _) = LogStorage::open(folder.path()).unwrap();
+    for index in 1..=count {
+        storage.persist(&state(1, &[entry(index, 1)])).unwrap();
+    }
+    folder
+}
+
+pub fn copy_of(folder: &Path) -> TempDir {
+    let copy = tempfile::tempdir().unwrap();
+    for item in fs::read_dir(folder).unwrap() {
+        let path = item.unwrap().path();
+        fs::copy(&path, copy.path().join(path.file_name().unwrap())).unwrap();
+    }
+    copy
+}
+
+pub fn single_segment(folder: &Path) -> Vec<u8> {
+    fs::read(folder.join(LOG)).unwrap()
+}
+
+pub fn open(folder: &Path) -> (LogStorage, StoredState) {
+    LogStorage::open(folder).unwrap()
+}
+
+pub fn open_error(folder: &Path) -> StorageError {
+    LogStorage::open(folder).map(|(_, stored)| stored).expect_err("the open must fail")
+}
