--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -1,4 +1,8 @@
 //! Claim table: one claim per request key, open or within its retention.
+//!
+//! A claim takes 64 bytes in its row and 5 to 11 bytes in the key index, which is between three
+//! eighths and three quarters full. Targets, entries and names are shared, and only open claims
+//! are in the other indexes. `examples/claim_table.rs` measures 73 to 87 bytes per claim.
 
 use super::claim::{
     ClaimPhase, ClaimRecord, ClaimRules, EXPIRE_BATCH, IDEMPOTENT_RETENTION_MS,
--- a/crates/core/src/state/image.rs
+++ b/crates/core/src/state/image.rs
@@ -26,6 +26,9 @@
 /// Version of the snapshot layout. Change it with any change of a type that is written.
 const FORMAT_VERSION: u32 = 1;
 const PREFIX_BYTES: usize = 8;
+/// More than the longest row: 19 bytes for the key, 10 for each of three 64-bit numbers, 5 for
+/// each of four 32-bit numbers and up to 5 for the rest.
+const ROW_BUFFER_BYTES: usize = 96;
 
 /// A snapshot that could not be restored.
 #[derive(Debug, Error)]
@@ -156,11 +159,14 @@
 
 impl ReplicatedState {
     /// Encodes the state.
+    ///
+    /// A million claims take 0.16 s. A caller with an event loop clones the state (0.05 s) and
+    /// encodes the clone on another thread.
     pub fn snapshot(&self) -> Vec<u8> {
         let mut numbers = TableNumbers::default();
         let mut rows = Vec::with_capacity(self.claims.len() * 56);
         for slot in self.claims.slots() {
-            append(&mut rows, &numbers.image(self.claims.arena.row(slot)));
+            append_row(&mut rows, &numbers.image(self.claims.arena.row(slot)));
         }
         let header = self.header(&numbers);
         let mut bytes = vec![0; PREFIX_BYTES];
@@ -237,6 +243,15 @@
     }
 }
 
+/// Encodes on the stack first. Appending byte by byte made the snapshot of a million claims take
+/// 294 ms instead of 164 ms.
+fn append_row(bytes: &mut Vec<u8>, row: &RowImage) {
+    let mut buffer = [0; ROW_BUFFER_BYTES];
+    if let Ok(encoded) = postcard::to_slice(row, &mut buffer) {
+        bytes.extend_from_slice(encoded);
+    }
+}
+
 fn checked_content(bytes: &[u8]) -> Result<&[u8], SnapshotError> {
     let too_short = SnapshotError::TooShort { length: bytes.len() };
     let Some((format, rest)) = bytes.split_first_chunk::<4>() else { return Err(too_short) };
--- a/crates/core/tests/state.rs
+++ b/crates/core/tests/state.rs
@@ -9,7 +9,7 @@
     ClaimPhase, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply, EXPIRE_BATCH,
     EngineOrder, ExpireReply, IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
     OPERATIONS_KEPT, OWNERLESS_MARGIN_MS, OrderAction, OrderDoneReply, OrderId, OrderResult,
-    ReplicatedState, SnapshotError, StampedCommand, StateCommand, VERSIONS_KEPT,
+    RefuseReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand, VERSIONS_KEPT,
 };
 use std::sync::Arc;
 
@@ -180,6 +180,29 @@
     assert_eq!(machine.release(5, 9, 4), late);
 }
 
+/// Guards against a late attempt that runs after its caller was told `not_run`, and against a
+/// refusal of a request that may have run.
+#[test]
+fn a_refused_key_is_not_claimed_before_its_end() {
+    let mut machine = Machine::open();
+    let refuse = |key: u128, until| StateCommand::Refuse {
+        key: RequestKey(key),
+        until: ClockTime::from_ms(until),
+        reason: ReasonCode::Overloaded,
+    };
+    let recorded = CommandReply::Refuse(RefuseReply::Recorded);
+    assert_eq!(machine.apply(0, refuse(1, 500)), recorded);
+    assert!(matches!(machine.claim(499, 1, true), ClaimReply::Refused(_)));
+    assert_eq!(machine.claim(500, 1, true), ClaimReply::Created(ClaimNumber(3)));
+    let claimed = |reply| matches!(reply, CommandReply::Refuse(RefuseReply::AlreadyClaimed(_)));
+    assert!(claimed(machine.apply(500, refuse(1, 900))));
+    machine.finish(500, 1, 3, RequestOutcome::Failed);
+    assert!(claimed(machine.apply(500, refuse(1, 900))));
+    assert_eq!(machine.state.summary().refusals, 1);
+    machine.expire(500);
+    assert_eq!(machine.state.summary().refusals, 0);
+}
+
 /// Guards against claims that are dropped before the end of their retention, or kept after it.
 #[test]
 fn ended_claims_are_kept_for_the_retention_of_their_kind() {
