Test that an emptied claim table keeps no memory of its claims

The summary now counts shared values, and a test runs six rounds of claims and requires that the rows are reused and that no shared value is left, in the machine and in a restored one.

--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -64,6 +64,8 @@
     pub claim_limit: usize,
     /// Bytes of the claim table.
     pub claim_bytes: usize,
+    /// Distinct targets, entry runs and names that claims refer to.
+    pub shared_values: usize,
     /// Refusals in the table.
     pub refusals: usize,
     /// Orders without a result.
@@ -314,6 +316,7 @@
             claims_ownerless: self.claims.ownerless_len(),
             claim_limit: self.claim_limit,
             claim_bytes: self.claims.heap_bytes(),
+            shared_values: self.claims.shared_values(),
             refusals: self.refusals.len(),
             orders_open: self.orders.open_len(),
             operations: self.operations.len(),
--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -84,6 +84,11 @@
         self.arena.heap_bytes() + self.index.heap_bytes()
     }
 
+    /// Distinct targets, entry runs and names that claims refer to.
+    pub(super) fn shared_values(&self) -> usize {
+        self.targets.len() + self.entries.len() + self.names.len()
+    }
+
     pub(super) fn claim(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
         if let Some(slot) = self.index.find(&self.arena, request.key) {
             let ended = matches!(self.arena.row(slot).phase, RowPhase::Ended(_));
--- a/crates/core/src/state/intern.rs
+++ b/crates/core/src/state/intern.rs
@@ -99,4 +99,9 @@
         let slot = self.slots[key.0 as usize].as_ref();
         &slot.expect("an intern key in use has a value").value
     }
+
+    /// Number of distinct values in use.
+    pub(super) fn len(&self) -> usize {
+        self.lookup.len()
+    }
 }
--- a/crates/core/tests/state.rs
+++ b/crates/core/tests/state.rs
@@ -255,6 +255,43 @@
     assert_eq!((second.removed, second.more), (1, false));
 }
 
+const INDEX_SPREAD: usize = 64 * 1_024;
+
+/// Guards against rows, target runs or names that stay in memory after their claims are removed,
+/// in the machine and in a restored one.
+#[test]
+fn an_emptied_table_keeps_no_memory_of_its_claims() {
+    let mut machine = Machine::open();
+    let mut bytes = None;
+    for round in 0..6_u64 {
+        let at = round * (IDEMPOTENT_RETENTION_MS + 1);
+        for number in 0..5_000 {
+            let key = u128::from(round * 5_000 + number);
+            let mut claim = request(key, true);
+            claim.target.incarnation = round;
+            claim.entry = NodeId(number % 7 + round);
+            machine.apply(at, StateCommand::Claim(claim));
+            let claim = machine.index;
+            if number % 3 == 0 {
+                machine.release(at, key, claim);
+            } else {
+                machine.finish(at, key, claim, RequestOutcome::Completed);
+            }
+        }
+        // Shards of the index grow at different loads, which changes the bytes by a few KiB.
+        let bytes = *bytes.get_or_insert(machine.state.summary().claim_bytes + INDEX_SPREAD);
+        assert!(machine.state.summary().claim_bytes <= bytes, "round {round}");
+        let snapshot = machine.state.snapshot();
+        let restored = ReplicatedState::restore(&snapshot).expect("an undamaged snapshot");
+        let mut restored = Machine { state: restored, index: machine.index };
+        for machine in [&mut machine, &mut restored] {
+            machine.expire(at + IDEMPOTENT_RETENTION_MS + 1);
+            let summary = machine.state.summary();
+            assert_eq!((summary.claims, summary.shared_values), (0, 0), "round {round}");
+        }
+    }
+}
+
 /// Guards against a leader with a slow clock that moves the time of the machine back.
 #[test]
 fn the_time_of_the_machine_never_goes_back() {
