--- a/crates/core/src/state/claims.rs
+++ b/crates/core/src/state/claims.rs
@@ -1,4 +1,8 @@
 //! Claim table: one claim per request key, open or within its retention.
+//!
+//! A claim takes 64 bytes in its row and 5 to 11 bytes in the key index, which is between three
+//! eighths and three quarters full. Targets, entries and names are shared, and only open claims
+//! are in the other indexes. `examples/claim_table.rs` measures 73 to 87 bytes per claim.
 
 use super::claim::{
     ClaimPhase, ClaimRecord, ClaimRules, EXPIRE_BATCH, IDEMPOTENT_RETENTION_MS,
@@ -80,6 +84,11 @@
         self.arena.heap_bytes() + self.index.heap_bytes()
     }
 
+    /// Distinct targets, entry runs and names that claims refer to.
+    pub(super) fn shared_values(&self) -> usize {
+        self.targets.len() + self.entries.len() + self.names.len()
+    }
+
     pub(super) fn claim(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
         if let Some(slot) = self.index.find(&self.arena, request.key) {
             let ended = matches!(self.arena.row(slot).phase, RowPhase::Ended(_));
--- a/crates/core/tests/state.rs
+++ b/crates/core/tests/state.rs
@@ -9,7 +9,7 @@
     ClaimPhase, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply, EXPIRE_BATCH,
     EngineOrder, ExpireReply, IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
     OPERATIONS_KEPT, OWNERLESS_MARGIN_MS, OrderAction, OrderDoneReply, OrderId, OrderResult,
-    ReplicatedState, SnapshotError, StampedCommand, StateCommand, VERSIONS_KEPT,
+    RefuseReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand, VERSIONS_KEPT,
 };
 use std::sync::Arc;
 
@@ -180,6 +180,29 @@
     assert_eq!(machine.release(5, 9, 4), late);
 }
 
+/// Guards against a late attempt that runs after its caller was told `not_run`, and against a
+/// refusal of a request that may have run.
+#[test]
+fn a_refused_key_is_not_claimed_before_its_end() {
+    let mut machine = Machine::open();
+    let refuse = |key: u128, until| StateCommand::Refuse {
+        key: RequestKey(key),
+        until: ClockTime::from_ms(until),
+        reason: ReasonCode::Overloaded,
+    };
+    let recorded = CommandReply::Refuse(RefuseReply::Recorded);
+    assert_eq!(machine.apply(0, refuse(1, 500)), recorded);
+    assert!(matches!(machine.claim(499, 1, true), ClaimReply::Refused(_)));
+    assert_eq!(machine.claim(500, 1, true), ClaimReply::Created(ClaimNumber(3)));
+    let claimed = |reply| matches!(reply, CommandReply::Refuse(RefuseReply::AlreadyClaimed(_)));
+    assert!(claimed(machine.apply(500, refuse(1, 900))));
+    machine.finish(500, 1, 3, RequestOutcome::Failed);
+    assert!(claimed(machine.apply(500, refuse(1, 900))));
+    assert_eq!(machine.state.summary().refusals, 1);
+    machine.expire(500);
+    assert_eq!(machine.state.summary().refusals, 0);
+}
+
 /// Guards against claims that are dropped before the end of their retention, or kept after it.
 #[test]
 fn ended_claims_are_kept_for_the_retention_of_their_kind() {
@@ -232,6 +255,43 @@
     assert_eq!((second.removed, second.more), (1, false));
 }
 
+const INDEX_SPREAD: usize = 64 * 1_024;
+
+/// Guards against rows, target runs or names that stay in memory after their claims are removed,
+/// in the machine and in a restored one.
+#[test]
+fn an_emptied_table_keeps_no_memory_of_its_claims() {
+    let mut machine = Machine::open();
+    let mut bytes = None;
+    for round in 0..6_u64 {
+        let at = round * (IDEMPOTENT_RETENTION_MS + 1);
+        for number in 0..5_000 {
+            let key = u128::from(round * 5_000 + number);
+            let mut claim = request(key, true);
+            claim.target.incarnation = round;
+            claim.entry = NodeId(number % 7 + round);
+            machine.apply(at, StateCommand::Claim(claim));
+            let claim = machine.index;
+            if number % 3 == 0 {
+                machine.release(at, key, claim);
+            } else {
+                machine.finish(at, key, claim, RequestOutcome::Completed);
+            }
+        }
+        // Shards of the index grow at different loads, which changes the bytes by a few KiB.
+        let bytes = *bytes.get_or_insert(machine.state.summary().claim_bytes + INDEX_SPREAD);
+        assert!(machine.state.summary().claim_bytes <= bytes, "round {round}");
+        let snapshot = machine.state.snapshot();
+        let restored = ReplicatedState::restore(&snapshot).expect("an undamaged snapshot");
+        let mut restored = Machine { state: restored, index: machine.index };
+        for machine in [&mut machine, &mut restored] {
+            machine.expire(at + IDEMPOTENT_RETENTION_MS + 1);
+            let summary = machine.state.summary();
+            assert_eq!((summary.claims, summary.shared_values), (0, 0), "round {round}");
+        }
+    }
+}
+
 /// Guards against a leader with a slow clock that moves the time of the machine back.
 #[test]
 fn the_time_of_the_machine_never_goes_back() {
