--- a/crates/burdockcleat/tests/storage.rs
+++ b/crates/burdockcleat/tests/storage.rs
@@ -1,5 +1,7 @@
 //! Tests of the storage of a replica.
 
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
 #[path = "storage/folder.rs"]
 mod folder;
 
--- a/crates/testbed/src/announce.rs
+++ b/crates/testbed/src/announce.rs
@@ -2,7 +2,12 @@
 
 use crate::error::TestbedError;
 use crate::sync::locked;
+pub use burdockcleat_core::registry::{
+    CacheChange, CacheEvent, LoadReport, TargetAnnouncement, TargetKind,
+};
+
 use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::keys::TargetIdentity;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde::{Deserialize, Serialize};
@@ -20,88 +25,6 @@
 /// Interval at which the load is sampled for lagging reports.
 const SAMPLE_MS: u64 = 50;
 
-/// Whether a target serves models or plain calls.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TargetKind {
-    /// Engine that serves models.
-    Model,
-    /// Plain service.
-    Service,
-}
-
-/// Load that a target reports.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Requests being computed.
-    pub running: u32,
-    /// Requests waiting inside the target.
-    pub waiting: u32,
-    /// Number of the report; grows by one with each sample.
-    pub sequence: u64,
-}
-
-/// What happened to blocks of the prefix cache.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum CacheEventKind {
-    /// The blocks were added.
-    Stored,
-    /// The blocks were removed.
-    Removed,
-}
-
-/// Change of the prefix cache. A missing sequence number means lost events.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Number of the event, from 1, without gaps unless events were lost.
-    pub sequence: u64,
-    /// What happened.
-    pub kind: CacheEventKind,
-    /// Model whose prompts the blocks belong to.
-    pub model: String,
-    /// Cumulative block hashes, see [`crate::prompt::block_hashes`].
-    pub hashes: Vec<u64>,
-}
-
-/// Body of `POST /v1/targets/announce`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetAnnouncement {
-    /// Name, unique in the deployment.
-    pub name: String,
-    /// Grows with each start of the target.
-    pub incarnation: u64,
-    /// Address for dispatches, `ip:port`.
-    pub address: String,
-    /// Pool that the target serves.
-    pub pool: String,
-    /// Kind of target.
-    pub kind: TargetKind,
-    /// Hardware generation.
-    pub generation: String,
-    /// Failure domain.
-    pub domain: String,
-    /// Models that are loaded.
-    pub models: Vec<String>,
-    /// Requests that the target wants at a time.
-    pub slots: u32,
-    /// Whether the target rejects orders with an older fencing number.
-    pub enforces_fencing: bool,
-    /// Load, possibly late.
-    pub load: LoadReport,
-    /// Changes of the prefix cache since the last accepted announcement.
-    pub cache_events: Vec<CacheEvent>,
-}
-
-/// Body of `POST /v1/targets/leave`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct TargetLeave {
-    /// Name of the target.
-    pub name: String,
-    /// Incarnation that ends.
-    pub incarnation: u64,
-}
-
 /// How a fake target presents itself.
 #[derive(Clone, Debug)]
 pub struct TargetSettings {
@@ -123,6 +46,10 @@
     pub slots: u32,
     /// Whether orders with an older fencing number are rejected.
     pub enforces_fencing: bool,
+    /// Who may send orders, empty if nobody may.
+    pub order_issuer: String,
+    /// Bearer token for the control instances.
+    pub token: String,
     /// Base URLs of the control instances; none means no announcement.
     pub control_urls: Vec<String>,
     /// Interval of the announcements.
@@ -146,6 +73,8 @@
             models: vec!["m1".to_owned()],
             slots: 8,
             enforces_fencing: true,
+            order_issuer: "burdockcleat".to_owned(),
+            token: crate::deployment::TARGET_TOKEN.to_owned(),
             control_urls: Vec::new(),
             heartbeat_ms: 500,
             report_lag_ms: 0,
@@ -174,13 +103,13 @@
 }
 
 impl EventQueue {
-    pub(crate) fn append(&mut self, kind: CacheEventKind, model: &str, hashes: Vec<u64>) {
-        if hashes.is_empty() {
+    pub(crate) fn append(&mut self, change: CacheChange) {
+        if matches!(&change, CacheChange::Stored(hashes) | CacheChange::Removed(hashes) if hashes.is_empty())
+        {
             return;
         }
         self.sequence += 1;
-        let model = model.to_owned();
-        self.events.push_back(CacheEvent { sequence: self.sequence, kind, model, hashes });
+        self.events.push_back(CacheEvent { sequence: self.sequence, change });
         if self.events.len() > EVENT_BACKLOG {
             self.events.pop_front();
         }
@@ -247,8 +176,9 @@
     pub(crate) fn leave(&mut self) -> bool {
         self.stop();
         let settings = &self.shared.settings;
-        let leave = TargetLeave { name: settings.name.clone(), incarnation: settings.incarnation };
-        let mut client = ControlClient::new(settings.control_urls.clone());
+        let leave =
+            TargetIdentity { name: settings.name.clone(), incarnation: settings.incarnation };
+        let mut client = ControlClient::new(settings);
         let attempts = 2 * settings.control_urls.len();
         (0..attempts).any(|_| client.post("/v1/targets/leave", &leave))
     }
@@ -264,7 +194,7 @@
 
 impl AnnounceLoop {
     fn new(state: Arc<AnnouncerState>) -> Self {
-        let client = ControlClient::new(state.settings.control_urls.clone());
+        let client = ControlClient::new(&state.settings);
         let loss = StdRng::seed_from_u64(state.settings.incarnation);
         Self { state, client, samples: VecDeque::new(), sequence: 0, loss }
     }
@@ -322,7 +252,8 @@
             pool: settings.pool.clone(),
             kind: self.state.kind,
             generation: settings.generation.clone(),
-            domain: settings.domain.clone(),
+            failure_domain: settings.domain.clone(),
+            order_issuer: settings.order_issuer.clone(),
             models: status.models,
             slots: settings.slots,
             enforces_fencing: settings.enforces_fencing,
@@ -343,18 +274,21 @@
 /// Client of the control instances that remembers the leader.
 struct ControlClient {
     agent: Agent,
+    token: String,
     urls: Vec<String>,
     current: usize,
     leader: Option<String>,
 }
 
 impl ControlClient {
-    fn new(urls: Vec<String>) -> Self {
+    fn new(settings: &TargetSettings) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .timeout_global(Some(Duration::from_millis(1_000)))
             .build();
-        Self { agent: Agent::new_with_config(config), urls, current: 0, leader: None }
+        let urls = settings.control_urls.clone();
+        let token = format!("Bearer {}", settings.token);
+        Self { agent: Agent::new_with_config(config), token, urls, current: 0, leader: None }
     }
 
     /// Sends to the leader as last known; a failure selects the next URL for the next call.
@@ -363,7 +297,7 @@
             let known = self.leader.clone().or_else(|| self.urls.get(self.current).cloned());
             let Some(base) = known else { return false };
             let url = format!("{}{path}", base.trim_end_matches('/'));
-            let answer = self.agent.post(&url).send_json(body);
+            let answer = self.agent.post(&url).header("authorization", &self.token).send_json(body);
             match answer {
                 Ok(response) if response.status().is_success() => return true,
                 Ok(mut response) if response.status().as_u16() == 421 => {
--- a/crates/testbed/src/engine/batch.rs
+++ b/crates/testbed/src/engine/batch.rs
@@ -2,7 +2,7 @@
 
 use super::EngineCore;
 use super::stream::StreamBuffer;
-use crate::announce::CacheEventKind;
+use crate::announce::CacheChange;
 use crate::journal::DispatchEnd;
 use crate::prompt::{BLOCK_TOKENS, seeded_text};
 use crate::sync::locked;
@@ -191,10 +191,10 @@
     fn store_prefix(&self, model: &str, blocks: &[u64]) {
         let (added, removed) = locked(&self.cache).insert(model, blocks);
         let mut events = locked(&self.events);
-        events.append(CacheEventKind::Stored, model, added);
+        events.append(CacheChange::Stored(added));
         for group in removed.chunk_by(|left, right| left.0 == right.0) {
             let hashes = group.iter().map(|(_, hash)| *hash).collect();
-            events.append(CacheEventKind::Removed, &group[0].0, hashes);
+            events.append(CacheChange::Removed(hashes));
         }
     }
 }
--- a/crates/testbed/src/engine/serve.rs
+++ b/crates/testbed/src/engine/serve.rs
@@ -3,7 +3,7 @@
 use super::EngineCore;
 use super::batch::{BatchItem, token_event};
 use super::stream::{StreamBuffer, StreamRead};
-use crate::announce::CacheEventKind;
+use crate::announce::CacheChange;
 use crate::fault::FaultSet;
 use crate::http::{EventWriter, header_value, read_body, respond_json};
 use crate::journal::{DispatchEnd, DispatchRecord, OrderRecord};
@@ -301,7 +301,7 @@
             "unload_model" => {
                 locked(&self.models).retain(|name| *name != order.model);
                 let gone = locked(&self.cache).unload(&order.model);
-                locked(&self.events).append(CacheEventKind::Removed, &order.model, gone);
+                locked(&self.events).append(CacheChange::Removed(gone));
             }
             "load_model" => {
                 let mut models = locked(&self.models);
--- a/crates/testbed/src/flags.rs
+++ b/crates/testbed/src/flags.rs
@@ -8,6 +8,7 @@
 use std::str::FromStr;
 
 /// Builds the error of a flag.
+#[allow(clippy::needless_pass_by_value, reason = "callers pass errors that they own")]
 pub fn flag_error(flag: &str, problem: impl ToString) -> TestbedError {
     TestbedError::Flag { flag: flag.to_owned(), problem: problem.to_string() }
 }
