Keep the target registry at every control instance

Cause: announcements were kept by the leader only. After a change of leader the registry was empty for 1 to 2 s, and the pools refused what arrived with no_target, against the rule that nobody is refused during a failover.

Ruled out: a longer rebuild time, which would delay every failover by the slowest target and still refuse when one target is late.

Change: every control instance enters announcements and passes them on to the others; a new leader starts with the registry that it kept while it followed.

--- a/crates/burdockcleat/src/control.rs
+++ b/crates/burdockcleat/src/control.rs
@@ -14,3 +14,4 @@
 pub mod replies;
 pub mod report;
 pub mod server;
+mod targets;
--- a/crates/burdockcleat/src/control/members.rs
+++ b/crates/burdockcleat/src/control/members.rs
@@ -71,6 +71,11 @@
         self.links.get(&node).copied()
     }
 
+    /// The links to all peers.
+    pub fn links(&self) -> impl Iterator<Item = LinkKey> + '_ {
+        self.links.values().copied()
+    }
+
     /// The peer at the other end of a link.
     pub fn peer(&self, link: LinkKey) -> Option<NodeId> {
         self.links.iter().find(|(_, known)| **known == link).map(|(node, _)| *node)
--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -15,6 +15,7 @@
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::NodeId;
 use burdockcleat_core::message::{ControlMessage, EntryMessage, decode_frame, encode_frame};
+use burdockcleat_core::registry::TargetRegistry;
 use burdockcleat_core::replica::{
     EntryPayload, LogEntry, LogPosition, LogReplica, MemberRecord, ReplicaConfig, ReplicaError,
     ReplicaInput, ReplicaMessage, StoredState,
@@ -69,6 +70,8 @@
     pub(super) config: ConfigController,
     pub(super) replies: ReplyController,
     pub(super) orders: OrderController,
+    /// Targets, while this instance follows. The admission holds them while it leads.
+    pub(super) followed: TargetRegistry,
     /// Present while this instance leads and has committed a record of its term.
     pub(super) admission: Option<AdmissionController>,
     stopping: Option<Sender<()>>,
@@ -114,6 +117,7 @@
             config: ConfigController::default(),
             replies: ReplyController::default(),
             orders: OrderController::open(orders),
+            followed: TargetRegistry::default(),
             admission: None,
             stopping: None,
             next_log_tick: now,
@@ -222,6 +226,12 @@
                 // Messages of peers are never refused.
                 let _ = self.replica.step(ClockTime::monotonic(), input);
             }
+            Ok(PeerMessage::Announce(announcement)) => {
+                if let Err(error) = self.enter_announcement(*announcement) {
+                    log::debug!(event = "announcement_refused"; "{error}");
+                }
+            }
+            Ok(PeerMessage::Leave(identity)) => self.enter_leave(&identity),
             Err(error) => {
                 log::warn!(event = "frame_invalid", link = link.0; "{error}");
                 self.link.close(link);
@@ -301,6 +311,8 @@
         let local = match &call {
             OperatorCall::Dump => Some(self.dump_reply()),
             OperatorCall::Status => Some(self.status_reply()),
+            OperatorCall::Announce(announcement) => Some(self.announce(announcement)),
+            OperatorCall::Leave(identity) => Some(self.leave(identity)),
             _ if self.admission.is_none() => Some(not_leading(self.leader_url())),
             _ => None,
         };
@@ -310,15 +322,6 @@
             return;
         }
         match call {
-            OperatorCall::Announce(announcement) => {
-                let _ = reply.send(self.announce(*announcement));
-            }
-            OperatorCall::Leave(identity) => {
-                if let Some(admission) = &mut self.admission {
-                    admission.leave(step_time(), &identity);
-                }
-                let _ = reply.send(CallReply { status: 200, body: "{}".into() });
-            }
             OperatorCall::Apply(request) => {
                 let command = StateCommand::ApplyDocument {
                     base_version: request.base_version,
@@ -345,7 +348,10 @@
             OperatorCall::Drain(request) => {
                 let _ = reply.send(self.drain(&request));
             }
-            OperatorCall::Dump | OperatorCall::Status => {}
+            OperatorCall::Dump
+            | OperatorCall::Status
+            | OperatorCall::Announce(_)
+            | OperatorCall::Leave(_) => {}
         }
     }
 
@@ -416,7 +422,11 @@
     }
 
     fn tick_controllers(&mut self, now: ClockTime) {
-        let Some(admission) = &mut self.admission else { return };
+        let Some(admission) = &mut self.admission else {
+            // The pools of a later leadership learn of silent targets from the records.
+            let _ = self.followed.tick(now);
+            return;
+        };
         admission.tick(step_time(), &self.state);
         let lease = self.replica.lease_valid(now);
         if let (true, Some(admission)) = (lease, &self.admission) {
@@ -554,7 +564,9 @@
         log::info!(event = "leading", term = self.replica.term(); "leading with a committed record");
         let config = self.state.config();
         let document = ConfigDocument::parse(&config.document).unwrap_or_default();
-        self.admission = Some(AdmissionController::open(step_time(), &document, &self.state));
+        let registry = std::mem::take(&mut self.followed);
+        let admission = AdmissionController::open(step_time(), &document, &self.state, registry);
+        self.admission = Some(admission);
         self.orders.start_leading(now);
         let entries: Vec<_> =
             self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
@@ -564,9 +576,8 @@
     }
 
     fn stop_leading(&mut self) {
-        if self.admission.take().is_none() {
-            return;
-        }
+        let Some(admission) = self.admission.take() else { return };
+        self.followed = admission.into_registry();
         log::info!(event = "not_leading", term = self.replica.term(); "leadership ended");
         self.replies.fail_all();
         self.orders.stop_leading();
--- a/crates/burdockcleat/src/control/peer.rs
+++ b/crates/burdockcleat/src/control/peer.rs
@@ -1,5 +1,7 @@
 //! Messages between control instances.
 
+use burdockcleat_core::keys::TargetIdentity;
+use burdockcleat_core::registry::TargetAnnouncement;
 use burdockcleat_core::replica::{MemberRecord, ReplicaMessage};
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +12,10 @@
     Introduce(PeerIntroduction),
     /// A message of the replicated log.
     Replica(ReplicaMessage),
+    /// A target announced itself at the sender.
+    Announce(Box<TargetAnnouncement>),
+    /// A target left at the sender.
+    Leave(TargetIdentity),
 }
 
 /// Who a control instance is.
--- a/crates/burdockcleat/src/control/report.rs
+++ b/crates/burdockcleat/src/control/report.rs
@@ -1,7 +1,7 @@
 //! Answers to operators and the state dump.
 
 use super::event::CallReply;
-use super::node::{ControlNode, step_time};
+use super::node::ControlNode;
 use super::replies::unconfirmed;
 use crate::operator::{
     ApplyReply, ConfigReply, ConflictReply, DrainKind, DrainReply, DrainRequest, EntryStatus,
@@ -99,17 +99,6 @@
         self.members.operator_url(leader)
     }
 
-    pub(super) fn announce(&mut self, announcement: TargetAnnouncement) -> CallReply {
-        let Some(admission) = &mut self.admission else { return unconfirmed() };
-        match admission.announce(step_time(), announcement) {
-            Ok(()) => CallReply { status: 200, body: "{}".into() },
-            Err(error) => {
-                let message = error.to_string();
-                CallReply::json(409, &ErrorReply { error: ErrorCode::Conflict, message })
-            }
-        }
-    }
-
     /// The command for an order, after a check that the target takes orders from us.
     pub(super) fn order_command(&self, request: &OrderRequest) -> Result<StateCommand, CallReply> {
         let Some(admission) = &self.admission else { return Err(unconfirmed()) };
@@ -124,7 +113,7 @@
     }
 
     pub(super) fn drain(&mut self, request: &DrainRequest) -> CallReply {
-        let Some(admission) = &mut self.admission else { return unconfirmed() };
+        let Some(admission) = &self.admission else { return unconfirmed() };
         match request.kind {
             DrainKind::Target => {
                 let identity = admission
@@ -136,7 +125,7 @@
                 let Some(identity) = identity else {
                     return not_found("no such target is announced");
                 };
-                admission.leave(step_time(), &identity);
+                self.leave(&identity);
                 let running = self.state.open_claims_at(&identity).count();
                 let running = saturate(running);
                 CallReply::json(200, &DrainReply { running })
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -17,7 +17,9 @@
 use crate::message::{ControlMessage, SubmitRequest};
 use crate::outcome::{ReasonCode, RequestOutcome};
 use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
-use crate::registry::{AnnounceError, TargetAnnouncement, TargetChange, TargetRegistry};
+use crate::registry::{
+    AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRegistry,
+};
 use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
 use std::collections::{BTreeMap, HashMap};
 
@@ -129,10 +131,16 @@
     /// Starts as the leader of a new term with the state as of the term's first commit.
     ///
     /// Open claims count as running. The pools neither grant nor shed before the entries have
-    /// reported or the rebuild time is over.
-    pub fn open(time: StepTime, document: &ConfigDocument, state: &ReplicatedState) -> Self {
+    /// reported or the rebuild time is over. The registry is the one that this instance kept while
+    /// it followed, so that a change of leader does not make the targets unknown.
+    pub fn open(
+        time: StepTime,
+        document: &ConfigDocument,
+        state: &ReplicatedState,
+        registry: TargetRegistry,
+    ) -> Self {
         let mut controller = Self {
-            registry: TargetRegistry::default(),
+            registry,
             pools: BTreeMap::new(),
             requests: HashMap::new(),
             entries: BTreeMap::new(),
@@ -176,18 +184,27 @@
 
     /// Tells a new pool of the targets that announced themselves before the pool existed.
     fn replay_targets(&mut self, time: StepTime, pool: &str) {
-        let known: Vec<TargetAnnouncement> = self
+        let known: Vec<_> = self
             .registry
             .iter()
-            .map(|(_, record)| record.announcement.clone())
-            .filter(|announcement| announcement.pool == pool)
+            .filter(|(_, record)| record.announcement.pool == pool)
+            .map(|(target, record)| (target, record.announcement.clone(), record.silent))
             .collect();
-        for announcement in known {
-            // A refreshed announcement of a known incarnation is never refused.
-            let _ = self.announce(time, announcement);
+        for (target, announcement, silent) in known {
+            let change = TargetChangeKind::Announced(Box::new(announcement));
+            self.step_pool(time, pool, PoolInput::Target { target, change });
+            if silent {
+                let change = TargetChangeKind::Silent;
+                self.step_pool(time, pool, PoolInput::Target { target, change });
+            }
         }
     }
 
+    /// Ends the leadership and hands the registry back.
+    pub fn into_registry(self) -> TargetRegistry {
+        self.registry
+    }
+
     /// Enters the announcement of a target.
     ///
     /// # Errors
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod prompt;
 pub mod relay;
 pub mod service;
+pub mod stage;
 
 mod http;
 mod sync;
--- /dev/null
+++ b/crates/testbed/tests/failover.rs
@@ -0,0 +1,130 @@
+//! Control instances that die, freeze or are cut off while requests wait and run.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, wait_until};
+use burdockcleat_testbed::stage::{StagePlan, TestStage};
+use std::thread;
+use std::time::Duration;
+
+fn stage(entries: usize) -> TestStage {
+    TestStage::open(StagePlan { entries, ..StagePlan::default() }).unwrap()
+}
+
+/// Sends requests over a period in which `disturb` runs; returns the outcomes.
+fn send_during(
+    stage: &mut TestStage,
+    count: u64,
+    disturb: impl FnOnce(&mut Deployment),
+) -> Vec<String> {
+    let calls: Vec<_> =
+        (0..count).map(|number| stage.completion(0, &format!("r-{number}"), 30)).collect();
+    thread::scope(|scope| {
+        let workers: Vec<_> = calls
+            .iter()
+            .zip(0..)
+            .map(|(call, number)| {
+                scope.spawn(move || {
+                    thread::sleep(Duration::from_millis(100 * number));
+                    call.send().outcome().to_owned()
+                })
+            })
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        disturb(&mut stage.deployment);
+        workers.into_iter().map(|worker| worker.join().unwrap()).collect()
+    })
+}
+
+/// Guards against requests that are lost, doubled or refused while a new leader takes over.
+#[test]
+fn a_killed_leader_loses_no_request() {
+    let mut stage = stage(1);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let outcomes = send_during(&mut stage, 20, |deployment| {
+        deployment.signal(&Deployment::control_name(leader), ProcessSignal::Kill).unwrap();
+    });
+    assert!(outcomes.iter().all(|outcome| outcome == "completed"), "{outcomes:?}");
+    assert_eq!((stage.dispatch_count(), stage.most_dispatches()), (20, 1));
+}
+
+/// Guards against a frozen leader that wakes up and still acts as one.
+#[test]
+fn a_frozen_leader_that_wakes_disturbs_nothing() {
+    let mut stage = stage(1);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let name = Deployment::control_name(leader);
+    let outcomes = send_during(&mut stage, 30, |deployment| {
+        deployment.signal(&name, ProcessSignal::Stop).unwrap();
+        thread::sleep(Duration::from_millis(2_500));
+        deployment.signal(&name, ProcessSignal::Continue).unwrap();
+    });
+    assert!(outcomes.iter().all(|outcome| outcome == "completed"), "{outcomes:?}");
+    assert_eq!((stage.dispatch_count(), stage.most_dispatches()), (30, 1));
+}
+
+/// Guards against a leader that is cut off and still accepts edits, and against its old state
+/// after the cut heals.
+#[test]
+fn a_leader_that_is_cut_off_accepts_nothing() {
+    let stage = stage(1);
+    let deployment = &stage.deployment;
+    let old = deployment.wait_leader().unwrap();
+    deployment.isolate(&Deployment::control_name(old));
+    let mut new = old;
+    wait_until("another leader", 10_000, || {
+        new = (0..3)
+            .filter(|index| *index != old)
+            .find(|index| leads(deployment, *index))
+            .unwrap_or(old);
+        new != old
+    })
+    .unwrap();
+    let document = burdockcleat_testbed::stage::DOCUMENT;
+    let refused = deployment.apply(old, 1, "op-old", &document.replace("600", "601")).unwrap();
+    assert_ne!(refused.status, 200, "{refused:?}");
+    let accepted = deployment.apply(new, 1, "op-new", &document.replace("600", "602")).unwrap();
+    assert_eq!((accepted.status, &accepted.body["version"]), (200, &2.into()));
+    deployment.heal();
+    wait_until("the old leader to follow", 10_000, || {
+        let dump = deployment.control_dump(old).unwrap();
+        dump["status"]["config_version"] == 2 && dump["leading"] == false
+    })
+    .unwrap();
+    let conflict = deployment.apply(new, 1, "op-late", document).unwrap();
+    assert_eq!((conflict.status, &conflict.body["current_version"]), (409, &2.into()));
+    let resent = deployment.apply(new, 1, "op-new", &document.replace("600", "602")).unwrap();
+    assert_eq!((resent.status, &resent.body["version"]), (200, &2.into()));
+}
+
+fn leads(deployment: &Deployment, index: usize) -> bool {
+    deployment.control_dump(index).is_ok_and(|dump| dump["status"]["leading"] == true)
+}
+
+/// Guards against a lost data folder that takes accepted state with it, and against the loss of a
+/// second instance right after the repair.
+#[test]
+fn a_lost_data_folder_is_replaced_and_a_second_loss_is_survived() {
+    let mut stage = stage(1);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let lost = (leader + 1) % 3;
+    let name = Deployment::control_name(lost);
+    stage.deployment.signal(&name, ProcessSignal::Kill).unwrap();
+    stage.deployment.lose_folder(lost).unwrap();
+    stage.deployment.restart(&name).unwrap();
+    wait_until("the new identity to be the third voter", 20_000, || {
+        let dump = stage.deployment.control_dump(leader).unwrap_or_default();
+        let members = &dump["replica"]["members"];
+        let voters = members["voters"].as_array().map_or(0, Vec::len);
+        let learners = members["learners"].as_array().map_or(0, Vec::len);
+        let names = stage.deployment.control_dump(lost).unwrap_or_default();
+        (voters, learners) == (3, 0) && names["status"]["config_version"] == 1
+    })
+    .unwrap();
+    stage.deployment.signal(&Deployment::control_name(leader), ProcessSignal::Kill).unwrap();
+    let next = stage.deployment.wait_leader().unwrap();
+    assert_ne!(next, leader);
+    assert_eq!(stage.deployment.control_dump(next).unwrap()["status"]["config_version"], 1);
+    stage.deployment.wait_ready(0).unwrap();
+    assert_eq!(stage.completion(0, "after", 10).send().outcome(), "completed");
+}
