--- a/crates/burdockcleat/src/control/report.rs
+++ b/crates/burdockcleat/src/control/report.rs
@@ -3,6 +3,7 @@
 use super::event::CallReply;
 use super::node::ControlNode;
 use super::replies::unconfirmed;
+use crate::link::LinkTotals;
 use crate::operator::{
     ApplyReply, ConfigReply, ConflictReply, DrainKind, DrainReply, DrainRequest, EntryStatus,
     ErrorCode, ErrorReply, HistoryEntry, HistoryReply, MemberStatus, OrderReply, OrderRequest,
@@ -32,6 +33,7 @@
     orders_in_flight: usize,
     log_bytes: u64,
     log_syncs: u64,
+    links: LinkTotals,
 }
 
 /// Answer to an apply.
@@ -163,6 +165,7 @@
             orders_in_flight: self.orders.in_flight(),
             log_bytes: self.storage.log_bytes(),
             log_syncs: self.storage.sync_count(),
+            links: self.link.totals(),
         };
         CallReply::json(200, &dump)
     }
--- a/crates/burdockcleat/src/link.rs
+++ b/crates/burdockcleat/src/link.rs
@@ -3,10 +3,14 @@
 //! All links of a process live on one thread with a local executor. The other threads talk to
 //! it through a [`LinkHandle`] and receive [`LinkEvent`]s on a channel.
 
+mod counter;
 mod session;
 
+pub use counter::LinkTotals;
+
 use crate::link_capnp::hello::Role;
 use burdockcleat_core::keys::NodeId;
+use counter::LinkCounter;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::mpsc::Sender;
@@ -105,6 +109,7 @@
 pub struct LinkHandle {
     commands: async_channel::Sender<LinkCommand>,
     local_addr: Option<SocketAddr>,
+    counter: LinkCounter,
 }
 
 impl LinkHandle {
@@ -135,11 +140,13 @@
             let _ = commands.try_send(LinkCommand::Dial { address: *address });
         }
         let emit = move |event| events.send(wrap(event)).is_ok();
+        let counter = LinkCounter::default();
+        let counted = counter.clone();
         thread::Builder::new()
             .name("link".into())
-            .spawn(move || session::run(identity, listener, &inbox, emit))
+            .spawn(move || session::run(identity, listener, &inbox, counted, emit))
             .map_err(LinkError::Thread)?;
-        Ok(Self { commands, local_addr })
+        Ok(Self { commands, local_addr, counter })
     }
 
     /// Address that this process listens on.
@@ -147,6 +154,11 @@
         self.local_addr
     }
 
+    /// Bytes of all links since the start.
+    pub fn totals(&self) -> LinkTotals {
+        self.counter.totals()
+    }
+
     /// Queues a frame. It is dropped if the link is gone.
     pub fn send(&self, link: LinkKey, frame: Vec<u8>) {
         let _ = self.commands.try_send(LinkCommand::Send { link, frame });
--- a/crates/burdockcleat/src/link/session.rs
+++ b/crates/burdockcleat/src/link/session.rs
@@ -1,5 +1,6 @@
 //! The link thread: accepts and dials peers, batches frames, and closes links that hang.
 
+use super::counter::{CountedHalf, LinkCounter};
 use super::{
     CONNECT_TIMEOUT_MS, DELIVER_TIMEOUT_MS, LinkCommand, LinkEvent, LinkIdentity, LinkKey,
     MAX_QUEUED_FRAMES, PeerRole, REDIAL_MS,
@@ -40,6 +41,7 @@
     identity: LinkIdentity,
     executor: Rc<LocalExecutor<'static>>,
     emit: Box<dyn Fn(LinkEvent) -> bool>,
+    counter: LinkCounter,
     queues: RefCell<HashMap<LinkKey, FrameSender>>,
     next_key: Cell<u64>,
 }
@@ -56,6 +58,7 @@
     identity: LinkIdentity,
     listener: Option<TcpListener>,
     inbox: &async_channel::Receiver<LinkCommand>,
+    counter: LinkCounter,
     emit: impl Fn(LinkEvent) -> bool + 'static,
 ) {
     let executor = Rc::new(LocalExecutor::new());
@@ -63,6 +66,7 @@
         identity,
         executor: executor.clone(),
         emit: Box::new(emit),
+        counter,
         queues: RefCell::new(HashMap::new()),
         next_key: Cell::new(1),
     });
@@ -314,7 +318,7 @@
         opened: opened.clone(),
         disconnector: disconnector.clone(),
     });
-    if let Ok(system) = rpc_system(stream, Side::Server, Some(acceptor.client)) {
+    if let Ok(system) = rpc_system(&table, stream, Side::Server, Some(acceptor.client)) {
         disconnector.set(Some(system.get_disconnector()));
         let _ = system.await;
     }
@@ -324,12 +328,15 @@
 }
 
 fn rpc_system(
+    table: &LinkTable,
     stream: Async<TcpStream>,
     side: Side,
     bootstrap: Option<capnp::capability::Client>,
 ) -> std::io::Result<RpcSystem<Side>> {
     stream.get_ref().set_nodelay(true)?;
     let (reader, writer) = stream.split();
+    let reader = CountedHalf::new(reader, table.counter.clone());
+    let writer = CountedHalf::new(writer, table.counter.clone());
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(READ_LIMIT_WORDS));
     let network = twoparty::VatNetwork::new(reader, writer, side, options);
@@ -365,7 +372,7 @@
 
 async fn dial(table: &Rc<LinkTable>, address: SocketAddr) -> Result<(), Error> {
     let stream = within(CONNECT_TIMEOUT_MS, connect(table.identity.source, address)).await??;
-    let mut system = rpc_system(stream, Side::Client, None)?;
+    let mut system = rpc_system(table, stream, Side::Client, None)?;
     let remote: link::Client = system.bootstrap(Side::Server);
     let disconnector = system.get_disconnector();
     let pending = PendingLink::prepare(table);
