--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -330,6 +330,11 @@
         Ok(())
     }
 
+    /// System's id of a process.
+    pub fn process(&self, name: &str) -> Option<u32> {
+        self.processes.get(name).map(|record| record.child.id())
+    }
+
     /// Waits for a process to end by itself.
     ///
     /// # Errors
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here listens on and connects to loopback addresses only.
 
 pub mod announce;
+pub mod capacity;
 pub mod deployment;
 pub mod engine;
 pub mod error;
@@ -14,6 +15,7 @@
 pub mod relay;
 pub mod service;
 pub mod stage;
+pub mod usage;
 
 mod http;
 mod sync;
