--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -110,9 +110,26 @@
 /// Guards against the same faults when failover, crash and freeze meet. Run in release mode.
 #[test]
 #[ignore = "too large for a debug build"]
-fn invariants_hold_in_a_wide_search() {
+fn invariants_hold_when_failures_meet() {
     let bounds = SpecBounds { log: 4, crashes: 1, freezes: 1, failover: true, ..SMALL };
-    assert_holds("wide", SpecRules::default(), bounds);
+    assert_holds("failures meet", SpecRules::default(), bounds);
+}
+
+/// Guards against the same faults in a failover with a release and a second claim. Run in
+/// release mode.
+#[test]
+#[ignore = "too large for a debug build"]
+fn invariants_hold_across_a_failover_with_a_longer_log() {
+    let bounds = SpecBounds { log: 6, failover: true, crashes: 1, ..SMALL };
+    assert_holds("longer log", SpecRules::default(), bounds);
+}
+
+/// Guards against the same faults when the caller sends three times. Run in release mode.
+#[test]
+#[ignore = "too large for a debug build"]
+fn invariants_hold_with_three_attempts() {
+    let bounds = SpecBounds { attempts: 3, log: 4, failover: true, ..SMALL };
+    assert_holds("three attempts", SpecRules::default(), bounds);
 }
 
 /// Guards against a search that cannot see a second dispatch: a second claim of an open key must
