--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -9,6 +9,7 @@
 mod append;
 mod election;
 mod entry;
+mod error;
 mod install;
 mod log;
 mod members;
@@ -17,6 +18,7 @@
 mod status;
 
 pub use entry::{EntryPayload, LogEntry, LogPosition, SnapshotImage, StoredState, VoteRecord};
+pub use error::ReplicaError;
 pub use members::{MemberRecord, MemberSet};
 pub use message::{AppendRequest, AppendResult, ReplicaMessage, SnapshotPart, VoteRequest};
 pub use status::{PeerStatus, ReplicaRole, ReplicaStatus};
@@ -29,7 +31,6 @@
 use peer::PeerProgress;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
-use thiserror::Error;
 
 /// Default of [`ReplicaConfig::batch_bytes`].
 pub const MAX_BATCH_BYTES: usize = 256 * 1024;
@@ -172,61 +173,6 @@
     }
 }
 
-/// Why an input was refused. A refused input changes nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
-pub enum ReplicaError {
-    /// This replica does not lead.
-    #[error("proposing at replica that does not lead; known leader: {leader:?}")]
-    NotLeader {
-        /// Leader that is known here.
-        leader: Option<NodeId>,
-    },
-    /// The leader is handing over.
-    #[error("proposing while leadership is handed over")]
-    TransferInProgress,
-    /// No other voter exists.
-    #[error("handing over leadership without another voter")]
-    NoSuccessor,
-    /// A membership change is not yet committed, or the leader has not committed an entry yet.
-    #[error("changing members before entry {pending} is committed")]
-    ChangeInProgress {
-        /// Entry to wait for.
-        pending: u64,
-    },
-    /// The proposed membership is not one permitted step from the current one.
-    #[error("changing members by more than one permitted step")]
-    NotOneChange,
-    /// The leader would remove itself; it has to hand over first.
-    #[error("removing the leader, which has to hand over first")]
-    RemovesLeader,
-    /// The learner to promote lacks committed entries.
-    #[error("promoting learner {node} with log at {matched} of {commit_index}")]
-    LearnerBehind {
-        /// Learner.
-        node: NodeId,
-        /// Last entry that the learner holds.
-        matched: u64,
-        /// Commit index of the leader.
-        commit_index: u64,
-    },
-    /// The entry is too large.
-    #[error("proposing entry of {size} bytes above limit {MAX_ENTRY_BYTES}")]
-    EntryTooLarge {
-        /// Size of the entry.
-        size: usize,
-    },
-    /// The snapshot is not between the last snapshot and the last applied entry.
-    #[error("compacting at entry {index} outside of {first}..={last}")]
-    CompactOutOfRange {
-        /// Index of the image.
-        index: u64,
-        /// Lowest permitted index.
-        first: u64,
-        /// Highest permitted index.
-        last: u64,
-    },
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct LeaderState {
     peers: BTreeMap<NodeId, PeerProgress>,
