Let a removed leader settle its removal

Random schedules with more cases found two ways to lose the majority for good. A leader that commits its own removal, proposed by an earlier leader, stepped down before the second membership entry, so restarted members went back to the set before. And after its restart it held the newer log, but as a non-member did not ask for votes, while the sole remaining member needed its vote. The removed leader now leads, without counting itself, until the second entry is committed, and may ask for votes while it holds entries of unknown fate.

Measured: a directed test covers each cut-off point of the exchange and fails without the second change at the sixth message.

--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -345,7 +345,8 @@
         let RoleState::Leader(state) = &self.role else {
             return Err(ReplicaError::NotLeader { leader: self.leader() });
         };
-        if state.transfer_until.is_some() {
+        // A leader that is removed leads only until its removal is settled.
+        if state.transfer_until.is_some() || !self.is_voter() {
             return Err(ReplicaError::TransferInProgress);
         }
         let size = payload.size();
--- a/crates/core/src/replica/append.rs
+++ b/crates/core/src/replica/append.rs
@@ -120,30 +120,37 @@
     /// again under the new members.
     pub(super) fn advance_commit(&mut self) {
         while let Some(target) = self.committable() {
-            if self.log.last_change() <= self.commit_index {
-                self.commit_index = target;
-                continue;
-            }
-            let before = self.members().clone();
+            let before =
+                (self.log.last_change() > self.commit_index).then(|| self.members().clone());
             self.commit_index = target;
-            if *self.members() != before {
+            if let Some(before) = before
+                && *self.members() != before
+            {
                 self.members_changed(&before);
             }
-            self.seal_members();
+            self.settle_members();
         }
     }
 
-    /// Repeats a committed membership in a second entry.
+    /// Repeats a committed membership in a second entry, and leads no longer than until that entry
+    /// is committed if this node is removed.
     ///
     /// A restarted replica takes the last membership but one as committed. Without the second
     /// entry it would return to the membership before, and the rest of the members could be
     /// without a majority if the leader is lost directly after a repair.
-    fn seal_members(&mut self) {
+    fn settle_members(&mut self) {
         if !self.is_leader() || self.log.last_change() > self.commit_index {
             return;
         }
         if let Some(members) = self.log.unsealed_members().cloned() {
             self.append_own(EntryPayload::Members(members));
+        } else if !self.is_voter() {
+            let others: Vec<NodeId> = self.members().others(self.config.node).collect();
+            for node in others {
+                self.send_commit(node);
+            }
+            self.step_down();
+            self.leader = None;
         }
     }
 
@@ -174,19 +181,11 @@
     fn members_changed(&mut self, before: &MemberSet) {
         let after = self.members().clone();
         let next = self.log.last().index + 1;
-        let leaves = !after.is_voter(self.config.node);
-        let gone: Vec<NodeId> = before
-            .others(self.config.node)
-            .filter(|node| leaves || !after.contains(*node))
-            .collect();
+        let gone: Vec<NodeId> =
+            before.others(self.config.node).filter(|node| !after.contains(*node)).collect();
         for node in gone {
             self.send_commit(node);
         }
-        if leaves {
-            self.step_down();
-            self.leader = None;
-            return;
-        }
         let RoleState::Leader(state) = &mut self.role else { return };
         state.peers.retain(|node, _| after.contains(*node));
         for node in after.others(self.config.node) {
@@ -196,8 +195,8 @@
 
     /// Tells a peer the commit index outside of the regular schedule.
     ///
-    /// A removed member gets nothing further from the leader, and a leader that removed itself
-    /// sends nothing further.
+    /// A removed member gets nothing further from the leader, and a removed leader sends nothing
+    /// further.
     fn send_commit(&mut self, node: NodeId) {
         let mark = self.mark();
         let Some(peer) = self.peer(node) else { return };
--- a/crates/core/src/replica/election.rs
+++ b/crates/core/src/replica/election.rs
@@ -28,11 +28,22 @@
     pub(super) fn tick(&mut self) {
         if self.is_leader() {
             self.tick_leader();
-        } else if self.now >= self.election_at && self.is_voter() {
+        } else if self.now >= self.election_at && self.may_campaign() {
             self.start_pre_vote();
         }
     }
 
+    /// Whether this node may ask for votes.
+    ///
+    /// A removed replica with entries that it does not know to be committed may do so, without
+    /// counting itself. If it led until its removal and restarted, its log can be newer than that
+    /// of a member which still needs its vote.
+    fn may_campaign(&self) -> bool {
+        let members = self.members();
+        let is_removed = !members.voters.is_empty() && !members.contains(self.config.node);
+        self.is_voter() || (is_removed && self.log.last().index > self.commit_index)
+    }
+
     fn tick_leader(&mut self) {
         let RoleState::Leader(state) = &self.role else { return };
         let confirmed = self.quorum_sent(state, self.now, Some(state.elected_at));
--- a/crates/core/src/replica/status.rs
+++ b/crates/core/src/replica/status.rs
@@ -63,6 +63,8 @@
     pub snapshot_index: u64,
     /// Members in effect.
     pub members: MemberSet,
+    /// Whether the last change of the members is complete.
+    pub members_settled: bool,
     /// The other members, at the leader only.
     pub peers: Vec<PeerStatus>,
 }
@@ -95,6 +97,14 @@
         self.log.members(self.commit_index).unwrap_or(&NO_MEMBERS)
     }
 
+    /// Whether the members in effect stay in effect over restarts of all members.
+    ///
+    /// Before that, the loss of a removed member may leave the others without a majority, so a
+    /// removed replica is kept running until the leader reports this.
+    pub fn members_settled(&self) -> bool {
+        self.log.last_change() <= self.commit_index && self.log.unsealed_members().is_none()
+    }
+
     /// Number of entries after the snapshot.
     pub fn log_length(&self) -> u64 {
         self.log.last().index - self.log.snapshot_index()
@@ -129,6 +139,7 @@
             last_index: self.log.last().index,
             snapshot_index: self.log.snapshot_index(),
             members: self.members().clone(),
+            members_settled: self.members_settled(),
             peers: self.peer_status(now),
         }
     }
--- a/crates/core/tests/replica/cluster.rs
+++ b/crates/core/tests/replica/cluster.rs
@@ -187,6 +187,7 @@
         self.flush(leader);
         self.run(300);
         assert_eq!(self.replica(leader).members(), members);
+        assert!(self.replica(leader).members_settled());
     }
 
     pub fn commands(&self, node: u64) -> Vec<Vec<u8>> {
--- a/crates/core/tests/replica/random.rs
+++ b/crates/core/tests/replica/random.rs
@@ -90,15 +90,19 @@
     Ok(())
 }
 
-/// Whether a majority of the last committed voters still have their disks.
+/// Whether a majority of the voters still have their disks.
+///
+/// Until the second entry with the last members is committed, the members before count as well.
 fn has_quorum(world: &World) -> bool {
-    let committed = world.committed.values().rev().find_map(|(entry, _)| match &entry.payload {
-        EntryPayload::Members(members) => Some(members.clone()),
+    let initial = voters(&[1, 2, 3]);
+    let committed = world.committed.values().rev().filter_map(|(entry, _)| match &entry.payload {
+        EntryPayload::Members(members) => Some(members),
         _ => None,
     });
-    let members = committed.unwrap_or_else(|| voters(&[1, 2, 3]));
-    let alive = world.nodes.iter().filter(|node| members.is_voter(NodeId(node.id)));
-    alive.count() >= members.majority()
+    committed.chain([&initial]).take(2).all(|members| {
+        let alive = world.nodes.iter().filter(|node| members.is_voter(NodeId(node.id)));
+        alive.count() >= members.majority()
+    })
 }
 
 /// Term, log and members of each node, for reports.
@@ -196,3 +200,28 @@
         run_schedules(&Setup::untimed(RuleSet::default()), seed, |_| Ok(()));
     }
 }
+
+// Guards against members without a majority after a leader has committed its own removal, which an
+// earlier leader proposed, and restarts at any point of the exchange. Found by a random schedule.
+#[test]
+fn members_recover_when_a_removed_leader_restarts() {
+    for limit in 0..24 {
+        let mut world = World::open(timed(1), false);
+        world.apply(&Action::Advance(2_000));
+        let pair = voters(&[1, 3]);
+        world = world.with_exchange(Action::Tick(0)).with_exchange(Action::Change(0, pair));
+        // Only the request reaches node 3, so it holds its own removal as uncommitted.
+        let start = Box::new(Action::Change(0, voters(&[1])));
+        assert!(world.apply(&Action::Exchange { start, reach: 0b101, limit: 1 }));
+        world.apply(&Action::Advance(2_000));
+        let start = Box::new(Action::Tick(2));
+        assert!(world.apply(&Action::Exchange { start, reach: 0b101, limit }));
+        world.apply(&Action::Crash(2));
+        heal(&mut world).expect("no violation");
+        let settled = world
+            .nodes
+            .iter()
+            .any(|node| node.replica.is_leader() && node.replica.members_settled());
+        assert!(settled, "limit {limit}: {}", summary(&world));
+    }
+}
