Test that the vote hold also covers the term already adopted

A follower can learn of a later term from a message that is not a vote request. The hold is checked before the comparison of terms, so its vote is withheld then too.

--- a/crates/core/tests/replica/behaviour.rs
+++ b/crates/core/tests/replica/behaviour.rs
@@ -5,7 +5,7 @@
 use burdockcleat_core::keys::NodeId;
 use burdockcleat_core::replica::{
     EntryPayload, LogReplica, MAX_BATCH_BYTES, ReplicaConfig, ReplicaError, ReplicaInput,
-    ReplicaMessage, StoredState,
+    ReplicaMessage, StoredState, VoteRequest,
 };
 use std::collections::BTreeSet;
 
@@ -245,6 +245,26 @@
     assert_eq!((cluster.leader(), cluster.replica(first).term()), (Some(leader), term));
 }
 
+// Guards against a follower that learns of a later term by another message and then votes in it
+// while the leader of its own term still holds the lease.
+#[test]
+fn vote_is_withheld_after_a_later_term_became_known() {
+    let mut cluster = Cluster::open(&[1, 2, 3]);
+    let leader = cluster.elect();
+    cluster.run(300);
+    let (voter, candidate) = if leader == 1 { (2, 3) } else { (1, 5 - leader) };
+    let term = cluster.replica(leader).term() + 1;
+    let request = VoteRequest { term, last_index: 99, last_term: term, transfer_from: None };
+    let later = ReplicaMessage::VoteReply { term, granted: false };
+    for message in [later, ReplicaMessage::Vote(request)] {
+        let from = NodeId(candidate);
+        cluster.step(voter, ReplicaInput::Receive { from, message }).unwrap();
+    }
+    assert_eq!(cluster.replica(voter).term(), term);
+    cluster.flush(voter);
+    assert_eq!(cluster.processes[&voter].disk.vote.voted_for, None);
+}
+
 // Guards against a state dump that hides which member lags.
 #[test]
 fn status_shows_each_members_progress() {
