Add the connection gate of the entry

tiny_http starts a thread per connection, reads without a timeout, ends a dropped chunked body as if it were whole and does not tell when a caller hangs up.

--- /dev/null
+++ b/crates/burdockcleat/src/entry.rs
@@ -0,0 +1,3 @@
+//! Entry daemon: accepts callers and dispatches their requests.
+
+pub mod gate;
--- a/crates/burdockcleat/src/lib.rs
+++ b/crates/burdockcleat/src/lib.rs
@@ -1,1 +1,3 @@
 //! Library.
+
+pub mod entry;
