--- a/crates/burdockcleat/src/entry/gate.rs
+++ b/crates/burdockcleat/src/entry/gate.rs
@@ -136,6 +136,15 @@
         self.links().get(&port).cloned()
     }
 
+    /// Tells everyone who waits for a connection that the gate has closed it.
+    fn release_all(&self) {
+        let links: Vec<_> = self.links().drain().collect();
+        for (_, link) in links {
+            link.set_gone();
+            link.set_closed();
+        }
+    }
+
     fn retired(&self) -> MutexGuard<'_, HashMap<u16, Instant>> {
         let mut retired = self.retired.lock().unwrap_or_else(PoisonError::into_inner);
         retired.retain(|_, since| since.elapsed() < RETIRED_TIME);
@@ -169,7 +178,7 @@
             Arc::new(GateTable { limits, links: Mutex::default(), retired: Mutex::default() });
         let (stop_accepting, stopped) = async_channel::bounded(1);
         let (shutdown, ended) = async_channel::bounded::<()>(1);
-        let shared = Arc::clone(&table);
+        let (shared, ending) = (Arc::clone(&table), Arc::clone(&table));
         let thread = thread::Builder::new()
             .name("gate".to_owned())
             .spawn(move || {
@@ -183,6 +192,8 @@
                 async_io::block_on(executor.run(async {
                     future::select(pin!(serve), pin!(ended.recv())).await;
                 }));
+                drop(executor);
+                ending.release_all();
             })
             .map_err(GateError::Thread)?;
         Ok(Self { table, address, stop_accepting, shutdown, thread: Some(thread) })
@@ -244,6 +255,11 @@
         let _ = self.stop_accepting.try_send(());
     }
 
+    /// Closes the listener and all connections at once.
+    pub fn close(&self) {
+        self.shutdown.close();
+    }
+
     /// Number of connections, including those whose request the application still holds.
     pub fn open_connections(&self) -> usize {
         self.table.links().len()
--- a/crates/burdockcleat/tests/gate_stand/mod.rs
+++ b/crates/burdockcleat/tests/gate_stand/mod.rs
@@ -1,4 +1,5 @@
 //! Gate in front of a small `tiny_http` application.
+#![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
 use burdockcleat::entry::gate::{ConnectionGate, GateLimits, open_inner_listener};
 use chunked_transfer::Encoder;
@@ -155,7 +156,7 @@
                 drop(self.events(request, "", number("count"), number("pause")));
             }
             "/named" => {
-                drop(self.events(request, &format!("{} ", value("name")), number("count"), 1))
+                drop(self.events(request, &format!("{} ", value("name")), number("count"), 1));
             }
             "/reset" => {
                 let encoder = self.events(request, "", number("count"), 0);
--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -160,7 +160,10 @@
         let target = settings.target.clone();
         let core = Arc::new(EngineCore::new(settings));
         let handler = Arc::clone(&core);
-        let http = HttpLoop::bind(target.listen, Arc::new(move |request| handler.handle(request)))?;
+        let http = HttpLoop::bind(
+            target.listen,
+            Arc::new(move |request, caller| handler.handle(request, caller)),
+        )?;
         let batch_loop = BatchLoop::new(Arc::clone(&core));
         let batch = thread::Builder::new()
             .name("fake-batch".to_owned())
--- a/crates/testbed/src/engine/serve.rs
+++ b/crates/testbed/src/engine/serve.rs
@@ -5,7 +5,7 @@
 use super::stream::{StreamBuffer, StreamRead};
 use crate::announce::CacheEventKind;
 use crate::fault::FaultSet;
-use crate::http::{EventWriter, header_value, read_body, respond_json};
+use crate::http::{CallerHandle, EventWriter, header_value, respond_json};
 use crate::journal::{DispatchEnd, DispatchRecord, OrderRecord};
 use crate::prompt::{block_hashes, body_hash, seeded_text, token_count};
 use crate::sync::locked;
@@ -47,47 +47,45 @@
 
 impl EngineCore {
     /// Answers one request and counts it as open meanwhile.
-    pub(crate) fn handle(&self, request: Request) {
+    pub(crate) fn handle(&self, request: Request, caller: &CallerHandle) {
         self.open_requests.fetch_add(1, Ordering::AcqRel);
-        self.serve(request);
+        self.serve(request, caller);
         self.open_requests.fetch_sub(1, Ordering::AcqRel);
     }
 
-    fn serve(&self, mut request: Request) {
+    fn serve(&self, mut request: Request, caller: &CallerHandle) {
         let url = request.url().to_owned();
         let (path, query) = url.split_once('?').unwrap_or((&url, ""));
         if path.starts_with("/testbed/") {
-            return self.serve_testbed(request, path);
+            return self.serve_testbed(request, caller, path);
         }
         self.wait_while_frozen();
-        let Ok(body) = read_body(&mut request) else { return };
+        let Ok(body) = caller.read_body(&mut request) else { return };
         let method = request.method().clone();
         let stream_id = path.strip_prefix("/v1/streams/");
         match (method, path, stream_id) {
-            (Method::Post, "/v1/completions", _) => self.complete(request, &body),
+            (Method::Post, "/v1/completions", _) => self.complete(request, caller, &body),
             (Method::Post, "/v1/orders", _) => self.order(request, &body),
-            (Method::Get, _, Some(id)) => self.resume(request, id, query),
+            (Method::Get, _, Some(id)) => self.resume(request, caller, id, query),
             (Method::Delete, _, Some(id)) => self.cancel(request, id),
             _ => respond_json(request, 404, &error_body("not_found")),
         }
     }
 
-    fn serve_testbed(&self, mut request: Request, path: &str) {
+    fn serve_testbed(&self, mut request: Request, caller: &CallerHandle, path: &str) {
+        let Ok(body) = caller.read_body(&mut request) else { return };
         match path {
             "/testbed/journal" => {
                 let journal = locked(&self.journal).clone();
                 respond_json(request, 200, &journal);
             }
-            "/testbed/fault" => {
-                let body = read_body(&mut request).unwrap_or_default();
-                match serde_json::from_slice::<FaultSet>(&body) {
-                    Ok(fault) => {
-                        respond_json(request, 200, &fault);
-                        *locked(&self.fault) = fault;
-                    }
-                    Err(error) => respond_json(request, 400, &error_body(&error.to_string())),
+            "/testbed/fault" => match serde_json::from_slice::<FaultSet>(&body) {
+                Ok(fault) => {
+                    respond_json(request, 200, &fault);
+                    *locked(&self.fault) = fault;
                 }
-            }
+                Err(error) => respond_json(request, 400, &error_body(&error.to_string())),
+            },
             _ => respond_json(request, 404, &error_body("not_found")),
         }
     }
@@ -98,7 +96,7 @@
         }
     }
 
-    fn complete(&self, request: Request, body: &[u8]) {
+    fn complete(&self, request: Request, caller: &CallerHandle, body: &[u8]) {
         let Some(id) = header_value(&request, "x-request-id") else {
             return respond_json(request, 400, &error_body("missing x-request-id"));
         };
@@ -109,7 +107,7 @@
         let fault = locked(&self.fault).clone();
         let slot = self.record_dispatch(&id, body, &parsed);
         if fault.crash_marker.as_ref().is_some_and(|marker| parsed.prompt.contains(marker)) {
-            return self.crash(request);
+            return self.crash(caller);
         }
         let refusal = fault.error_status.or_else(|| self.missing_model(&parsed.model));
         if let Some(status) = refusal {
@@ -122,7 +120,7 @@
         self.submit(new_item(&stream, parsed, slot));
         if streamed {
             let fault = StreamFault { cut_after: fault.cut_after, crossed: fault.crossed_frames };
-            self.write_stream(request, &stream, 0, &fault);
+            self.write_stream(request, caller, &stream, 0, &fault);
         } else {
             self.write_whole(request, &stream);
         }
@@ -145,7 +143,7 @@
         (!model.is_empty() && !loaded).then_some(404)
     }
 
-    fn crash(&self, request: Request) {
+    fn crash(&self, caller: &CallerHandle) {
         log::info!(name = self.settings.target.name.as_str(); "crash marker found");
         if self.settings.crash_exits {
             std::process::exit(101);
@@ -153,10 +151,10 @@
         self.crashed.store(true, Ordering::Release);
         self.stopped.store(true, Ordering::Release);
         self.work.notify_all();
-        drop(request);
+        caller.close_all();
     }
 
-    fn resume(&self, request: Request, id: &str, query: &str) {
+    fn resume(&self, request: Request, caller: &CallerHandle, id: &str, query: &str) {
         let Some(stream) = locked(&self.streams).find(id) else {
             return respond_json(request, 404, &error_body("unknown stream"));
         };
@@ -169,7 +167,7 @@
         }
         locked(&self.journal).resumed += 1;
         let fault = StreamFault { cut_after: None, crossed: false };
-        self.write_stream(request, &stream, position, &fault);
+        self.write_stream(request, caller, &stream, position, &fault);
     }
 
     fn cancel(&self, request: Request, id: &str) {
@@ -186,6 +184,7 @@
     fn write_stream(
         &self,
         request: Request,
+        caller: &CallerHandle,
         stream: &StreamBuffer,
         from: usize,
         fault: &StreamFault,
@@ -195,7 +194,7 @@
         loop {
             self.wait_while_frozen();
             if self.is_stopped() || fault.cut_after.is_some_and(|cut| position >= cut as usize) {
-                return writer.break_off();
+                return caller.reset();
             }
             let sent = match stream.read(position) {
                 StreamRead::Event(event) => {
@@ -209,7 +208,7 @@
                     return;
                 }
                 StreamRead::Cancelled => return,
-                StreamRead::Evicted => return writer.break_off(),
+                StreamRead::Evicted => return caller.reset(),
             };
             if sent.is_err() {
                 return;
--- a/crates/testbed/src/error.rs
+++ b/crates/testbed/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the testbed.
 
+use burdockcleat::entry::gate::GateError;
 use std::net::SocketAddr;
 use thiserror::Error;
 
@@ -18,6 +19,9 @@
         #[source]
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    /// The connection gate in front of the server could not start.
+    #[error(transparent)]
+    Gate(#[from] GateError),
     /// A thread could not be started.
     #[error("starting a thread")]
     Thread(#[source] std::io::Error),
--- a/crates/testbed/src/flags.rs
+++ b/crates/testbed/src/flags.rs
@@ -8,7 +8,7 @@
 use std::str::FromStr;
 
 /// Builds the error of a flag.
-pub fn flag_error(flag: &str, problem: impl ToString) -> TestbedError {
+pub fn flag_error(flag: &str, problem: &impl ToString) -> TestbedError {
     TestbedError::Flag { flag: flag.to_owned(), problem: problem.to_string() }
 }
 
@@ -20,8 +20,8 @@
 where
     T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let value = parser.value().map_err(|error| flag_error(flag, error))?;
-    value.parse().map_err(|error| flag_error(flag, error))
+    let value = parser.value().map_err(|error| flag_error(flag, &error))?;
+    value.parse().map_err(|error| flag_error(flag, &error))
 }
 
 /// Reads the next flag, without its leading dashes.
@@ -29,10 +29,10 @@
 /// # Errors
 /// Fails on a short flag or a free argument.
 pub fn next_flag(parser: &mut Parser) -> Result<Option<String>, TestbedError> {
-    match parser.next().map_err(|error| flag_error("command line", error))? {
+    match parser.next().map_err(|error| flag_error("command line", &error))? {
         None => Ok(None),
         Some(Arg::Long(name)) => Ok(Some(name.to_owned())),
-        Some(other) => Err(flag_error("command line", other.unexpected())),
+        Some(other) => Err(flag_error("command line", &other.unexpected())),
     }
 }
 
@@ -83,7 +83,7 @@
             "retention-ms" => settings.retention_ms = flag_value(&mut parser, &flag)?,
             "order-ms" => settings.order_ms = flag_value(&mut parser, &flag)?,
             _ if set_target_flag(&mut settings.target, &mut parser, &flag)? => {}
-            _ => return Err(flag_error(&flag, "unknown flag")),
+            _ => return Err(flag_error(&flag, &"unknown flag")),
         }
     }
     Ok(settings)
@@ -100,7 +100,7 @@
         match flag.as_str() {
             "latency-ms" => settings.latency_ms = flag_value(&mut parser, &flag)?,
             _ if set_target_flag(&mut settings.target, &mut parser, &flag)? => {}
-            _ => return Err(flag_error(&flag, "unknown flag")),
+            _ => return Err(flag_error(&flag, &"unknown flag")),
         }
     }
     Ok(settings)
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -1,6 +1,7 @@
 //! HTTP server loop and answer writers of the fake targets.
 
 use crate::error::TestbedError;
+use burdockcleat::entry::gate::{ConnectionGate, GateLimits, open_inner_listener};
 use chunked_transfer::Encoder;
 use serde::Serialize;
 use std::io::{self, Read, Write};
@@ -12,15 +13,52 @@
 
 /// Largest body that a fake reads.
 const BODY_LIMIT: u64 = 16 * 1024 * 1024;
+/// Bounds wide enough to leave all limiting to the entries under test.
+const TARGET_LIMITS: GateLimits = GateLimits {
+    connections: 4_096,
+    request_bytes: BODY_LIMIT,
+    head_bytes: 64 * 1024,
+    receive_ms: 60_000,
+    idle_ms: 600_000,
+};
 
 /// Handles one request on a thread of its own.
-pub(crate) type RequestHandler = Arc<dyn Fn(Request) + Send + Sync>;
+pub(crate) type RequestHandler = Arc<dyn Fn(Request, &CallerHandle) + Send + Sync>;
 
-/// Accept loop with a thread per request.
+/// The connection that a request came over.
+pub(crate) struct CallerHandle {
+    gate: Arc<ConnectionGate>,
+    port: u16,
+}
+
+impl CallerHandle {
+    /// Reads the body up to the limit.
+    pub(crate) fn read_body(&self, request: &mut Request) -> io::Result<Vec<u8>> {
+        let mut body = Vec::new();
+        request.as_reader().take(BODY_LIMIT).read_to_end(&mut body)?;
+        if self.gate.mark_received(self.port) {
+            Ok(body)
+        } else {
+            Err(io::Error::from(io::ErrorKind::ConnectionAborted))
+        }
+    }
+
+    /// Resets the connection after what was sent so far.
+    pub(crate) fn reset(&self) {
+        self.gate.reset(self.port);
+    }
+
+    /// Closes the target's listener and all its connections, like the end of a process.
+    pub(crate) fn close_all(&self) {
+        self.gate.close();
+    }
+}
+
+/// Accept loop with a thread per request, behind a connection gate that can reset callers.
 pub(crate) struct HttpLoop {
     server: Arc<Server>,
+    gate: Arc<ConnectionGate>,
     stopped: Arc<AtomicBool>,
-    address: SocketAddr,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -29,25 +67,32 @@
         if !listen.ip().is_loopback() {
             return Err(TestbedError::NotLoopback(listen));
         }
-        let server = Server::http(listen)
+        let server = Server::from_listener(open_inner_listener()?, None)
             .map_err(|source| TestbedError::Bind { address: listen, source })?;
         let server = Arc::new(server);
-        let address = server.server_addr().to_ip().unwrap_or(listen);
+        let inner = server.server_addr().to_ip().unwrap_or(listen);
+        let gate = Arc::new(ConnectionGate::bind(listen, inner, TARGET_LIMITS)?);
         let stopped = Arc::new(AtomicBool::new(false));
-        let (accepting, flag) = (Arc::clone(&server), Arc::clone(&stopped));
+        let accepting = RequestLoop {
+            server: Arc::clone(&server),
+            gate: Arc::clone(&gate),
+            stopped: Arc::clone(&stopped),
+            handler,
+        };
         let thread = thread::Builder::new()
             .name("fake-http".to_owned())
-            .spawn(move || accept_requests(&accepting, &flag, &handler))
+            .spawn(move || accepting.run())
             .map_err(TestbedError::Thread)?;
-        Ok(Self { server, stopped, address, thread: Some(thread) })
+        Ok(Self { server, gate, stopped, thread: Some(thread) })
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
-        self.address
+        self.gate.address()
     }
 
     pub(crate) fn stop(&mut self) {
         self.stopped.store(true, Ordering::Release);
+        self.gate.close();
         self.server.unblock();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
@@ -55,14 +100,28 @@
     }
 }
 
-fn accept_requests(server: &Server, stopped: &AtomicBool, handler: &RequestHandler) {
-    while !stopped.load(Ordering::Acquire) {
-        let Ok(request) = server.recv() else { continue };
-        let handler = Arc::clone(handler);
-        let spawned =
-            thread::Builder::new().name("fake-request".to_owned()).spawn(move || handler(request));
-        if let Err(error) = spawned {
-            log::warn!(error:% = error; "no thread for a request");
+struct RequestLoop {
+    server: Arc<Server>,
+    gate: Arc<ConnectionGate>,
+    stopped: Arc<AtomicBool>,
+    handler: RequestHandler,
+}
+
+impl RequestLoop {
+    fn run(self) {
+        while !self.stopped.load(Ordering::Acquire) {
+            let Ok(request) = self.server.recv() else { continue };
+            let Some(port) = request.remote_addr().map(SocketAddr::port) else { continue };
+            let handle = CallerHandle { gate: Arc::clone(&self.gate), port };
+            let handler = Arc::clone(&self.handler);
+            let serve = move || {
+                handler(request, &handle);
+                handle.gate.mark_finished(handle.port);
+            };
+            if let Err(error) = thread::Builder::new().name("fake-request".to_owned()).spawn(serve)
+            {
+                log::warn!(error:% = error; "no thread for a request");
+            }
         }
     }
 }
@@ -76,13 +135,6 @@
     found.map(|header| header.value.as_str().to_owned())
 }
 
-/// Reads the body up to the limit.
-pub(crate) fn read_body(request: &mut Request) -> io::Result<Vec<u8>> {
-    let mut body = Vec::new();
-    request.as_reader().take(BODY_LIMIT).read_to_end(&mut body)?;
-    Ok(body)
-}
-
 /// Answers with a JSON document.
 pub(crate) fn respond_json<T: Serialize>(request: Request, status: u16, value: &T) {
     let body = serde_json::to_vec(value).unwrap_or_default();
@@ -133,9 +185,4 @@
         write!(self.encoder, "data: {text}\n\n")?;
         self.encoder.flush()
     }
-
-    /// Sends bytes that no client takes for a chunk, so the stream counts as broken.
-    pub(crate) fn break_off(mut self) {
-        let _ = self.encoder.get_mut().write_all(b"broken\r\n");
-    }
 }
--- a/crates/testbed/src/service.rs
+++ b/crates/testbed/src/service.rs
@@ -5,7 +5,7 @@
 };
 use crate::error::TestbedError;
 use crate::fault::FaultSet;
-use crate::http::{HttpLoop, header_value, read_body, respond_json};
+use crate::http::{CallerHandle, HttpLoop, header_value, respond_json};
 use crate::journal::{DispatchEnd, DispatchRecord, TargetJournal};
 use crate::prompt::body_hash;
 use crate::sync::locked;
@@ -78,8 +78,8 @@
         }
     }
 
-    fn serve(&self, mut request: Request) {
-        let body = read_body(&mut request).unwrap_or_default();
+    fn serve(&self, mut request: Request, caller: &CallerHandle) {
+        let Ok(body) = caller.read_body(&mut request) else { return };
         match request.url() {
             "/testbed/journal" => {
                 let journal = locked(&self.journal).clone();
@@ -96,20 +96,20 @@
             },
             _ => {
                 self.running.fetch_add(1, Ordering::AcqRel);
-                self.call(request, &body);
+                self.call(request, caller, &body);
                 self.running.fetch_sub(1, Ordering::AcqRel);
             }
         }
     }
 
-    fn call(&self, request: Request, body: &[u8]) {
+    fn call(&self, request: Request, caller: &CallerHandle, body: &[u8]) {
         self.wait_while_frozen();
         let fault = locked(&self.fault).clone();
         let text = String::from_utf8_lossy(body).into_owned();
         let marked = fault.crash_marker.as_ref().is_some_and(|marker| text.contains(marker));
         let (slot, sequence) = self.record_call(&request, body, text);
         if marked {
-            return self.crash(request);
+            return self.crash(caller);
         }
         thread::sleep(Duration::from_millis(
             (self.settings.latency_ms as f64 * fault.straggler_factor) as u64 + fault.latency_ms,
@@ -126,7 +126,7 @@
             "body_hash": format!("{:016x}", body_hash(body)),
         });
         if let Some(cut) = fault.cut_after {
-            return cut_answer(request, &answer.to_string(), cut as usize);
+            return cut_answer(request, caller, &answer.to_string(), cut as usize);
         }
         locked(&self.journal).update(slot, |record| record.end = DispatchEnd::Completed);
         respond_json(request, 200, &answer);
@@ -152,21 +152,22 @@
         }
     }
 
-    fn crash(&self, request: Request) {
+    fn crash(&self, caller: &CallerHandle) {
         if self.settings.crash_exits {
             std::process::exit(101);
         }
         self.crashed.store(true, Ordering::Release);
-        drop(request);
+        caller.close_all();
     }
 }
 
-/// Sends a head that promises the whole answer and only its first bytes.
-fn cut_answer(request: Request, answer: &str, cut: usize) {
+/// Sends a head that promises the whole answer and only its first bytes, then resets.
+fn cut_answer(request: Request, caller: &CallerHandle, answer: &str, cut: usize) {
     let mut writer = request.into_writer();
     let sent = &answer.as_bytes()[..cut.min(answer.len().saturating_sub(1))];
     let _ = write!(writer, "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", answer.len());
     let _ = writer.write_all(sent).and_then(|()| writer.flush());
+    caller.reset();
 }
 
 /// Running fake service. Dropping it stops it without a leave.
@@ -185,7 +186,10 @@
         let target = settings.target.clone();
         let core = Arc::new(ServiceCore::new(settings));
         let handler = Arc::clone(&core);
-        let http = HttpLoop::bind(target.listen, Arc::new(move |request| handler.serve(request)))?;
+        let http = HttpLoop::bind(
+            target.listen,
+            Arc::new(move |request, caller| handler.serve(request, caller)),
+        )?;
         let probed = Arc::clone(&core);
         let probe: StatusProbe = Arc::new(move || probed.status());
         let events = Arc::new(Mutex::new(EventQueue::default()));
