Test faults, bounds and orders of the fake targets

Other lanes rely on the fakes to misbehave exactly as told; a fault without effect would let their tests pass for the wrong reason. Orders are now judged and recorded in one step, so that two concurrent orders see each other.

--- a/crates/testbed/src/engine.rs
+++ b/crates/testbed/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod batch;
 mod cache;
+mod order;
 mod serve;
 mod stream;
 
--- a/crates/testbed/src/engine/serve.rs
+++ b/crates/testbed/src/engine/serve.rs
@@ -3,10 +3,9 @@
 use super::EngineCore;
 use super::batch::{BatchItem, token_event};
 use super::stream::{StreamBuffer, StreamRead};
-use crate::announce::CacheEventKind;
 use crate::fault::FaultSet;
 use crate::http::{CallerHandle, EventWriter, header_value, respond_json};
-use crate::journal::{DispatchEnd, DispatchRecord, OrderRecord};
+use crate::journal::{DispatchEnd, DispatchRecord};
 use crate::prompt::{block_hashes, body_hash, seeded_text, token_count};
 use crate::sync::locked;
 use burdockcleat_core::clock::ClockTime;
@@ -264,53 +263,6 @@
             }
         }
     }
-
-    fn order(&self, request: Request, body: &[u8]) {
-        let mut record = match serde_json::from_slice::<OrderRecord>(body) {
-            Ok(record) => record,
-            Err(error) => return respond_json(request, 400, &error_body(&error.to_string())),
-        };
-        record.at_ms = ClockTime::wall().as_ms();
-        let (highest, repeated) = self.order_history(&record.order_id);
-        let stale = self.settings.target.enforces_fencing && record.fencing < highest;
-        record.applied = !stale && !repeated;
-        locked(&self.journal).orders.push(record.clone());
-        if stale {
-            let answer = json!({ "error": { "reason": "stale_fencing", "highest": highest } });
-            return respond_json(request, 409, &answer);
-        }
-        if record.applied {
-            self.apply_order(&record);
-        }
-        let answer = json!({ "order_id": record.order_id, "applied": true, "repeated": repeated });
-        respond_json(request, 200, &answer);
-    }
-
-    /// Highest fencing number applied so far, and whether this order was applied before.
-    fn order_history(&self, order_id: &str) -> (u64, bool) {
-        let journal = locked(&self.journal);
-        let applied = || journal.orders.iter().filter(|order| order.applied);
-        let highest = applied().map(|order| order.fencing).max().unwrap_or(0);
-        (highest, applied().any(|order| order.order_id == order_id))
-    }
-
-    fn apply_order(&self, order: &OrderRecord) {
-        thread::sleep(Duration::from_millis(self.settings.order_ms));
-        match order.kind.as_str() {
-            "unload_model" => {
-                locked(&self.models).retain(|name| *name != order.model);
-                let gone = locked(&self.cache).unload(&order.model);
-                locked(&self.events).append(CacheEventKind::Removed, &order.model, gone);
-            }
-            "load_model" => {
-                let mut models = locked(&self.models);
-                if !models.contains(&order.model) {
-                    models.push(order.model.clone());
-                }
-            }
-            _ => {}
-        }
-    }
 }
 
 fn new_item(stream: &Arc<StreamBuffer>, parsed: CompletionBody, slot: Option<usize>) -> BatchItem {
@@ -328,6 +280,6 @@
     }
 }
 
-fn error_body(reason: &str) -> Value {
+pub(super) fn error_body(reason: &str) -> Value {
     json!({ "error": { "reason": reason } })
 }
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -78,6 +78,11 @@
         format!("http://{}", self.server.server_addr())
     }
 
+    /// Takes a post that has already arrived.
+    pub fn try_next(&self) -> Option<(String, Value)> {
+        self.posts.try_recv().ok()
+    }
+
     /// Waits for the next post to a path.
     pub fn next(&self, path: &str, limit: Duration) -> Value {
         let end = Instant::now() + limit;
