Add the load program

Experiments need goodput by tier and wasted prefill under open-loop load with bursts.

A plan is drawn from a seed and bounded at 20,000 requests and 600 s; entries and targets must be loopback addresses. Times count from the planned arrival. Each answer is checked for its own tokens and for its end; refusals are resent after their retry-after time and cuts after 100 ms, with the same request id. Wasted prefill comes from the engines' journals: tokens of requests that did not complete, and tokens of blocks that some engine had computed before.

--- a/crates/testbed/src/flags.rs
+++ b/crates/testbed/src/flags.rs
@@ -3,8 +3,10 @@
 use crate::announce::TargetSettings;
 use crate::engine::EngineSettings;
 use crate::error::TestbedError;
+use crate::load::{LoadProfile, LoadSettings, PlanSettings};
 use crate::service::ServiceSettings;
 use lexopt::{Arg, Parser, ValueExt};
+use std::collections::BTreeMap;
 use std::str::FromStr;
 
 /// Builds the error of a flag.
@@ -105,3 +107,55 @@
     }
     Ok(settings)
 }
+
+/// Parses the flags of `load`; the second value tells whether `--json` was given.
+///
+/// # Errors
+/// Fails on an unknown flag or a bad value.
+pub fn parse_load(mut parser: Parser) -> Result<(LoadSettings, bool), TestbedError> {
+    let mut json = false;
+    let mut settings = LoadSettings {
+        plan: PlanSettings {
+            profile: LoadProfile::Bureau,
+            rate: 5.0,
+            seconds: 30.0,
+            seed: 1,
+            model: "m1".to_owned(),
+            services: true,
+            tier_in_path: false,
+        },
+        entries: Vec::new(),
+        default_credential: String::new(),
+        tier_credentials: BTreeMap::new(),
+        targets: Vec::new(),
+        max_open: 512,
+    };
+    while let Some(flag) = next_flag(&mut parser)? {
+        match flag.as_str() {
+            "entry" => settings.entries.push(flag_value(&mut parser, &flag)?),
+            "credential" => settings.default_credential = flag_value(&mut parser, &flag)?,
+            "tier-credential" => {
+                let text: String = flag_value(&mut parser, &flag)?;
+                let pair = text.split_once('=').and_then(|(tier, credential)| {
+                    Some((tier.parse().ok()?, credential.to_owned()))
+                });
+                let Some((tier, credential)) = pair else {
+                    return Err(flag_error(&flag, &"not of the form tier=credential"));
+                };
+                settings.tier_credentials.insert(tier, credential);
+            }
+            "profile" => settings.plan.profile = flag_value(&mut parser, &flag)?,
+            "rate" => settings.plan.rate = flag_value(&mut parser, &flag)?,
+            "seconds" => settings.plan.seconds = flag_value(&mut parser, &flag)?,
+            "seed" => settings.plan.seed = flag_value(&mut parser, &flag)?,
+            "model" => settings.plan.model = flag_value(&mut parser, &flag)?,
+            "services" => settings.plan.services = flag_value(&mut parser, &flag)?,
+            "tier-in-path" => settings.plan.tier_in_path = flag_value(&mut parser, &flag)?,
+            "target" => settings.targets.push(flag_value(&mut parser, &flag)?),
+            "max-open" => settings.max_open = flag_value(&mut parser, &flag)?,
+            "json" => json = true,
+            _ => return Err(flag_error(&flag, &"unknown flag")),
+        }
+    }
+    Ok((settings, json))
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fault;
 pub mod flags;
 pub mod journal;
+pub mod load;
 pub mod prompt;
 pub mod service;
 
--- /dev/null
+++ b/crates/testbed/src/load/caller.rs
@@ -0,0 +1,197 @@
+//! One caller: sends a request, resends it after refusals and cuts, and checks the answer.
+
+use super::check::{StreamCheck, StreamItem, is_own_answer};
+use super::plan::{PlannedCall, PlannedRequest};
+use super::run::LoadSettings;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::thread;
+use std::time::{Duration, Instant};
+use ureq::http::Response;
+use ureq::{Agent, Body};
+
+/// Attempts of one request, resends included.
+const ATTEMPT_LIMIT: usize = 6;
+/// Pause before a resend after a cut or without a retry-after time.
+const RESEND_PAUSE: Duration = Duration::from_millis(100);
+/// Time beyond the deadline for which a caller still reads, so that late answers are seen.
+const LATE_LIMIT: Duration = Duration::from_secs(2);
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum CallEnd {
+    /// Whole and own.
+    Completed,
+    /// A token or an answer of another request arrived.
+    Foreign,
+    /// The stream ended well but is not whole.
+    Incomplete,
+    /// Refused or failed with this reason.
+    Refused(String),
+    /// The connection broke within the answer.
+    Cut,
+    /// No entry could be reached.
+    Unreachable,
+}
+
+/// Result of one request with all its resends.
+#[derive(Clone, Debug)]
+pub(super) struct CallResult {
+    pub(super) tier: u8,
+    pub(super) end: CallEnd,
+    pub(super) in_time: bool,
+    /// Refusals and cuts before the last attempt.
+    pub(super) earlier: Vec<CallEnd>,
+    pub(super) first_token: Option<Duration>,
+    pub(super) gaps: Vec<Duration>,
+}
+
+/// End of one attempt.
+struct AttemptEnd {
+    end: CallEnd,
+    retry_after: Option<Duration>,
+}
+
+impl From<CallEnd> for AttemptEnd {
+    fn from(end: CallEnd) -> Self {
+        Self { end, retry_after: None }
+    }
+}
+
+/// Sender of one planned request.
+pub(super) struct LoadCaller<'a> {
+    pub(super) settings: &'a LoadSettings,
+    pub(super) agent: &'a Agent,
+    pub(super) request: &'a PlannedRequest,
+    /// Planned time of arrival; all times count from it, so a late sender hides no delay.
+    pub(super) arrival: Instant,
+}
+
+impl LoadCaller<'_> {
+    /// Sends until the request completes, the deadline passes or the attempts are used up.
+    pub(super) fn run(&self, number: usize) -> CallResult {
+        let deadline = self.arrival + Duration::from_millis(u64::from(self.request.deadline_ms));
+        let mut result = CallResult {
+            tier: self.request.tier,
+            end: CallEnd::Unreachable,
+            in_time: false,
+            earlier: Vec::new(),
+            first_token: None,
+            gaps: Vec::new(),
+        };
+        for attempt in 0..ATTEMPT_LIMIT {
+            let entry = &self.settings.entries[(number + attempt) % self.settings.entries.len()];
+            let last = self.attempt(entry, deadline, &mut result);
+            result.end = last.end;
+            if matches!(result.end, CallEnd::Completed | CallEnd::Foreign | CallEnd::Incomplete) {
+                break;
+            }
+            let pause = last.retry_after.unwrap_or(RESEND_PAUSE);
+            if attempt + 1 == ATTEMPT_LIMIT || Instant::now() + pause >= deadline {
+                break;
+            }
+            thread::sleep(pause);
+            result.earlier.push(result.end.clone());
+        }
+        result.in_time = result.end == CallEnd::Completed && Instant::now() <= deadline;
+        result
+    }
+
+    fn attempt(&self, entry: &str, deadline: Instant, result: &mut CallResult) -> AttemptEnd {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let url = format!("{}{}", entry.trim_end_matches('/'), self.request.path);
+        let credential = self.settings.credential(self.request.tier);
+        let request = self
+            .agent
+            .post(url)
+            .config()
+            .timeout_global(Some(left + LATE_LIMIT))
+            .build()
+            .header("authorization", format!("Bearer {credential}"))
+            .header("x-request-id", &self.request.id)
+            .header("x-deadline-ms", left.as_millis().max(1).to_string())
+            .header("x-tier", self.request.tier.to_string());
+        let sent = match &self.request.call {
+            PlannedCall::Completion { prompt, max_tokens } => request.send_json(json!({
+                "model": self.settings.plan.model,
+                "prompt": prompt,
+                "max_tokens": max_tokens,
+                "stream": true,
+            })),
+            PlannedCall::Service { body } => {
+                request.header("x-idempotent", "false").send(body.as_str())
+            }
+        };
+        match sent {
+            Err(ureq::Error::ConnectionFailed | ureq::Error::HostNotFound) => {
+                CallEnd::Unreachable.into()
+            }
+            Err(ureq::Error::Io(error))
+                if error.kind() == std::io::ErrorKind::ConnectionRefused =>
+            {
+                CallEnd::Unreachable.into()
+            }
+            Err(_) => CallEnd::Cut.into(),
+            Ok(response) if response.status().is_success() => self.read(response, result).into(),
+            Ok(response) => read_refusal(response),
+        }
+    }
+
+    fn read(&self, response: Response<Body>, result: &mut CallResult) -> CallEnd {
+        match &self.request.call {
+            PlannedCall::Completion { prompt, max_tokens } => {
+                let check = StreamCheck::new(prompt, *max_tokens);
+                self.read_stream(response, check, result)
+            }
+            PlannedCall::Service { body } => {
+                let Ok(text) = response.into_body().read_to_string() else { return CallEnd::Cut };
+                let answer = serde_json::from_str(&text).unwrap_or(Value::Null);
+                if is_own_answer(body, &answer) { CallEnd::Completed } else { CallEnd::Foreign }
+            }
+        }
+    }
+
+    fn read_stream(
+        &self,
+        response: Response<Body>,
+        mut check: StreamCheck<'_>,
+        result: &mut CallResult,
+    ) -> CallEnd {
+        let mut previous: Option<Instant> = None;
+        for line in BufReader::new(response.into_body().into_reader()).lines() {
+            let Ok(line) = line else { return CallEnd::Cut };
+            match check.line(&line) {
+                Some(StreamItem::Token) => {
+                    let now = Instant::now();
+                    match previous.replace(now) {
+                        Some(before) => result.gaps.push(now - before),
+                        None => {
+                            result.first_token.get_or_insert(now - self.arrival);
+                        }
+                    }
+                }
+                Some(StreamItem::Foreign) => return CallEnd::Foreign,
+                Some(StreamItem::Error(error)) => return CallEnd::Refused(reason_of(&error)),
+                Some(StreamItem::Done) if check.is_whole() => return CallEnd::Completed,
+                Some(StreamItem::Done) => return CallEnd::Incomplete,
+                Some(StreamItem::Other) | None => {}
+            }
+        }
+        // A body that ends well without its final event must not pass for a whole answer.
+        CallEnd::Incomplete
+    }
+}
+
+fn reason_of(error: &Value) -> String {
+    error["reason"].as_str().unwrap_or("unspecified").to_owned()
+}
+
+fn read_refusal(response: Response<Body>) -> AttemptEnd {
+    let status = response.status().as_u16();
+    let text = response.into_body().read_to_string().unwrap_or_default();
+    let answer: Value = serde_json::from_str(&text).unwrap_or_default();
+    let error = &answer["error"];
+    let reason = if error.is_object() { reason_of(error) } else { format!("status_{status}") };
+    let retry_after = error["retry_after_ms"].as_u64().map(Duration::from_millis);
+    AttemptEnd { end: CallEnd::Refused(reason), retry_after }
+}
--- /dev/null
+++ b/crates/testbed/src/load/plan.rs
@@ -0,0 +1,264 @@
+//! Plans: what is sent when, drawn from a seed.
+
+use crate::error::TestbedError;
+use crate::flags::flag_error;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::str::FromStr;
+use thiserror::Error;
+
+/// Largest number of requests of one plan.
+pub const REQUEST_LIMIT: f64 = 20_000.0;
+/// Longest duration of one plan in seconds.
+pub const SECONDS_LIMIT: f64 = 600.0;
+/// Length of a short prompt in characters.
+const SHORT_CHARS: usize = 400;
+/// A long prompt is up to this many times as long as a short one.
+const LONG_FACTOR: usize = 100;
+/// Period of the bursts in seconds; the first `BURST_SECONDS` of it are the burst.
+const BURST_PERIOD: f64 = 10.0;
+const BURST_SECONDS: f64 = 2.0;
+/// Rate within a burst relative to the rate outside.
+const BURST_FACTOR: f64 = 3.0;
+
+/// Mix of requests of one deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadProfile {
+    /// Spares bureau: short requests, most in the top tier, depot orders.
+    Bureau,
+    /// Retouching: long shared prefixes, kit orders.
+    Kerlouan,
+}
+
+/// Name that is not a profile.
+#[derive(Debug, Error)]
+#[error("the profile is `bureau` or `kerlouan`")]
+pub struct ProfileError;
+
+impl FromStr for LoadProfile {
+    type Err = ProfileError;
+
+    fn from_str(name: &str) -> Result<Self, ProfileError> {
+        match name {
+            "bureau" => Ok(Self::Bureau),
+            "kerlouan" => Ok(Self::Kerlouan),
+            _ => Err(ProfileError),
+        }
+    }
+}
+
+/// Numbers that describe a profile.
+struct ProfileShape {
+    /// Share of each tier, from the highest; they add up to 1.
+    tier_shares: [f64; 3],
+    deadlines_ms: [u32; 3],
+    output_tokens: [u32; 3],
+    /// Share of prompts that are long.
+    long_share: f64,
+    /// Share of prompts that start with a shared prefix.
+    prefix_share: f64,
+    prefixes: usize,
+    prefix_chars: usize,
+    /// Share of requests that are calls of the plain service.
+    service_share: f64,
+    service_pool: &'static str,
+}
+
+impl LoadProfile {
+    fn shape(self) -> ProfileShape {
+        match self {
+            Self::Bureau => ProfileShape {
+                tier_shares: [0.4, 0.35, 0.25],
+                deadlines_ms: [5_000, 10_000, 30_000],
+                output_tokens: [24, 48, 96],
+                long_share: 0.03,
+                prefix_share: 0.3,
+                prefixes: 8,
+                prefix_chars: 1_024,
+                service_share: 0.05,
+                service_pool: "depot",
+            },
+            Self::Kerlouan => ProfileShape {
+                tier_shares: [0.2, 0.5, 0.3],
+                deadlines_ms: [6_000, 15_000, 40_000],
+                output_tokens: [24, 64, 96],
+                long_share: 0.08,
+                prefix_share: 0.85,
+                prefixes: 24,
+                prefix_chars: 8_192,
+                service_share: 0.03,
+                service_pool: "kits",
+            },
+        }
+    }
+}
+
+/// What a plan is drawn from.
+#[derive(Clone, Debug)]
+pub struct PlanSettings {
+    /// Mix of requests.
+    pub profile: LoadProfile,
+    /// Mean arrivals per second, bursts included.
+    pub rate: f64,
+    /// Duration of the arrivals.
+    pub seconds: f64,
+    /// Seed of all draws.
+    pub seed: u64,
+    /// Model that is asked for.
+    pub model: String,
+    /// Whether calls of plain services are part of the plan.
+    pub services: bool,
+    /// Whether the path of a completion carries the tier as `?tier=N`, instead of a header.
+    pub tier_in_path: bool,
+}
+
+/// What one request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PlannedCall {
+    /// Streamed completion.
+    Completion {
+        /// Prompt; it ends with the request id, so no two are equal.
+        prompt: String,
+        /// Tokens of the answer.
+        max_tokens: u32,
+    },
+    /// Non-idempotent call of a plain service.
+    Service {
+        /// Body; it contains the request id.
+        body: String,
+    },
+}
+
+/// One request of a plan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlannedRequest {
+    /// Time of arrival from the start of the run in microseconds.
+    pub at_us: u64,
+    /// Value of `x-request-id`, the same for resends.
+    pub id: String,
+    /// Rank of the tier; 0 is the highest.
+    pub tier: u8,
+    /// Path at the entry.
+    pub path: String,
+    /// Time until the answer must be whole.
+    pub deadline_ms: u32,
+    /// What is asked for.
+    pub call: PlannedCall,
+}
+
+/// Requests in order of arrival.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadPlan {
+    /// The requests.
+    pub requests: Vec<PlannedRequest>,
+}
+
+impl LoadPlan {
+    /// Draws a plan; equal settings give equal plans.
+    ///
+    /// # Errors
+    /// Fails if rate or duration are out of bounds.
+    pub fn draw(settings: &PlanSettings) -> Result<Self, TestbedError> {
+        if !(settings.seconds > 0.0 && settings.seconds <= SECONDS_LIMIT) {
+            return Err(flag_error("seconds", &format!("not above 0 and up to {SECONDS_LIMIT}")));
+        }
+        let expected = settings.rate * settings.seconds;
+        if !(expected > 0.0 && expected <= REQUEST_LIMIT) {
+            let problem = format!("rate times seconds is not above 0 and up to {REQUEST_LIMIT}");
+            return Err(flag_error("rate", &problem));
+        }
+        let mut draw = PlanDraw {
+            settings,
+            shape: settings.profile.shape(),
+            random: StdRng::seed_from_u64(settings.seed),
+        };
+        let mut requests = Vec::new();
+        let mut at = 0.0;
+        loop {
+            at += draw.gap(at);
+            if at >= settings.seconds {
+                return Ok(Self { requests });
+            }
+            let number = requests.len();
+            requests.push(draw.request(number, at));
+        }
+    }
+}
+
+struct PlanDraw<'a> {
+    settings: &'a PlanSettings,
+    shape: ProfileShape,
+    random: StdRng,
+}
+
+impl PlanDraw<'_> {
+    /// Exponential gap to the next arrival at the rate of the moment.
+    fn gap(&mut self, at: f64) -> f64 {
+        let burst_share = BURST_SECONDS / BURST_PERIOD;
+        let base = self.settings.rate / (1.0 + burst_share * (BURST_FACTOR - 1.0));
+        let in_burst = at % BURST_PERIOD < BURST_SECONDS;
+        let rate = if in_burst { base * BURST_FACTOR } else { base };
+        -(1.0 - self.random.random::<f64>()).ln() / rate
+    }
+
+    fn request(&mut self, number: usize, at: f64) -> PlannedRequest {
+        let id = format!("load-{}-{number}", self.settings.seed);
+        let at_us = (at * 1e6) as u64;
+        if self.settings.services && self.random.random_bool(self.shape.service_share) {
+            let path = format!("/svc/{}/orders", self.shape.service_pool);
+            let call = PlannedCall::Service { body: format!("{{\"order\":\"{id}\"}}") };
+            return PlannedRequest { at_us, id, tier: 0, path, deadline_ms: 5_000, call };
+        }
+        let tier = self.tier();
+        let path = if self.settings.tier_in_path {
+            format!("/v1/completions?tier={tier}")
+        } else {
+            "/v1/completions".to_owned()
+        };
+        let (prompt, long) = self.prompt(&id);
+        let tokens = self.shape.output_tokens[tier];
+        let max_tokens = self.random.random_range(tokens / 2..=tokens + tokens / 2);
+        // A long prompt gets the deadline of the lowest tier: its prefill alone takes seconds.
+        let deadline_ms = self.shape.deadlines_ms[if long { 2 } else { tier }];
+        let call = PlannedCall::Completion { prompt, max_tokens };
+        PlannedRequest { at_us, id, tier: tier as u8, path, deadline_ms, call }
+    }
+
+    fn tier(&mut self) -> usize {
+        let draw: f64 = self.random.random();
+        let [top, middle, _] = self.shape.tier_shares;
+        if draw < top {
+            0
+        } else if draw < top + middle {
+            1
+        } else {
+            2
+        }
+    }
+
+    fn prompt(&mut self, id: &str) -> (String, bool) {
+        let long = self.random.random_bool(self.shape.long_share);
+        let mut prompt = String::new();
+        if self.random.random_bool(self.shape.prefix_share) {
+            let prefix = self.random.random_range(0..self.shape.prefixes);
+            fill(&mut prompt, &format!("prefix {prefix} "), self.shape.prefix_chars);
+        }
+        let chars = if long {
+            SHORT_CHARS * self.random.random_range(LONG_FACTOR / 5..=LONG_FACTOR)
+        } else {
+            self.random.random_range(SHORT_CHARS / 2..=SHORT_CHARS * 3 / 2)
+        };
+        let end = prompt.len() + chars;
+        fill(&mut prompt, &format!("{id} "), end);
+        prompt.push_str(id);
+        (prompt, long)
+    }
+}
+
+/// Repeats a text until the prompt has a length.
+fn fill(prompt: &mut String, text: &str, length: usize) {
+    while prompt.len() < length {
+        let rest = length - prompt.len();
+        prompt.push_str(&text[..text.len().min(rest)]);
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/load/report.rs
@@ -0,0 +1,180 @@
+//! Report of a load run.
+
+use super::caller::{CallEnd, CallResult};
+use super::waste::PrefillReport;
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+/// Percentiles in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TimingReport {
+    /// Number of samples.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+}
+
+/// Figures of one tier.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct TierReport {
+    /// Rank of the tier.
+    pub tier: u8,
+    /// Requests of the plan that were sent.
+    pub sent: u64,
+    /// Goodput: whole and own answers within the deadline.
+    pub in_time: u64,
+    /// Goodput per second of the plan.
+    pub goodput_per_second: f64,
+    /// Whole and own answers after the deadline.
+    pub late: u64,
+    /// Requests whose last attempt was refused or failed, by reason.
+    pub refused: BTreeMap<String, u64>,
+    /// Requests whose last attempt was cut.
+    pub cut: u64,
+    /// Requests that never reached an entry.
+    pub unreachable: u64,
+    /// Answers that ended well and were not whole. Must be zero (P3).
+    pub incomplete: u64,
+    /// Answers with a token of another request. Must be zero (P3).
+    pub foreign: u64,
+    /// Attempts that were refused or cut and then resent, by reason.
+    pub resent: BTreeMap<String, u64>,
+    /// Time from the planned arrival to the first token, of completed requests.
+    pub first_token: TimingReport,
+    /// Time between tokens, of completed requests.
+    pub between_tokens: TimingReport,
+}
+
+/// Figures of one run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests of the plan.
+    pub planned: u64,
+    /// Requests not sent because too many were open at the load program.
+    pub unsent: u64,
+    /// Duration of the plan in seconds.
+    pub seconds: f64,
+    /// Seed of the plan.
+    pub seed: u64,
+    /// Figures by tier.
+    pub tiers: Vec<TierReport>,
+    /// Prompt tokens, if journals were read.
+    pub prefill: Option<PrefillReport>,
+}
+
+/// Collects the figures of one tier.
+pub(super) struct TierTally {
+    report: TierReport,
+    first: Histogram<u32>,
+    between: Histogram<u32>,
+}
+
+impl TierTally {
+    pub(super) fn new(tier: u8) -> Self {
+        // Three digits up to one hour in microseconds; these bounds are always valid.
+        let histogram = || {
+            Histogram::new_with_bounds(1, 3_600_000_000, 3)
+                .unwrap_or_else(|_| unreachable!("the bounds are constant"))
+        };
+        let report = TierReport { tier, ..TierReport::default() };
+        Self { report, first: histogram(), between: histogram() }
+    }
+
+    pub(super) fn add(&mut self, result: &CallResult) {
+        let report = &mut self.report;
+        report.sent += 1;
+        for earlier in &result.earlier {
+            let reason = match earlier {
+                CallEnd::Refused(reason) => reason.clone(),
+                CallEnd::Cut => "cut".to_owned(),
+                _ => "unreachable".to_owned(),
+            };
+            *report.resent.entry(reason).or_default() += 1;
+        }
+        match &result.end {
+            CallEnd::Completed if result.in_time => report.in_time += 1,
+            CallEnd::Completed => report.late += 1,
+            CallEnd::Foreign => report.foreign += 1,
+            CallEnd::Incomplete => report.incomplete += 1,
+            CallEnd::Refused(reason) => *report.refused.entry(reason.clone()).or_default() += 1,
+            CallEnd::Cut => report.cut += 1,
+            CallEnd::Unreachable => report.unreachable += 1,
+        }
+        if result.end == CallEnd::Completed {
+            let micros = |time: &Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            if let Some(first) = &result.first_token {
+                self.first.saturating_record(micros(first));
+            }
+            for gap in &result.gaps {
+                self.between.saturating_record(micros(gap));
+            }
+        }
+    }
+
+    pub(super) fn finish(mut self, seconds: f64) -> TierReport {
+        self.report.goodput_per_second = self.report.in_time as f64 / seconds;
+        self.report.first_token = timing(&self.first);
+        self.report.between_tokens = timing(&self.between);
+        self.report
+    }
+}
+
+fn timing(histogram: &Histogram<u32>) -> TimingReport {
+    let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+    TimingReport { count: histogram.len(), p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99) }
+}
+
+impl fmt::Display for TimingReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { count, p50_ms, p95_ms, p99_ms } = self;
+        write!(formatter, "p50 {p50_ms:.1} ms, p95 {p95_ms:.1} ms, p99 {p99_ms:.1} ms of {count}")
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { planned, unsent, seconds, seed, .. } = self;
+        writeln!(formatter, "{planned} planned in {seconds} s with seed {seed}, {unsent} unsent")?;
+        for tier in &self.tiers {
+            writeln!(
+                formatter,
+                "tier {}: {} sent, {} in time ({:.2}/s), {} late, {} cut, {} unreachable, \
+                 {} incomplete, {} foreign",
+                tier.tier,
+                tier.sent,
+                tier.in_time,
+                tier.goodput_per_second,
+                tier.late,
+                tier.cut,
+                tier.unreachable,
+                tier.incomplete,
+                tier.foreign,
+            )?;
+            writeln!(formatter, "  refused {:?}, resent {:?}", tier.refused, tier.resent)?;
+            writeln!(formatter, "  first token {}", tier.first_token)?;
+            writeln!(formatter, "  between tokens {}", tier.between_tokens)?;
+        }
+        if let Some(prefill) = &self.prefill {
+            writeln!(
+                formatter,
+                "prefill: {} of {} prompt tokens computed, {} discarded, {} recomputed, \
+                 {:.3} wasted, {} dispatches, {} requests dispatched again",
+                prefill.computed_tokens,
+                prefill.prompt_tokens,
+                prefill.discarded_tokens,
+                prefill.recomputed_tokens,
+                prefill.wasted_share,
+                prefill.dispatches,
+                prefill.repeated_dispatches,
+            )?;
+        }
+        Ok(())
+    }
+}
--- a/crates/testbed/tests/faults.rs
+++ b/crates/testbed/tests/faults.rs
@@ -1,4 +1,5 @@
 //! Tests of the faults, cancellation, orders and bounds of the fake targets.
+#![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
 mod common;
 
--- /dev/null
+++ b/crates/testbed/tests/load.rs
@@ -0,0 +1,142 @@
+//! Tests of the load program against engines and stand-ins of entries.
+#![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
+
+mod common;
+
+use burdockcleat_testbed::engine::{EngineSettings, FakeEngine};
+use burdockcleat_testbed::fault::FaultSet;
+use burdockcleat_testbed::load::{
+    LoadPlan, LoadProfile, LoadSettings, PlanSettings, PlannedCall, run_load,
+};
+use serde_json::json;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Instant;
+use tiny_http::{Response, Server};
+
+fn plan(profile: LoadProfile, rate: f64, seconds: f64) -> PlanSettings {
+    PlanSettings {
+        profile,
+        rate,
+        seconds,
+        seed: 7,
+        model: "m1".to_owned(),
+        services: false,
+        tier_in_path: false,
+    }
+}
+
+fn load(entry: String, plan: PlanSettings) -> LoadSettings {
+    LoadSettings {
+        plan,
+        targets: Vec::new(),
+        entries: vec![entry],
+        default_credential: "c".to_owned(),
+        tier_credentials: BTreeMap::new(),
+        max_open: 256,
+    }
+}
+
+fn engine(fault: FaultSet) -> FakeEngine {
+    let mut settings = EngineSettings::named("e1", "models");
+    settings.prefill_rate = 200_000.0;
+    settings.decode_rate = 400.0;
+    settings.batch_slowdown = 0.0;
+    let engine = FakeEngine::spawn(settings).unwrap();
+    engine.set_fault(fault);
+    engine
+}
+
+/// Guards against plans that differ between runs, lack bursts or mix, or exceed the bounds.
+#[test]
+fn plan_is_repeatable_and_bounded() {
+    let mut settings = plan(LoadProfile::Bureau, 100.0, 60.0);
+    settings.services = true;
+    let drawn = LoadPlan::draw(&settings).unwrap();
+    assert_eq!(drawn, LoadPlan::draw(&settings).unwrap());
+    let count = drawn.requests.len() as f64;
+    assert!((5_400.0..6_600.0).contains(&count), "{count}");
+    let burst = drawn.requests.iter().filter(|request| request.at_us % 10_000_000 < 2_000_000);
+    let share = burst.count() as f64 / count;
+    assert!((0.38..0.48).contains(&share), "{share} of the arrivals are in the bursts");
+    let lengths = drawn.requests.iter().filter_map(|request| match &request.call {
+        PlannedCall::Completion { prompt, .. } => Some(prompt.len()),
+        PlannedCall::Service { .. } => None,
+    });
+    let (short, long) = lengths
+        .fold((usize::MAX, 0), |(short, long), length| (short.min(length), long.max(length)));
+    assert!(long / short >= 100, "{short} to {long} characters");
+    assert!(LoadPlan::draw(&plan(LoadProfile::Bureau, 1e6, 60.0)).is_err());
+    assert!(run_load(&load("http://10.0.0.1:80".to_owned(), settings)).is_err());
+}
+
+/// Guards against whole answers that are not counted, and against journals that are not read.
+#[test]
+fn whole_answers_are_goodput() {
+    let engine = engine(FaultSet::default());
+    let url = format!("http://{}", engine.address());
+    let mut settings = load(url.clone(), plan(LoadProfile::Kerlouan, 20.0, 2.0));
+    settings.targets = vec![url];
+    let report = run_load(&settings).unwrap();
+    let in_time: u64 = report.tiers.iter().map(|tier| tier.in_time).sum();
+    assert_eq!(in_time, report.planned, "{report}");
+    let prefill = report.prefill.unwrap();
+    assert_eq!(prefill.dispatches, report.planned);
+    assert_eq!((prefill.repeated_dispatches, prefill.discarded_tokens), (0, 0));
+    assert!(prefill.cached_tokens > 0);
+    assert!(report.tiers.iter().all(|tier| tier.first_token.count == tier.sent));
+}
+
+/// Guards against a check that overlooks tokens of another request.
+#[test]
+fn foreign_tokens_are_seen() {
+    let engine = engine(FaultSet { crossed_frames: true, ..FaultSet::default() });
+    let url = format!("http://{}", engine.address());
+    let report = run_load(&load(url, plan(LoadProfile::Bureau, 10.0, 1.0))).unwrap();
+    let foreign: u64 = report.tiers.iter().map(|tier| tier.foreign).sum();
+    assert_eq!(foreign, report.planned, "{report}");
+}
+
+/// Guards against a cut that counts as complete or is not followed by a resend.
+#[test]
+fn cuts_are_resent_and_reported() {
+    let engine = engine(FaultSet { cut_after: Some(2), ..FaultSet::default() });
+    let url = format!("http://{}", engine.address());
+    let report = run_load(&load(url, plan(LoadProfile::Bureau, 10.0, 1.0))).unwrap();
+    let sum = |count: fn(&_) -> u64| report.tiers.iter().map(count).sum::<u64>();
+    assert_eq!(sum(|tier| tier.cut), report.planned, "{report}");
+    let resent = sum(|tier| tier.resent.get("cut").copied().unwrap_or(0));
+    assert_eq!(resent, 5 * report.planned);
+    assert_eq!(engine.journal().dispatches.len() as u64, 6 * report.planned);
+}
+
+/// Guards against a refusal that is not resent, or resent before its retry-after time.
+#[test]
+fn refusals_are_resent_after_their_time() {
+    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+    let (accepting, calls) = (Arc::clone(&server), Arc::new(AtomicUsize::new(0)));
+    let counted = Arc::clone(&calls);
+    thread::spawn(move || {
+        while let Ok(request) = accepting.recv() {
+            counted.fetch_add(1, Ordering::AcqRel);
+            let error = json!({ "error": { "outcome": "not_run", "reason": "overloaded",
+                "message": "", "request_id": "x", "retry_after_ms": 1_600 } });
+            let answer = Response::from_string(error.to_string()).with_status_code(503);
+            let _ = request.respond(answer);
+        }
+    });
+    let mut settings = plan(LoadProfile::Bureau, 4.0, 1.0);
+    settings.seed = 3;
+    let begin = Instant::now();
+    let url = format!("http://{}", server.server_addr());
+    let report = run_load(&load(url, settings)).unwrap();
+    let refused: u64 = report.tiers.iter().map(|tier| tier.refused["overloaded"]).sum();
+    assert_eq!(refused, report.planned, "{report}");
+    assert!(begin.elapsed().as_secs_f64() > 3.2);
+    let top = report.tiers.iter().find(|tier| tier.tier == 0).unwrap();
+    // Within 5 s three resends fit, each 1.6 s after a refusal.
+    assert_eq!(top.resent["overloaded"], 3 * top.sent);
+    assert!(calls.load(Ordering::Acquire) as u64 > 3 * report.planned);
+}
