Bound stuck readers and share the gate thread fairly

A caller that stops reading held a connection and an application thread without end; a stream whose sockets are always ready never suspended its copy loop; callbacks of earlier requests stayed on a kept connection.

A write that makes no progress for write_ms resets the caller, a copy loop yields after 16 rounds, and mark_finished drops the request's callbacks. Targets try all control URLs within one heartbeat.

--- a/crates/burdockcleat/src/entry/gate.rs
+++ b/crates/burdockcleat/src/entry/gate.rs
@@ -66,6 +66,8 @@
     pub head_bytes: u64,
     /// Time from the first byte of a request until it is marked as received.
     pub receive_ms: u64,
+    /// Time that a caller may leave a full send buffer unread; the connection is then reset.
+    pub write_ms: u64,
     /// Time that a connection may wait for a request.
     pub idle_ms: u64,
 }
@@ -77,6 +79,7 @@
             request_bytes: 8 * 1024 * 1024,
             head_bytes: 32 * 1024,
             receive_ms: 10_000,
+            write_ms: 30_000,
             idle_ms: 60_000,
         }
     }
@@ -237,7 +240,8 @@
 
     /// Calls back once when the caller hangs up, at once if it already has.
     ///
-    /// The callback runs on the gate's thread and must not block.
+    /// The callback runs on the gate's thread and must not block. It is dropped without a call
+    /// when the request is marked as finished.
     pub fn on_gone(&self, port: u16, callback: GoneCallback) {
         match self.table.find(port) {
             Some(link) => link.on_gone(callback),
--- a/crates/burdockcleat/src/entry/gate/link.rs
+++ b/crates/burdockcleat/src/entry/gate/link.rs
@@ -172,6 +172,9 @@
         let mut state = self.state();
         state.open_requests = state.open_requests.saturating_sub(1);
         let answered = matches!(state.phase, LinkPhase::Received | LinkPhase::Answering);
+        if state.open_requests == 0 {
+            state.callbacks.clear();
+        }
         if state.open_requests == 0 && answered {
             state.phase = LinkPhase::Idle;
             state.deadline = Some(Instant::now() + Duration::from_millis(idle_ms));
--- a/crates/burdockcleat/src/entry/gate/relay.rs
+++ b/crates/burdockcleat/src/entry/gate/relay.rs
@@ -11,10 +11,13 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// Bytes copied at a time in one direction.
 const COPY_BYTES: usize = 8 * 1024;
+/// Copies of one connection in a row while its sockets stay ready.
+const ROUNDS_AT_A_TIME: usize = 16;
 /// Interval at which the socket of a half-closed caller is looked at.
 const HALF_CLOSED_LOOK: Duration = Duration::from_millis(50);
 /// Interval of the probes to a half-closed caller that waits for its response.
@@ -76,7 +79,8 @@
     async fn copy_request(&self) -> LinkEnd {
         let (mut caller, mut inner) = (self.caller, self.inner);
         let mut buffer = vec![0; COPY_BYTES];
-        loop {
+        for round in 1_usize.. {
+            yield_after(round).await;
             let length = match caller.read(&mut buffer).await {
                 Ok(0) => {
                     let _ = inner.get_ref().shutdown(Shutdown::Write);
@@ -94,23 +98,45 @@
                 return future::pending().await;
             }
         }
+        future::pending().await
     }
 
     async fn copy_response(&self) -> LinkEnd {
-        let (mut caller, mut inner) = (self.caller, self.inner);
+        let mut inner = self.inner;
         let mut buffer = vec![0; COPY_BYTES];
-        loop {
+        for round in 1_usize.. {
+            yield_after(round).await;
             let length = match inner.read(&mut buffer).await {
                 Ok(0) => return LinkEnd::Answered,
                 Ok(length) => length,
                 Err(_) => return LinkEnd::Reset,
             };
             self.link.note_response();
-            if caller.write_all(&buffer[..length]).await.is_err() {
-                return LinkEnd::Gone;
+            if let Err(end) = self.write_caller(&buffer[..length]).await {
+                return end;
             }
             self.link.note_written();
         }
+        future::pending().await
+    }
+
+    /// Writes to the caller; the timer is only needed when the send buffer is full.
+    async fn write_caller(&self, bytes: &[u8]) -> Result<(), LinkEnd> {
+        let sent = match self.caller.get_ref().write(bytes) {
+            Ok(sent) => sent,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => 0,
+            Err(_) => return Err(LinkEnd::Gone),
+        };
+        if sent == bytes.len() {
+            return Ok(());
+        }
+        let mut caller = self.caller;
+        let limit = Timer::after(Duration::from_millis(self.limits.write_ms));
+        match future::select(caller.write_all(&bytes[sent..]), limit).await {
+            Either::Left((Ok(()), _)) => Ok(()),
+            Either::Left((Err(_), _)) => Err(LinkEnd::Gone),
+            Either::Right(_) => Err(LinkEnd::Reset),
+        }
     }
 
     /// Watches deadlines, resets and half-closed callers.
@@ -212,6 +238,24 @@
     }
 }
 
+/// Lets other connections run after some rounds. Sockets that are always ready never suspend
+/// a copy loop, so one fast stream could hold the thread.
+async fn yield_after(round: usize) {
+    if !round.is_multiple_of(ROUNDS_AT_A_TIME) {
+        return;
+    }
+    let mut yielded = false;
+    future::poll_fn(|context| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Sends a refusal and closes the sending side.
 pub(super) async fn send_refusal(caller: &Async<TcpStream>, refusal: GateRefusal) {
     let response = refusal.response();
--- a/crates/burdockcleat/tests/gate.rs
+++ b/crates/burdockcleat/tests/gate.rs
@@ -16,6 +16,7 @@
         request_bytes: 64 * 1024,
         head_bytes: 8 * 1024,
         receive_ms: 300,
+        write_ms: 300,
         idle_ms: 300,
     }
 }
@@ -170,6 +171,58 @@
     stand.wait_empty();
 }
 
+/// Guards against a caller that stops reading and so holds a connection and a thread.
+#[test]
+fn stuck_reader_is_reset() {
+    let stand = GateStand::spawn(short_limits());
+    let mut socket = stand.connect();
+    socket.write_all(b"GET /until-gone HTTP/1.1\r\nx-fill: 1\r\n\r\n").unwrap();
+    assert!(stand.gone.recv_timeout(Duration::from_secs(10)).unwrap());
+    stand.wait_empty();
+    let mut text = Vec::new();
+    assert!(socket.read_to_end(&mut text).is_err());
+}
+
+/// Guards against a fast stream that keeps other callers from being served.
+#[test]
+fn fast_stream_leaves_room_for_others() {
+    let stand = GateStand::spawn(GateLimits::default());
+    let mut fast = stand.connect();
+    fast.write_all(b"GET /until-gone HTTP/1.1\r\nx-fill: 1\r\n\r\n").unwrap();
+    let mut reader = fast.try_clone().unwrap();
+    let reading = thread::spawn(move || {
+        let mut buffer = vec![0; 256 * 1024];
+        while reader.read(&mut buffer).is_ok_and(|length| length > 0) {}
+    });
+    for _ in 0..20 {
+        let start = Instant::now();
+        assert_eq!(ureq::get(stand.url("/echo")).call().unwrap().status(), 200);
+        assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
+    }
+    fast.shutdown(Shutdown::Both).unwrap();
+    reading.join().unwrap();
+    assert!(stand.gone.recv_timeout(Duration::from_secs(10)).unwrap());
+}
+
+/// Guards against callbacks that pile up on a kept connection or fire for a later request.
+#[test]
+fn finished_request_drops_its_callback() {
+    let stand = GateStand::spawn(GateLimits { idle_ms: 5_000, ..short_limits() });
+    let (sender, calls) = channel();
+    let mut socket = stand.connect();
+    stand.watch(move |port, gate| {
+        let sender = sender.clone();
+        gate.on_gone(port, Box::new(move || sender.send(()).unwrap_or_default()));
+    });
+    socket.write_all(b"GET /echo HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    let mut answer = [0; 256];
+    assert!(socket.read(&mut answer).unwrap() > 0);
+    thread::sleep(Duration::from_millis(100));
+    drop(socket);
+    stand.wait_empty();
+    assert!(calls.try_recv().is_err());
+}
+
 /// Guards against a half-closed sender that is taken for a hang-up, and against a gate that
 /// does not notice when that sender closes completely later.
 #[test]
--- a/crates/burdockcleat/tests/gate_stand/mod.rs
+++ b/crates/burdockcleat/tests/gate_stand/mod.rs
@@ -5,9 +5,9 @@
 use chunked_transfer::Encoder;
 use std::io::{self, Read, Write};
 use std::net::TcpStream;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 use tiny_http::{Request, Response, Server};
@@ -21,11 +21,16 @@
     /// One message for each handler that waited for a hang-up.
     pub gone: Receiver<bool>,
     server: Arc<Server>,
+    watch: Arc<Mutex<Option<PortWatch>>>,
     whole: Arc<AtomicUsize>,
     stopped: Arc<AtomicBool>,
 }
 
+/// Called with the port of each whole request.
+type PortWatch = Box<dyn Fn(u16, &ConnectionGate) + Send>;
+
 struct StandHandler {
+    watch: Arc<Mutex<Option<PortWatch>>>,
     gate: Arc<ConnectionGate>,
     gone: Sender<bool>,
     whole: Arc<AtomicUsize>,
@@ -40,8 +45,13 @@
         let gate = Arc::new(gate);
         let (sender, gone) = channel();
         let (whole, stopped) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
-        let handler =
-            StandHandler { gate: Arc::clone(&gate), gone: sender, whole: Arc::clone(&whole) };
+        let watch = Arc::default();
+        let handler = StandHandler {
+            watch: Arc::clone(&watch),
+            gate: Arc::clone(&gate),
+            gone: sender,
+            whole: Arc::clone(&whole),
+        };
         let (handler, accepting, flag) =
             (Arc::new(handler), Arc::clone(&server), Arc::clone(&stopped));
         thread::spawn(move || {
@@ -51,13 +61,18 @@
                 thread::spawn(move || handler.serve(request));
             }
         });
-        Self { gate, gone, server, whole, stopped }
+        Self { gate, gone, server, watch, whole, stopped }
     }
 
     pub fn url(&self, path: &str) -> String {
         format!("http://{}{path}", self.gate.address())
     }
 
+    /// Sets a function that handlers call for each whole request.
+    pub fn watch(&self, watch: impl Fn(u16, &ConnectionGate) + Send + 'static) {
+        *self.watch.lock().unwrap() = Some(Box::new(watch));
+    }
+
     pub fn connect(&self) -> TcpStream {
         let socket = TcpStream::connect(self.gate.address()).unwrap();
         socket.set_read_timeout(Some(PATIENCE)).unwrap();
@@ -142,6 +157,9 @@
             return;
         }
         self.whole.fetch_add(1, Ordering::AcqRel);
+        if let Some(watch) = &*self.watch.lock().unwrap() {
+            watch(port, &self.gate);
+        }
         let url = request.url().to_owned();
         let value = |name: &str| {
             let query = url.split_once('?').map_or("", |(_, query)| query);
@@ -176,11 +194,13 @@
                 drop(request);
             }
             "/until-gone" => {
+                let fills = request.headers().iter().any(|header| header.field.equiv("x-fill"));
                 let mut encoder = self.events(request, "", 1, 0);
                 let start = Instant::now();
                 while !self.gate.caller_gone(port) && start.elapsed() < PATIENCE {
-                    let _ = encoder.write_all(b"more\n").and_then(|()| encoder.flush());
-                    thread::sleep(Duration::from_millis(10));
+                    let text = if fills { &[b'x'; 8_000][..] } else { b"more\n" };
+                    let _ = encoder.write_all(text).and_then(|()| encoder.flush());
+                    thread::sleep(Duration::from_millis(if fills { 0 } else { 10 }));
                 }
                 let _ = self.gone.send(self.gate.caller_gone(port));
             }
--- a/crates/testbed/src/announce.rs
+++ b/crates/testbed/src/announce.rs
@@ -17,6 +17,9 @@
 const EVENT_BACKLOG: usize = 4_096;
 /// Redirects to the leader followed within one announcement.
 const REDIRECT_LIMIT: usize = 3;
+/// Time for one post. It leaves room for a second control instance before a target that is
+/// not heard of counts as silent.
+const POST_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval at which the load is sampled for lagging reports.
 const SAMPLE_MS: u64 = 50;
 
@@ -329,7 +332,8 @@
             load,
             cache_events,
         };
-        if self.client.post("/v1/targets/announce", &announcement) {
+        let attempts = settings.control_urls.len();
+        if (0..attempts).any(|_| self.client.post("/v1/targets/announce", &announcement)) {
             locked(&self.state.events).acknowledge(last);
         }
     }
@@ -352,12 +356,12 @@
     fn new(urls: Vec<String>) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_global(Some(Duration::from_millis(1_000)))
+            .timeout_global(Some(POST_TIMEOUT))
             .build();
         Self { agent: Agent::new_with_config(config), urls, current: 0, leader: None }
     }
 
-    /// Sends to the leader as last known; a failure selects the next URL for the next call.
+    /// Sends to the leader as last known; a failure selects the next URL.
     fn post<T: Serialize>(&mut self, path: &str, body: &T) -> bool {
         for _ in 0..REDIRECT_LIMIT {
             let known = self.leader.clone().or_else(|| self.urls.get(self.current).cloned());
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -19,6 +19,7 @@
     request_bytes: BODY_LIMIT,
     head_bytes: 64 * 1024,
     receive_ms: 60_000,
+    write_ms: 600_000,
     idle_ms: 600_000,
 };
 
--- a/crates/testbed/src/load/run.rs
+++ b/crates/testbed/src/load/run.rs
@@ -7,6 +7,7 @@
 use crate::error::TestbedError;
 use crate::flags::flag_error;
 use crate::journal::TargetJournal;
+use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -75,13 +76,17 @@
 pub fn run_load(settings: &LoadSettings) -> Result<LoadReport, TestbedError> {
     settings.validate()?;
     let plan = LoadPlan::draw(&settings.plan)?;
+    let started = ClockTime::wall().as_ms();
     let (results, unsent) = send_plan(settings, &plan);
     let mut tallies: BTreeMap<u8, TierTally> = BTreeMap::new();
     for result in &results {
         tallies.entry(result.tier).or_insert_with(|| TierTally::new(result.tier)).add(result);
     }
     let seconds = settings.plan.seconds;
-    let journals = read_journals(&settings.targets);
+    let mut journals = read_journals(&settings.targets);
+    for journal in &mut journals {
+        journal.dispatches.retain(|record| record.at_ms >= started);
+    }
     Ok(LoadReport {
         planned: plan.requests.len() as u64,
         unsent,
--- a/crates/testbed/tests/engine.rs
+++ b/crates/testbed/tests/engine.rs
@@ -6,7 +6,8 @@
 use burdockcleat_testbed::engine::{EngineSettings, FakeEngine};
 use burdockcleat_testbed::prompt::token_text;
 use common::{ControlStub, complete, stream_events};
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 fn fast_engine() -> EngineSettings {
     let mut settings = EngineSettings::named("e1", "models");
@@ -66,3 +67,38 @@
     let leave = leader.next("/v1/targets/leave", Duration::from_secs(5));
     assert_eq!(leave["incarnation"], announcement.incarnation);
 }
+
+/// Guards against a lag setting without effect, and against reports that never catch up.
+#[test]
+fn load_reports_lag() {
+    let control = ControlStub::spawn(None);
+    let mut settings = fast_engine();
+    settings.decode_rate = 50.0;
+    settings.target.control_urls = vec![control.url()];
+    settings.target.heartbeat_ms = 50;
+    settings.target.report_lag_ms = 600;
+    let engine = FakeEngine::spawn(settings).unwrap();
+    let address = engine.address();
+    let busy = thread::spawn(move || complete(address, "r1", "busy", 60));
+    let begin = Instant::now();
+    let mut seen = None;
+    while seen.is_none() && begin.elapsed() < Duration::from_secs(5) {
+        let body = control.next("/v1/targets/announce", Duration::from_secs(5));
+        seen = (body["load"]["running"] == 1).then(|| begin.elapsed());
+    }
+    let seen = seen.unwrap();
+    assert!((500..1_500).contains(&seen.as_millis()), "{seen:?}");
+    busy.join().unwrap();
+}
+
+/// Guards against a target that stays with a dead control instance.
+#[test]
+fn announcement_skips_a_dead_instance() {
+    let control = ControlStub::spawn(None);
+    let mut settings = fast_engine();
+    settings.target.control_urls = vec!["http://127.0.0.1:9".to_owned(), control.url()];
+    // The next heartbeat is too late to help.
+    settings.target.heartbeat_ms = 60_000;
+    let _engine = FakeEngine::spawn(settings).unwrap();
+    control.next("/v1/targets/announce", Duration::from_secs(10));
+}
