--- a/crates/testbed/tests/load.rs
+++ b/crates/testbed/tests/load.rs
@@ -8,6 +8,7 @@
 use burdockcleat_testbed::load::{
     LoadPlan, LoadProfile, LoadSettings, PlanSettings, PlannedCall, run_load,
 };
+use burdockcleat_testbed::service::{FakeService, ServiceSettings};
 use serde_json::json;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -112,6 +113,48 @@
     assert_eq!(engine.journal().dispatches.len() as u64, 6 * report.planned);
 }
 
+/// Stand-in of an entry that passes completions to an engine and other calls to a service.
+fn pass_on(server: &Arc<Server>, engine: String, service: String) {
+    let accepting = Arc::clone(server);
+    thread::spawn(move || {
+        while let Ok(mut request) = accepting.recv() {
+            let base = if request.url().starts_with("/svc/") { &service } else { &engine };
+            let url = format!("{base}{}", request.url());
+            thread::spawn(move || {
+                let id = request.headers().iter().find(|header| header.field.equiv("x-request-id"));
+                let id = id.unwrap().value.to_string();
+                let mut body = Vec::new();
+                request.as_reader().read_to_end(&mut body).unwrap();
+                let sent = ureq::post(&url).header("x-request-id", id).send(&body[..]);
+                let answer = sent.unwrap().into_body().read_to_vec().unwrap();
+                let _ = request.respond(Response::from_data(answer));
+            });
+        }
+    });
+}
+
+/// Guards against calls of plain services that are not sent, checked or recorded.
+#[test]
+fn service_calls_are_part_of_the_load() {
+    let engine = engine(FaultSet::default());
+    let service = FakeService::spawn(ServiceSettings::named("s1", "depot")).unwrap();
+    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+    let base = |address| format!("http://{address}");
+    pass_on(&server, base(engine.address()), base(service.address()));
+    let mut settings = plan(LoadProfile::Bureau, 60.0, 1.0);
+    settings.services = true;
+    let report = run_load(&load(format!("http://{}", server.server_addr()), settings)).unwrap();
+    let in_time: u64 = report.tiers.iter().map(|tier| tier.in_time).sum();
+    assert_eq!(in_time, report.planned, "{report}");
+    let calls = service.journal().dispatches;
+    assert!(!calls.is_empty());
+    for call in &calls {
+        assert_eq!(call.path, "/svc/depot/orders");
+        assert!(call.body.contains(&call.request_id));
+    }
+    assert_eq!(calls.len() + engine.journal().dispatches.len(), report.planned as usize);
+}
+
 /// Guards against a refusal that is not resent, or resent before its retry-after time.
 #[test]
 fn refusals_are_resent_after_their_time() {
