--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod fault;
 pub mod flags;
 pub mod journal;
+pub mod load;
 pub mod probe;
 pub mod prompt;
 pub mod relay;
