Put the entry's callers behind the connection gate

Connections, head and body bytes and the time of slow senders are bounded; a caller that hangs up is noticed while it waits; a cut stream ends in a reset instead of a well-formed body.

--- a/crates/burdockcleat/src/entry/caller.rs
+++ b/crates/burdockcleat/src/entry/caller.rs
@@ -1,37 +1,38 @@
-//! The connection of one caller.
+//! The connection of one caller, as the gate sees it.
 
-use std::fmt;
+use super::gate::ConnectionGate;
 use std::sync::Arc;
 
-/// What the connection gate offers for one connection.
+/// One connection of the gate.
 #[derive(Clone)]
 pub struct CallerConnection {
-    gone: Arc<dyn Fn() -> bool + Send + Sync>,
-    truncate: Arc<dyn Fn() + Send + Sync>,
+    gate: Arc<ConnectionGate>,
+    port: u16,
 }
 
 impl CallerConnection {
-    /// Builds a connection from what its owner can tell and do.
-    pub fn new(
-        gone: impl Fn() -> bool + Send + Sync + 'static,
-        truncate: impl Fn() + Send + Sync + 'static,
-    ) -> Self {
-        Self { gone: Arc::new(gone), truncate: Arc::new(truncate) }
+    /// Names the connection by the port that the inner server shows.
+    pub fn new(gate: Arc<ConnectionGate>, port: u16) -> Self {
+        Self { gate, port }
+    }
+
+    /// Notes that the whole request was read. False means that it must not be used.
+    pub fn mark_received(&self) -> bool {
+        self.gate.mark_received(self.port)
+    }
+
+    /// Notes that the answer was sent.
+    pub fn mark_finished(&self) {
+        self.gate.mark_finished(self.port);
     }
 
     /// Whether the caller closed its connection.
     pub fn is_gone(&self) -> bool {
-        (self.gone)()
+        self.gate.caller_gone(self.port)
     }
 
     /// Closes the connection without the final chunk, so that the answer looks incomplete.
     pub fn truncate(&self) {
-        (self.truncate)();
-    }
-}
-
-impl fmt::Debug for CallerConnection {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str("CallerConnection")
+        self.gate.reset(self.port);
     }
 }
--- a/crates/burdockcleat/src/entry/chain.rs
+++ b/crates/burdockcleat/src/entry/chain.rs
@@ -74,6 +74,10 @@
             );
         };
         let body = request::bound(request, config.document.limits().body_bytes)?;
+        if !self.caller.mark_received() {
+            let message = "the caller closed its connection or sent too slowly";
+            return Err(FilterRefusal::early(ReasonCode::CallerGone, message));
+        }
         request::route(request, id, body, &config, self.arrived)
     }
 
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -2,6 +2,7 @@
 
 use super::caller::CallerConnection;
 use super::chain::FilterChain;
+use super::gate::{ConnectionGate, GateError, GateLimits, open_inner_listener};
 use super::metrics::EntryMetrics;
 use super::session::{ControlSession, SessionError, SessionSummary};
 use crate::settings::EntrySettings;
@@ -34,6 +35,9 @@
         /// What the server reported.
         source: Box<dyn std::error::Error + Send + Sync>,
     },
+    /// The connection gate could not be opened.
+    #[error("opening the connection gate")]
+    Gate(#[from] GateError),
     /// The session could not be opened.
     #[error("opening the session with the control instances")]
     Session(#[from] SessionError),
@@ -56,6 +60,8 @@
     pub ready: bool,
     /// Whether a graceful shutdown is under way.
     pub draining: bool,
+    /// Callers' connections.
+    pub connections: usize,
     /// Requests in flight.
     pub in_flight: usize,
     /// Links, configuration and attempts.
@@ -67,6 +73,7 @@
 struct EntryShared {
     settings: EntrySettings,
     node: NodeId,
+    gate: Arc<ConnectionGate>,
     session: ControlSession,
     metrics: EntryMetrics,
     draining: AtomicBool,
@@ -88,7 +95,11 @@
     /// # Errors
     /// Fails if an address is not available or a thread cannot be created.
     pub fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
-        let callers = listen(settings.listen)?;
+        let callers = Server::from_listener(open_inner_listener()?, None)
+            .map_err(|source| EntryError::Listen { address: settings.listen, source })?;
+        let inner = callers.server_addr().to_ip().unwrap_or(settings.listen);
+        let limits = GateLimits { connections: settings.max_connections, ..GateLimits::default() };
+        let gate = Arc::new(ConnectionGate::bind(settings.listen, inner, limits)?);
         let operators = listen(settings.operator_listen)?;
         let node = NodeId(rand::random());
         let source = settings.listen.ip();
@@ -99,11 +110,12 @@
             source,
             &settings.control,
         )?;
-        let caller_addr = callers.server_addr().to_ip().unwrap_or(settings.listen);
+        let caller_addr = gate.address();
         let operator_addr = operators.server_addr().to_ip().unwrap_or(settings.operator_listen);
         let shared = Arc::new(EntryShared {
             settings,
             node,
+            gate,
             session,
             metrics: EntryMetrics::open(),
             draining: AtomicBool::new(false),
@@ -149,6 +161,7 @@
         log::info!(event = "drain_started"; "readiness withdrawn");
         thread::sleep(Duration::from_millis(shared.settings.drain_grace_ms));
         shared.closing.store(true, Ordering::SeqCst);
+        shared.gate.stop_accepting();
         while shared.in_flight.load(Ordering::SeqCst) > 0 {
             thread::sleep(DRAIN_POLL);
         }
@@ -177,14 +190,17 @@
         self.in_flight.fetch_add(1, Ordering::SeqCst);
         let worker = self.clone();
         let arrived = ClockTime::monotonic();
+        let port = request.remote_addr().map_or(0, SocketAddr::port);
+        let caller = CallerConnection::new(self.gate.clone(), port);
         let started = spawn("caller", move || {
             let chain = FilterChain {
                 session: &worker.session,
-                caller: CallerConnection::new(|| false, || {}),
+                caller: caller.clone(),
                 closing: worker.closing.load(Ordering::SeqCst),
                 arrived,
             };
             let record = chain.serve(request);
+            caller.mark_finished();
             worker.metrics.record(&record);
             worker.in_flight.fetch_sub(1, Ordering::SeqCst);
         });
@@ -215,6 +231,7 @@
             node: self.node.to_string(),
             ready: self.is_ready(),
             draining: self.draining.load(Ordering::SeqCst),
+            connections: self.gate.open_connections(),
             in_flight: self.in_flight.load(Ordering::SeqCst),
             session: self.session.summary(),
             metrics: self.metrics.collect(),
--- a/crates/burdockcleat/src/settings/entry.rs
+++ b/crates/burdockcleat/src/settings/entry.rs
@@ -19,6 +19,11 @@
         default: None,
     },
     SettingSpec { name: "secret", help: "shared secret of the deployment", default: None },
+    SettingSpec {
+        name: "max-connections",
+        help: "callers' connections at a time",
+        default: Some("1024"),
+    },
     SettingSpec {
         name: "drain-grace-ms",
         help: "time between withdrawn readiness and the end of accepting",
@@ -42,6 +47,8 @@
     pub control: Vec<SocketAddr>,
     /// Shared secret of the deployment.
     pub secret: String,
+    /// Callers' connections at a time.
+    pub max_connections: usize,
     /// Time between withdrawn readiness and the end of accepting, in milliseconds.
     pub drain_grace_ms: u64,
     /// Least severe level that is logged.
@@ -70,6 +77,7 @@
         let control = reader.addresses("control");
         let listen = reader.parsed("listen", "an address such as 10.0.0.1:8080");
         let operator_listen = reader.parsed("operator-listen", "an address such as 10.0.0.1:8081");
+        let max_connections = reader.parsed("max-connections", "a number of connections");
         let drain_grace_ms = reader.parsed("drain-grace-ms", "a number of milliseconds");
         let log_level = reader.parsed("log-level", "error, warn, info or debug");
         Some(Self {
@@ -79,6 +87,7 @@
             operator_listen: operator_listen?,
             control,
             secret,
+            max_connections: max_connections?,
             drain_grace_ms: drain_grace_ms?,
             log_level: log_level?,
         })
