--- /dev/null
+++ b/crates/core/examples/admission_scale.rs
@@ -0,0 +1,170 @@
+//! Processor time of admission per request, by number of targets.
+//!
+//! Run with `cargo run --release -p burdockcleat-core --example admission_scale`. One thread feeds
+//! submits, commits and finishes; half of the slots are in use.
+
+use burdockcleat_core::admission::{AdmissionController, StepTime};
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::document::ConfigDocument;
+use burdockcleat_core::keys::{NodeId, RequestFingerprint, RequestKey};
+use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, SubmitRequest};
+use burdockcleat_core::outcome::RequestOutcome;
+use burdockcleat_core::registry::{TargetAnnouncement, TargetRegistry};
+use burdockcleat_core::state::{ReplicatedState, StampedCommand};
+use std::collections::VecDeque;
+use std::time::Instant;
+
+const SIZES: [u32; 4] = [95, 190, 380, 760];
+const SLOTS: u32 = 16;
+const REQUESTS: u64 = 20_000;
+const ENTRY: NodeId = NodeId(1);
+const PREFIX_BLOCKS: u64 = 20;
+const FAMILIES: u64 = 50;
+
+struct Stage {
+    state: ReplicatedState,
+    admission: AdmissionController,
+    index: u64,
+    now: u64,
+}
+
+fn main() {
+    println!("| targets | submit to grant, µs | finish, µs | tick, µs |\n|---|---|---|---|");
+    for targets in SIZES {
+        let mut stage = Stage::open(targets);
+        let (mut submit_us, mut finish_us, mut tick_us) = (0.0, 0.0, 0.0);
+        let mut running = VecDeque::new();
+        for number in 0..REQUESTS {
+            let started = Instant::now();
+            running.extend(stage.submit(number));
+            submit_us += started.elapsed().as_secs_f64() * 1e6;
+            if running.len() > (targets * SLOTS / 2) as usize
+                && let Some(report) = running.pop_front()
+            {
+                let started = Instant::now();
+                stage.finish(report);
+                finish_us += started.elapsed().as_secs_f64() * 1e6;
+            }
+            if number % 100 == 0 {
+                let started = Instant::now();
+                stage.tick(targets);
+                tick_us += started.elapsed().as_secs_f64() * 1e6;
+            }
+        }
+        let count = REQUESTS as f64;
+        println!(
+            "| {targets} | {:.1} | {:.1} | {:.1} |",
+            submit_us / count,
+            finish_us / (count - f64::from(targets * SLOTS / 2)).max(1.0),
+            tick_us / (count / 100.0)
+        );
+    }
+}
+
+impl Stage {
+    fn open(targets: u32) -> Self {
+        let text = "credential-salt = \"scale\"\n\
+            [[tiers]]\nname = \"only\"\nrank = 0\ndefault-deadline-ms = 30000\nmax-queue-ms = 5000\n\
+            [[pools]]\nname = \"pool\"\nkind = \"model\"\nmodels = [\"m1\"]\n\
+            [[workspaces]]\nname = \"w\"\ncredentials = [\"sha256:0000000000000000000000000000000000000000000000000000000000000000\"]\n\
+            in-flight-limit = 100000\ntokens-per-second-limit = 1000000\npools = [\"pool\"]\ntiers = [\"only\"]\n\
+            [[rules]]\nname = \"all\"\npool = \"pool\"\ntier = \"only\"\n";
+        let document = ConfigDocument::parse(text).expect("the document is valid");
+        let state = ReplicatedState::open();
+        let registry = TargetRegistry::default();
+        let admission = AdmissionController::open(time(0), &document, &state, registry);
+        let mut stage = Self { state, admission, index: 0, now: 2_000 };
+        let hello = EntryMessage::Hello {
+            name: "entry".into(),
+            entry_time: ClockTime::from_ms(0),
+            config_version: 1,
+            running: Vec::new(),
+        };
+        stage.admission.receive(time(0), ENTRY, hello, &stage.state);
+        stage.tick(targets);
+        stage
+    }
+
+    fn submit(&mut self, number: u64) -> Option<FinishReport> {
+        // 2,100 requests a second are one each 0.48 ms.
+        self.now += u64::from(number.is_multiple_of(2));
+        let family = (number % FAMILIES) << 32;
+        let request = SubmitRequest {
+            key: RequestKey::derive("w", &number.to_string()),
+            attempt: 1,
+            fingerprint: RequestFingerprint(number),
+            workspace: "w".into(),
+            pool: "pool".into(),
+            model: "m1".into(),
+            tier: 0,
+            idempotent: true,
+            deadline_in_ms: 30_000,
+            prompt_tokens: 320,
+            output_tokens: 240,
+            prefix_hashes: (0..PREFIX_BLOCKS).map(|block| family + block).collect(),
+        };
+        let message = EntryMessage::Submit(request);
+        self.admission.receive(time(self.now), ENTRY, message, &self.state);
+        self.commit()
+    }
+
+    fn finish(&mut self, report: FinishReport) {
+        let message = EntryMessage::Finish(report);
+        self.admission.receive(time(self.now), ENTRY, message, &self.state);
+        self.commit();
+    }
+
+    /// Applies what was proposed; returns the end of a request that was granted.
+    fn commit(&mut self) -> Option<FinishReport> {
+        let mut granted = None;
+        loop {
+            let output = self.admission.take_output();
+            for (_, message) in output.messages {
+                if let ControlMessage::Grant(ticket) = message {
+                    granted = Some(FinishReport {
+                        key: ticket.key,
+                        claim: ticket.claim,
+                        outcome: RequestOutcome::Completed,
+                        reason: None,
+                        cached_tokens: 0,
+                        output_tokens: 240,
+                        first_token_ms: 40,
+                        total_ms: 1_000,
+                    });
+                }
+            }
+            if output.commands.is_empty() {
+                return granted;
+            }
+            for command in output.commands {
+                self.index += 1;
+                let stamped = StampedCommand { at: time(self.now).wall, command };
+                let reply = self.state.apply(self.index, &stamped);
+                let time = time(self.now);
+                self.admission.committed(time, &stamped.command, &reply, &self.state);
+            }
+        }
+    }
+
+    /// All targets repeat their announcement, and the timers run.
+    fn tick(&mut self, targets: u32) {
+        for number in 0..targets {
+            let announcement = TargetAnnouncement {
+                name: format!("target-{number}"),
+                incarnation: 1,
+                address: "127.0.0.1:9".into(),
+                pool: "pool".into(),
+                models: vec!["m1".into()],
+                slots: SLOTS,
+                ..TargetAnnouncement::default()
+            };
+            self.admission.announce(time(self.now), announcement).expect("a new target");
+        }
+        self.admission.tick(time(self.now), &self.state);
+        self.commit();
+    }
+}
+
+fn time(now: u64) -> StepTime {
+    StepTime { now: ClockTime::from_ms(now), wall: ClockTime::from_ms(1_000_000 + now) }
+}
