--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod flags;
 pub mod journal;
 pub mod load;
+pub mod measure;
 pub mod probe;
 pub mod prompt;
 pub mod relay;
--- /dev/null
+++ b/crates/testbed/src/measure.rs
@@ -0,0 +1,90 @@
+//! Measurements of whole deployments of real processes.
+
+mod overhead;
+mod path;
+
+pub use overhead::{OverheadReport, measure_overhead};
+pub use path::{PathPlan, PathReport, measure_path};
+
+use crate::deployment::{Deployment, DeploymentError};
+use crate::error::TestbedError;
+use crate::load::LoadProfile;
+use thiserror::Error;
+
+/// Model of the measurements.
+pub const MODEL: &str = "m1";
+/// Pool of the engines.
+pub const MODEL_POOL: &str = "models";
+
+/// A measurement that could not be made.
+#[derive(Debug, Error)]
+pub enum MeasureError {
+    /// The processes could not be set up.
+    #[error("setting up the processes")]
+    Deployment(#[from] DeploymentError),
+    /// The fake targets or the load program failed.
+    #[error("running the fake targets and the load")]
+    Testbed(#[from] TestbedError),
+    /// The document was refused.
+    #[error("applying the document: status {0}")]
+    Refused(u16),
+}
+
+/// Starts control instances and entries with a document for the profile.
+fn start(profile: LoadProfile, entries: usize) -> Result<Deployment, MeasureError> {
+    let mut deployment = Deployment::open(3)?;
+    for index in 0..3 {
+        deployment.start_control(index)?;
+    }
+    for index in 0..entries {
+        deployment.start_entry(index)?;
+    }
+    let leader = deployment.wait_leader()?;
+    let answer = deployment.apply(leader, 0, "measure", &document(profile))?;
+    if answer.status != 200 {
+        return Err(MeasureError::Refused(answer.status));
+    }
+    for index in 0..entries {
+        deployment.wait_ready(index)?;
+    }
+    Ok(deployment)
+}
+
+/// Pool of the plain services of a profile.
+fn service_pool(profile: LoadProfile) -> &'static str {
+    match profile {
+        LoadProfile::Bureau => "depot",
+        LoadProfile::Kerlouan => "kits",
+    }
+}
+
+/// Credential of the workspace whose completions are in a tier.
+fn credential(tier: u8) -> String {
+    format!("measure-{tier}")
+}
+
+/// A document with a workspace for each tier, and limits that do not bind.
+fn document(profile: LoadProfile) -> String {
+    let service = service_pool(profile);
+    let mut text = format!(
+        "credential-salt = \"\"\n\
+         [[tiers]]\nname = \"tier-0\"\nrank = 0\ndefault-deadline-ms = 5000\nmax-queue-ms = 300\n\
+         [[tiers]]\nname = \"tier-1\"\nrank = 1\ndefault-deadline-ms = 10000\nmax-queue-ms = 3000\n\
+         [[tiers]]\nname = \"tier-2\"\nrank = 2\ndefault-deadline-ms = 30000\nmax-queue-ms = 15000\n\
+         [[pools]]\nname = \"{MODEL_POOL}\"\nkind = \"model\"\nmodels = [\"{MODEL}\"]\n\
+         [[pools]]\nname = \"{service}\"\nkind = \"service\"\nstraggler-percent = 0\n\
+         [[rules]]\nname = \"orders\"\npath-prefix = \"/svc/{service}\"\npool = \"{service}\"\n\
+         tier = \"tier-0\"\nidempotent = false\n",
+    );
+    for tier in 0..3 {
+        let digest = burdockcleat_core::document::CredentialDigest::compute("", &credential(tier));
+        text.push_str(&format!(
+            "[[workspaces]]\nname = \"workspace-{tier}\"\ncredentials = [\"{digest}\"]\n\
+             in-flight-limit = 10000\ntokens-per-second-limit = 1000000\n\
+             pools = [\"{MODEL_POOL}\", \"{service}\"]\ntiers = [\"tier-0\", \"tier-1\", \"tier-2\"]\n\
+             [[rules]]\nname = \"completions-{tier}\"\nworkspace = \"workspace-{tier}\"\n\
+             path-prefix = \"/v1/completions\"\npool = \"{MODEL_POOL}\"\ntier = \"tier-{tier}\"\n",
+        ));
+    }
+    text
+}
--- /dev/null
+++ b/crates/testbed/src/measure/overhead.rs
@@ -0,0 +1,133 @@
+//! Time that an entry adds to a request, claim included, and what the entry uses.
+
+use super::{MODEL, MODEL_POOL, MeasureError, credential, start};
+use crate::deployment::{Deployment, wait_until};
+use crate::engine::{EngineSettings, FakeEngine};
+use crate::load::LoadProfile;
+use crate::probe::CompletionCall;
+use crate::usage::ProcessUsage;
+use burdockcleat_core::clock::ClockTime;
+use std::sync::Mutex;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Tokens of each answer: at 6 requests a second, 1,400 tokens a second.
+const OUTPUT_TOKENS: u32 = 233;
+const DECODE_RATE: f64 = 400.0;
+const TARGETS_LIMIT_MS: u64 = 10_000;
+
+/// Times of requests that went to the engine directly and through an entry.
+#[derive(Clone, Debug, Default)]
+pub struct OverheadReport {
+    /// Requests per second.
+    pub rate: f64,
+    /// First token of direct requests: median and 99th percentile, in ms.
+    pub direct_first_ms: (f64, f64),
+    /// First token through the entry.
+    pub entry_first_ms: (f64, f64),
+    /// Whole answer of direct requests.
+    pub direct_total_ms: (f64, f64),
+    /// Whole answer through the entry.
+    pub entry_total_ms: (f64, f64),
+    /// Share of a core that the entry used, in percent.
+    pub entry_cpu_percent: f64,
+    /// Resident memory of the entry, in MiB.
+    pub entry_mib: f64,
+    /// Requests that did not complete.
+    pub failed: usize,
+}
+
+/// Sends the same load directly and through an entry, in turns.
+///
+/// # Errors
+/// Fails if the deployment does not start.
+pub fn measure_overhead(rate: f64, seconds: u64) -> Result<OverheadReport, MeasureError> {
+    let deployment = start(LoadProfile::Bureau, 1)?;
+    let mut settings = EngineSettings::named("engine-0", MODEL_POOL);
+    settings.target.models = vec![MODEL.into()];
+    settings.target.control_urls = deployment.control_urls();
+    settings.target.slots = 64;
+    settings.decode_rate = DECODE_RATE;
+    settings.batch_slowdown = 0.0;
+    let engine = FakeEngine::spawn(settings)?;
+    wait_until("the engine to be announced", TARGETS_LIMIT_MS, || {
+        let Some(leader) = deployment.leader() else { return false };
+        let dump = deployment.control_dump(leader).unwrap_or_default();
+        dump["status"]["targets"].as_array().is_some_and(|targets| targets.len() == 1)
+    })?;
+    let direct_url = format!("http://{}", engine.address());
+    let direct = send_all(&direct_url, "direct", rate, seconds);
+    let process = deployment.process(&Deployment::entry_name(0)).unwrap_or_default();
+    let before = ProcessUsage::read(process).unwrap_or_default();
+    let started = ClockTime::monotonic();
+    let through = send_all(&deployment.entry_url(0), "entry", rate, seconds);
+    let elapsed_ms = ClockTime::monotonic().since(started);
+    let after = ProcessUsage::read(process).unwrap_or_default();
+    Ok(OverheadReport {
+        rate,
+        direct_first_ms: percentiles(&direct.first),
+        entry_first_ms: percentiles(&through.first),
+        direct_total_ms: percentiles(&direct.total),
+        entry_total_ms: percentiles(&through.total),
+        entry_cpu_percent: (after.cpu_ms - before.cpu_ms) as f64 * 100.0 / elapsed_ms as f64,
+        entry_mib: after.resident_kib as f64 / 1_024.0,
+        failed: direct.failed + through.failed,
+    })
+}
+
+#[derive(Default)]
+struct TimeSamples {
+    first: Vec<f64>,
+    total: Vec<f64>,
+    failed: usize,
+}
+
+fn send_all(url: &str, name: &str, rate: f64, seconds: u64) -> TimeSamples {
+    let samples = Mutex::new(TimeSamples::default());
+    // The casts are exact for the counts of a measurement.
+    let count = (rate * seconds as f64) as u32;
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for number in 0..count {
+            let due = start + Duration::from_secs_f64(f64::from(number) / rate);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let samples = &samples;
+            scope.spawn(move || {
+                let answer = call(url, &format!("{name}-{number}")).send();
+                let mut samples = samples.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+                match (answer.done, answer.times.first(), answer.times.last()) {
+                    (true, Some(first), Some(last)) => {
+                        samples.first.push(first.as_secs_f64() * 1e3);
+                        samples.total.push(last.as_secs_f64() * 1e3);
+                    }
+                    _ => samples.failed += 1,
+                }
+            });
+        }
+    });
+    samples.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn call(url: &str, id: &str) -> CompletionCall {
+    CompletionCall {
+        entry_url: url.into(),
+        credential: credential(0),
+        request_id: id.into(),
+        model: MODEL.into(),
+        prompt: format!("Request {id}"),
+        max_tokens: OUTPUT_TOKENS,
+        deadline_ms: 20_000,
+        headers: Vec::new(),
+    }
+}
+
+/// Median and 99th percentile.
+fn percentiles(samples: &[f64]) -> (f64, f64) {
+    let mut sorted = samples.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let at = |share: f64| {
+        let position = (sorted.len() as f64 * share) as usize;
+        sorted.get(position.min(sorted.len().saturating_sub(1))).copied().unwrap_or_default()
+    };
+    (at(0.5), at(0.99))
+}
