Serve connections that tiny_http leaves in its queue; restore the yield

tiny_http counts a notified pool thread as free until it wakes up, so a burst puts more connections into its queue than it has free threads. The rest wait until another connection ends, which with long streams is minutes. The gate now opens and closes a connection to the inner server 10 ms after the first byte of a connection that was not taken up, and again at doubled intervals; the thread started for it takes one from the queue.

The test now uses four fast streams.

--- a/crates/burdockcleat/src/entry/gate/link.rs
+++ b/crates/burdockcleat/src/entry/gate/link.rs
@@ -10,6 +10,9 @@
 /// Called once when a caller hangs up.
 pub type GoneCallback = Box<dyn FnOnce() + Send>;
 
+/// Time after the first byte at which an untouched connection gets a nudge.
+pub(super) const FIRST_NUDGE: Duration = Duration::from_millis(10);
+
 /// Where a connection is between two requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum LinkPhase {
@@ -38,6 +41,10 @@
     /// The gate no longer holds the caller's socket.
     pub(super) closed: bool,
     pub(super) reset_requested: bool,
+    /// When the inner server is given a nudge, until it has taken up the connection.
+    pub(super) nudge_at: Option<Instant>,
+    /// The inner server has read from the connection.
+    taken_up: bool,
     /// Bytes were read from the inner server and not yet written to the caller.
     pub(super) writing: bool,
     /// Requests that were marked as received and not as finished.
@@ -47,6 +54,13 @@
     callbacks: Vec<GoneCallback>,
 }
 
+impl LinkState {
+    fn set_taken_up(&mut self) {
+        self.taken_up = true;
+        self.nudge_at = None;
+    }
+}
+
 /// Finds the empty line that ends a head.
 #[derive(Default)]
 struct HeadScanner {
@@ -92,6 +106,8 @@
             gone: false,
             closed: false,
             reset_requested: false,
+            nudge_at: None,
+            taken_up: false,
             writing: false,
             open_requests: 0,
             request_bytes: 0,
@@ -124,6 +140,7 @@
             state.deadline = Some(Instant::now() + Duration::from_millis(limits.receive_ms));
             state.request_bytes = 0;
             state.head = HeadScanner::default();
+            state.nudge_at = (!state.taken_up).then(|| Instant::now() + FIRST_NUDGE);
             drop(state);
             self.wake();
             state = self.state();
@@ -139,6 +156,7 @@
     pub(super) fn note_response(&self) {
         let mut state = self.state();
         state.writing = true;
+        state.set_taken_up();
         if state.phase == LinkPhase::Received {
             state.phase = LinkPhase::Answering;
         }
@@ -162,6 +180,7 @@
         state.open_requests += 1;
         state.phase = LinkPhase::Received;
         state.deadline = None;
+        state.set_taken_up();
         drop(state);
         self.wake();
         true
--- a/crates/burdockcleat/src/entry/gate/relay.rs
+++ b/crates/burdockcleat/src/entry/gate/relay.rs
@@ -1,7 +1,7 @@
 //! Copies bytes between a caller and the inner server and supervises the connection.
 
 use super::GateLimits;
-use super::link::{CallerLink, LinkPhase};
+use super::link::{CallerLink, FIRST_NUDGE, LinkPhase};
 use super::refusal::GateRefusal;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -11,10 +11,13 @@
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::pin::pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 /// Bytes copied at a time in one direction.
 const COPY_BYTES: usize = 8 * 1024;
+/// Copies of one connection in a row while its sockets stay ready.
+const ROUNDS_AT_A_TIME: usize = 16;
 /// Interval at which the socket of a half-closed caller is looked at.
 const HALF_CLOSED_LOOK: Duration = Duration::from_millis(50);
 /// Interval of the probes to a half-closed caller that waits for its response.
@@ -76,7 +79,8 @@
     async fn copy_request(&self) -> LinkEnd {
         let (mut caller, mut inner) = (self.caller, self.inner);
         let mut buffer = vec![0; COPY_BYTES];
-        loop {
+        for round in 1_usize.. {
+            yield_after(round).await;
             let length = match caller.read(&mut buffer).await {
                 Ok(0) => {
                     let _ = inner.get_ref().shutdown(Shutdown::Write);
@@ -94,12 +98,14 @@
                 return future::pending().await;
             }
         }
+        future::pending().await
     }
 
     async fn copy_response(&self) -> LinkEnd {
         let mut inner = self.inner;
         let mut buffer = vec![0; COPY_BYTES];
-        loop {
+        for round in 1_usize.. {
+            yield_after(round).await;
             let length = match inner.read(&mut buffer).await {
                 Ok(0) => return LinkEnd::Answered,
                 Ok(length) => length,
@@ -111,6 +117,7 @@
             }
             self.link.note_written();
         }
+        future::pending().await
     }
 
     /// Writes to the caller; the timer is only needed when the send buffer is full.
@@ -135,22 +142,32 @@
     /// Watches deadlines, resets and half-closed callers.
     async fn supervise(&self, wake: &Receiver<()>) -> LinkEnd {
         let mut next_probe = Instant::now();
+        let mut nudge_pause = FIRST_NUDGE;
         loop {
             let now = Instant::now();
-            let (phase, deadline, half_closed) = {
-                let state = self.link.state();
+            let (phase, deadline, half_closed, nudge_at) = {
+                let mut state = self.link.state();
                 if state.reset_requested {
                     return LinkEnd::Reset;
                 }
-                (state.phase, state.deadline, state.half_closed)
+                let nudge_at = state.nudge_at;
+                if nudge_at.is_some_and(|at| at <= now) {
+                    nudge_pause *= 2;
+                    state.nudge_at = Some(now + nudge_pause);
+                }
+                (state.phase, state.deadline, state.half_closed, nudge_at)
             };
+            if nudge_at.is_some_and(|at| at <= now) {
+                self.nudge_inner().await;
+                continue;
+            }
             if deadline.is_some_and(|deadline| deadline <= now) {
                 return match phase {
                     LinkPhase::Idle => LinkEnd::Idle,
                     _ => LinkEnd::Refused(GateRefusal::SenderTimeout),
                 };
             }
-            let mut wait_until = deadline;
+            let mut wait_until = deadline.into_iter().chain(nudge_at).min();
             if half_closed {
                 let probes = phase == LinkPhase::Received && next_probe <= now;
                 if probes {
@@ -160,13 +177,26 @@
                     return LinkEnd::Gone;
                 }
                 let look = now + HALF_CLOSED_LOOK;
-                wait_until = Some(deadline.map_or(look, |deadline| deadline.min(look)));
+                wait_until = Some(wait_until.map_or(look, |until| until.min(look)));
             }
             let timer = wait_until.map_or_else(Timer::never, Timer::at);
             future::select(pin!(wake.recv()), timer).await;
         }
     }
 
+    /// Opens and closes a connection to the inner server.
+    ///
+    /// The thread pool of `tiny_http` counts a notified thread as free until it has woken up.
+    /// In a burst it queues more connections than it has free threads, and the rest would
+    /// wait until another connection ends. A further connection makes it start a thread,
+    /// which then takes one from the queue.
+    async fn nudge_inner(&self) {
+        let Ok(address) = self.inner.get_ref().peer_addr() else { return };
+        if let Err(error) = Async::<TcpStream>::connect(address).await {
+            log::warn!(error:% = error; "the inner server is unreachable");
+        }
+    }
+
     /// Looks at a caller that sent FIN. After FIN, reads only return the end, so a reset
     /// shows as a pending socket error or as a failed write.
     fn is_closed_by_caller(&self, probes: bool) -> bool {
@@ -231,6 +261,24 @@
     }
 }
 
+/// Lets other connections run after some rounds. Sockets that are always ready never suspend
+/// a copy loop, so one fast stream could hold the thread.
+async fn yield_after(round: usize) {
+    if !round.is_multiple_of(ROUNDS_AT_A_TIME) {
+        return;
+    }
+    let mut yielded = false;
+    future::poll_fn(|context| {
+        if yielded {
+            return Poll::Ready(());
+        }
+        yielded = true;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    })
+    .await;
+}
+
 /// Sends a refusal and closes the sending side.
 pub(super) async fn send_refusal(caller: &Async<TcpStream>, refusal: GateRefusal) {
     let response = refusal.response();
--- a/crates/burdockcleat/tests/gate.rs
+++ b/crates/burdockcleat/tests/gate.rs
@@ -187,21 +187,41 @@
 #[test]
 fn fast_stream_leaves_room_for_others() {
     let stand = GateStand::spawn(GateLimits::default());
-    let mut fast = stand.connect();
-    fast.write_all(b"GET /until-gone HTTP/1.1\r\nx-fill: 1\r\n\r\n").unwrap();
-    let mut reader = fast.try_clone().unwrap();
-    let reading = thread::spawn(move || {
-        let mut buffer = vec![0; 256 * 1024];
-        while reader.read(&mut buffer).is_ok_and(|length| length > 0) {}
-    });
+    let fast: Vec<_> = (0..4).map(|_| stand.connect()).collect();
+    let read_on = |mut socket: TcpStream| {
+        socket.write_all(b"GET /until-gone HTTP/1.1\r\nx-fill: 1\r\n\r\n").unwrap();
+        thread::spawn(move || {
+            let mut buffer = vec![0; 256 * 1024];
+            while socket.read(&mut buffer).is_ok_and(|length| length > 0) {}
+        })
+    };
+    let readers: Vec<_> = fast.iter().map(|socket| read_on(socket.try_clone().unwrap())).collect();
     for _ in 0..20 {
         let start = Instant::now();
         assert_eq!(ureq::get(stand.url("/echo")).call().unwrap().status(), 200);
         assert!(start.elapsed() < Duration::from_secs(1), "{:?}", start.elapsed());
     }
-    fast.shutdown(Shutdown::Both).unwrap();
-    reading.join().unwrap();
-    assert!(stand.gone.recv_timeout(Duration::from_secs(10)).unwrap());
+    for (socket, reader) in fast.into_iter().zip(readers) {
+        socket.shutdown(Shutdown::Both).unwrap();
+        reader.join().unwrap();
+        assert!(stand.gone.recv_timeout(Duration::from_secs(10)).unwrap());
+    }
+}
+
+/// Guards against connections of a burst that the thread pool of `tiny_http` leaves in its
+/// queue until one of the long streams before them ends.
+#[test]
+fn burst_of_long_streams_starts_at_once() {
+    let stand = GateStand::spawn(GateLimits::default());
+    let mut sockets: Vec<_> = (0..60).map(|_| stand.connect()).collect();
+    let start = Instant::now();
+    for socket in &mut sockets {
+        socket.write_all(b"GET /until-gone HTTP/1.1\r\nhost: x\r\n\r\n").unwrap();
+    }
+    for socket in &mut sockets {
+        assert!(socket.read(&mut [0; 64]).unwrap() > 0);
+    }
+    assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
 }
 
 /// Guards against callbacks that pile up on a kept connection or fire for a later request.
