Let requests wait for a target with cached blocks

Wasted prefill stayed near that of least reported load, because a free slot at any target was taken at once. A request now waits up to 500 ms for a busy target with its prefix, uncached tokens count four times, a target that refused connections gets no work until its next announcement, and the estimated wait allows for arrivals of higher tiers.

--- a/crates/core/examples/policy_experiment/engine.rs
+++ b/crates/core/examples/policy_experiment/engine.rs
@@ -126,6 +126,10 @@
         });
     }
 
+    pub fn hits(&self, hashes: &[u64]) -> usize {
+        hashes.iter().take_while(|hash| self.cache.stamps.contains_key(hash)).count()
+    }
+
     pub fn advance(&mut self, now: u64) -> Vec<EngineEvent> {
         let mut events = Vec::new();
         let decoding = self.streams.iter().filter(|stream| stream.first_token.is_some()).count();
--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -21,18 +21,34 @@
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 13] = [
+const VARIANTS: [Variant; 22] = [
     ("estimated completion", |_| {}),
     ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
     ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
     ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
     ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
     ("- prefix term", |s| s.switches.prefix_term = false),
-    ("- lookahead", |s| s.lookahead = 1),
+    ("- cache wait", |s| s.cache_wait_ms = 0),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
     ("- deadline order", |s| s.switches.deadline_order = false),
     ("- straggler avoidance", |s| s.switches.straggler_avoidance = false),
+    ("- hopeless refusal", |s| s.switches.hopeless_refusal = false),
+    ("- failure limit", |s| s.failure_limit = u32::MAX),
+    ("weight 1", |s| s.prefill_weight = 1.0),
+    ("weight 8", |s| s.prefill_weight = 8.0),
+    ("wait 1000", |s| s.cache_wait_ms = 1000),
+    ("wait 250", |s| s.cache_wait_ms = 250),
+    ("look 64", |s| s.lookahead = 64),
+    ("w1000 look 128", |s| {
+        s.cache_wait_ms = 1000;
+        s.lookahead = 128
+    }),
+    ("w2000 look 128 weight 8", |s| {
+        s.cache_wait_ms = 2000;
+        s.prefill_weight = 8.0;
+        s.lookahead = 128
+    }),
     ("- tiered shedding", |s| s.switches.tiered_shedding = false),
     ("plain", |s| {
         s.routing = RoutingPolicy::LeastReported;
@@ -50,6 +66,7 @@
     let mut settings = deployment.settings();
     settings.routing = RoutingPolicy::LeastInFlight;
     settings.switches.preemption = false;
+    settings.switches.hopeless_refusal = false;
     settings.queue_limit = 1_000_000;
     for tier in &mut settings.tiers {
         tier.max_queue_ms = 1_000_000;
@@ -117,6 +134,17 @@
                 "variant", "tier 0", "tier 1", "tier 2", "wasted prefill", "cancels", "tier rule"
             );
             let results = all_runs(deployment, capacity * load, &seeds);
+            if std::env::var_os("LOSSES").is_some() {
+                for (index, (name, _)) in VARIANTS.iter().enumerate() {
+                    let l: Vec<_> = results[index][0]
+                        .losses
+                        .iter()
+                        .filter(|l| l.0.0 == 9)
+                        .map(|l| (&l.0.1, l.1))
+                        .collect();
+                    println!("{name} {l:?}");
+                }
+            }
             for ((name, _), runs) in VARIANTS.iter().zip(&results) {
                 println!(
                     "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
--- a/crates/core/examples/policy_experiment/workload.rs
+++ b/crates/core/examples/policy_experiment/workload.rs
@@ -113,8 +113,9 @@
                 (60.0 * factor, template, 8, 16.0 * factor.powf(0.75))
             }
             Self::Kerlouan => {
-                // Presets of Zipf-like popularity with long shared prefixes.
-                let preset = (60.0_f64.powf(random.random_range(0.0..1.0)) - 1.0) as u64;
+                // Twenty presets per workspace, of Zipf-like popularity and with long shared prefixes.
+                // One engine caches about a third of all of them.
+                let preset = (21.0_f64.powf(random.random_range(0.0..1.0)) - 1.0) as u64;
                 (random.random_range(64.0..192.0), preset, 16, random.random_range(20.0..60.0))
             }
         };
--- a/crates/core/examples/policy_experiment/world.rs
+++ b/crates/core/examples/policy_experiment/world.rs
@@ -33,6 +33,8 @@
     pub wasted: f64,
     pub violations: u32,
     pub cancels: u32,
+    /// Requests without goodput by tier and reason.
+    pub losses: BTreeMap<(u8, String), u32>,
 }
 
 impl RunFigures {
@@ -142,7 +144,8 @@
                     self.figures.cancels += 1;
                     self.later(DISPATCH_MS, Delayed::Cancel { request: index(key) });
                 }
-                PoolOutput::Refuse { key, .. } => {
+                PoolOutput::Refuse { key, tier, reason, .. } => {
+                    self.lost(tier, format!("refused {reason:?}"));
                     self.finished.insert(index(key));
                 }
                 PoolOutput::Suspect(_) => {}
@@ -159,7 +162,29 @@
                     let (key, claim) = (key(request), claim(request));
                     return self.step(PoolInput::Release { key, claim, retry: true });
                 }
-                let plan = &self.plan[request];
+                let plan = &self.plan[request].clone();
+                if std::env::var_os("MISSES").is_some() {
+                    let full = 16;
+                    let hits = |e: &FakeEngine| e.hits(&plan.hashes).min(full);
+                    let here = hits(&self.engines[engine]);
+                    let best = self
+                        .engines
+                        .iter()
+                        .filter(|e| e.up && e.speed == 1.0)
+                        .map(|e| (hits(e), e.streams.len() < 8))
+                        .max()
+                        .unwrap();
+                    let kind = if here == full {
+                        "hit"
+                    } else if best.0 < full {
+                        "cold"
+                    } else if !best.1 {
+                        "busy"
+                    } else {
+                        "avoidable"
+                    };
+                    self.lost(9, kind.to_owned());
+                }
                 self.engines[engine].admit(
                     self.now,
                     request,
@@ -169,7 +194,14 @@
                 );
                 self.dispatched.insert(request, engine);
             }
-            Delayed::Cancel { request } => self.abort(request, ReasonCode::Preempted),
+            Delayed::Cancel { request } => self.abort(
+                request,
+                if self.now >= self.plan[request].at + u64::from(self.plan[request].deadline_ms) {
+                    ReasonCode::UpstreamTimeout
+                } else {
+                    ReasonCode::Preempted
+                },
+            ),
         }
     }
 
@@ -196,6 +228,10 @@
         self.later(deadline, Delayed::Input(PoolInput::Withdraw { key: key(request) }));
     }
 
+    fn lost(&mut self, tier: u8, reason: String) {
+        *self.figures.losses.entry((tier, reason)).or_default() += 1;
+    }
+
     /// Ends a running request without a response.
     fn abort(&mut self, request: usize, reason: ReasonCode) {
         let Some(engine) = self.dispatched.get(&request).copied() else { return };
@@ -206,6 +242,9 @@
     fn discard(&mut self, stream: &EngineStream, reason: ReasonCode) {
         self.figures.computed += stream.computed;
         self.figures.wasted += stream.computed;
+        let waited = stream.started - self.plan[stream.request].at;
+        let bucket = waited / 1000;
+        self.lost(self.plan[stream.request].tier, format!("ended {reason:?} waited {bucket} s"));
         self.finish(stream, RequestOutcome::Failed, Some(reason));
     }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -82,9 +82,12 @@
     retries: RetryBudget,
     /// Requests that ended, for the retry-after time.
     drained: DecayedRatio,
+    /// Estimated service time of the placed requests by tier, for the share of the slots that the
+    /// tiers above leave.
+    served: BTreeMap<u8, DecayedRatio>,
     /// Actual against estimated time of finished requests.
     stretch: DecayedRatio,
-    /// Service time of plain services.
+    /// Time from dispatch to end.
     service_time: DecayedRatio,
     sequence: u64,
     placements: u64,
@@ -122,6 +125,7 @@
             claims_full: false,
             retries: RetryBudget::default(),
             drained: DecayedRatio::default(),
+            served: BTreeMap::new(),
             stretch: DecayedRatio::default(),
             service_time: DecayedRatio::default(),
             sequence: 0,
--- a/crates/core/src/pool/check.rs
+++ b/crates/core/src/pool/check.rs
@@ -2,7 +2,6 @@
 
 use super::PoolScheduler;
 use super::event::PoolOutput;
-use super::request::PoolTarget;
 use crate::keys::RequestKey;
 use crate::outcome::ReasonCode;
 use crate::registry::TargetKey;
@@ -90,7 +89,7 @@
     pub fn free_targets(&self) -> impl Iterator<Item = TargetKey> {
         self.targets
             .iter()
-            .filter(|(_, target)| PoolTarget::has_free_slot(target))
+            .filter(|(_, target)| target.has_free_slot(self.settings.failure_limit))
             .map(|(key, _)| *key)
     }
 }
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -144,13 +144,15 @@
         }
     }
 
-    /// Requests of a model that are next, of its highest waiting tier only.
+    /// Requests of a model in the order in which they are to be placed.
     pub fn candidates(&self, class: usize, limit: usize) -> Vec<RequestSlot> {
         self.classes
             .get(class)
-            .and_then(|tiers| tiers.values().find(|flows| !flows.active.is_empty()))
-            .map(|flows| flows.candidates(limit).collect())
-            .unwrap_or_default()
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .flat_map(|flows| flows.candidates(limit))
+            .take(limit)
+            .collect()
     }
 
     /// Highest tier of a model with a request that can be placed.
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -53,8 +53,8 @@
 pub(super) struct WaitState {
     /// Whether a slot is sought by preemption.
     pub urgent: bool,
-    /// Times that a request of the same tier was placed out of order before this one.
-    pub overtaken: u32,
+    /// Busy target with cached blocks that the request waits for, and until when.
+    pub home: Option<(TargetKey, ClockTime)>,
     pub parked: Option<ParkReason>,
 }
 
@@ -135,6 +135,8 @@
     pub announcement: TargetAnnouncement,
     /// Whether the target may get new work.
     pub eligible: bool,
+    /// Failed connections since the last announcement.
+    pub failures: u32,
     /// Whether the target has left; it is forgotten after its last request ended.
     pub left: bool,
     pub running: Vec<RequestSlot>,
@@ -156,7 +158,7 @@
         if self.eligible { self.announcement.slots as usize } else { 0 }
     }
 
-    pub fn has_free_slot(&self) -> bool {
-        self.running.len() < self.slots()
+    pub fn has_free_slot(&self, failure_limit: u32) -> bool {
+        self.running.len() < self.slots() && self.failures < failure_limit
     }
 }
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -8,21 +8,19 @@
 use crate::outcome::ReasonCode;
 use crate::registry::TargetKey;
 
-/// Smallest gain in the share of cached prompt tokens for which a request overtakes another.
-const OVERTAKE_GAIN: f64 = 0.25;
-
 /// A target for a request, with the estimates that led to it.
 #[derive(Clone, Copy, Debug)]
 struct Choice {
     slot: RequestSlot,
     target: TargetKey,
-    cached_share: f64,
+    /// Routing cost in milliseconds.
+    cost_ms: f64,
 }
 
 impl PoolScheduler {
     /// Places waiting requests while targets have free slots.
     pub(super) fn dispatch(&mut self, now: ClockTime) {
-        if self.queue.len() == 0 || !self.targets.values().any(PoolTarget::has_free_slot) {
+        if self.queue.len() == 0 || !self.targets.values().any(|target| self.free(target)) {
             return;
         }
         let mut blocked = vec![false; self.queue.classes()];
@@ -34,6 +32,10 @@
         }
     }
 
+    fn free(&self, target: &PoolTarget) -> bool {
+        target.has_free_slot(self.settings.failure_limit)
+    }
+
     /// The model whose next request has the highest tier, or among equals is the oldest.
     fn next_class(&self, blocked: &[bool]) -> Option<usize> {
         (0..blocked.len())
@@ -47,42 +49,95 @@
             .map(|(_, _, class)| class)
     }
 
+    /// The next request of a model that can be placed, and the target for it.
     fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
-        let mut best: Option<Choice> = None;
-        let mut passed = Vec::new();
         for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
+            if let Some(home) = self.waits_for(now, slot) {
+                if self.targets.get(&home).is_some_and(|target| self.free(target)) {
+                    return Some(Choice { slot, target: home, cost_ms: 0.0 });
+                }
+                continue;
+            }
             let Some(choice) = self.route(now, slot) else {
                 self.park_suspect(now, slot);
                 continue;
             };
-            let better = best.is_none_or(|best| {
-                choice.cached_share > best.cached_share + OVERTAKE_GAIN && self.may_overtake(now)
-            });
-            if better {
-                passed.extend(best.map(|best| best.slot));
-                best = Some(choice);
-            }
-            if !self.overtakable(slot) {
-                break;
+            if self.hopeless(now, &choice) {
+                self.refuse(now, slot, ReasonCode::DeadlinePassed);
+            } else if !self.defer(now, &choice) {
+                return Some(choice);
             }
         }
-        for slot in passed {
-            if let Some(state) = self.requests[slot].waiting_mut() {
-                state.overtaken += 1;
-            }
+        None
+    }
+
+    /// The busy target whose cached blocks the request still waits for.
+    fn waits_for(&self, now: ClockTime, slot: RequestSlot) -> Option<TargetKey> {
+        let (home, until) = self.requests[slot].waiting()?.home?;
+        (now < until).then_some(home)
+    }
+
+    /// Lets a request wait for a busy target that has its prompt cached, once and for a short
+    /// time, if that is expected to cost less than the prefill at a free target.
+    fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
+        let record = &self.requests[choice.slot];
+        let first = record.waiting().is_some_and(|state| state.home.is_none());
+        if !first || !self.reuses_prefixes() || record.prefix_hashes.is_empty() {
+            return false;
+        }
+        let half_life = self.settings.rates.half_life_ms;
+        let time = self.service_time.with_prior(now, half_life, 1.0, self.settings.service_time_ms);
+        let marked = self.suspects.marked(now, record.fingerprint);
+        let model = &self.classes[record.item.class];
+        let home = self
+            .targets
+            .iter()
+            .filter(|(key, target)| {
+                target.eligible
+                    && !target.has_free_slot(u32::MAX)
+                    && target.announcement.serves(model)
+                    && !marked
+                    && !record.tried.contains(key)
+                    && !self.avoided(**key)
+            })
+            .map(|(key, target)| {
+                let wait = time / target.running.len().max(1) as f64;
+                (self.routing_cost(now, record, *key) + wait, *key)
+            })
+            .min_by(|left, right| left.0.total_cmp(&right.0));
+        let Some((cost_ms, home)) = home else { return false };
+        let until = now.plus(self.settings.cache_wait_ms);
+        if cost_ms >= choice.cost_ms || until >= self.slack_end(record) {
+            return false;
         }
-        best
+        if let Some(state) = self.requests[choice.slot].waiting_mut() {
+            state.home = Some((home, until));
+        }
+        true
     }
 
-    fn may_overtake(&self, _now: ClockTime) -> bool {
+    fn avoided(&self, key: TargetKey) -> bool {
+        self.settings.switches.straggler_avoidance && self.rates.straggler(key)
+    }
+
+    fn reuses_prefixes(&self) -> bool {
         self.settings.switches.prefix_term
             && self.settings.routing == RoutingPolicy::EstimatedCompletion
+            && self.settings.cache_wait_ms > 0
     }
 
-    fn overtakable(&self, slot: RequestSlot) -> bool {
-        self.requests[slot].waiting().is_some_and(|state| {
-            !state.urgent && (state.overtaken as usize) < self.settings.lookahead
-        })
+    /// Whether a request would miss its deadline at its best target, and no lower tier would be
+    /// served in its place.
+    fn hopeless(&self, now: ClockTime, choice: &Choice) -> bool {
+        let record = &self.requests[choice.slot];
+        let time = self.completion_ms(now, record, choice.target);
+        // The cast is exact for spans below 2^52 ms.
+        let left = record.deadline.since(now) as f64;
+        let tier = record.item.tier;
+        self.settings.switches.hopeless_refusal
+            && time * (1.0 - self.settings.hopeless_share) > left
+            && self.queue.below(tier).next().is_none()
+            && self.running.range(tier..).all(|(rank, _)| *rank <= tier)
     }
 
     /// The best target with a free slot for a request.
@@ -94,22 +149,19 @@
             .targets
             .iter()
             .filter(|(key, target)| {
-                target.has_free_slot()
+                self.free(target)
                     && target.announcement.serves(model)
                     && !record.tried.contains(key)
                     && !(marked && target.marked > 0)
             })
             .map(|(key, _)| *key)
             .collect();
-        let avoid = self.settings.switches.straggler_avoidance;
         let fast: Vec<TargetKey> =
-            usable.iter().copied().filter(|key| !(avoid && self.rates.straggler(*key))).collect();
+            usable.iter().copied().filter(|key| !self.avoided(*key)).collect();
         let usable = if fast.is_empty() { usable } else { fast };
         let target = self.pick(now, slot, &usable)?;
-        let record = &self.requests[slot];
-        let cached = self.cached(record, target);
-        let cached_share = cached / f64::from(record.prompt_tokens.max(1));
-        Some(Choice { slot, target, cached_share })
+        let cost_ms = self.routing_cost(now, &self.requests[slot], target);
+        Some(Choice { slot, target, cost_ms })
     }
 
     fn pick(
@@ -127,7 +179,7 @@
                 let record = &self.requests[slot];
                 usable
                     .iter()
-                    .map(|key| (self.completion_ms(now, record, *key), in_flight(key), *key))
+                    .map(|key| (self.routing_cost(now, record, *key), in_flight(key), *key))
                     .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
                     .map(|(_, _, key)| key)
             }
@@ -150,6 +202,14 @@
         }
     }
 
+    /// Estimated completion time at a target, with the weight of uncached prompt tokens.
+    fn routing_cost(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
+        let extra = (self.settings.prefill_weight - 1.0) * uncached
+            / self.rates.prefill_rate(now, key).max(1e-6);
+        self.completion_ms(now, record, key) + extra
+    }
+
     /// Estimated time until the request would complete at a target.
     fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
         if self.is_service(record.item.class) {
@@ -218,6 +278,9 @@
         });
         let tier = record.item.tier;
         self.running.entry(tier).or_default().insert(slot);
+        let (half_life, service_ms) =
+            (self.settings.rates.half_life_ms, self.requests[slot].item.service_ms);
+        self.served.entry(tier).or_default().add(now, half_life, service_ms, 0.0);
         if above_limit {
             self.above.insert((tier, slot));
         }
@@ -238,7 +301,7 @@
         }
         let model = &self.classes[record.item.class];
         let isolated = self.targets.values().any(|target| {
-            target.has_free_slot() && target.announcement.serves(model) && target.marked > 0
+            self.free(target) && target.announcement.serves(model) && target.marked > 0
         });
         if isolated {
             self.park(slot, ParkReason::Suspect);
--- a/crates/core/src/pool/running.rs
+++ b/crates/core/src/pool/running.rs
@@ -7,7 +7,7 @@
 use crate::keys::{ClaimNumber, RequestKey};
 use crate::message::{FinishReport, StreamProgress};
 use crate::outcome::{ReasonCode, RequestOutcome};
-use crate::registry::SuspectChange;
+use crate::registry::{SuspectChange, TargetKey};
 
 /// Cut connections remembered per incarnation, for the marks if it turns out to have crashed.
 const CUT_LIMIT: usize = 256;
@@ -54,7 +54,12 @@
         if !retry {
             return self.end_unused(now, slot);
         }
-        let tried = self.requests[slot].running().and_then(|state| state.target);
+        let state = self.requests[slot].running();
+        let tried = state.and_then(|state| state.target);
+        let fresh = state.is_some_and(|state| now.since(state.placed) < self.settings.grant_ttl_ms);
+        if fresh {
+            self.connection_failed(tried);
+        }
         self.leave_target(now, slot);
         let record = &mut self.requests[slot];
         record.tried.extend(tried);
@@ -71,6 +76,14 @@
         self.schedule_waiting(now, slot);
     }
 
+    /// Counts a failed connection. Without the count, a dead target would take and fail requests
+    /// faster than any other until its silence is noticed.
+    fn connection_failed(&mut self, key: Option<TargetKey>) {
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(&key)) {
+            target.failures += 1;
+        }
+    }
+
     fn untried_target(&self, slot: RequestSlot) -> bool {
         let record = &self.requests[slot];
         let model = &self.classes[record.item.class];
@@ -164,8 +177,8 @@
         let total = f64::from(report.total_ms);
         self.stretch.add(now, half_life, total, record.item.service_ms);
         let Some(target) = state.target else { return };
+        self.service_time.add(now, half_life, total, 1.0);
         if self.is_service(record.item.class) {
-            self.service_time.add(now, half_life, total, 1.0);
             return;
         }
         let uncached = f64::from(record.prompt_tokens.saturating_sub(report.cached_tokens));
@@ -193,6 +206,7 @@
         {
             target.cut.push(record.fingerprint);
         }
+        self.connection_failed(key);
     }
 
     fn clear_suspect(&mut self, now: ClockTime, record: &RequestRecord) {
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -34,6 +34,8 @@
     pub deadline_order: bool,
     /// Whether stragglers get no new work while other targets have capacity.
     pub straggler_avoidance: bool,
+    /// Whether requests of the lowest tier that cannot complete in time any more are refused.
+    pub hopeless_refusal: bool,
     /// Whether the lowest tier is shed first; otherwise the arriving request is shed.
     pub tiered_shedding: bool,
 }
@@ -46,6 +48,7 @@
             fair_share: true,
             deadline_order: true,
             straggler_avoidance: true,
+            hopeless_refusal: true,
             tiered_shedding: true,
         }
     }
@@ -124,8 +127,23 @@
     pub service_cost_tokens: f64,
     /// Service time assumed for a plain service before the first report, in milliseconds.
     pub service_time_ms: f64,
-    /// Requests of one tier among which a freed slot may be filled. More than one lets a request
-    /// with cached blocks overtake others of its tier.
+    /// Factor on the time for uncached prompt tokens in the routing cost. Above 1, it also stands
+    /// for the delay of the other streams of the target and for the cached blocks that are pushed
+    /// out.
+    pub prefill_weight: f64,
+    /// Excess over the remaining time, as a share of the estimated completion time, from which a
+    /// request of the lowest tier is refused instead of placed.
+    pub hopeless_share: f64,
+    /// Failed connections to a target since its last announcement after which it gets no new work
+    /// until the next one. One failure may be due to the request.
+    pub failure_limit: u32,
+    /// Age of a grant from which its release tells nothing of the target, in milliseconds.
+    pub grant_ttl_ms: u64,
+    /// Time for which a request may wait for a busy target with cached blocks although another
+    /// target has a free slot, in milliseconds. Zero places each request at once.
+    pub cache_wait_ms: u64,
+    /// Waiting requests that are looked at for a free slot when those before them wait for
+    /// another target.
     pub lookahead: usize,
     /// Lower bound of a retry-after time, in milliseconds.
     pub retry_after_min_ms: u32,
@@ -156,7 +174,12 @@
             idle_report_ms: 2_000,
             service_cost_tokens: 1_000.0,
             service_time_ms: 100.0,
-            lookahead: 8,
+            prefill_weight: 4.0,
+            hopeless_share: 0.25,
+            failure_limit: 2,
+            grant_ttl_ms: 2_000,
+            cache_wait_ms: 500,
+            lookahead: 32,
             retry_after_min_ms: 100,
             retry_after_max_ms: 60_000,
             rates: RateSettings::default(),
--- a/crates/core/src/pool/shed.rs
+++ b/crates/core/src/pool/shed.rs
@@ -9,6 +9,10 @@
 /// milliseconds.
 const STRETCH_PRIOR_MS: f64 = 5_000.0;
 
+/// Share of the slots that the lowest waiting tier is assumed to get at least. Bounds the estimate
+/// while the tiers above use all slots.
+const MIN_SHARE: f64 = 0.05;
+
 impl PoolScheduler {
     /// Sets the time at which a waiting request is looked at next.
     pub(super) fn schedule_waiting(&mut self, now: ClockTime, slot: RequestSlot) {
@@ -152,13 +156,21 @@
         self.queue.len() > self.settings.queue_limit || self.estimated_wait(now) > bound
     }
 
-    /// Estimated wait at the end of the queue, in milliseconds.
+    /// Estimated wait at the end of the queue, in milliseconds. Arrivals of the tiers above are
+    /// expected to go on as they did.
     fn estimated_wait(&self, now: ClockTime) -> f64 {
         if self.slot_count == 0 {
             return 0.0;
         }
         let half_life = self.settings.rates.half_life_ms;
         let stretch = self.stretch.with_prior(now, half_life, STRETCH_PRIOR_MS, 1.0);
-        self.queue.service_ms() * stretch / self.slot_count as f64
+        let slots = self.slot_count as f64;
+        let Some((lowest, _)) = self.queue.newest_of_lowest() else { return 0.0 };
+        // A steady rate r sums up to r·half_life/ln 2.
+        let above: f64 =
+            self.served.range(..lowest).map(|(_, served)| served.amount(now, half_life)).sum();
+        let above = above * std::f64::consts::LN_2 / half_life * stretch;
+        let left = (slots - above).max(slots * MIN_SHARE);
+        self.queue.service_ms() * stretch / left
     }
 }
--- a/crates/core/src/pool/target.rs
+++ b/crates/core/src/pool/target.rs
@@ -44,6 +44,7 @@
         let target = self.targets.entry(key).or_insert_with(|| PoolTarget {
             announcement: TargetAnnouncement::default(),
             eligible: true,
+            failures: 0,
             left: false,
             running: Vec::new(),
             prefill_ahead: 0.0,
@@ -58,6 +59,7 @@
         }
         target.prefix.apply(&events);
         target.eligible = true;
+        target.failures = 0;
         let (before, load) = (target.announcement.load, announcement.load);
         let fresh = load.sequence > before.sequence;
         let first = target.announcement.name.is_empty();
