--- a/crates/core/examples/policy_experiment/engine.rs
+++ b/crates/core/examples/policy_experiment/engine.rs
@@ -126,10 +126,6 @@
         });
     }
 
-    pub fn hits(&self, hashes: &[u64]) -> usize {
-        hashes.iter().take_while(|hash| self.cache.stamps.contains_key(hash)).count()
-    }
-
     pub fn advance(&mut self, now: u64) -> Vec<EngineEvent> {
         let mut events = Vec::new();
         let decoding = self.streams.iter().filter(|stream| stream.first_token.is_some()).count();
@@ -168,12 +164,11 @@
         if !removed.is_empty() {
             self.record(CacheChange::Removed(removed));
         }
-        let (done, left) = std::mem::take(&mut self.streams)
+        let (done, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.streams)
             .into_iter()
             .partition(|stream| stream.tokens >= stream.output);
         self.streams = left;
-        events
-            .extend::<Vec<_>>(Vec::into_iter(done).map(EngineEvent::Completed).collect::<Vec<_>>());
+        events.extend(done.into_iter().map(EngineEvent::Completed));
         events
     }
 
--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -21,34 +21,20 @@
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 22] = [
+const VARIANTS: [Variant; 15] = [
     ("estimated completion", |_| {}),
     ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
     ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
     ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
     ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
     ("- prefix term", |s| s.switches.prefix_term = false),
-    ("- cache wait", |s| s.cache_wait_ms = 0),
+    ("- prefill weight", |s| s.prefill_weight = 1.0),
+    ("- cache wait", |s| s.cache_wait_share = 0.0),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
     ("- deadline order", |s| s.switches.deadline_order = false),
     ("- straggler avoidance", |s| s.switches.straggler_avoidance = false),
-    ("- hopeless refusal", |s| s.switches.hopeless_refusal = false),
     ("- failure limit", |s| s.failure_limit = u32::MAX),
-    ("weight 1", |s| s.prefill_weight = 1.0),
-    ("weight 8", |s| s.prefill_weight = 8.0),
-    ("wait 1000", |s| s.cache_wait_ms = 1000),
-    ("wait 250", |s| s.cache_wait_ms = 250),
-    ("look 64", |s| s.lookahead = 64),
-    ("w1000 look 128", |s| {
-        s.cache_wait_ms = 1000;
-        s.lookahead = 128
-    }),
-    ("w2000 look 128 weight 8", |s| {
-        s.cache_wait_ms = 2000;
-        s.prefill_weight = 8.0;
-        s.lookahead = 128
-    }),
     ("- tiered shedding", |s| s.switches.tiered_shedding = false),
     ("plain", |s| {
         s.routing = RoutingPolicy::LeastReported;
@@ -66,20 +52,18 @@
     let mut settings = deployment.settings();
     settings.routing = RoutingPolicy::LeastInFlight;
     settings.switches.preemption = false;
-    settings.switches.hopeless_refusal = false;
     settings.queue_limit = 1_000_000;
     for tier in &mut settings.tiers {
         tier.max_queue_ms = 1_000_000;
     }
     let mut plan = deployment.requests(400.0, 99);
     for request in &mut plan {
-        request.deadline_ms = ARRIVALS_MS as u32;
+        // Beyond the end of the run, so that no work is lost to deadlines.
+        request.deadline_ms = ARRIVALS_MS as u32 * 10;
         request.tier = 0;
     }
-    plan.retain(|request| request.at < ARRIVALS_MS / 2);
     let figures = ExperimentWorld::new(deployment, settings, plan).run(false);
-    // The last requests reach their deadlines after one and a half times the arrivals.
-    f64::from(figures.tiers[0].1) * 1_000.0 / (ARRIVALS_MS as f64 * 1.5)
+    f64::from(figures.tiers[0].1) * 1_000.0 / (ARRIVALS_MS * 2) as f64
 }
 
 fn single_run(deployment: Deployment, variant: Variant, rate: f64, seed: u64) -> RunFigures {
@@ -130,28 +114,25 @@
         for load in LOADS {
             println!("\n{} at {load} of {capacity:.1} requests/s", deployment.name());
             println!(
-                "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
-                "variant", "tier 0", "tier 1", "tier 2", "wasted prefill", "cancels", "tier rule"
+                "{:<22} {:>19} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                "variant",
+                "tier 0",
+                "tier 1",
+                "tier 2",
+                "worst workspace",
+                "wasted prefill",
+                "cancels",
+                "tier rule"
             );
             let results = all_runs(deployment, capacity * load, &seeds);
-            if std::env::var_os("LOSSES").is_some() {
-                for (index, (name, _)) in VARIANTS.iter().enumerate() {
-                    let l: Vec<_> = results[index][0]
-                        .losses
-                        .iter()
-                        .filter(|l| l.0.0 == 9)
-                        .map(|l| (&l.0.1, l.1))
-                        .collect();
-                    println!("{name} {l:?}");
-                }
-            }
             for ((name, _), runs) in VARIANTS.iter().zip(&results) {
                 println!(
-                    "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                    "{:<22} {:>19} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
                     name,
                     spread(runs, |run| run.goodput(0)),
                     spread(runs, |run| run.goodput(1)),
                     spread(runs, |run| run.goodput(2)),
+                    spread(runs, RunFigures::worst_workspace),
                     spread(runs, RunFigures::waste),
                     runs.iter().map(|run| run.cancels).sum::<u32>(),
                     runs.iter().map(|run| run.violations).sum::<u32>(),
--- a/crates/core/examples/policy_experiment/workload.rs
+++ b/crates/core/examples/policy_experiment/workload.rs
@@ -84,9 +84,9 @@
             // A quarter of the requests of the bureau arrive in bursts of twenty.
             let burst = self == Self::Bureau && random.random_bool(1.0 / 61.0);
             let count = if burst { 20 } else { 1 };
-            let workspace = random.random_range(0..5);
+            let workspace = draw_workspace(&mut random);
             for _ in 0..count {
-                let workspace = if burst { workspace } else { random.random_range(0..5) };
+                let workspace = if burst { workspace } else { draw_workspace(&mut random) };
                 requests.push(self.request(&mut random, at as u64, workspace));
             }
             let mean = if self == Self::Bureau { 80.0 / 61.0 } else { 1.0 };
@@ -145,3 +145,11 @@
         }
     }
 }
+
+/// The last workspace sends as much as three of the others.
+fn draw_workspace(random: &mut StdRng) -> usize {
+    match random.random_range(0..7) {
+        workspace @ 0..4 => workspace,
+        _ => 4,
+    }
+}
--- a/crates/core/examples/policy_experiment/world.rs
+++ b/crates/core/examples/policy_experiment/world.rs
@@ -33,8 +33,8 @@
     pub wasted: f64,
     pub violations: u32,
     pub cancels: u32,
-    /// Requests without goodput by tier and reason.
-    pub losses: BTreeMap<(u8, String), u32>,
+    /// Requests by workspace: offered, completed in time.
+    pub workspaces: [(u32, u32); 5],
 }
 
 impl RunFigures {
@@ -42,6 +42,13 @@
         f64::from(self.tiers[tier].1) / f64::from(self.tiers[tier].0.max(1))
     }
 
+    /// Goodput of the workspace that fares worst.
+    pub fn worst_workspace(&self) -> f64 {
+        let shares =
+            self.workspaces.iter().map(|(all, good)| f64::from(*good) / f64::from((*all).max(1)));
+        shares.fold(1.0, f64::min)
+    }
+
     pub fn waste(&self) -> f64 {
         self.wasted / self.computed.max(1.0)
     }
@@ -50,7 +57,7 @@
 enum Delayed {
     Input(PoolInput),
     Dispatch { request: usize, target: TargetKey },
-    Cancel { request: usize },
+    Cancel { request: usize, reason: ReasonCode },
 }
 
 pub struct ExperimentWorld {
@@ -62,7 +69,6 @@
     places: HashMap<TargetKey, usize>,
     /// Engine of each dispatched request.
     dispatched: HashMap<usize, usize>,
-    finished: HashSet<usize>,
     delayed: BTreeMap<(u64, u64), Delayed>,
     sequence: u64,
     seen: HashSet<u64>,
@@ -79,7 +85,6 @@
             engines: deployment.engines().into_iter().map(FakeEngine::new).collect(),
             places: HashMap::new(),
             dispatched: HashMap::new(),
-            finished: HashSet::new(),
             delayed: BTreeMap::new(),
             sequence: 0,
             seen: HashSet::new(),
@@ -140,15 +145,11 @@
                     self.later(5, Delayed::Input(PoolInput::ClaimCommitted { key, claim }));
                     self.later(DISPATCH_MS, Delayed::Dispatch { request, target });
                 }
-                PoolOutput::Cancel { key, .. } => {
+                PoolOutput::Cancel { key, reason, .. } => {
                     self.figures.cancels += 1;
-                    self.later(DISPATCH_MS, Delayed::Cancel { request: index(key) });
-                }
-                PoolOutput::Refuse { key, tier, reason, .. } => {
-                    self.lost(tier, format!("refused {reason:?}"));
-                    self.finished.insert(index(key));
+                    self.later(DISPATCH_MS, Delayed::Cancel { request: index(key), reason });
                 }
-                PoolOutput::Suspect(_) => {}
+                PoolOutput::Refuse { .. } | PoolOutput::Suspect(_) => {}
             }
         }
     }
@@ -162,29 +163,7 @@
                     let (key, claim) = (key(request), claim(request));
                     return self.step(PoolInput::Release { key, claim, retry: true });
                 }
-                let plan = &self.plan[request].clone();
-                if std::env::var_os("MISSES").is_some() {
-                    let full = 16;
-                    let hits = |e: &FakeEngine| e.hits(&plan.hashes).min(full);
-                    let here = hits(&self.engines[engine]);
-                    let best = self
-                        .engines
-                        .iter()
-                        .filter(|e| e.up && e.speed == 1.0)
-                        .map(|e| (hits(e), e.streams.len() < 8))
-                        .max()
-                        .unwrap();
-                    let kind = if here == full {
-                        "hit"
-                    } else if best.0 < full {
-                        "cold"
-                    } else if !best.1 {
-                        "busy"
-                    } else {
-                        "avoidable"
-                    };
-                    self.lost(9, kind.to_owned());
-                }
+                let plan = &self.plan[request];
                 self.engines[engine].admit(
                     self.now,
                     request,
@@ -194,20 +173,14 @@
                 );
                 self.dispatched.insert(request, engine);
             }
-            Delayed::Cancel { request } => self.abort(
-                request,
-                if self.now >= self.plan[request].at + u64::from(self.plan[request].deadline_ms) {
-                    ReasonCode::UpstreamTimeout
-                } else {
-                    ReasonCode::Preempted
-                },
-            ),
+            Delayed::Cancel { request, reason } => self.abort(request, reason),
         }
     }
 
     fn submit(&mut self, request: usize) {
         let plan = &self.plan[request];
         self.figures.tiers[usize::from(plan.tier)].0 += 1;
+        self.figures.workspaces[plan.workspace].0 += 1;
         let submit = SubmitRequest {
             key: key(request),
             attempt: 0,
@@ -224,14 +197,10 @@
         };
         let deadline = u64::from(plan.deadline_ms);
         self.step(PoolInput::Submit { entry: NodeId(1), request: submit });
-        self.later(deadline, Delayed::Cancel { request });
+        self.later(deadline, Delayed::Cancel { request, reason: ReasonCode::UpstreamTimeout });
         self.later(deadline, Delayed::Input(PoolInput::Withdraw { key: key(request) }));
     }
 
-    fn lost(&mut self, tier: u8, reason: String) {
-        *self.figures.losses.entry((tier, reason)).or_default() += 1;
-    }
-
     /// Ends a running request without a response.
     fn abort(&mut self, request: usize, reason: ReasonCode) {
         let Some(engine) = self.dispatched.get(&request).copied() else { return };
@@ -242,9 +211,6 @@
     fn discard(&mut self, stream: &EngineStream, reason: ReasonCode) {
         self.figures.computed += stream.computed;
         self.figures.wasted += stream.computed;
-        let waited = stream.started - self.plan[stream.request].at;
-        let bucket = waited / 1000;
-        self.lost(self.plan[stream.request].tier, format!("ended {reason:?} waited {bucket} s"));
         self.finish(stream, RequestOutcome::Failed, Some(reason));
     }
 
@@ -256,7 +222,6 @@
     ) {
         let request = stream.request;
         self.dispatched.remove(&request);
-        self.finished.insert(request);
         let first = stream.first_token.unwrap_or(self.now);
         let cached = stream.cached_blocks as u32 * crate::engine::BLOCK_TOKENS;
         let report = FinishReport {
@@ -286,6 +251,7 @@
                         let plan = &self.plan[stream.request];
                         if self.now <= plan.at + u64::from(plan.deadline_ms) {
                             self.figures.tiers[usize::from(plan.tier)].1 += 1;
+                            self.figures.workspaces[plan.workspace].1 += 1;
                         }
                         self.finish(&stream, RequestOutcome::Completed, None);
                     }
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -76,11 +76,14 @@
         }
     }
 
+    /// The first requests of each flow. The limit is divided among the flows, so that the
+    /// requests of one workspace do not fill it.
     fn candidates(&self, limit: usize) -> impl Iterator<Item = RequestSlot> {
+        let share = limit.div_ceil(self.active.len().max(1));
         self.active
             .iter()
             .filter_map(|(_, flow)| self.flows.get(flow))
-            .flat_map(move |flow| flow.requests.iter().take(limit).map(|(_, _, slot)| *slot))
+            .flat_map(move |flow| flow.requests.iter().take(share).map(|(_, _, slot)| *slot))
             .take(limit)
     }
 }
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -53,11 +53,20 @@
 pub(super) struct WaitState {
     /// Whether a slot is sought by preemption.
     pub urgent: bool,
-    /// Busy target with cached blocks that the request waits for, and until when.
-    pub home: Option<(TargetKey, ClockTime)>,
+    /// Wait for a busy target with cached blocks.
+    pub home: Option<HomeWait>,
     pub parked: Option<ParkReason>,
 }
 
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HomeWait {
+    pub target: TargetKey,
+    /// Longest wait while the request could have another slot.
+    pub limit_ms: u64,
+    /// End of the wait, set when the request could have another slot for the first time.
+    pub until: Option<ClockTime>,
+}
+
 /// Why a waiting request cannot be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ParkReason {
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -2,7 +2,9 @@
 
 use super::PoolScheduler;
 use super::event::PoolOutput;
-use super::request::{ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState};
+use super::request::{
+    HomeWait, ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState,
+};
 use super::settings::RoutingPolicy;
 use crate::clock::ClockTime;
 use crate::outcome::ReasonCode;
@@ -51,34 +53,56 @@
 
     /// The next request of a model that can be placed, and the target for it.
     fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
+        let mut entitled = self.free_slots();
         for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
-            if let Some(home) = self.waits_for(now, slot) {
-                if self.targets.get(&home).is_some_and(|target| self.free(target)) {
-                    return Some(Choice { slot, target: home, cost_ms: 0.0 });
+            if let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) {
+                if self.targets.get(&wait.target).is_some_and(|target| self.free(target)) {
+                    return Some(Choice { slot, target: wait.target, cost_ms: 0.0 });
+                }
+                if wait.until.is_none_or(|until| now < until) && !self.slack_over(now, slot) {
+                    entitled -= self.start_wait(now, slot, entitled);
+                    continue;
                 }
-                continue;
             }
             let Some(choice) = self.route(now, slot) else {
                 self.park_suspect(now, slot);
                 continue;
             };
-            if self.hopeless(now, &choice) {
-                self.refuse(now, slot, ReasonCode::DeadlinePassed);
-            } else if !self.defer(now, &choice) {
+            if !self.defer(now, &choice) {
                 return Some(choice);
             }
+            entitled -= self.start_wait(now, slot, entitled);
         }
         None
     }
 
-    /// The busy target whose cached blocks the request still waits for.
-    fn waits_for(&self, now: ClockTime, slot: RequestSlot) -> Option<TargetKey> {
-        let (home, until) = self.requests[slot].waiting()?.home?;
-        (now < until).then_some(home)
+    fn free_slots(&self) -> usize {
+        let targets = self.targets.values().filter(|target| self.free(target));
+        targets.map(|target| target.slots() - target.running.len()).sum()
+    }
+
+    /// Limits the wait of a request that could have one of the free slots. Requests behind those
+    /// would have to wait for a slot anyway. Returns the slots that the request accounts for.
+    fn start_wait(&mut self, now: ClockTime, slot: RequestSlot, entitled: usize) -> usize {
+        if entitled == 0 {
+            return 0;
+        }
+        if let Some(state) = self.requests[slot].waiting_mut()
+            && let Some(wait) = &mut state.home
+        {
+            wait.until.get_or_insert(now.plus(wait.limit_ms));
+        }
+        1
+    }
+
+    /// Whether a request has no time left to wait for a better target. The margin keeps such
+    /// waits from ending in a preemption.
+    fn slack_over(&self, now: ClockTime, slot: RequestSlot) -> bool {
+        now.plus(self.settings.preempt_slack_ms) >= self.slack_end(&self.requests[slot])
     }
 
-    /// Lets a request wait for a busy target that has its prompt cached, once and for a short
-    /// time, if that is expected to cost less than the prefill at a free target.
+    /// Lets a request wait for a busy target that has its prompt cached, if that is expected to
+    /// cost less than the prefill at a free target.
     fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
         let record = &self.requests[choice.slot];
         let first = record.waiting().is_some_and(|state| state.home.is_none());
@@ -106,12 +130,18 @@
             })
             .min_by(|left, right| left.0.total_cmp(&right.0));
         let Some((cost_ms, home)) = home else { return false };
-        let until = now.plus(self.settings.cache_wait_ms);
-        if cost_ms >= choice.cost_ms || until >= self.slack_end(record) {
+        if cost_ms >= choice.cost_ms || self.slack_over(now, choice.slot) {
+            return false;
+        }
+        let saved =
+            self.prefill_ms(now, record, choice.target) - self.prefill_ms(now, record, home);
+        // The cast saturates.
+        let limit_ms = (saved * self.settings.cache_wait_share) as u64;
+        if limit_ms == 0 {
             return false;
         }
         if let Some(state) = self.requests[choice.slot].waiting_mut() {
-            state.home = Some((home, until));
+            state.home = Some(HomeWait { target: home, limit_ms, until: None });
         }
         true
     }
@@ -123,21 +153,7 @@
     fn reuses_prefixes(&self) -> bool {
         self.settings.switches.prefix_term
             && self.settings.routing == RoutingPolicy::EstimatedCompletion
-            && self.settings.cache_wait_ms > 0
-    }
-
-    /// Whether a request would miss its deadline at its best target, and no lower tier would be
-    /// served in its place.
-    fn hopeless(&self, now: ClockTime, choice: &Choice) -> bool {
-        let record = &self.requests[choice.slot];
-        let time = self.completion_ms(now, record, choice.target);
-        // The cast is exact for spans below 2^52 ms.
-        let left = record.deadline.since(now) as f64;
-        let tier = record.item.tier;
-        self.settings.switches.hopeless_refusal
-            && time * (1.0 - self.settings.hopeless_share) > left
-            && self.queue.below(tier).next().is_none()
-            && self.running.range(tier..).all(|(rank, _)| *rank <= tier)
+            && self.settings.cache_wait_share > 0.0
     }
 
     /// The best target with a free slot for a request.
@@ -204,21 +220,25 @@
 
     /// Estimated completion time at a target, with the weight of uncached prompt tokens.
     fn routing_cost(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
-        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
-        let extra = (self.settings.prefill_weight - 1.0) * uncached
-            / self.rates.prefill_rate(now, key).max(1e-6);
+        let extra = (self.settings.prefill_weight - 1.0) * self.prefill_ms(now, record, key);
         self.completion_ms(now, record, key) + extra
     }
 
+    /// Time that a target needs for the uncached prompt tokens.
+    fn prefill_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
+        uncached / self.rates.prefill_rate(now, key).max(1e-6)
+    }
+
     /// Estimated time until the request would complete at a target.
     fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
         if self.is_service(record.item.class) {
             return 0.0;
         }
-        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
-        let prefill_ms = (self.targets[&key].prefill_ahead + uncached)
-            / self.rates.prefill_rate(now, key).max(1e-6);
-        prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
+        let ahead_ms =
+            self.targets[&key].prefill_ahead / self.rates.prefill_rate(now, key).max(1e-6);
+        let prefill_ms = self.prefill_ms(now, record, key);
+        ahead_ms + prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
     }
 
     fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -34,8 +34,6 @@
     pub deadline_order: bool,
     /// Whether stragglers get no new work while other targets have capacity.
     pub straggler_avoidance: bool,
-    /// Whether requests of the lowest tier that cannot complete in time any more are refused.
-    pub hopeless_refusal: bool,
     /// Whether the lowest tier is shed first; otherwise the arriving request is shed.
     pub tiered_shedding: bool,
 }
@@ -48,7 +46,6 @@
             fair_share: true,
             deadline_order: true,
             straggler_avoidance: true,
-            hopeless_refusal: true,
             tiered_shedding: true,
         }
     }
@@ -131,17 +128,15 @@
     /// for the delay of the other streams of the target and for the cached blocks that are pushed
     /// out.
     pub prefill_weight: f64,
-    /// Excess over the remaining time, as a share of the estimated completion time, from which a
-    /// request of the lowest tier is refused instead of placed.
-    pub hopeless_share: f64,
     /// Failed connections to a target since its last announcement after which it gets no new work
     /// until the next one. One failure may be due to the request.
     pub failure_limit: u32,
     /// Age of a grant from which its release tells nothing of the target, in milliseconds.
     pub grant_ttl_ms: u64,
     /// Time for which a request may wait for a busy target with cached blocks although another
-    /// target has a free slot, in milliseconds. Zero places each request at once.
-    pub cache_wait_ms: u64,
+    /// target has a free slot, as a share of the prefill time that this saves. Zero places each
+    /// request at once.
+    pub cache_wait_share: f64,
     /// Waiting requests that are looked at for a free slot when those before them wait for
     /// another target.
     pub lookahead: usize,
@@ -174,11 +169,10 @@
             idle_report_ms: 2_000,
             service_cost_tokens: 1_000.0,
             service_time_ms: 100.0,
-            prefill_weight: 4.0,
-            hopeless_share: 0.25,
+            prefill_weight: 16.0,
             failure_limit: 2,
             grant_ttl_ms: 2_000,
-            cache_wait_ms: 500,
+            cache_wait_share: 4.0,
             lookahead: 32,
             retry_after_min_ms: 100,
             retry_after_max_ms: 60_000,
