Compare the scheduler with one that recomputes by full scan

Indices for queues, timers and pairs can drift from the state they stand for. Ties are now broken by arrival instead of by arena key, so that decisions do not depend on the reuse of slots.

--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -119,7 +119,7 @@
                 "tier 0",
                 "tier 1",
                 "tier 2",
-                "worst workspace",
+                "light workspaces",
                 "wasted prefill",
                 "cancels",
                 "tier rule"
@@ -132,7 +132,7 @@
                     spread(runs, |run| run.goodput(0)),
                     spread(runs, |run| run.goodput(1)),
                     spread(runs, |run| run.goodput(2)),
-                    spread(runs, RunFigures::worst_workspace),
+                    spread(runs, RunFigures::light_workspaces),
                     spread(runs, RunFigures::waste),
                     runs.iter().map(|run| run.cancels).sum::<u32>(),
                     runs.iter().map(|run| run.violations).sum::<u32>(),
--- a/crates/core/examples/policy_experiment/world.rs
+++ b/crates/core/examples/policy_experiment/world.rs
@@ -42,10 +42,11 @@
         f64::from(self.tiers[tier].1) / f64::from(self.tiers[tier].0.max(1))
     }
 
-    /// Goodput of the workspace that fares worst.
-    pub fn worst_workspace(&self) -> f64 {
-        let shares =
-            self.workspaces.iter().map(|(all, good)| f64::from(*good) / f64::from((*all).max(1)));
+    /// Goodput of the worst workspace, without the last one, which sends the most.
+    pub fn light_workspaces(&self) -> f64 {
+        let shares = self.workspaces[..4]
+            .iter()
+            .map(|(all, good)| f64::from(*good) / f64::from((*all).max(1)));
         shares.fold(1.0, f64::min)
     }
 
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -36,7 +36,7 @@
 use crate::registry::{SuspectTable, TargetKey};
 use queue::PoolQueue;
 use rebuild::RebuildState;
-use request::{PoolTarget, RequestPhase, RequestRecord, RequestSlot};
+use request::{PoolTarget, RequestPhase, RequestRecord, RequestSlot, UrgentKey};
 use retry::RetryBudget;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -69,10 +69,10 @@
     /// Those of `running` that no higher-tier request is paired with.
     unpaired: BTreeMap<u8, BTreeSet<RequestSlot>>,
     /// Running requests that were dispatched above the concurrency limit.
-    above: BTreeSet<(u8, RequestSlot)>,
+    above: BTreeSet<(u8, u64, RequestSlot)>,
     timers: BTreeSet<(ClockTime, RequestSlot)>,
     /// Waiting requests that seek a slot by preemption and are not paired yet.
-    urgent: BTreeSet<(u8, ClockTime, RequestSlot)>,
+    urgent: BTreeSet<UrgentKey>,
     /// Waiting requests with a passed deadline, held while a lower tier runs.
     expired: BTreeSet<(u8, RequestSlot)>,
     parked: BTreeSet<RequestSlot>,
@@ -266,9 +266,10 @@
     fn leave_queue(&mut self, slot: RequestSlot) {
         let Some(record) = self.requests.get(slot) else { return };
         let Some(waiting) = record.waiting() else { return };
-        let (item, parked, deadline) = (record.item, waiting.parked.is_some(), record.deadline);
+        let (item, parked) = (record.item, waiting.parked.is_some());
+        let urgent = record.urgent_key();
         self.queue.remove(&item, parked);
-        self.urgent.remove(&(item.tier, deadline, slot));
+        self.urgent.remove(&urgent);
         self.expired.remove(&(item.tier, slot));
         self.parked.remove(&slot);
         self.unpair(slot);
--- a/crates/core/src/pool/preempt.rs
+++ b/crates/core/src/pool/preempt.rs
@@ -15,7 +15,7 @@
     /// Lets a waiting request seek a slot by preemption.
     pub(super) fn seek_preemption(&mut self, slot: RequestSlot) {
         let record = &mut self.requests[slot];
-        let key = (record.item.tier, record.deadline, slot);
+        let key = record.urgent_key();
         let paired = record.partner.is_some();
         let Some(state) = record.waiting_mut() else { return };
         state.urgent = true;
@@ -43,7 +43,7 @@
                 return;
             }
             last = Some(key);
-            if !self.serve_one(now, key.2) {
+            if !self.serve_one(now, key.3) {
                 failed += 1;
             }
         }
@@ -62,16 +62,17 @@
     }
 
     /// Takes the place of a lower-tier request that runs above the limit. Both run until the
-    /// cancel is confirmed.
+    /// cancel is confirmed. The cancelled one stays out of `unpaired`, since its end frees no slot.
     fn take_over(&mut self, now: ClockTime, slot: RequestSlot) -> bool {
         let tier = self.requests[slot].item.tier;
-        let found =
-            self.above.iter().rev().take_while(|(rank, _)| *rank > tier).find_map(|(_, above)| {
+        let found = self.above.iter().rev().take_while(|(rank, ..)| *rank > tier).find_map(
+            |(.., above)| {
                 let record = self.requests.get(*above)?;
                 let fresh = record.running()?.cancelling.is_none();
                 let victim = record.partner?;
                 (fresh && self.cancellable(record)).then_some((*above, victim))
-            });
+            },
+        );
         let Some((above, victim)) = found else { return false };
         self.unpair(above);
         self.send_cancel(now, above);
@@ -111,10 +112,15 @@
                     let record = self.requests.get(*victim)?;
                     let state = record.running()?;
                     let usable = state.target.is_some_and(useful) && accept(record);
-                    usable.then(|| (state.cancelling.is_none(), state.work(), *victim))
+                    let fresh = state.cancelling.is_none();
+                    usable.then(|| (fresh, state.work(), record.item.sequence, *victim))
                 })
-                .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-            if let Some((_, _, victim)) = found {
+                .min_by(|left, right| {
+                    // Among equals, the newest has waited least.
+                    let work = left.1.total_cmp(&right.1);
+                    left.0.cmp(&right.0).then(work).then(right.2.cmp(&left.2))
+                });
+            if let Some((.., victim)) = found {
                 return Some(victim);
             }
         }
@@ -174,8 +180,8 @@
         for (one, other) in [(slot, victim), (victim, slot)] {
             let record = &mut self.requests[one];
             record.partner = Some(other);
-            let tier = record.item.tier;
-            self.urgent.remove(&(tier, record.deadline, one));
+            let (tier, key) = (record.item.tier, record.urgent_key());
+            self.urgent.remove(&key);
             if let Some(slots) = self.unpaired.get_mut(&tier) {
                 slots.remove(&one);
                 if slots.is_empty() {
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -96,7 +96,14 @@
     pub reported: ClockTime,
 }
 
+/// Tier, deadline and arrival of a request that seeks a slot.
+pub(super) type UrgentKey = (u8, ClockTime, u64, RequestSlot);
+
 impl RequestRecord {
+    pub fn urgent_key(&self) -> UrgentKey {
+        (self.item.tier, self.deadline, self.item.sequence, self.item.slot)
+    }
+
     pub fn running(&self) -> Option<&RunState> {
         match &self.phase {
             RequestPhase::Running(state) => Some(state),
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -54,13 +54,21 @@
     /// The next request of a model that can be placed, and the target for it.
     fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
         let mut entitled = self.free_slots();
+        let mut waiting_tier = None;
         for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
+            let tier = self.requests[slot].item.tier;
+            // A lower tier gets a slot only if each waiting request of a higher tier could have
+            // one.
+            if entitled == 0 && waiting_tier.is_some_and(|waiting| waiting < tier) {
+                return None;
+            }
             if let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) {
                 if self.targets.get(&wait.target).is_some_and(|target| self.free(target)) {
                     return Some(Choice { slot, target: wait.target, cost_ms: 0.0 });
                 }
                 if wait.until.is_none_or(|until| now < until) && !self.slack_over(now, slot) {
                     entitled -= self.start_wait(now, slot, entitled);
+                    waiting_tier.get_or_insert(tier);
                     continue;
                 }
             }
@@ -72,6 +80,7 @@
                 return Some(choice);
             }
             entitled -= self.start_wait(now, slot, entitled);
+            waiting_tier.get_or_insert(tier);
         }
         None
     }
@@ -302,7 +311,7 @@
             (self.settings.rates.half_life_ms, self.requests[slot].item.service_ms);
         self.served.entry(tier).or_default().add(now, half_life, service_ms, 0.0);
         if above_limit {
-            self.above.insert((tier, slot));
+            self.above.insert((tier, self.requests[slot].item.sequence, slot));
         }
         self.unpaired.entry(tier).or_default().insert(slot);
         self.set_timer(slot, None);
--- a/crates/core/src/pool/running.rs
+++ b/crates/core/src/pool/running.rs
@@ -232,7 +232,7 @@
     pub(super) fn leave_target(&mut self, now: ClockTime, slot: RequestSlot) {
         let Some(record) = self.requests.get(slot) else { return };
         let Some(state) = record.running().cloned() else { return };
-        let tier = record.item.tier;
+        let (tier, sequence) = (record.item.tier, record.item.sequence);
         for index in [&mut self.running, &mut self.unpaired] {
             if let Some(slots) = index.get_mut(&tier) {
                 slots.remove(&slot);
@@ -243,7 +243,7 @@
         }
         self.unpair(slot);
         self.set_timer(slot, None);
-        self.above.remove(&(tier, slot));
+        self.above.remove(&(tier, sequence, slot));
         let Some(key) = state.target else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.running.retain(|other| *other != slot);
--- a/crates/core/src/pool/shed.rs
+++ b/crates/core/src/pool/shed.rs
@@ -19,10 +19,9 @@
         let record = &self.requests[slot];
         let deadline = record.deadline;
         let seek = self.slack_end(record).min(self.patience_end(record));
-        let retry = now.plus(self.settings.cancel_wait_ms);
         let at = match record.waiting() {
             Some(state) if state.parked == Some(ParkReason::Expired) => None,
-            Some(_) if record.partner.is_some() => Some(retry.min(deadline)),
+            Some(_) if record.partner.is_some() => Some(self.overdue_at(now, record).min(deadline)),
             Some(state) if !state.urgent => Some(seek.min(deadline)),
             Some(_) => Some(deadline),
             None => None,
@@ -30,6 +29,15 @@
         self.set_timer(slot, at);
     }
 
+    /// When the cancel for a waiting request counts as impossible.
+    fn overdue_at(&self, now: ClockTime, record: &RequestRecord) -> ClockTime {
+        let wait = self.settings.cancel_wait_ms;
+        let victim = record.partner.and_then(|victim| self.requests.get(victim));
+        let since = victim.and_then(|victim| victim.running()?.cancelling).unwrap_or(now);
+        let at = since.plus(wait).max(self.slack_end(record));
+        if at > now { at } else { now.plus(wait) }
+    }
+
     /// When the slack of a waiting request falls below the bound.
     pub(super) fn slack_end(&self, record: &RequestRecord) -> ClockTime {
         // The cast saturates.
@@ -72,8 +80,7 @@
         if !switches.preemption || !switches.tiered_shedding {
             return self.refuse(now, slot, ReasonCode::DeadlinePassed);
         }
-        let (tier, deadline) = (record.item.tier, record.deadline);
-        self.urgent.remove(&(tier, deadline, slot));
+        self.urgent.remove(&record.urgent_key());
         self.unpair(slot);
         self.park(slot, ParkReason::Expired);
     }
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the pool scheduler.
 
+mod differential;
+mod naive;
 mod placement;
 mod preemption;
 mod support;
--- /dev/null
+++ b/crates/core/tests/pool/naive.rs
@@ -0,0 +1,371 @@
+//! A scheduler that recomputes every decision by a full scan, to compare with.
+//!
+//! It covers one model, routing by own in-flight count, and targets that stay. Service times are
+//! constant, since no request completes in the comparison.
+
+use burdockcleat_core::message::SubmitRequest;
+use burdockcleat_core::outcome::ReasonCode;
+use burdockcleat_core::pool::PoolSettings;
+use std::collections::HashMap;
+
+const SEARCH_LIMIT: usize = 32;
+
+/// An output without its retry-after time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum NaiveOutput {
+    Place { number: u32, target: usize, above: bool },
+    Cancel { number: u32 },
+    Refuse { number: u32, deadline: bool },
+}
+
+#[derive(Clone, Debug)]
+struct NaiveRequest {
+    number: u32,
+    tier: u8,
+    flow: usize,
+    idempotent: bool,
+    submitted: u64,
+    deadline: u64,
+    cost: f64,
+    service_ms: f64,
+    /// Target, if it runs.
+    target: Option<usize>,
+    claimed: bool,
+    cancelled: Option<u64>,
+    above: bool,
+    /// Its place above the limit was taken over, so its end frees no slot.
+    replaced: bool,
+    partner: Option<u32>,
+    urgent: bool,
+    expired: bool,
+}
+
+pub struct NaiveScheduler {
+    settings: PoolSettings,
+    slots: Vec<usize>,
+    /// In the order of arrival.
+    requests: Vec<NaiveRequest>,
+    placements: Vec<(u64, u8, f64)>,
+    virtual_times: HashMap<(u8, usize), u64>,
+    /// Workspaces in the order of their first requests, which is the order among equals.
+    workspaces: Vec<String>,
+    clocks: HashMap<u8, u64>,
+    outputs: Vec<NaiveOutput>,
+}
+
+impl NaiveScheduler {
+    pub fn new(settings: PoolSettings, slots: Vec<usize>) -> Self {
+        Self {
+            settings,
+            slots,
+            requests: Vec::new(),
+            placements: Vec::new(),
+            virtual_times: HashMap::new(),
+            workspaces: Vec::new(),
+            clocks: HashMap::new(),
+            outputs: Vec::new(),
+        }
+    }
+
+    pub fn submit(&mut self, now: u64, number: u32, request: &SubmitRequest) {
+        if !self.workspaces.contains(&request.workspace) {
+            self.workspaces.push(request.workspace.clone());
+        }
+        let known = self.workspaces.iter().position(|name| *name == request.workspace);
+        let (tier, flow) = (request.tier, known.unwrap_or_default());
+        if !self.requests.iter().any(|other| other.queued() && other.is_in(tier, flow)) {
+            let clock = self.clocks.get(&tier).copied().unwrap_or(0);
+            let time = self.virtual_times.entry((tier, flow)).or_insert(0);
+            *time = clock.max(*time);
+        }
+        let rates = &self.settings.rates;
+        let (prompt, output) = (f64::from(request.prompt_tokens), f64::from(request.output_tokens));
+        self.requests.push(NaiveRequest {
+            number,
+            tier,
+            flow,
+            idempotent: request.idempotent,
+            submitted: now,
+            deadline: now + u64::from(request.deadline_in_ms),
+            cost: prompt + output,
+            service_ms: prompt / (rates.prefill_tokens_per_s / 1_000.0)
+                + output / (rates.decode_tokens_per_s / 1_000.0),
+            target: None,
+            claimed: false,
+            cancelled: None,
+            above: false,
+            replaced: false,
+            partner: None,
+            urgent: false,
+            expired: false,
+        });
+    }
+
+    pub fn commit(&mut self, number: u32) {
+        if let Some(index) = self.find(number) {
+            self.requests[index].claimed = true;
+        }
+    }
+
+    /// A request ended, or a waiting one was withdrawn.
+    pub fn end(&mut self, number: u32) {
+        let Some(index) = self.find(number) else { return };
+        self.unpair(number);
+        self.requests.remove(index);
+    }
+
+    pub fn running(&self) -> Vec<u32> {
+        self.requests.iter().filter(|r| r.target.is_some()).map(|r| r.number).collect()
+    }
+
+    pub fn cancelled(&self) -> Vec<u32> {
+        self.requests.iter().filter(|r| r.cancelled.is_some()).map(|r| r.number).collect()
+    }
+
+    pub fn waiting(&self) -> Vec<u32> {
+        self.requests.iter().filter(|r| r.target.is_none()).map(|r| r.number).collect()
+    }
+
+    /// What follows from an event that was applied before.
+    pub fn settle(&mut self, now: u64) -> Vec<NaiveOutput> {
+        self.due(now);
+        self.dispatch(now);
+        self.shed(now);
+        self.serve_urgent(now);
+        self.settle_expired();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn find(&self, number: u32) -> Option<usize> {
+        self.requests.iter().position(|request| request.number == number)
+    }
+
+    fn slack_end(&self, request: &NaiveRequest) -> u64 {
+        request.deadline.saturating_sub(request.service_ms as u64 + self.settings.preempt_slack_ms)
+    }
+
+    fn due(&mut self, now: u64) {
+        for number in self.waiting() {
+            let Some(index) = self.find(number) else { continue };
+            let request = self.requests[index].clone();
+            if request.expired {
+                continue;
+            }
+            let patience = request.submitted + self.settings.tier(request.tier).max_queue_ms;
+            if now >= request.deadline {
+                self.unpair(number);
+                self.requests[index].expired = true;
+            } else if let Some(victim) = request.partner {
+                let since = self.find(victim).and_then(|victim| self.requests[victim].cancelled);
+                let overdue = since.is_none_or(|at| now >= at + self.settings.cancel_wait_ms);
+                if overdue && now >= self.slack_end(&request) {
+                    self.place_above(now, number, victim);
+                }
+            } else if now >= patience || now >= self.slack_end(&request) {
+                self.requests[index].urgent = true;
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: u64) {
+        loop {
+            let load = |target: usize| {
+                self.requests.iter().filter(|request| request.target == Some(target)).count()
+            };
+            let target = (0..self.slots.len())
+                .filter(|target| load(*target) < self.slots[*target])
+                .min_by_key(|target| (load(*target), *target));
+            let next = self
+                .requests
+                .iter()
+                .enumerate()
+                .filter(|(_, request)| request.queued())
+                .min_by_key(|(index, request)| {
+                    let time = self.virtual_times[&(request.tier, request.flow)];
+                    (request.tier, time, request.flow, request.deadline, *index)
+                })
+                .map(|(_, request)| request.number);
+            let (Some(target), Some(number)) = (target, next) else { return };
+            self.unpair(number);
+            self.place(now, number, target, false);
+        }
+    }
+
+    fn place(&mut self, now: u64, number: u32, target: usize, above: bool) {
+        let Some(index) = self.find(number) else { return };
+        let request = &mut self.requests[index];
+        request.target = Some(target);
+        request.above = above;
+        let (tier, cost) = (request.tier, request.cost);
+        self.placements.push((now, tier, request.service_ms));
+        let time = self.virtual_times.entry((tier, request.flow)).or_insert(0);
+        let clock = self.clocks.entry(tier).or_insert(0);
+        *clock = (*clock).max(*time);
+        *time += (cost * 1_000.0) as u64 + 1;
+        self.outputs.push(NaiveOutput::Place { number, target, above });
+    }
+
+    fn shed(&mut self, now: u64) {
+        while let Some(lowest) = self.lowest_waiting()
+            && self.overloaded(now, lowest)
+        {
+            let newest = self.requests.iter().rposition(|r| r.target.is_none() && r.tier == lowest);
+            let Some(index) = newest else { return };
+            if self.runs_below(lowest) {
+                self.requests[index].urgent = true;
+                return;
+            }
+            self.refuse(index, false);
+        }
+    }
+
+    fn lowest_waiting(&self) -> Option<u8> {
+        self.requests.iter().filter(|r| r.target.is_none()).map(|r| r.tier).max()
+    }
+
+    fn runs_below(&self, tier: u8) -> bool {
+        self.requests.iter().any(|request| request.target.is_some() && request.tier > tier)
+    }
+
+    fn overloaded(&self, now: u64, lowest: u8) -> bool {
+        let half_life = self.settings.rates.half_life_ms;
+        let served = self.placements.iter().filter(|(_, tier, _)| *tier < lowest);
+        let served: f64 = served
+            .map(|(at, _, service)| service * (-((now - at) as f64) / half_life).exp2())
+            .sum();
+        let slots = self.slots.iter().sum::<usize>() as f64;
+        let above = served * std::f64::consts::LN_2 / half_life;
+        let queued: f64 = self.requests.iter().filter(|r| r.queued()).map(|r| r.service_ms).sum();
+        let wait = queued / (slots - above).max(slots * 0.05);
+        self.waiting().len() > self.settings.queue_limit
+            || wait > self.settings.tier(lowest).max_queue_ms as f64
+    }
+
+    fn serve_urgent(&mut self, now: u64) {
+        let mut urgent: Vec<(u8, u64, usize, u32)> = self
+            .requests
+            .iter()
+            .enumerate()
+            .filter(|(_, r)| r.queued() && r.urgent && r.partner.is_none())
+            .map(|(index, r)| (r.tier, r.deadline, index, r.number))
+            .collect();
+        urgent.sort_unstable();
+        let mut failed = 0;
+        for (tier, _, _, number) in urgent {
+            if failed >= SEARCH_LIMIT || !self.runs_below(tier) {
+                return;
+            }
+            let Some(index) = self.find(number) else { continue };
+            let over = now >= self.slack_end(&self.requests[index]);
+            if let Some(victim) = self.victim(tier, |r| r.idempotent && r.claimed) {
+                self.pair(number, victim);
+                self.send_cancel(now, victim);
+            } else if let Some(victim) = self.victim(tier, |_| true).filter(|_| over) {
+                self.place_above(now, number, victim);
+            } else if !(over && self.take_over(now, tier, number)) {
+                failed += 1;
+            }
+        }
+    }
+
+    fn victim(&self, tier: u8, accept: impl Fn(&NaiveRequest) -> bool) -> Option<u32> {
+        let victims = self.requests.iter().enumerate().filter(|(_, request)| {
+            let unpaired = request.partner.is_none() && !request.replaced;
+            let free = request.target.is_some() && unpaired;
+            free && request.tier > tier && accept(request)
+        });
+        victims
+            .max_by_key(|(index, request)| (request.tier, request.cancelled.is_some(), *index))
+            .map(|(_, request)| request.number)
+    }
+
+    fn take_over(&mut self, now: u64, tier: u8, number: u32) -> bool {
+        let above = self.requests.iter().enumerate().filter(|(_, request)| {
+            let paired = request.above && request.partner.is_some();
+            paired
+                && request.tier > tier
+                && request.idempotent
+                && request.claimed
+                && request.cancelled.is_none()
+        });
+        let found = above
+            .max_by_key(|(index, request)| (request.tier, *index))
+            .and_then(|(_, request)| Some((request.number, request.partner?)));
+        let Some((above, victim)) = found else { return false };
+        self.unpair(above);
+        if let Some(index) = self.find(above) {
+            self.requests[index].replaced = true;
+        }
+        self.send_cancel(now, above);
+        self.place_above(now, number, victim);
+        true
+    }
+
+    fn send_cancel(&mut self, now: u64, number: u32) {
+        let Some(index) = self.find(number) else { return };
+        if self.requests[index].cancelled.replace(now).is_none() {
+            self.outputs.push(NaiveOutput::Cancel { number });
+        }
+    }
+
+    fn place_above(&mut self, now: u64, number: u32, victim: u32) {
+        let target = self.find(victim).and_then(|victim| self.requests[victim].target);
+        let Some(target) = target else { return };
+        self.unpair(number);
+        self.place(now, number, target, true);
+        self.pair(number, victim);
+    }
+
+    fn settle_expired(&mut self) {
+        for tier in (0..=u8::MAX).rev() {
+            let held = |r: &NaiveRequest| r.expired && r.target.is_none() && r.tier == tier;
+            while !self.runs_below(tier)
+                && let Some(index) = self.requests.iter().position(held)
+            {
+                let below = self.requests.iter().position(|r| r.target.is_none() && r.tier > tier);
+                match below {
+                    Some(below) => self.refuse(below, false),
+                    None => self.refuse(index, true),
+                }
+            }
+        }
+    }
+
+    fn refuse(&mut self, index: usize, deadline: bool) {
+        let number = self.requests[index].number;
+        self.unpair(number);
+        self.requests.remove(index);
+        self.outputs.push(NaiveOutput::Refuse { number, deadline });
+    }
+
+    fn pair(&mut self, left: u32, right: u32) {
+        for (one, other) in [(left, right), (right, left)] {
+            if let Some(index) = self.find(one) {
+                self.requests[index].partner = Some(other);
+            }
+        }
+    }
+
+    fn unpair(&mut self, number: u32) {
+        let other = self.find(number).and_then(|index| self.requests[index].partner.take());
+        if let Some(index) = other.and_then(|other| self.find(other)) {
+            self.requests[index].partner = None;
+            self.requests[index].urgent |= self.requests[index].target.is_none();
+        }
+    }
+}
+
+impl NaiveRequest {
+    fn queued(&self) -> bool {
+        self.target.is_none() && !self.expired
+    }
+
+    fn is_in(&self, tier: u8, flow: usize) -> bool {
+        self.tier == tier && self.flow == flow
+    }
+}
+
+/// Whether a refusal is due to the deadline.
+pub fn by_deadline(reason: ReasonCode) -> bool {
+    reason == ReasonCode::DeadlinePassed
+}
--- a/crates/core/tests/pool/tier_rule.rs
+++ b/crates/core/tests/pool/tier_rule.rs
@@ -174,12 +174,12 @@
                 let running = running.collect();
                 self.step(PoolInput::EntryReported { entry: NodeId(entry), running })
             }
-            other => self.apply_target(other),
+            other => self.apply_target(&other),
         }
     }
 
-    fn apply_target(&mut self, event: Event) -> Result<(), TestCaseError> {
-        match event {
+    fn apply_target(&mut self, event: &Event) -> Result<(), TestCaseError> {
+        match *event {
             Event::Crash { number } => {
                 if let Some(incarnation) = self.incarnations.get_mut(&number) {
                     *incarnation += 1;
@@ -253,14 +253,14 @@
             while let Some(key) = self.committed(0) {
                 self.finish(key, false)?;
             }
-            self.apply_target(Event::Announce)?;
-            self.apply_target(Event::Advance { ms: 100 })?;
+            self.apply_target(&Event::Announce)?;
+            self.apply_target(&Event::Advance { ms: 100 })?;
             if self.running.is_empty() && self.uncommitted.is_empty() {
                 break;
             }
         }
         // Requests of lost entries keep their slots until their deadlines.
-        self.apply_target(Event::Advance { ms: 60_000 })?;
+        self.apply_target(&Event::Advance { ms: 60_000 })?;
         let counts = self.harness.scheduler.counts();
         prop_assert_eq!((counts.waiting, counts.running), (0, 0));
         Ok(())
