--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -98,19 +98,16 @@
     }
 
     /// Prefill and decode rate over all generations, each weighted by its observations.
-    pub fn mean_rates(&self, now: ClockTime) -> (f64, f64) {
-        let RateSettings { half_life_ms, prior_ms, .. } = self.settings;
+    pub fn mean_rates(&self) -> (f64, f64) {
+        let prior_ms = self.settings.prior_ms;
         let mut total = RateEstimate::default();
         for mean in &self.means {
-            total.prefill.merge(now, half_life_ms, &mean.prefill);
-            total.decode.merge(now, half_life_ms, &mean.decode);
+            total.prefill.merge(&mean.prefill);
+            total.decode.merge(&mean.decode);
         }
         let prefill_prior = self.settings.prefill_tokens_per_s / 1_000.0;
         let decode_prior = self.settings.decode_tokens_per_s / 1_000.0;
-        (
-            total.prefill.with_prior(now, half_life_ms, prior_ms, prefill_prior),
-            total.decode.with_prior(now, half_life_ms, prior_ms, decode_prior),
-        )
+        (total.prefill.newest(prior_ms, prefill_prior), total.decode.newest(prior_ms, decode_prior))
     }
 
     /// Whether the target decoded at less than half of its generation's median for long enough.
@@ -140,8 +137,7 @@
     ) -> f64 {
         let Some(rates) = self.targets.get(target) else { return default };
         let RateSettings { half_life_ms, prior_ms, .. } = self.settings;
-        let mean =
-            part(&self.means[rates.generation]).with_prior(now, half_life_ms, prior_ms, default);
+        let mean = part(&self.means[rates.generation]).newest(prior_ms, default);
         part(&rates.estimate).with_prior(now, half_life_ms, prior_ms, mean)
     }
 
--- a/crates/core/src/estimate/rate.rs
+++ b/crates/core/src/estimate/rate.rs
@@ -57,10 +57,16 @@
         self.updated = self.updated.max(now);
     }
 
-    /// Adds the observations of another quotient.
-    pub fn merge(&mut self, now: ClockTime, half_life_ms: f64, other: &Self) {
-        let weight = other.weight(now, half_life_ms);
-        self.add(now, half_life_ms, other.amount * weight, other.span_ms * weight);
+    /// Adds the observations of another quotient, weighted as at its last update.
+    pub fn merge(&mut self, other: &Self) {
+        self.amount += other.amount;
+        self.span_ms += other.span_ms;
+    }
+
+    /// The quotient at its last update, drawn to `prior`. It does not decay while there are no
+    /// observations.
+    pub fn newest(&self, prior_ms: f64, prior: f64) -> f64 {
+        (self.amount + prior * prior_ms) / (self.span_ms + prior_ms)
     }
 
     /// The quotient, if at least `min_ms` of weighted observation time is left.
--- a/crates/core/src/pool/intake.rs
+++ b/crates/core/src/pool/intake.rs
@@ -131,7 +131,7 @@
                 self.settings.service_time_ms,
             );
         }
-        let (prefill, decode) = self.rates.mean_rates(now);
+        let (prefill, decode) = self.rates.mean_rates();
         f64::from(prompt_tokens) / prefill.max(1e-6) + output / decode.max(1e-6)
     }
 
--- a/crates/core/src/registry/announcement.rs
+++ b/crates/core/src/registry/announcement.rs
@@ -47,6 +47,14 @@
 }
 
 /// Body of `POST /v1/targets/announce`.
+///
+/// ```
+/// use burdockcleat_core::registry::TargetAnnouncement;
+/// let body = r#"{"name": "engine-1", "incarnation": 1, "address": "127.0.0.1:9000",
+///     "pool": "notes", "models": ["small"], "slots": 4}"#;
+/// let announcement: TargetAnnouncement = serde_json::from_str(body).unwrap();
+/// assert!(announcement.serves("small") && !announcement.serves(""));
+/// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetAnnouncement {
     /// Name of the target, unique in the deployment.
--- /dev/null
+++ b/crates/core/tests/pool/failover.rs
@@ -0,0 +1,143 @@
+//! Lost entries, failed connections and the start of a new leader.
+
+use crate::support::{ENTRY, PoolHarness, key, placed, refused, request, target};
+use burdockcleat_core::keys::{ClaimNumber, NodeId, RequestFingerprint};
+use burdockcleat_core::message::HeldClaim;
+use burdockcleat_core::outcome::ReasonCode;
+use burdockcleat_core::pool::{OpenClaim, PoolInput, PoolSettings};
+use burdockcleat_core::registry::{LoadReport, TargetAnnouncement};
+
+fn open_claim(harness: &PoolHarness, number: u32, entry: u64) -> OpenClaim {
+    OpenClaim {
+        key: key(number),
+        claim: ClaimNumber(u64::from(number)),
+        entry: NodeId(entry),
+        target: target(1, 2).identity(),
+        workspace: "w0".into(),
+        fingerprint: RequestFingerprint(u64::from(number)),
+        tier: 1,
+        idempotent: true,
+        deadline: harness.now.plus(30_000),
+    }
+}
+
+/// Guards against grants before the new leader knows what runs, and against slots that it gives
+/// away twice.
+#[test]
+fn rebuild_grants_nothing_until_all_entries_have_reported() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[]);
+    let claims = vec![open_claim(&harness, 1, 1), open_claim(&harness, 2, 2)];
+    harness.step(PoolInput::Rebuild { claims, entries: vec![NodeId(3)] });
+    harness.announce(target(1, 2));
+    assert_eq!(placed(&harness.submit(request(3, 0))), []);
+    let held = HeldClaim { key: key(1), claim: ClaimNumber(1) };
+    harness.step(PoolInput::EntryReported { entry: NodeId(1), running: vec![held] });
+    harness.step(PoolInput::EntryReported { entry: NodeId(3), running: vec![] });
+    assert_eq!(harness.places.len(), 0);
+    // The second entry does not run request 2 any more, so one of two slots is free.
+    harness.step(PoolInput::EntryReported { entry: NodeId(2), running: vec![] });
+    assert_eq!(harness.places.len(), 1);
+    assert_eq!(placed(&harness.submit(request(4, 1))), []);
+}
+
+/// Guards against a rebuild that waits for a lost entry for good, and against sheds during it.
+#[test]
+fn rebuild_ends_after_its_time() {
+    let settings = PoolSettings { queue_limit: 1, ..PoolSettings::default() };
+    let mut harness = PoolHarness::new(settings, &[target(1, 2)]);
+    let claims = vec![open_claim(&harness, 1, 1)];
+    harness.step(PoolInput::Rebuild { claims, entries: vec![] });
+    for number in 2..6 {
+        assert_eq!(refused(&harness.submit(request(number, 1))), []);
+    }
+    assert_eq!(placed(&harness.advance(999)), []);
+    let outputs = harness.advance(1);
+    assert_eq!(placed(&outputs).len(), 1);
+    assert_eq!(refused(&outputs).len(), 2);
+}
+
+/// Guards against a slot that is freed while the request of a dead entry may still run, and
+/// against one that stays occupied although the target reports to be idle.
+#[test]
+fn request_of_a_lost_entry_keeps_its_slot_until_the_target_is_idle() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
+    harness.submit(request(1, 0));
+    harness.step(PoolInput::EntryLost { entry: ENTRY });
+    harness.submit(request(2, 0));
+    let idle = |sequence| TargetAnnouncement {
+        load: LoadReport { running: 0, waiting: 0, sequence },
+        ..target(1, 1)
+    };
+    harness.now = harness.now.plus(1_000);
+    // This report may be older than the dispatch.
+    harness.announce(idle(1));
+    assert!(!harness.places.contains_key(&key(2)));
+    harness.now = harness.now.plus(1_000);
+    harness.announce(idle(2));
+    assert!(harness.places.contains_key(&key(2)));
+}
+
+/// Guards against a slot that is lost with its entry.
+#[test]
+fn request_of_a_lost_entry_ends_at_its_deadline() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
+    harness.submit(request(1, 0));
+    harness.step(PoolInput::EntryLost { entry: ENTRY });
+    harness.advance(59_999);
+    assert_eq!(harness.scheduler.counts().running, 1);
+    harness.advance(1);
+    assert_eq!(harness.scheduler.counts().running, 0);
+}
+
+fn release(harness: &mut PoolHarness, number: u32) -> Vec<burdockcleat_core::pool::PoolOutput> {
+    let claim = harness.claims[&key(number)];
+    harness.step(PoolInput::Release { key: key(number), claim, retry: true })
+}
+
+/// Guards against a request that is tried at the same unreachable target again, or at more than
+/// three.
+#[test]
+fn request_is_tried_at_three_different_targets() {
+    let targets: Vec<_> = (0..5).map(|number| target(number, 1)).collect();
+    let mut harness = PoolHarness::new(PoolSettings::default(), &targets);
+    harness.submit(request(1, 0));
+    let mut tried = vec![harness.places[&key(1)]];
+    for _ in 0..2 {
+        assert_eq!(placed(&release(&mut harness, 1)), [1]);
+        assert!(!tried.contains(&harness.places[&key(1)]));
+        tried.push(harness.places[&key(1)]);
+    }
+    assert_eq!(refused(&release(&mut harness, 1)), [(1, ReasonCode::Unreachable)]);
+}
+
+/// Guards against retries that multiply the load while many connections fail.
+#[test]
+fn retries_are_limited_to_a_tenth_of_the_grants() {
+    let targets: Vec<_> = (0..2).map(|number| target(number, 100)).collect();
+    let settings = PoolSettings { failure_limit: u32::MAX, ..PoolSettings::default() };
+    let mut harness = PoolHarness::new(settings, &targets);
+    for number in 1..=100 {
+        harness.submit(request(number, 0));
+    }
+    let retried = (1..=100).filter(|number| !placed(&release(&mut harness, *number)).is_empty());
+    // Each retry is a grant too.
+    assert!((10..=11).contains(&retried.count()));
+}
+
+/// Guards against a dead target that takes and fails requests faster than the others serve them.
+#[test]
+fn target_that_refuses_connections_gets_no_work_until_its_next_announcement() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 4), target(2, 4)]);
+    let dead = harness.registry.find(&target(1, 4).identity()).unwrap();
+    for number in 1..=4 {
+        harness.submit(request(number, 0));
+    }
+    for number in 1..=4 {
+        if harness.places[&key(number)] == dead {
+            release(&mut harness, number);
+        }
+    }
+    assert_eq!(harness.scheduler.free_targets().count(), 0);
+    harness.announce(target(1, 4));
+    assert_eq!(harness.scheduler.free_targets().collect::<Vec<_>>(), [dead]);
+}
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -1,8 +1,12 @@
 //! Tests of the pool scheduler.
 
 mod differential;
+mod estimates;
+mod failover;
 mod naive;
 mod placement;
 mod preemption;
+mod registry;
 mod support;
+mod suspects;
 mod tier_rule;
--- a/crates/core/tests/pool/placement.rs
+++ b/crates/core/tests/pool/placement.rs
@@ -1,8 +1,13 @@
 //! Submits, placements and limits.
 
-use crate::support::{PoolHarness, placed, refused, request, target};
+use crate::support::{PoolHarness, key, placed, refused, request, target};
+use burdockcleat_core::message::{StreamProgress, SubmitRequest};
 use burdockcleat_core::outcome::ReasonCode;
-use burdockcleat_core::pool::{PoolInput, PoolSettings, WorkspaceSettings};
+use burdockcleat_core::pool::{
+    PoolInput, PoolOutput, PoolSettings, TierSettings, WorkspaceSettings,
+};
+use burdockcleat_core::registry::{TargetAnnouncement, TargetKind};
+use std::collections::BTreeSet;
 
 /// Guards against a slot that is given to two requests before the first claim is committed.
 #[test]
@@ -45,3 +50,136 @@
     harness.finish(1);
     assert_eq!(refused(&harness.submit(request(4, 0))), []);
 }
+
+/// Guards against herding: load reports that do not change must not draw a burst to one target.
+#[test]
+fn burst_is_spread_although_reports_are_stale() {
+    let targets: Vec<_> = (0..5).map(|number| target(number, 8)).collect();
+    let mut harness = PoolHarness::new(PoolSettings::default(), &targets);
+    for number in 0..20 {
+        harness.submit(request(number, 0));
+    }
+    for target in &targets {
+        let key = harness.registry.find(&target.identity()).unwrap();
+        assert_eq!(harness.scheduler.running_on(key).len(), 4);
+    }
+}
+
+/// Guards against a request that is sent away from the target that has its prompt cached.
+#[test]
+fn shared_prefix_draws_requests_to_one_target() {
+    let targets: Vec<_> = (0..5).map(|number| target(number, 8)).collect();
+    let mut harness = PoolHarness::new(PoolSettings::default(), &targets);
+    let hashes: Vec<u64> = (0..16).collect();
+    for number in 0..4 {
+        let request = SubmitRequest {
+            prompt_tokens: 1_024,
+            prefix_hashes: hashes.clone(),
+            ..request(number, 0)
+        };
+        harness.submit(request);
+    }
+    let places: BTreeSet<_> = harness.places.values().collect();
+    assert_eq!(places.len(), 1);
+}
+
+/// Guards against one workspace that takes the slots of the others in its tier.
+#[test]
+fn workspaces_share_by_weight() {
+    let tiers = vec![TierSettings { max_queue_ms: 100_000 }];
+    let mut settings = PoolSettings { tiers, ..PoolSettings::default() };
+    let heavy = WorkspaceSettings { weight: 3.0, ..WorkspaceSettings::default() };
+    settings.workspaces.insert("w1".into(), heavy);
+    let mut harness = PoolHarness::new(settings, &[target(1, 1)]);
+    harness.submit(request(0, 0));
+    for number in 1..=40 {
+        let workspace = format!("w{}", u32::from(number > 20));
+        harness.submit(SubmitRequest { workspace, ..request(number, 0) });
+    }
+    let mut served = Vec::new();
+    let mut last = 0;
+    for _ in 0..16 {
+        last = placed(&harness.finish(last))[0];
+        served.push(last);
+    }
+    assert_eq!(served.iter().filter(|number| **number > 20).count(), 12);
+}
+
+/// Guards against a workspace that serves a late deadline before an early one.
+#[test]
+fn earliest_deadline_is_served_first_within_a_workspace() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
+    harness.submit(request(0, 0));
+    for (number, deadline_in_ms) in [(1, 50_000), (2, 30_000), (3, 40_000)] {
+        harness.submit(SubmitRequest { deadline_in_ms, ..request(number, 0) });
+    }
+    assert_eq!(placed(&harness.finish(0)), [2]);
+    assert_eq!(placed(&harness.finish(2)), [3]);
+}
+
+/// Guards against a workspace that exceeds its tokens per second, and against a wrong
+/// retry-after time.
+#[test]
+fn token_bucket_limits_a_workspace() {
+    let mut settings = PoolSettings::default();
+    let limit = WorkspaceSettings {
+        tokens_per_second: Some(440.0),
+        burst_tokens: 440.0,
+        ..WorkspaceSettings::default()
+    };
+    settings.workspaces.insert("w0".into(), limit);
+    let mut harness = PoolHarness::new(settings, &[target(1, 4)]);
+    assert_eq!(placed(&harness.submit(request(1, 0))), [1]);
+    let outputs = harness.submit(request(2, 0));
+    assert_eq!(refused(&outputs), [(2, ReasonCode::WorkspaceLimit)]);
+    assert!(matches!(outputs[0], PoolOutput::Refuse { retry_after_ms: 1_000, .. }));
+    harness.advance(1_000);
+    assert_eq!(placed(&harness.submit(request(3, 0))), [3]);
+}
+
+/// Guards against new work for a straggler while another target has capacity.
+#[test]
+fn straggler_gets_no_work_while_others_have_capacity() {
+    let targets: Vec<_> = (0..4).map(|number| target(number, 4)).collect();
+    let mut harness = PoolHarness::new(PoolSettings::default(), &targets);
+    for number in 0..8 {
+        harness.submit(request(number, 0));
+    }
+    let slow = harness.places[&key(0)];
+    for step in 1..=40 {
+        let places = harness.places.clone();
+        let reports = places.iter().map(|(key, target)| StreamProgress {
+            key: *key,
+            tokens: step * if *target == slow { 2 } else { 10 },
+            first_token_ms: Some(50),
+        });
+        harness.step(PoolInput::Progress(reports.collect()));
+        harness.advance(250);
+    }
+    assert!(harness.scheduler.straggler(slow));
+    for number in 8..14 {
+        harness.submit(request(number, 0));
+        assert_ne!(harness.places[&key(number)], slow);
+    }
+    for number in 14..16 {
+        harness.submit(request(number, 0));
+        assert_eq!(harness.places[&key(number)], slow);
+    }
+}
+
+/// Guards against a plain service that is scheduled by tokens it does not have.
+#[test]
+fn plain_services_share_by_in_flight_count() {
+    let service = |number| TargetAnnouncement {
+        kind: TargetKind::Service,
+        models: Vec::new(),
+        ..target(number, 4)
+    };
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[service(1), service(2)]);
+    for number in 0..4 {
+        let request = SubmitRequest { model: String::new(), ..request(number, 0) };
+        assert_eq!(placed(&harness.submit(request)), [number]);
+    }
+    let key = harness.registry.find(&service(1).identity()).unwrap();
+    assert_eq!(harness.scheduler.running_on(key).len(), 2);
+}
--- /dev/null
+++ b/crates/core/tests/pool/registry.rs
@@ -0,0 +1,73 @@
+//! Announcements, silence, leaves and crashes.
+
+use crate::support::{PoolHarness, at, placed, request, target};
+use burdockcleat_core::pool::{PoolInput, PoolSettings};
+use burdockcleat_core::registry::{
+    AnnounceError, LoadReport, TARGET_SILENT_MS, TargetAnnouncement, TargetChangeKind,
+    TargetRegistry,
+};
+
+fn incarnation(number: u64) -> TargetAnnouncement {
+    TargetAnnouncement { incarnation: number, ..target(1, 2) }
+}
+
+/// Guards against a leaving target that returns through a late heartbeat.
+#[test]
+fn leave_is_final_for_its_incarnation() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(at(0), incarnation(2)).unwrap();
+    let left = registry.leave(&incarnation(2).identity()).unwrap();
+    assert_eq!(left.kind, TargetChangeKind::Left);
+    for old in [1, 2] {
+        let refused = registry.announce(at(10), incarnation(old)).unwrap_err();
+        assert!(matches!(refused, AnnounceError::IncarnationEnded { newest: 2, .. }));
+    }
+    let (_, changes) = registry.announce(at(20), incarnation(3)).unwrap();
+    assert_eq!(changes.len(), 1, "no crash is reported after a leave");
+}
+
+/// Guards against a leave that overtakes the first announcement and is forgotten.
+#[test]
+fn leave_before_the_announcement_counts() {
+    let mut registry = TargetRegistry::default();
+    assert_eq!(registry.leave(&incarnation(1).identity()), None);
+    assert!(registry.announce(at(0), incarnation(1)).is_err());
+}
+
+/// Guards against a late heartbeat or leave of an old incarnation that harms the new one.
+#[test]
+fn old_incarnation_cannot_touch_the_new_one() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(at(0), incarnation(1)).unwrap();
+    let (key, changes) = registry.announce(at(1), incarnation(2)).unwrap();
+    assert_eq!(changes[0].kind, TargetChangeKind::Crashed);
+    assert!(registry.announce(at(2), incarnation(1)).is_err());
+    assert_eq!(registry.leave(&incarnation(1).identity()), None);
+    assert!(registry.eligible(key));
+}
+
+/// Guards against new work for a target that has fallen silent.
+#[test]
+fn silent_target_gets_no_work_until_it_returns() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
+    harness.now = at(TARGET_SILENT_MS);
+    for change in harness.registry.tick(harness.now) {
+        harness.step(PoolInput::Target { target: change.target, change: change.kind });
+    }
+    assert_eq!(placed(&harness.submit(request(1, 0))), []);
+    harness.announce(target(1, 1));
+    assert_eq!(harness.places.len(), 1);
+}
+
+/// Guards against an older load report that overtakes a newer one.
+#[test]
+fn older_load_report_is_ignored() {
+    let mut registry = TargetRegistry::default();
+    let report = |running, sequence| TargetAnnouncement {
+        load: LoadReport { running, waiting: 0, sequence },
+        ..target(1, 2)
+    };
+    let (key, _) = registry.announce(at(0), report(5, 7)).unwrap();
+    registry.announce(at(1), report(0, 6)).unwrap();
+    assert_eq!(registry.get(key).unwrap().announcement.load.running, 5);
+}
