Check suspects, models and haste whenever a request is placed

A request that waited for a cached prompt was placed there without a second look at the target, a request that was quarantined while it waited was still placed, and an unparked suspect no longer sought a slot. The checks now apply to each placement.

--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,12 +1,17 @@
 //! Scheduling in one pool: queues, fair shares, limits, preemption and routing.
 //!
 //! The scheduler is a step function of time and event. No step scans the queue. With `T` targets
-//! in the pool, `R` running requests, `n` waiting ones and `B` prompt blocks per request:
+//! in the pool, `R` running requests, `n` waiting ones, `B` prompt blocks per request and `K` the
+//! lookahead, the costs are:
 //!
-//! - submit, withdraw, finish, release and cancel: O(log n), plus O(log B) per block of a prompt;
-//! - each placement: O(T·B) for the choice of the target, times the lookahead;
-//! - each preemption: O(R) for the choice of the victim, once per cancel;
-//! - tick: O(T log T) for the straggler comparison, plus O(log n) per due timer.
+//! - submit, withdraw, finish, release and cancel: O(log n + B log B);
+//! - each placement: O(K + T·B), since a request that waits for a busy target is only compared
+//!   with that target until its wait ends;
+//! - each choice of a victim: O(R), once per cancel and at most 32 times per step without success;
+//! - tick: O(T log T) for the straggler comparison, O(R) for stalled streams;
+//! - each timer that is due: O(log n).
+//!
+//! A step in which nothing can be placed and nobody seeks a slot costs O(T + K).
 
 mod check;
 mod event;
@@ -16,6 +21,7 @@
 mod rebuild;
 mod request;
 mod retry;
+mod reuse;
 mod route;
 mod running;
 mod settings;
--- a/crates/core/src/pool/event.rs
+++ b/crates/core/src/pool/event.rs
@@ -64,7 +64,8 @@
         /// Whether it is full.
         full: bool,
     },
-    /// The owner did not dispatch the request.
+    /// The owner did not dispatch the request. A claim that was re-entered after a change of leader
+    /// is refused with attempt 0, since only its claim is known.
     Release {
         /// Key of the request.
         key: RequestKey,
--- a/crates/core/src/pool/intake.rs
+++ b/crates/core/src/pool/intake.rs
@@ -84,6 +84,7 @@
             prefix_hashes: request.prefix_hashes,
             charged_tokens,
             item,
+            reentered: false,
             tried: Vec::new(),
             timer: None,
             partner: None,
--- a/crates/core/src/pool/rebuild.rs
+++ b/crates/core/src/pool/rebuild.rs
@@ -92,6 +92,7 @@
             prefix_hashes: Vec::new(),
             charged_tokens: 0.0,
             item,
+            reentered: true,
             tried: Vec::new(),
             timer: None,
             partner: None,
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -33,6 +33,8 @@
     pub charged_tokens: f64,
     /// Place in the queue, kept while the request runs for a return after a release.
     pub item: QueueItem,
+    /// Whether a new leader entered the request from its claim.
+    pub reentered: bool,
     /// Targets that refused the connection.
     pub tried: Vec<TargetKey>,
     /// When the request is looked at again without another event.
--- /dev/null
+++ b/crates/core/src/pool/reuse.rs
@@ -0,0 +1,96 @@
+//! Waits for a busy target that has the prompt of a request cached.
+//!
+//! A free slot elsewhere would cost a prefill that has been done before. The wait is limited by
+//! the prefill time that it saves, and ends early enough not to cause a preemption.
+
+use super::PoolScheduler;
+use super::request::{HomeWait, RequestSlot};
+use super::route::Choice;
+use super::settings::RoutingPolicy;
+use crate::clock::ClockTime;
+
+impl PoolScheduler {
+    /// Whether the request still waits for a busy target that has its prompt cached.
+    pub(super) fn waits(&self, now: ClockTime, slot: RequestSlot) -> bool {
+        let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) else {
+            return false;
+        };
+        let busy = self.targets.get(&wait.target).is_some_and(|target| !self.free(target));
+        busy && wait.until.is_none_or(|until| now < until) && !self.in_haste(now, slot)
+    }
+
+    /// Limits the wait of a request that could have one of the free slots. Requests behind those
+    /// would have to wait for a slot anyway. Returns the slots that the request accounts for.
+    pub(super) fn start_wait(
+        &mut self,
+        now: ClockTime,
+        slot: RequestSlot,
+        entitled: usize,
+    ) -> usize {
+        if entitled == 0 {
+            return 0;
+        }
+        if let Some(state) = self.requests[slot].waiting_mut()
+            && let Some(wait) = &mut state.home
+        {
+            wait.until.get_or_insert(now.plus(wait.limit_ms));
+        }
+        1
+    }
+
+    /// Whether a request has no time left to wait for a better target. The margin keeps such
+    /// waits from ending in a preemption.
+    fn in_haste(&self, now: ClockTime, slot: RequestSlot) -> bool {
+        let record = &self.requests[slot];
+        let urgent = record.waiting().is_some_and(|state| state.urgent);
+        let lowest = self.running.last_key_value().map(|(tier, _)| *tier);
+        now.plus(self.settings.preempt_slack_ms) >= self.slack_end(record)
+            || (urgent && lowest.is_some_and(|lowest| lowest > record.item.tier))
+    }
+
+    /// Lets a request wait for a busy target that has its prompt cached, if that is expected to
+    /// cost less than the prefill at a free target.
+    pub(super) fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
+        let record = &self.requests[choice.slot];
+        let first = record.waiting().is_some_and(|state| state.home.is_none());
+        if !first || !self.reuses_prefixes() || record.prefix_hashes.is_empty() {
+            return false;
+        }
+        let half_life = self.settings.rates.half_life_ms;
+        let time = self.service_time.with_prior(now, half_life, 1.0, self.settings.service_time_ms);
+        let home = self
+            .targets
+            .iter()
+            .filter(|(key, target)| {
+                !target.has_free_slot(u32::MAX)
+                    && self.usable(now, record, **key, target)
+                    && !self.avoided(**key)
+            })
+            .map(|(key, target)| {
+                let wait = time / target.running.len().max(1) as f64;
+                (self.routing_cost(now, record, *key) + wait, *key)
+            })
+            .min_by(|left, right| left.0.total_cmp(&right.0));
+        let Some((cost_ms, home)) = home else { return false };
+        if cost_ms >= choice.cost_ms || self.in_haste(now, choice.slot) {
+            return false;
+        }
+        let saved =
+            self.prefill_ms(now, record, choice.target) - self.prefill_ms(now, record, home);
+        // The cast saturates.
+        let limit_ms = (saved * self.settings.cache_wait_share) as u64;
+        if limit_ms == 0 {
+            return false;
+        }
+        if let Some(state) = self.requests[choice.slot].waiting_mut() {
+            state.home = Some(HomeWait { target: home, limit_ms, until: None });
+        }
+        true
+    }
+
+    fn reuses_prefixes(&self) -> bool {
+        self.settings.switches.prefix_term
+            && self.settings.routing == RoutingPolicy::EstimatedCompletion
+            && self.settings.cache_wait_share > 0.0
+    }
+}
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -2,9 +2,7 @@
 
 use super::PoolScheduler;
 use super::event::PoolOutput;
-use super::request::{
-    HomeWait, ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState,
-};
+use super::request::{ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState};
 use super::settings::RoutingPolicy;
 use crate::clock::ClockTime;
 use crate::outcome::ReasonCode;
@@ -12,11 +10,11 @@
 
 /// A target for a request, with the estimates that led to it.
 #[derive(Clone, Copy, Debug)]
-struct Choice {
-    slot: RequestSlot,
-    target: TargetKey,
+pub(super) struct Choice {
+    pub slot: RequestSlot,
+    pub target: TargetKey,
     /// Routing cost in milliseconds.
-    cost_ms: f64,
+    pub cost_ms: f64,
 }
 
 impl PoolScheduler {
@@ -34,7 +32,7 @@
         }
     }
 
-    fn free(&self, target: &PoolTarget) -> bool {
+    pub(super) fn free(&self, target: &PoolTarget) -> bool {
         target.has_free_slot(self.settings.failure_limit)
     }
 
@@ -62,23 +60,15 @@
             if entitled == 0 && waiting_tier.is_some_and(|waiting| waiting < tier) {
                 return None;
             }
-            if let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) {
-                if self.targets.get(&wait.target).is_some_and(|target| self.free(target)) {
-                    return Some(Choice { slot, target: wait.target, cost_ms: 0.0 });
-                }
-                if wait.until.is_none_or(|until| now < until) && !self.slack_over(now, slot) {
-                    entitled -= self.start_wait(now, slot, entitled);
-                    waiting_tier.get_or_insert(tier);
+            if !self.waits(now, slot) {
+                let Some(choice) = self.route(now, slot) else {
+                    self.park_suspect(now, slot);
                     continue;
+                };
+                if !self.defer(now, &choice) {
+                    return Some(choice);
                 }
             }
-            let Some(choice) = self.route(now, slot) else {
-                self.park_suspect(now, slot);
-                continue;
-            };
-            if !self.defer(now, &choice) {
-                return Some(choice);
-            }
             entitled -= self.start_wait(now, slot, entitled);
             waiting_tier.get_or_insert(tier);
         }
@@ -90,95 +80,20 @@
         targets.map(|target| target.slots() - target.running.len()).sum()
     }
 
-    /// Limits the wait of a request that could have one of the free slots. Requests behind those
-    /// would have to wait for a slot anyway. Returns the slots that the request accounts for.
-    fn start_wait(&mut self, now: ClockTime, slot: RequestSlot, entitled: usize) -> usize {
-        if entitled == 0 {
-            return 0;
-        }
-        if let Some(state) = self.requests[slot].waiting_mut()
-            && let Some(wait) = &mut state.home
-        {
-            wait.until.get_or_insert(now.plus(wait.limit_ms));
-        }
-        1
-    }
-
-    /// Whether a request has no time left to wait for a better target. The margin keeps such
-    /// waits from ending in a preemption.
-    fn slack_over(&self, now: ClockTime, slot: RequestSlot) -> bool {
-        now.plus(self.settings.preempt_slack_ms) >= self.slack_end(&self.requests[slot])
-    }
-
-    /// Lets a request wait for a busy target that has its prompt cached, if that is expected to
-    /// cost less than the prefill at a free target.
-    fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
-        let record = &self.requests[choice.slot];
-        let first = record.waiting().is_some_and(|state| state.home.is_none());
-        if !first || !self.reuses_prefixes() || record.prefix_hashes.is_empty() {
-            return false;
-        }
-        let half_life = self.settings.rates.half_life_ms;
-        let time = self.service_time.with_prior(now, half_life, 1.0, self.settings.service_time_ms);
-        let marked = self.suspects.marked(now, record.fingerprint);
-        let model = &self.classes[record.item.class];
-        let home = self
-            .targets
-            .iter()
-            .filter(|(key, target)| {
-                target.eligible
-                    && !target.has_free_slot(u32::MAX)
-                    && target.announcement.serves(model)
-                    && !marked
-                    && !record.tried.contains(key)
-                    && !self.avoided(**key)
-            })
-            .map(|(key, target)| {
-                let wait = time / target.running.len().max(1) as f64;
-                (self.routing_cost(now, record, *key) + wait, *key)
-            })
-            .min_by(|left, right| left.0.total_cmp(&right.0));
-        let Some((cost_ms, home)) = home else { return false };
-        if cost_ms >= choice.cost_ms || self.slack_over(now, choice.slot) {
-            return false;
-        }
-        let saved =
-            self.prefill_ms(now, record, choice.target) - self.prefill_ms(now, record, home);
-        // The cast saturates.
-        let limit_ms = (saved * self.settings.cache_wait_share) as u64;
-        if limit_ms == 0 {
-            return false;
-        }
-        if let Some(state) = self.requests[choice.slot].waiting_mut() {
-            state.home = Some(HomeWait { target: home, limit_ms, until: None });
-        }
-        true
-    }
-
-    fn avoided(&self, key: TargetKey) -> bool {
+    pub(super) fn avoided(&self, key: TargetKey) -> bool {
         self.settings.switches.straggler_avoidance && self.rates.straggler(key)
     }
 
-    fn reuses_prefixes(&self) -> bool {
-        self.settings.switches.prefix_term
-            && self.settings.routing == RoutingPolicy::EstimatedCompletion
-            && self.settings.cache_wait_share > 0.0
-    }
-
     /// The best target with a free slot for a request.
     fn route(&mut self, now: ClockTime, slot: RequestSlot) -> Option<Choice> {
-        let marked = self.suspects.marked(now, self.requests[slot].fingerprint);
         let record = &self.requests[slot];
-        let model = &self.classes[record.item.class];
+        if self.suspects.quarantine(now, record.fingerprint).is_some() {
+            return None;
+        }
         let usable: Vec<TargetKey> = self
             .targets
             .iter()
-            .filter(|(key, target)| {
-                self.free(target)
-                    && target.announcement.serves(model)
-                    && !record.tried.contains(key)
-                    && !(marked && target.marked > 0)
-            })
+            .filter(|(key, target)| self.free(target) && self.usable(now, record, **key, target))
             .map(|(key, _)| *key)
             .collect();
         let fast: Vec<TargetKey> =
@@ -189,6 +104,21 @@
         Some(Choice { slot, target, cost_ms })
     }
 
+    /// Whether a request may run at a target, if that has a slot.
+    pub(super) fn usable(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        key: TargetKey,
+        target: &PoolTarget,
+    ) -> bool {
+        let isolated = target.marked > 0 && self.suspects.marked(now, record.fingerprint);
+        target.eligible
+            && target.announcement.serves(&self.classes[record.item.class])
+            && !record.tried.contains(&key)
+            && !isolated
+    }
+
     fn pick(
         &mut self,
         now: ClockTime,
@@ -228,22 +158,27 @@
     }
 
     /// Estimated completion time at a target, with the weight of uncached prompt tokens.
-    fn routing_cost(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+    pub(super) fn routing_cost(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        key: TargetKey,
+    ) -> f64 {
+        if self.is_service(record.item.class) {
+            return 0.0;
+        }
         let extra = (self.settings.prefill_weight - 1.0) * self.prefill_ms(now, record, key);
         self.completion_ms(now, record, key) + extra
     }
 
     /// Time that a target needs for the uncached prompt tokens.
-    fn prefill_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+    pub(super) fn prefill_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
         let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
         uncached / self.rates.prefill_rate(now, key).max(1e-6)
     }
 
     /// Estimated time until the request would complete at a target.
     fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
-        if self.is_service(record.item.class) {
-            return 0.0;
-        }
         let ahead_ms =
             self.targets[&key].prefill_ahead / self.rates.prefill_rate(now, key).max(1e-6);
         let prefill_ms = self.prefill_ms(now, record, key);
@@ -339,8 +274,9 @@
 
     pub(super) fn park(&mut self, slot: RequestSlot, reason: ParkReason) {
         let record = &mut self.requests[slot];
-        let item = record.item;
+        let (item, urgent) = (record.item, record.urgent_key());
         let Some(state) = record.waiting_mut() else { return };
+        self.urgent.remove(&urgent);
         if state.parked.replace(reason).is_none() {
             self.queue.leave_flow(&item);
         }
@@ -357,11 +293,15 @@
     pub(super) fn unpark_suspects(&mut self) {
         for slot in std::mem::take(&mut self.parked) {
             let record = &mut self.requests[slot];
-            let item = record.item;
+            let (item, urgent) = (record.item, record.urgent_key());
+            let paired = record.partner.is_some();
             if let Some(state) = record.waiting_mut()
                 && state.parked.take().is_some()
             {
                 self.queue.enter_flow(&item);
+                if state.urgent && !paired {
+                    self.urgent.insert(urgent);
+                }
             }
         }
     }
--- a/crates/core/src/pool/running.rs
+++ b/crates/core/src/pool/running.rs
@@ -54,6 +54,9 @@
         if !retry {
             return self.end_unused(now, slot);
         }
+        if self.requests[slot].reentered {
+            return self.refuse_reentered(now, slot);
+        }
         let state = self.requests[slot].running();
         let tried = state.and_then(|state| state.target);
         let fresh = state.is_some_and(|state| now.since(state.placed) < self.settings.grant_ttl_ms);
@@ -76,6 +79,21 @@
         self.schedule_waiting(now, slot);
     }
 
+    /// Refuses a released request of which only the claim is known, so that it cannot be placed
+    /// again.
+    fn refuse_reentered(&mut self, now: ClockTime, slot: RequestSlot) {
+        let Some(record) = self.end_running(now, slot) else { return };
+        self.outputs.push(PoolOutput::Refuse {
+            key: record.key,
+            attempt: record.attempt,
+            entry: record.entry,
+            tier: record.item.tier,
+            outcome: RequestOutcome::NotRun,
+            reason: ReasonCode::Unreachable,
+            retry_after_ms: self.settings.retry_after_min_ms,
+        });
+    }
+
     /// Counts a failed connection. Without the count, a dead target would take and fail requests
     /// faster than any other until its silence is noticed.
     fn connection_failed(&mut self, key: Option<TargetKey>) {
@@ -169,7 +187,7 @@
         }
         let record = &self.requests[slot];
         // A re-entered claim has no estimate to compare with.
-        if record.item.service_ms <= 0.0 {
+        if record.reentered {
             return;
         }
         let Some(state) = record.running() else { return };
--- a/crates/core/tests/pool/failover.rs
+++ b/crates/core/tests/pool/failover.rs
@@ -56,6 +56,19 @@
     assert_eq!(refused(&outputs).len(), 2);
 }
 
+/// Guards against a re-entered request that is queued without knowing what it needs.
+#[test]
+fn released_claim_of_the_old_leader_is_refused() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 2)]);
+    let claims = vec![open_claim(&harness, 1, 1)];
+    harness.step(PoolInput::Rebuild { claims, entries: vec![] });
+    let held = HeldClaim { key: key(1), claim: ClaimNumber(1) };
+    harness.step(PoolInput::EntryReported { entry: NodeId(1), running: vec![held] });
+    let release = PoolInput::Release { key: key(1), claim: ClaimNumber(1), retry: true };
+    assert_eq!(refused(&harness.step(release)), [(1, ReasonCode::Unreachable)]);
+    assert_eq!(harness.scheduler.counts().running, 0);
+}
+
 /// Guards against a slot that is freed while the request of a dead entry may still run, and
 /// against one that stays occupied although the target reports to be idle.
 #[test]
--- a/crates/core/tests/pool/suspects.rs
+++ b/crates/core/tests/pool/suspects.rs
@@ -99,6 +99,16 @@
     assert_eq!(placed(&outputs), [2]);
 }
 
+/// Guards against a request that is quarantined while it waits and is placed all the same.
+#[test]
+fn waiting_request_is_refused_once_it_is_quarantined() {
+    let mut harness = PoolHarness::new(PoolSettings::default(), &[target(1, 1)]);
+    harness.submit(content(1, 1));
+    harness.submit(content(2, 666));
+    harness.step(PoolInput::RestoreSuspects(vec![mark(666, "x", 1), mark(666, "y", 1)]));
+    assert_eq!(refused(&harness.finish(1)), [(2, ReasonCode::CrashesTargets)]);
+}
+
 /// Guards against suspicion after a graceful restart.
 #[test]
 fn leave_marks_nothing() {
