--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -76,7 +76,8 @@
     unpaired: BTreeMap<u8, BTreeSet<RequestSlot>>,
     /// Running requests that were dispatched above the concurrency limit.
     above: BTreeSet<(u8, u64, RequestSlot)>,
-    timers: BTreeSet<(ClockTime, RequestSlot)>,
+    /// By time and arrival.
+    timers: BTreeSet<(ClockTime, u64, RequestSlot)>,
     /// Waiting requests that seek a slot by preemption and are not paired yet.
     urgent: BTreeSet<UrgentKey>,
     /// Waiting requests with a passed deadline, held while a lower tier runs.
@@ -196,11 +197,11 @@
     }
 
     fn run_timers(&mut self, now: ClockTime) {
-        while let Some((at, slot)) = self.timers.first().copied() {
+        while let Some((at, sequence, slot)) = self.timers.first().copied() {
             if at > now {
                 return;
             }
-            self.timers.remove(&(at, slot));
+            self.timers.remove(&(at, sequence, slot));
             let Some(record) = self.requests.get_mut(slot) else { continue };
             record.timer = None;
             match &record.phase {
@@ -212,12 +213,13 @@
 
     fn set_timer(&mut self, slot: RequestSlot, at: Option<ClockTime>) {
         let Some(record) = self.requests.get_mut(slot) else { return };
+        let sequence = record.item.sequence;
         if let Some(old) = record.timer {
-            self.timers.remove(&(old, slot));
+            self.timers.remove(&(old, sequence, slot));
         }
         record.timer = at;
         if let Some(at) = at {
-            self.timers.insert((at, slot));
+            self.timers.insert((at, sequence, slot));
         }
     }
 
--- a/crates/core/src/pool/preempt.rs
+++ b/crates/core/src/pool/preempt.rs
@@ -50,7 +50,7 @@
     }
 
     fn serve_one(&mut self, now: ClockTime, slot: RequestSlot) -> bool {
-        if let Some(victim) = self.find_victim(slot, |record| self.cancellable(record)) {
+        if let Some(victim) = self.find_victim(slot, |record| self.cancellable(now, record)) {
             self.cancel(now, slot, victim);
             return true;
         }
@@ -70,7 +70,7 @@
                 let record = self.requests.get(*above)?;
                 let fresh = record.running()?.cancelling.is_none();
                 let victim = record.partner?;
-                (fresh && self.cancellable(record)).then_some((*above, victim))
+                (fresh && self.cancellable(now, record)).then_some((*above, victim))
             },
         );
         let Some((above, victim)) = found else { return false };
@@ -79,10 +79,16 @@
         self.place_above(now, slot, victim)
     }
 
-    /// Whether a running request can be told to make room; one that was told before counts too.
-    fn cancellable(&self, record: &RequestRecord) -> bool {
+    /// Whether a running request can be told to make room. One that was told before counts too,
+    /// unless the confirmation is overdue.
+    fn cancellable(&self, now: ClockTime, record: &RequestRecord) -> bool {
+        let overdue = |at: ClockTime| now.since(at) >= self.settings.cancel_wait_ms;
         record.idempotent
-            && record.running().is_some_and(|state| state.reachable() && state.target.is_some())
+            && record.running().is_some_and(|state| {
+                state.reachable()
+                    && state.target.is_some()
+                    && !state.cancelling.is_some_and(overdue)
+            })
     }
 
     /// The unpaired running request that gives way to a waiting one: of the lowest tier, and in
--- a/crates/core/tests/pool/naive.rs
+++ b/crates/core/tests/pool/naive.rs
@@ -145,6 +145,7 @@
     }
 
     fn due(&mut self, now: u64) {
+        let mut overdue = Vec::new();
         for number in self.waiting() {
             let Some(index) = self.find(number) else { continue };
             let request = self.requests[index].clone();
@@ -157,14 +158,17 @@
                 self.requests[index].expired = true;
             } else if let Some(victim) = request.partner {
                 let since = self.find(victim).and_then(|victim| self.requests[victim].cancelled);
-                let overdue = since.is_none_or(|at| now >= at + self.settings.cancel_wait_ms);
-                if overdue && now >= self.slack_end(&request) {
-                    self.place_above(now, number, victim);
-                }
+                let at = since.map_or(0, |at| at + self.settings.cancel_wait_ms);
+                overdue.push((at.max(self.slack_end(&request)), index, number, victim));
             } else if now >= patience || now >= self.slack_end(&request) {
                 self.requests[index].urgent = true;
             }
         }
+        overdue.retain(|(at, ..)| *at <= now);
+        overdue.sort_unstable();
+        for (_, _, number, victim) in overdue {
+            self.place_above(now, number, victim);
+        }
     }
 
     fn dispatch(&mut self, now: u64) {
@@ -257,7 +261,7 @@
             }
             let Some(index) = self.find(number) else { continue };
             let over = now >= self.slack_end(&self.requests[index]);
-            if let Some(victim) = self.victim(tier, |r| r.idempotent && r.claimed) {
+            if let Some(victim) = self.victim(tier, |r| self.cancellable(now, r)) {
                 self.pair(number, victim);
                 self.send_cancel(now, victim);
             } else if let Some(victim) = self.victim(tier, |_| true).filter(|_| over) {
@@ -268,6 +272,11 @@
         }
     }
 
+    fn cancellable(&self, now: u64, request: &NaiveRequest) -> bool {
+        let overdue = |at: u64| now - at >= self.settings.cancel_wait_ms;
+        request.idempotent && request.claimed && !request.cancelled.is_some_and(overdue)
+    }
+
     fn victim(&self, tier: u8, accept: impl Fn(&NaiveRequest) -> bool) -> Option<u32> {
         let victims = self.requests.iter().enumerate().filter(|(_, request)| {
             let unpaired = request.partner.is_none() && !request.replaced;
--- a/crates/core/tests/pool/registry.rs
+++ b/crates/core/tests/pool/registry.rs
@@ -34,6 +34,19 @@
     assert!(registry.announce(at(0), incarnation(1)).is_err());
 }
 
+/// Guards against the return of an incarnation that left before it was announced, while an older
+/// one was still known.
+#[test]
+fn leave_of_a_newer_incarnation_ends_both() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(at(0), incarnation(1)).unwrap();
+    let ended = registry.leave(&incarnation(2).identity()).unwrap();
+    assert_eq!(ended.kind, TargetChangeKind::Crashed);
+    for old in [1, 2] {
+        assert!(registry.announce(at(1), incarnation(old)).is_err());
+    }
+}
+
 /// Guards against a late heartbeat or leave of an old incarnation that harms the new one.
 #[test]
 fn old_incarnation_cannot_touch_the_new_one() {
