--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -43,6 +43,11 @@
         }
     }
 
+    /// Replaces the settings; observations are kept.
+    pub fn update_settings(&mut self, settings: RateSettings) {
+        self.settings = settings;
+    }
+
     /// Adds a target of a hardware generation; a known target keeps its rates.
     pub fn insert(&mut self, target: TargetKey, generation: &str) {
         let next = self.means.len();
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -184,6 +184,7 @@
             }
             PoolInput::Settings(settings) => {
                 self.workspaces.update_settings(&settings);
+                self.rates.update_settings(settings.rates.clone());
                 self.settings = *settings;
             }
             PoolInput::Tick => self.tick(now),
--- a/crates/core/src/pool/event.rs
+++ b/crates/core/src/pool/event.rs
@@ -42,7 +42,8 @@
         /// The request.
         request: SubmitRequest,
     },
-    /// The caller of a waiting request is gone. A placed request is not affected.
+    /// The caller of a waiting request is gone. A placed request is not affected. The sender of this
+    /// input has to drop withdrawals of an older attempt.
     Withdraw {
         /// Key of the request.
         key: RequestKey,
@@ -114,7 +115,8 @@
     },
     /// Marks from the replicated log.
     RestoreSuspects(Vec<SuspectChange>),
-    /// New settings of the pool.
+    /// New settings of the pool. Targets that are known already keep the size of their prefix
+    /// prediction.
     Settings(Box<PoolSettings>),
     /// Time passed. To be sent at least every 100 ms.
     Tick,
