--- a/crates/core/examples/policy_experiment/engine.rs
+++ b/crates/core/examples/policy_experiment/engine.rs
@@ -164,12 +164,11 @@
         if !removed.is_empty() {
             self.record(CacheChange::Removed(removed));
         }
-        let (done, left) = std::mem::take(&mut self.streams)
+        let (done, left): (Vec<_>, Vec<_>) = std::mem::take(&mut self.streams)
             .into_iter()
             .partition(|stream| stream.tokens >= stream.output);
         self.streams = left;
-        events
-            .extend::<Vec<_>>(Vec::into_iter(done).map(EngineEvent::Completed).collect::<Vec<_>>());
+        events.extend(done.into_iter().map(EngineEvent::Completed));
         events
     }
 
--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -21,18 +21,20 @@
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 13] = [
+const VARIANTS: [Variant; 15] = [
     ("estimated completion", |_| {}),
     ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
     ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
     ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
     ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
     ("- prefix term", |s| s.switches.prefix_term = false),
-    ("- lookahead", |s| s.lookahead = 1),
+    ("- prefill weight", |s| s.prefill_weight = 1.0),
+    ("- cache wait", |s| s.cache_wait_share = 0.0),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
     ("- deadline order", |s| s.switches.deadline_order = false),
     ("- straggler avoidance", |s| s.switches.straggler_avoidance = false),
+    ("- failure limit", |s| s.failure_limit = u32::MAX),
     ("- tiered shedding", |s| s.switches.tiered_shedding = false),
     ("plain", |s| {
         s.routing = RoutingPolicy::LeastReported;
@@ -56,13 +58,12 @@
     }
     let mut plan = deployment.requests(400.0, 99);
     for request in &mut plan {
-        request.deadline_ms = ARRIVALS_MS as u32;
+        // Beyond the end of the run, so that no work is lost to deadlines.
+        request.deadline_ms = ARRIVALS_MS as u32 * 10;
         request.tier = 0;
     }
-    plan.retain(|request| request.at < ARRIVALS_MS / 2);
     let figures = ExperimentWorld::new(deployment, settings, plan).run(false);
-    // The last requests reach their deadlines after one and a half times the arrivals.
-    f64::from(figures.tiers[0].1) * 1_000.0 / (ARRIVALS_MS as f64 * 1.5)
+    f64::from(figures.tiers[0].1) * 1_000.0 / (ARRIVALS_MS * 2) as f64
 }
 
 fn single_run(deployment: Deployment, variant: Variant, rate: f64, seed: u64) -> RunFigures {
@@ -113,17 +114,25 @@
         for load in LOADS {
             println!("\n{} at {load} of {capacity:.1} requests/s", deployment.name());
             println!(
-                "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
-                "variant", "tier 0", "tier 1", "tier 2", "wasted prefill", "cancels", "tier rule"
+                "{:<22} {:>19} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                "variant",
+                "tier 0",
+                "tier 1",
+                "tier 2",
+                "light workspaces",
+                "wasted prefill",
+                "cancels",
+                "tier rule"
             );
             let results = all_runs(deployment, capacity * load, &seeds);
             for ((name, _), runs) in VARIANTS.iter().zip(&results) {
                 println!(
-                    "{:<22} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
+                    "{:<22} {:>19} {:>19} {:>19} {:>19} {:>19} {:>8} {:>8}",
                     name,
                     spread(runs, |run| run.goodput(0)),
                     spread(runs, |run| run.goodput(1)),
                     spread(runs, |run| run.goodput(2)),
+                    spread(runs, RunFigures::light_workspaces),
                     spread(runs, RunFigures::waste),
                     runs.iter().map(|run| run.cancels).sum::<u32>(),
                     runs.iter().map(|run| run.violations).sum::<u32>(),
--- a/crates/core/examples/policy_experiment/workload.rs
+++ b/crates/core/examples/policy_experiment/workload.rs
@@ -84,9 +84,9 @@
             // A quarter of the requests of the bureau arrive in bursts of twenty.
             let burst = self == Self::Bureau && random.random_bool(1.0 / 61.0);
             let count = if burst { 20 } else { 1 };
-            let workspace = random.random_range(0..5);
+            let workspace = draw_workspace(&mut random);
             for _ in 0..count {
-                let workspace = if burst { workspace } else { random.random_range(0..5) };
+                let workspace = if burst { workspace } else { draw_workspace(&mut random) };
                 requests.push(self.request(&mut random, at as u64, workspace));
             }
             let mean = if self == Self::Bureau { 80.0 / 61.0 } else { 1.0 };
@@ -113,8 +113,9 @@
                 (60.0 * factor, template, 8, 16.0 * factor.powf(0.75))
             }
             Self::Kerlouan => {
-                // Presets of Zipf-like popularity with long shared prefixes.
-                let preset = (60.0_f64.powf(random.random_range(0.0..1.0)) - 1.0) as u64;
+                // Twenty presets per workspace, of Zipf-like popularity and with long shared prefixes.
+                // One engine caches about a third of all of them.
+                let preset = (21.0_f64.powf(random.random_range(0.0..1.0)) - 1.0) as u64;
                 (random.random_range(64.0..192.0), preset, 16, random.random_range(20.0..60.0))
             }
         };
@@ -144,3 +145,11 @@
         }
     }
 }
+
+/// The last workspace sends as much as three of the others.
+fn draw_workspace(random: &mut StdRng) -> usize {
+    match random.random_range(0..7) {
+        workspace @ 0..4 => workspace,
+        _ => 4,
+    }
+}
--- a/crates/core/examples/policy_experiment/world.rs
+++ b/crates/core/examples/policy_experiment/world.rs
@@ -33,6 +33,8 @@
     pub wasted: f64,
     pub violations: u32,
     pub cancels: u32,
+    /// Requests by workspace: offered, completed in time.
+    pub workspaces: [(u32, u32); 5],
 }
 
 impl RunFigures {
@@ -40,6 +42,14 @@
         f64::from(self.tiers[tier].1) / f64::from(self.tiers[tier].0.max(1))
     }
 
+    /// Goodput of the worst workspace, without the last one, which sends the most.
+    pub fn light_workspaces(&self) -> f64 {
+        let shares = self.workspaces[..4]
+            .iter()
+            .map(|(all, good)| f64::from(*good) / f64::from((*all).max(1)));
+        shares.fold(1.0, f64::min)
+    }
+
     pub fn waste(&self) -> f64 {
         self.wasted / self.computed.max(1.0)
     }
@@ -48,7 +58,7 @@
 enum Delayed {
     Input(PoolInput),
     Dispatch { request: usize, target: TargetKey },
-    Cancel { request: usize },
+    Cancel { request: usize, reason: ReasonCode },
 }
 
 pub struct ExperimentWorld {
@@ -60,7 +70,6 @@
     places: HashMap<TargetKey, usize>,
     /// Engine of each dispatched request.
     dispatched: HashMap<usize, usize>,
-    finished: HashSet<usize>,
     delayed: BTreeMap<(u64, u64), Delayed>,
     sequence: u64,
     seen: HashSet<u64>,
@@ -77,7 +86,6 @@
             engines: deployment.engines().into_iter().map(FakeEngine::new).collect(),
             places: HashMap::new(),
             dispatched: HashMap::new(),
-            finished: HashSet::new(),
             delayed: BTreeMap::new(),
             sequence: 0,
             seen: HashSet::new(),
@@ -138,14 +146,11 @@
                     self.later(5, Delayed::Input(PoolInput::ClaimCommitted { key, claim }));
                     self.later(DISPATCH_MS, Delayed::Dispatch { request, target });
                 }
-                PoolOutput::Cancel { key, .. } => {
+                PoolOutput::Cancel { key, reason, .. } => {
                     self.figures.cancels += 1;
-                    self.later(DISPATCH_MS, Delayed::Cancel { request: index(key) });
-                }
-                PoolOutput::Refuse { key, .. } => {
-                    self.finished.insert(index(key));
+                    self.later(DISPATCH_MS, Delayed::Cancel { request: index(key), reason });
                 }
-                PoolOutput::Suspect(_) => {}
+                PoolOutput::Refuse { .. } | PoolOutput::Suspect(_) => {}
             }
         }
     }
@@ -169,13 +174,14 @@
                 );
                 self.dispatched.insert(request, engine);
             }
-            Delayed::Cancel { request } => self.abort(request, ReasonCode::Preempted),
+            Delayed::Cancel { request, reason } => self.abort(request, reason),
         }
     }
 
     fn submit(&mut self, request: usize) {
         let plan = &self.plan[request];
         self.figures.tiers[usize::from(plan.tier)].0 += 1;
+        self.figures.workspaces[plan.workspace].0 += 1;
         let submit = SubmitRequest {
             key: key(request),
             attempt: 0,
@@ -192,7 +198,7 @@
         };
         let deadline = u64::from(plan.deadline_ms);
         self.step(PoolInput::Submit { entry: NodeId(1), request: submit });
-        self.later(deadline, Delayed::Cancel { request });
+        self.later(deadline, Delayed::Cancel { request, reason: ReasonCode::UpstreamTimeout });
         self.later(deadline, Delayed::Input(PoolInput::Withdraw { key: key(request) }));
     }
 
@@ -217,7 +223,6 @@
     ) {
         let request = stream.request;
         self.dispatched.remove(&request);
-        self.finished.insert(request);
         let first = stream.first_token.unwrap_or(self.now);
         let cached = stream.cached_blocks as u32 * crate::engine::BLOCK_TOKENS;
         let report = FinishReport {
@@ -247,6 +252,7 @@
                         let plan = &self.plan[stream.request];
                         if self.now <= plan.at + u64::from(plan.deadline_ms) {
                             self.figures.tiers[usize::from(plan.tier)].1 += 1;
+                            self.figures.workspaces[plan.workspace].1 += 1;
                         }
                         self.finish(&stream, RequestOutcome::Completed, None);
                     }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -1,12 +1,17 @@
 //! Scheduling in one pool: queues, fair shares, limits, preemption and routing.
 //!
 //! The scheduler is a step function of time and event. No step scans the queue. With `T` targets
-//! in the pool, `R` running requests, `n` waiting ones and `B` prompt blocks per request:
+//! in the pool, `R` running requests, `n` waiting ones, `B` prompt blocks per request and `K` the
+//! lookahead, the costs are:
 //!
-//! - submit, withdraw, finish, release and cancel: O(log n), plus O(log B) per block of a prompt;
-//! - each placement: O(T·B) for the choice of the target, times the lookahead;
-//! - each preemption: O(R) for the choice of the victim, once per cancel;
-//! - tick: O(T log T) for the straggler comparison, plus O(log n) per due timer.
+//! - submit, withdraw, finish, release and cancel: O(log n + B log B);
+//! - each placement: O(K + T·B), since a request that waits for a busy target is only compared
+//!   with that target until its wait ends;
+//! - each choice of a victim: O(R), once per cancel and at most 32 times per step without success;
+//! - tick: O(T log T) for the straggler comparison, O(R) for stalled streams;
+//! - each timer that is due: O(log n).
+//!
+//! A step in which nothing can be placed and nobody seeks a slot costs O(T + K).
 
 mod check;
 mod event;
@@ -16,6 +21,7 @@
 mod rebuild;
 mod request;
 mod retry;
+mod reuse;
 mod route;
 mod running;
 mod settings;
@@ -36,7 +42,7 @@
 use crate::registry::{SuspectTable, TargetKey};
 use queue::PoolQueue;
 use rebuild::RebuildState;
-use request::{PoolTarget, RequestPhase, RequestRecord, RequestSlot};
+use request::{PoolTarget, RequestPhase, RequestRecord, RequestSlot, UrgentKey};
 use retry::RetryBudget;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -69,10 +75,11 @@
     /// Those of `running` that no higher-tier request is paired with.
     unpaired: BTreeMap<u8, BTreeSet<RequestSlot>>,
     /// Running requests that were dispatched above the concurrency limit.
-    above: BTreeSet<(u8, RequestSlot)>,
-    timers: BTreeSet<(ClockTime, RequestSlot)>,
+    above: BTreeSet<(u8, u64, RequestSlot)>,
+    /// By time and arrival.
+    timers: BTreeSet<(ClockTime, u64, RequestSlot)>,
     /// Waiting requests that seek a slot by preemption and are not paired yet.
-    urgent: BTreeSet<(u8, ClockTime, RequestSlot)>,
+    urgent: BTreeSet<UrgentKey>,
     /// Waiting requests with a passed deadline, held while a lower tier runs.
     expired: BTreeSet<(u8, RequestSlot)>,
     parked: BTreeSet<RequestSlot>,
@@ -82,9 +89,12 @@
     retries: RetryBudget,
     /// Requests that ended, for the retry-after time.
     drained: DecayedRatio,
+    /// Estimated service time of the placed requests by tier, for the share of the slots that the
+    /// tiers above leave.
+    served: BTreeMap<u8, DecayedRatio>,
     /// Actual against estimated time of finished requests.
     stretch: DecayedRatio,
-    /// Service time of plain services.
+    /// Time from dispatch to end.
     service_time: DecayedRatio,
     sequence: u64,
     placements: u64,
@@ -122,6 +132,7 @@
             claims_full: false,
             retries: RetryBudget::default(),
             drained: DecayedRatio::default(),
+            served: BTreeMap::new(),
             stretch: DecayedRatio::default(),
             service_time: DecayedRatio::default(),
             sequence: 0,
@@ -173,6 +184,7 @@
             }
             PoolInput::Settings(settings) => {
                 self.workspaces.update_settings(&settings);
+                self.rates.update_settings(settings.rates.clone());
                 self.settings = *settings;
             }
             PoolInput::Tick => self.tick(now),
@@ -186,11 +198,11 @@
     }
 
     fn run_timers(&mut self, now: ClockTime) {
-        while let Some((at, slot)) = self.timers.first().copied() {
+        while let Some((at, sequence, slot)) = self.timers.first().copied() {
             if at > now {
                 return;
             }
-            self.timers.remove(&(at, slot));
+            self.timers.remove(&(at, sequence, slot));
             let Some(record) = self.requests.get_mut(slot) else { continue };
             record.timer = None;
             match &record.phase {
@@ -202,12 +214,13 @@
 
     fn set_timer(&mut self, slot: RequestSlot, at: Option<ClockTime>) {
         let Some(record) = self.requests.get_mut(slot) else { return };
+        let sequence = record.item.sequence;
         if let Some(old) = record.timer {
-            self.timers.remove(&(old, slot));
+            self.timers.remove(&(old, sequence, slot));
         }
         record.timer = at;
         if let Some(at) = at {
-            self.timers.insert((at, slot));
+            self.timers.insert((at, sequence, slot));
         }
     }
 
@@ -262,9 +275,10 @@
     fn leave_queue(&mut self, slot: RequestSlot) {
         let Some(record) = self.requests.get(slot) else { return };
         let Some(waiting) = record.waiting() else { return };
-        let (item, parked, deadline) = (record.item, waiting.parked.is_some(), record.deadline);
+        let (item, parked) = (record.item, waiting.parked.is_some());
+        let urgent = record.urgent_key();
         self.queue.remove(&item, parked);
-        self.urgent.remove(&(item.tier, deadline, slot));
+        self.urgent.remove(&urgent);
         self.expired.remove(&(item.tier, slot));
         self.parked.remove(&slot);
         self.unpair(slot);
--- a/crates/core/src/pool/event.rs
+++ b/crates/core/src/pool/event.rs
@@ -42,7 +42,8 @@
         /// The request.
         request: SubmitRequest,
     },
-    /// The caller of a waiting request is gone. A placed request is not affected.
+    /// The caller of a waiting request is gone. A placed request is not affected. The sender of this
+    /// input has to drop withdrawals of an older attempt.
     Withdraw {
         /// Key of the request.
         key: RequestKey,
@@ -64,7 +65,8 @@
         /// Whether it is full.
         full: bool,
     },
-    /// The owner did not dispatch the request.
+    /// The owner did not dispatch the request. A claim that was re-entered after a change of leader
+    /// is refused with attempt 0, since only its claim is known.
     Release {
         /// Key of the request.
         key: RequestKey,
@@ -113,7 +115,8 @@
     },
     /// Marks from the replicated log.
     RestoreSuspects(Vec<SuspectChange>),
-    /// New settings of the pool.
+    /// New settings of the pool. Targets that are known already keep the size of their prefix
+    /// prediction.
     Settings(Box<PoolSettings>),
     /// Time passed. To be sent at least every 100 ms.
     Tick,
--- a/crates/core/src/pool/preempt.rs
+++ b/crates/core/src/pool/preempt.rs
@@ -15,7 +15,7 @@
     /// Lets a waiting request seek a slot by preemption.
     pub(super) fn seek_preemption(&mut self, slot: RequestSlot) {
         let record = &mut self.requests[slot];
-        let key = (record.item.tier, record.deadline, slot);
+        let key = record.urgent_key();
         let paired = record.partner.is_some();
         let Some(state) = record.waiting_mut() else { return };
         state.urgent = true;
@@ -43,14 +43,14 @@
                 return;
             }
             last = Some(key);
-            if !self.serve_one(now, key.2) {
+            if !self.serve_one(now, key.3) {
                 failed += 1;
             }
         }
     }
 
     fn serve_one(&mut self, now: ClockTime, slot: RequestSlot) -> bool {
-        if let Some(victim) = self.find_victim(slot, |record| self.cancellable(record)) {
+        if let Some(victim) = self.find_victim(slot, |record| self.cancellable(now, record)) {
             self.cancel(now, slot, victim);
             return true;
         }
@@ -62,26 +62,33 @@
     }
 
     /// Takes the place of a lower-tier request that runs above the limit. Both run until the
-    /// cancel is confirmed.
+    /// cancel is confirmed. The cancelled one stays out of `unpaired`, since its end frees no slot.
     fn take_over(&mut self, now: ClockTime, slot: RequestSlot) -> bool {
         let tier = self.requests[slot].item.tier;
-        let found =
-            self.above.iter().rev().take_while(|(rank, _)| *rank > tier).find_map(|(_, above)| {
+        let found = self.above.iter().rev().take_while(|(rank, ..)| *rank > tier).find_map(
+            |(.., above)| {
                 let record = self.requests.get(*above)?;
                 let fresh = record.running()?.cancelling.is_none();
                 let victim = record.partner?;
-                (fresh && self.cancellable(record)).then_some((*above, victim))
-            });
+                (fresh && self.cancellable(now, record)).then_some((*above, victim))
+            },
+        );
         let Some((above, victim)) = found else { return false };
         self.unpair(above);
         self.send_cancel(now, above);
         self.place_above(now, slot, victim)
     }
 
-    /// Whether a running request can be told to make room; one that was told before counts too.
-    fn cancellable(&self, record: &RequestRecord) -> bool {
+    /// Whether a running request can be told to make room. One that was told before counts too,
+    /// unless the confirmation is overdue.
+    fn cancellable(&self, now: ClockTime, record: &RequestRecord) -> bool {
+        let overdue = |at: ClockTime| now.since(at) >= self.settings.cancel_wait_ms;
         record.idempotent
-            && record.running().is_some_and(|state| state.reachable() && state.target.is_some())
+            && record.running().is_some_and(|state| {
+                state.reachable()
+                    && state.target.is_some()
+                    && !state.cancelling.is_some_and(overdue)
+            })
     }
 
     /// The unpaired running request that gives way to a waiting one: of the lowest tier, and in
@@ -111,10 +118,15 @@
                     let record = self.requests.get(*victim)?;
                     let state = record.running()?;
                     let usable = state.target.is_some_and(useful) && accept(record);
-                    usable.then(|| (state.cancelling.is_none(), state.work(), *victim))
+                    let fresh = state.cancelling.is_none();
+                    usable.then(|| (fresh, state.work(), record.item.sequence, *victim))
                 })
-                .min_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
-            if let Some((_, _, victim)) = found {
+                .min_by(|left, right| {
+                    // Among equals, the newest has waited least.
+                    let work = left.1.total_cmp(&right.1);
+                    left.0.cmp(&right.0).then(work).then(right.2.cmp(&left.2))
+                });
+            if let Some((.., victim)) = found {
                 return Some(victim);
             }
         }
@@ -174,8 +186,8 @@
         for (one, other) in [(slot, victim), (victim, slot)] {
             let record = &mut self.requests[one];
             record.partner = Some(other);
-            let tier = record.item.tier;
-            self.urgent.remove(&(tier, record.deadline, one));
+            let (tier, key) = (record.item.tier, record.urgent_key());
+            self.urgent.remove(&key);
             if let Some(slots) = self.unpaired.get_mut(&tier) {
                 slots.remove(&one);
                 if slots.is_empty() {
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -76,11 +76,14 @@
         }
     }
 
+    /// The first requests of each flow. The limit is divided among the flows, so that the
+    /// requests of one workspace do not fill it.
     fn candidates(&self, limit: usize) -> impl Iterator<Item = RequestSlot> {
+        let share = limit.div_ceil(self.active.len().max(1));
         self.active
             .iter()
             .filter_map(|(_, flow)| self.flows.get(flow))
-            .flat_map(move |flow| flow.requests.iter().take(limit).map(|(_, _, slot)| *slot))
+            .flat_map(move |flow| flow.requests.iter().take(share).map(|(_, _, slot)| *slot))
             .take(limit)
     }
 }
@@ -144,13 +147,15 @@
         }
     }
 
-    /// Requests of a model that are next, of its highest waiting tier only.
+    /// Requests of a model in the order in which they are to be placed.
     pub fn candidates(&self, class: usize, limit: usize) -> Vec<RequestSlot> {
         self.classes
             .get(class)
-            .and_then(|tiers| tiers.values().find(|flows| !flows.active.is_empty()))
-            .map(|flows| flows.candidates(limit).collect())
-            .unwrap_or_default()
+            .into_iter()
+            .flat_map(BTreeMap::values)
+            .flat_map(|flows| flows.candidates(limit))
+            .take(limit)
+            .collect()
     }
 
     /// Highest tier of a model with a request that can be placed.
--- a/crates/core/src/pool/request.rs
+++ b/crates/core/src/pool/request.rs
@@ -33,6 +33,8 @@
     pub charged_tokens: f64,
     /// Place in the queue, kept while the request runs for a return after a release.
     pub item: QueueItem,
+    /// Whether a new leader entered the request from its claim.
+    pub reentered: bool,
     /// Targets that refused the connection.
     pub tried: Vec<TargetKey>,
     /// When the request is looked at again without another event.
@@ -53,11 +55,20 @@
 pub(super) struct WaitState {
     /// Whether a slot is sought by preemption.
     pub urgent: bool,
-    /// Times that a request of the same tier was placed out of order before this one.
-    pub overtaken: u32,
+    /// Wait for a busy target with cached blocks.
+    pub home: Option<HomeWait>,
     pub parked: Option<ParkReason>,
 }
 
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HomeWait {
+    pub target: TargetKey,
+    /// Longest wait while the request could have another slot.
+    pub limit_ms: u64,
+    /// End of the wait, set when the request could have another slot for the first time.
+    pub until: Option<ClockTime>,
+}
+
 /// Why a waiting request cannot be placed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ParkReason {
@@ -87,7 +98,14 @@
     pub reported: ClockTime,
 }
 
+/// Tier, deadline and arrival of a request that seeks a slot.
+pub(super) type UrgentKey = (u8, ClockTime, u64, RequestSlot);
+
 impl RequestRecord {
+    pub fn urgent_key(&self) -> UrgentKey {
+        (self.item.tier, self.deadline, self.item.sequence, self.item.slot)
+    }
+
     pub fn running(&self) -> Option<&RunState> {
         match &self.phase {
             RequestPhase::Running(state) => Some(state),
@@ -135,6 +153,8 @@
     pub announcement: TargetAnnouncement,
     /// Whether the target may get new work.
     pub eligible: bool,
+    /// Failed connections since the last announcement.
+    pub failures: u32,
     /// Whether the target has left; it is forgotten after its last request ended.
     pub left: bool,
     pub running: Vec<RequestSlot>,
@@ -156,7 +176,7 @@
         if self.eligible { self.announcement.slots as usize } else { 0 }
     }
 
-    pub fn has_free_slot(&self) -> bool {
-        self.running.len() < self.slots()
+    pub fn has_free_slot(&self, failure_limit: u32) -> bool {
+        self.running.len() < self.slots() && self.failures < failure_limit
     }
 }
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -8,21 +8,19 @@
 use crate::outcome::ReasonCode;
 use crate::registry::TargetKey;
 
-/// Smallest gain in the share of cached prompt tokens for which a request overtakes another.
-const OVERTAKE_GAIN: f64 = 0.25;
-
 /// A target for a request, with the estimates that led to it.
 #[derive(Clone, Copy, Debug)]
-struct Choice {
-    slot: RequestSlot,
-    target: TargetKey,
-    cached_share: f64,
+pub(super) struct Choice {
+    pub slot: RequestSlot,
+    pub target: TargetKey,
+    /// Routing cost in milliseconds.
+    pub cost_ms: f64,
 }
 
 impl PoolScheduler {
     /// Places waiting requests while targets have free slots.
     pub(super) fn dispatch(&mut self, now: ClockTime) {
-        if self.queue.len() == 0 || !self.targets.values().any(PoolTarget::has_free_slot) {
+        if self.queue.len() == 0 || !self.targets.values().any(|target| self.free(target)) {
             return;
         }
         let mut blocked = vec![false; self.queue.classes()];
@@ -34,6 +32,10 @@
         }
     }
 
+    pub(super) fn free(&self, target: &PoolTarget) -> bool {
+        target.has_free_slot(self.settings.failure_limit)
+    }
+
     /// The model whose next request has the highest tier, or among equals is the oldest.
     fn next_class(&self, blocked: &[bool]) -> Option<usize> {
         (0..blocked.len())
@@ -47,69 +49,74 @@
             .map(|(_, _, class)| class)
     }
 
+    /// The next request of a model that can be placed, and the target for it.
     fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
-        let mut best: Option<Choice> = None;
-        let mut passed = Vec::new();
+        let mut entitled = self.free_slots();
+        let mut waiting_tier = None;
         for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
-            let Some(choice) = self.route(now, slot) else {
-                self.park_suspect(now, slot);
-                continue;
-            };
-            let better = best.is_none_or(|best| {
-                choice.cached_share > best.cached_share + OVERTAKE_GAIN && self.may_overtake(now)
-            });
-            if better {
-                passed.extend(best.map(|best| best.slot));
-                best = Some(choice);
+            let tier = self.requests[slot].item.tier;
+            // A lower tier gets a slot only if each waiting request of a higher tier could have
+            // one.
+            if entitled == 0 && waiting_tier.is_some_and(|waiting| waiting < tier) {
+                return None;
             }
-            if !self.overtakable(slot) {
-                break;
+            if !self.waits(now, slot) {
+                let Some(choice) = self.route(now, slot) else {
+                    self.park_suspect(now, slot);
+                    continue;
+                };
+                if !self.defer(now, &choice) {
+                    return Some(choice);
+                }
             }
+            entitled -= self.start_wait(now, slot, entitled);
+            waiting_tier.get_or_insert(tier);
         }
-        for slot in passed {
-            if let Some(state) = self.requests[slot].waiting_mut() {
-                state.overtaken += 1;
-            }
-        }
-        best
+        None
     }
 
-    fn may_overtake(&self, _now: ClockTime) -> bool {
-        self.settings.switches.prefix_term
-            && self.settings.routing == RoutingPolicy::EstimatedCompletion
+    fn free_slots(&self) -> usize {
+        let targets = self.targets.values().filter(|target| self.free(target));
+        targets.map(|target| target.slots() - target.running.len()).sum()
     }
 
-    fn overtakable(&self, slot: RequestSlot) -> bool {
-        self.requests[slot].waiting().is_some_and(|state| {
-            !state.urgent && (state.overtaken as usize) < self.settings.lookahead
-        })
+    pub(super) fn avoided(&self, key: TargetKey) -> bool {
+        self.settings.switches.straggler_avoidance && self.rates.straggler(key)
     }
 
     /// The best target with a free slot for a request.
     fn route(&mut self, now: ClockTime, slot: RequestSlot) -> Option<Choice> {
-        let marked = self.suspects.marked(now, self.requests[slot].fingerprint);
         let record = &self.requests[slot];
-        let model = &self.classes[record.item.class];
+        if self.suspects.quarantine(now, record.fingerprint).is_some() {
+            return None;
+        }
         let usable: Vec<TargetKey> = self
             .targets
             .iter()
-            .filter(|(key, target)| {
-                target.has_free_slot()
-                    && target.announcement.serves(model)
-                    && !record.tried.contains(key)
-                    && !(marked && target.marked > 0)
-            })
+            .filter(|(key, target)| self.free(target) && self.usable(now, record, **key, target))
             .map(|(key, _)| *key)
             .collect();
-        let avoid = self.settings.switches.straggler_avoidance;
         let fast: Vec<TargetKey> =
-            usable.iter().copied().filter(|key| !(avoid && self.rates.straggler(*key))).collect();
+            usable.iter().copied().filter(|key| !self.avoided(*key)).collect();
         let usable = if fast.is_empty() { usable } else { fast };
         let target = self.pick(now, slot, &usable)?;
-        let record = &self.requests[slot];
-        let cached = self.cached(record, target);
-        let cached_share = cached / f64::from(record.prompt_tokens.max(1));
-        Some(Choice { slot, target, cached_share })
+        let cost_ms = self.routing_cost(now, &self.requests[slot], target);
+        Some(Choice { slot, target, cost_ms })
+    }
+
+    /// Whether a request may run at a target, if that has a slot.
+    pub(super) fn usable(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        key: TargetKey,
+        target: &PoolTarget,
+    ) -> bool {
+        let isolated = target.marked > 0 && self.suspects.marked(now, record.fingerprint);
+        target.eligible
+            && target.announcement.serves(&self.classes[record.item.class])
+            && !record.tried.contains(&key)
+            && !isolated
     }
 
     fn pick(
@@ -127,7 +134,7 @@
                 let record = &self.requests[slot];
                 usable
                     .iter()
-                    .map(|key| (self.completion_ms(now, record, *key), in_flight(key), *key))
+                    .map(|key| (self.routing_cost(now, record, *key), in_flight(key), *key))
                     .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
                     .map(|(_, _, key)| key)
             }
@@ -150,15 +157,32 @@
         }
     }
 
-    /// Estimated time until the request would complete at a target.
-    fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+    /// Estimated completion time at a target, with the weight of uncached prompt tokens.
+    pub(super) fn routing_cost(
+        &self,
+        now: ClockTime,
+        record: &RequestRecord,
+        key: TargetKey,
+    ) -> f64 {
         if self.is_service(record.item.class) {
             return 0.0;
         }
+        let extra = (self.settings.prefill_weight - 1.0) * self.prefill_ms(now, record, key);
+        self.completion_ms(now, record, key) + extra
+    }
+
+    /// Time that a target needs for the uncached prompt tokens.
+    pub(super) fn prefill_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
         let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
-        let prefill_ms = (self.targets[&key].prefill_ahead + uncached)
-            / self.rates.prefill_rate(now, key).max(1e-6);
-        prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
+        uncached / self.rates.prefill_rate(now, key).max(1e-6)
+    }
+
+    /// Estimated time until the request would complete at a target.
+    fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
+        let ahead_ms =
+            self.targets[&key].prefill_ahead / self.rates.prefill_rate(now, key).max(1e-6);
+        let prefill_ms = self.prefill_ms(now, record, key);
+        ahead_ms + prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
     }
 
     fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
@@ -218,8 +242,11 @@
         });
         let tier = record.item.tier;
         self.running.entry(tier).or_default().insert(slot);
+        let (half_life, service_ms) =
+            (self.settings.rates.half_life_ms, self.requests[slot].item.service_ms);
+        self.served.entry(tier).or_default().add(now, half_life, service_ms, 0.0);
         if above_limit {
-            self.above.insert((tier, slot));
+            self.above.insert((tier, self.requests[slot].item.sequence, slot));
         }
         self.unpaired.entry(tier).or_default().insert(slot);
         self.set_timer(slot, None);
@@ -238,7 +265,7 @@
         }
         let model = &self.classes[record.item.class];
         let isolated = self.targets.values().any(|target| {
-            target.has_free_slot() && target.announcement.serves(model) && target.marked > 0
+            self.free(target) && target.announcement.serves(model) && target.marked > 0
         });
         if isolated {
             self.park(slot, ParkReason::Suspect);
@@ -247,8 +274,9 @@
 
     pub(super) fn park(&mut self, slot: RequestSlot, reason: ParkReason) {
         let record = &mut self.requests[slot];
-        let item = record.item;
+        let (item, urgent) = (record.item, record.urgent_key());
         let Some(state) = record.waiting_mut() else { return };
+        self.urgent.remove(&urgent);
         if state.parked.replace(reason).is_none() {
             self.queue.leave_flow(&item);
         }
@@ -265,11 +293,15 @@
     pub(super) fn unpark_suspects(&mut self) {
         for slot in std::mem::take(&mut self.parked) {
             let record = &mut self.requests[slot];
-            let item = record.item;
+            let (item, urgent) = (record.item, record.urgent_key());
+            let paired = record.partner.is_some();
             if let Some(state) = record.waiting_mut()
                 && state.parked.take().is_some()
             {
                 self.queue.enter_flow(&item);
+                if state.urgent && !paired {
+                    self.urgent.insert(urgent);
+                }
             }
         }
     }
--- a/crates/core/src/pool/running.rs
+++ b/crates/core/src/pool/running.rs
@@ -7,7 +7,7 @@
 use crate::keys::{ClaimNumber, RequestKey};
 use crate::message::{FinishReport, StreamProgress};
 use crate::outcome::{ReasonCode, RequestOutcome};
-use crate::registry::SuspectChange;
+use crate::registry::{SuspectChange, TargetKey};
 
 /// Cut connections remembered per incarnation, for the marks if it turns out to have crashed.
 const CUT_LIMIT: usize = 256;
@@ -54,7 +54,15 @@
         if !retry {
             return self.end_unused(now, slot);
         }
-        let tried = self.requests[slot].running().and_then(|state| state.target);
+        if self.requests[slot].reentered {
+            return self.refuse_reentered(now, slot);
+        }
+        let state = self.requests[slot].running();
+        let tried = state.and_then(|state| state.target);
+        let fresh = state.is_some_and(|state| now.since(state.placed) < self.settings.grant_ttl_ms);
+        if fresh {
+            self.connection_failed(tried);
+        }
         self.leave_target(now, slot);
         let record = &mut self.requests[slot];
         record.tried.extend(tried);
@@ -71,6 +79,29 @@
         self.schedule_waiting(now, slot);
     }
 
+    /// Refuses a released request of which only the claim is known, so that it cannot be placed
+    /// again.
+    fn refuse_reentered(&mut self, now: ClockTime, slot: RequestSlot) {
+        let Some(record) = self.end_running(now, slot) else { return };
+        self.outputs.push(PoolOutput::Refuse {
+            key: record.key,
+            attempt: record.attempt,
+            entry: record.entry,
+            tier: record.item.tier,
+            outcome: RequestOutcome::NotRun,
+            reason: ReasonCode::Unreachable,
+            retry_after_ms: self.settings.retry_after_min_ms,
+        });
+    }
+
+    /// Counts a failed connection. Without the count, a dead target would take and fail requests
+    /// faster than any other until its silence is noticed.
+    fn connection_failed(&mut self, key: Option<TargetKey>) {
+        if let Some(target) = key.and_then(|key| self.targets.get_mut(&key)) {
+            target.failures += 1;
+        }
+    }
+
     fn untried_target(&self, slot: RequestSlot) -> bool {
         let record = &self.requests[slot];
         let model = &self.classes[record.item.class];
@@ -156,7 +187,7 @@
         }
         let record = &self.requests[slot];
         // A re-entered claim has no estimate to compare with.
-        if record.item.service_ms <= 0.0 {
+        if record.reentered {
             return;
         }
         let Some(state) = record.running() else { return };
@@ -164,8 +195,8 @@
         let total = f64::from(report.total_ms);
         self.stretch.add(now, half_life, total, record.item.service_ms);
         let Some(target) = state.target else { return };
+        self.service_time.add(now, half_life, total, 1.0);
         if self.is_service(record.item.class) {
-            self.service_time.add(now, half_life, total, 1.0);
             return;
         }
         let uncached = f64::from(record.prompt_tokens.saturating_sub(report.cached_tokens));
@@ -193,6 +224,7 @@
         {
             target.cut.push(record.fingerprint);
         }
+        self.connection_failed(key);
     }
 
     fn clear_suspect(&mut self, now: ClockTime, record: &RequestRecord) {
@@ -218,7 +250,7 @@
     pub(super) fn leave_target(&mut self, now: ClockTime, slot: RequestSlot) {
         let Some(record) = self.requests.get(slot) else { return };
         let Some(state) = record.running().cloned() else { return };
-        let tier = record.item.tier;
+        let (tier, sequence) = (record.item.tier, record.item.sequence);
         for index in [&mut self.running, &mut self.unpaired] {
             if let Some(slots) = index.get_mut(&tier) {
                 slots.remove(&slot);
@@ -229,7 +261,7 @@
         }
         self.unpair(slot);
         self.set_timer(slot, None);
-        self.above.remove(&(tier, slot));
+        self.above.remove(&(tier, sequence, slot));
         let Some(key) = state.target else { return };
         let Some(target) = self.targets.get_mut(&key) else { return };
         target.running.retain(|other| *other != slot);
--- a/crates/core/src/pool/shed.rs
+++ b/crates/core/src/pool/shed.rs
@@ -9,16 +9,19 @@
 /// milliseconds.
 const STRETCH_PRIOR_MS: f64 = 5_000.0;
 
+/// Share of the slots that the lowest waiting tier is assumed to get at least. Bounds the estimate
+/// while the tiers above use all slots.
+const MIN_SHARE: f64 = 0.05;
+
 impl PoolScheduler {
     /// Sets the time at which a waiting request is looked at next.
     pub(super) fn schedule_waiting(&mut self, now: ClockTime, slot: RequestSlot) {
         let record = &self.requests[slot];
         let deadline = record.deadline;
         let seek = self.slack_end(record).min(self.patience_end(record));
-        let retry = now.plus(self.settings.cancel_wait_ms);
         let at = match record.waiting() {
             Some(state) if state.parked == Some(ParkReason::Expired) => None,
-            Some(_) if record.partner.is_some() => Some(retry.min(deadline)),
+            Some(_) if record.partner.is_some() => Some(self.overdue_at(now, record).min(deadline)),
             Some(state) if !state.urgent => Some(seek.min(deadline)),
             Some(_) => Some(deadline),
             None => None,
@@ -26,6 +29,15 @@
         self.set_timer(slot, at);
     }
 
+    /// When the cancel for a waiting request counts as impossible.
+    fn overdue_at(&self, now: ClockTime, record: &RequestRecord) -> ClockTime {
+        let wait = self.settings.cancel_wait_ms;
+        let victim = record.partner.and_then(|victim| self.requests.get(victim));
+        let since = victim.and_then(|victim| victim.running()?.cancelling).unwrap_or(now);
+        let at = since.plus(wait).max(self.slack_end(record));
+        if at > now { at } else { now.plus(wait) }
+    }
+
     /// When the slack of a waiting request falls below the bound.
     pub(super) fn slack_end(&self, record: &RequestRecord) -> ClockTime {
         // The cast saturates.
@@ -68,8 +80,7 @@
         if !switches.preemption || !switches.tiered_shedding {
             return self.refuse(now, slot, ReasonCode::DeadlinePassed);
         }
-        let (tier, deadline) = (record.item.tier, record.deadline);
-        self.urgent.remove(&(tier, deadline, slot));
+        self.urgent.remove(&record.urgent_key());
         self.unpair(slot);
         self.park(slot, ParkReason::Expired);
     }
@@ -152,13 +163,21 @@
         self.queue.len() > self.settings.queue_limit || self.estimated_wait(now) > bound
     }
 
-    /// Estimated wait at the end of the queue, in milliseconds.
+    /// Estimated wait at the end of the queue, in milliseconds. Arrivals of the tiers above are
+    /// expected to go on as they did.
     fn estimated_wait(&self, now: ClockTime) -> f64 {
         if self.slot_count == 0 {
             return 0.0;
         }
         let half_life = self.settings.rates.half_life_ms;
         let stretch = self.stretch.with_prior(now, half_life, STRETCH_PRIOR_MS, 1.0);
-        self.queue.service_ms() * stretch / self.slot_count as f64
+        let slots = self.slot_count as f64;
+        let Some((lowest, _)) = self.queue.newest_of_lowest() else { return 0.0 };
+        // A steady rate r sums up to r·half_life/ln 2.
+        let above: f64 =
+            self.served.range(..lowest).map(|(_, served)| served.amount(now, half_life)).sum();
+        let above = above * std::f64::consts::LN_2 / half_life * stretch;
+        let left = (slots - above).max(slots * MIN_SHARE);
+        self.queue.service_ms() * stretch / left
     }
 }
