Separate the queue bound of a tier from its waiting time before preemption

One value served both: the bureau's urgent tier preempts after 500 ms in the queue, and was also shed once the estimated wait passed 500 ms, although its deadline is 20 s. Shedding now starts at the tier's default deadline.

--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -27,7 +27,11 @@
     let mut settings = PoolSettings {
         tiers: tiers
             .iter()
-            .map(|tier| TierSettings { max_queue_ms: u64::from(tier.max_queue_ms) })
+            .map(|tier| TierSettings {
+                // A queue longer than the usual deadline holds requests that cannot be in time.
+                max_queue_ms: u64::from(tier.default_deadline_ms),
+                patience_ms: u64::from(tier.max_queue_ms),
+            })
             .collect(),
         workspaces: workspaces.collect(),
         queue_limit: rule.queue_limit as usize,
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -56,11 +56,13 @@
 pub struct TierSettings {
     /// Longest estimated wait in the queue before the tier is shed, in milliseconds.
     pub max_queue_ms: u64,
+    /// Waiting time after which a request of the tier preempts a lower tier, in milliseconds.
+    pub patience_ms: u64,
 }
 
 impl Default for TierSettings {
     fn default() -> Self {
-        Self { max_queue_ms: 10_000 }
+        Self { max_queue_ms: 10_000, patience_ms: 10_000 }
     }
 }
 
--- a/crates/core/src/pool/shed.rs
+++ b/crates/core/src/pool/shed.rs
@@ -47,7 +47,7 @@
     }
 
     fn patience_end(&self, record: &RequestRecord) -> ClockTime {
-        record.submitted.plus(self.settings.tier(record.item.tier).max_queue_ms)
+        record.submitted.plus(self.settings.tier(record.item.tier).patience_ms)
     }
 
     /// A timer of a waiting request has fired.
--- a/crates/core/tests/pool/differential.rs
+++ b/crates/core/tests/pool/differential.rs
@@ -46,7 +46,9 @@
         let settings = PoolSettings {
             routing: RoutingPolicy::LeastInFlight,
             queue_limit: 14,
-            tiers: [3_000, 5_000, 8_000].map(|max_queue_ms| TierSettings { max_queue_ms }).to_vec(),
+            tiers: [3_000, 5_000, 8_000]
+                .map(|max_queue_ms| TierSettings { max_queue_ms, patience_ms: max_queue_ms })
+                .to_vec(),
             ..PoolSettings::default()
         };
         let mut harness = PoolHarness::new(settings.clone(), &[]);
--- a/crates/core/tests/pool/placement.rs
+++ b/crates/core/tests/pool/placement.rs
@@ -86,7 +86,7 @@
 /// Guards against one workspace that takes the slots of the others in its tier.
 #[test]
 fn workspaces_share_by_weight() {
-    let tiers = vec![TierSettings { max_queue_ms: 100_000 }];
+    let tiers = vec![TierSettings { max_queue_ms: 100_000, patience_ms: 100_000 }];
     let mut settings = PoolSettings { tiers, ..PoolSettings::default() };
     let heavy = WorkspaceSettings { weight: 3.0, ..WorkspaceSettings::default() };
     settings.workspaces.insert("w1".into(), heavy);
--- a/crates/core/tests/pool/preemption.rs
+++ b/crates/core/tests/pool/preemption.rs
@@ -113,7 +113,7 @@
 /// Guards against requests that wait longer than their tier allows although a lower tier runs.
 #[test]
 fn request_that_waited_too_long_preempts() {
-    let tiers = vec![TierSettings { max_queue_ms: 2_000 }];
+    let tiers = vec![TierSettings { max_queue_ms: 2_000, patience_ms: 2_000 }];
     let mut harness =
         PoolHarness::new(PoolSettings { tiers, ..PoolSettings::default() }, &[target(1, 1)]);
     harness.submit(request(1, 1));
