Take straggler and prefix settings from the document, and the block size from the prompt module

The scheduler counted 64 tokens per prefix block while the entries report blocks of 16, so it overestimated cached tokens by a factor of 4.

--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -4,6 +4,7 @@
 use crate::document::{ConfigDocument, PoolRule};
 use crate::keys::TargetIdentity;
 use crate::pool::{PoolSettings, TierSettings, WorkspaceSettings};
+use crate::prompt::BLOCK_TOKENS;
 use crate::registry::SuspectChange;
 use crate::state::{ReplicatedState, StateCommand};
 
@@ -41,6 +42,11 @@
         ..PoolSettings::default()
     };
     settings.rates.half_life_ms = f64::from(rule.rate_half_life_ms);
+    settings.rates.straggler_fraction = f64::from(rule.straggler_percent) / 100.0;
+    settings.rates.straggler_after_ms = u64::from(rule.straggler_after_ms);
+    settings.switches.straggler_avoidance = rule.straggler_percent > 0;
+    settings.prefix.block_tokens = BLOCK_TOKENS;
+    settings.prefix.unconfirmed_weight = f64::from(rule.unconfirmed_cache_percent) / 100.0;
     settings
 }
 
