--- a/crates/testbed/src/probe.rs
+++ b/crates/testbed/src/probe.rs
@@ -1,8 +1,11 @@
 //! Calls to the processes of a deployment, as operators and callers make them.
 
 use crate::deployment::{Deployment, DeploymentError, OPERATOR_TOKEN, wait_until};
+use burdockcleat_core::clock::ClockTime;
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 use ureq::Agent;
 
@@ -181,7 +184,33 @@
     }
 }
 
+/// A call that has ended, with wall clock times that compare with those of the journals.
+#[derive(Clone, Debug)]
+pub struct SentCall {
+    /// What was sent.
+    pub call: CompletionCall,
+    /// What arrived.
+    pub answer: CompletionAnswer,
+    /// Time of the call in milliseconds.
+    pub sent_ms: u64,
+    /// Time of the answer's end in milliseconds.
+    pub ended_ms: u64,
+}
+
 impl CompletionCall {
+    /// Sends the request on a thread of its own.
+    pub fn spawn(&self) -> JoinHandle<SentCall> {
+        let call = self.clone();
+        thread::spawn(move || call.send_timed())
+    }
+
+    /// Sends the request, reads the answer to its end and notes the times.
+    pub fn send_timed(&self) -> SentCall {
+        let sent_ms = ClockTime::wall().as_ms();
+        let answer = self.send();
+        SentCall { call: self.clone(), answer, sent_ms, ended_ms: ClockTime::wall().as_ms() }
+    }
+
     /// Sends the request and reads the answer to its end.
     pub fn send(&self) -> CompletionAnswer {
         self.send_with(|_| {})
@@ -263,3 +292,33 @@
     let body = response.body_mut().read_json().unwrap_or(Value::Null);
     Ok(JsonAnswer { status: response.status().as_u16(), body })
 }
+
+/// Sends bytes over a new connection and reads until the peer closes it or the time is over.
+///
+/// With `half_close`, the sending half is closed after the bytes.
+///
+/// # Errors
+/// Fails if the connection cannot be established.
+pub fn send_bytes(
+    entry_url: &str,
+    bytes: &[u8],
+    half_close: bool,
+    limit: Duration,
+) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(entry_url.trim_start_matches("http://"))?;
+    // The peer may refuse and close before all bytes are sent; its answer is still read.
+    let _ = stream.write_all(bytes);
+    if half_close {
+        let _ = stream.shutdown(Shutdown::Write);
+    }
+    let (started, mut received) = (Instant::now(), Vec::new());
+    let mut buffer = [0; 4_096];
+    while let Some(left) = limit.checked_sub(started.elapsed()).filter(|left| !left.is_zero()) {
+        stream.set_read_timeout(Some(left))?;
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => break,
+            Ok(count) => received.extend_from_slice(&buffer[..count]),
+        }
+    }
+    Ok(String::from_utf8_lossy(&received).into_owned())
+}
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -3,12 +3,18 @@
 use crate::deployment::{Deployment, DeploymentError, wait_until};
 use crate::engine::{EngineSettings, FakeEngine};
 use crate::error::TestbedError;
-use crate::probe::CompletionCall;
+use crate::journal::{DispatchRecord, TargetJournal};
+use crate::probe::{CompletionCall, SentCall};
+use crate::prompt::token_text;
 use crate::service::{FakeService, ServiceSettings};
+use burdockcleat_core::keys::RequestKey;
+use std::collections::HashMap;
 use thiserror::Error;
 
 /// Model that the engines of a stage serve.
 pub const MODEL: &str = "hinge-spares-13b";
+/// Model whose requests of `BATCH_CREDENTIAL` are in the tier `batch`.
+pub const BATCH_MODEL: &str = "hinge-spares-13b-catalogue";
 /// Pool of the engines.
 pub const MODEL_POOL: &str = "hinge-model";
 /// Pool of the services.
@@ -19,6 +25,8 @@
 pub const CREDENTIAL: &str = "test-provincial-depots";
 /// Credential of a workspace whose completions are in the tier `urgent`.
 pub const URGENT_CREDENTIAL: &str = "test-railway-workshops";
+/// Credential of a workspace whose completions with `BATCH_MODEL` are in the tier `batch`.
+pub const BATCH_CREDENTIAL: &str = "test-catalogue-office";
 
 /// Time for the targets to be announced.
 const TARGETS_LIMIT_MS: u64 = 10_000;
@@ -67,6 +75,8 @@
     pub engines: Vec<FakeEngine>,
     /// The plain service.
     pub service: FakeService,
+    /// Journals of engines that were replaced.
+    replaced: Vec<TargetJournal>,
     plan: StagePlan,
 }
 
@@ -97,7 +107,7 @@
         for index in 0..plan.entries {
             deployment.wait_ready(index)?;
         }
-        let stage = Self { deployment, engines, service, plan };
+        let stage = Self { deployment, engines, service, replaced: Vec::new(), plan };
         stage.wait_targets()?;
         Ok(stage)
     }
@@ -112,6 +122,18 @@
         Ok(())
     }
 
+    /// Stops an engine, if it still runs, and starts it with a new incarnation.
+    ///
+    /// # Errors
+    /// Fails if it cannot be started.
+    pub fn restart_engine(&mut self, number: usize) -> Result<(), StageError> {
+        self.engines[number].stop();
+        let engine = spawn_engine(&self.deployment, self.plan, number)?;
+        self.replaced.push(self.engines[number].journal());
+        self.engines[number] = engine;
+        Ok(())
+    }
+
     /// Waits until the leader knows all targets.
     ///
     /// # Errors
@@ -142,19 +164,90 @@
 
     /// Dispatches that all engines have received.
     pub fn dispatch_count(&self) -> u64 {
-        self.engines.iter().map(|engine| engine.journal().dispatch_count()).sum()
+        let replaced = self.replaced.iter().map(TargetJournal::dispatch_count);
+        let engines = self.engines.iter().map(|engine| engine.journal().dispatch_count());
+        replaced.chain(engines).sum()
+    }
+
+    /// Journals of all targets.
+    fn journals(&self) -> Vec<TargetJournal> {
+        let engines = self.engines.iter().map(FakeEngine::journal);
+        self.replaced.iter().cloned().chain(engines).chain([self.service.journal()]).collect()
+    }
+
+    /// Dispatches by request key, as the targets saw them.
+    pub fn dispatches(&self) -> HashMap<String, Vec<DispatchRecord>> {
+        let mut dispatches: HashMap<String, Vec<DispatchRecord>> = HashMap::new();
+        for record in self.journals().into_iter().flat_map(|journal| journal.dispatches) {
+            dispatches.entry(record.request_id.clone()).or_default().push(record);
+        }
+        dispatches
     }
 
     /// Largest number of dispatches of one request at all targets.
     pub fn most_dispatches(&self) -> usize {
-        let mut counts = std::collections::HashMap::new();
-        let journals = self.engines.iter().map(FakeEngine::journal);
-        for journal in journals.chain([self.service.journal()]) {
-            for record in journal.dispatches {
-                *counts.entry(record.request_id).or_insert(0) += 1;
-            }
+        self.dispatches().values().map(Vec::len).max().unwrap_or(0)
+    }
+
+    /// Compares answers with the journals. Returns each answer that is not true or not whole, and
+    /// each request that was dispatched more than once.
+    pub fn contradictions(&self, calls: &[SentCall]) -> Vec<String> {
+        let dispatches = self.dispatches();
+        let doubled = dispatches.iter().filter(|(_, records)| records.len() > 1);
+        let mut found: Vec<String> = doubled
+            .map(|(key, records)| format!("{key} was dispatched {} times", records.len()))
+            .collect();
+        for sent in calls {
+            let records = dispatches.get(&request_key(&sent.call)).map_or(&[][..], Vec::as_slice);
+            let faults = answer_fault(sent).into_iter().chain(outcome_fault(sent, records, calls));
+            found.extend(faults.map(|fault| {
+                let (id, error) = (&sent.call.request_id, &sent.answer.error);
+                format!("{id}: {fault} ({} tokens, {error})", sent.answer.tokens.len())
+            }));
+        }
+        found
+    }
+}
+
+/// Key under which the targets see a call.
+pub fn request_key(call: &CompletionCall) -> String {
+    let workspace = call.credential.trim_start_matches("test-");
+    RequestKey::derive(workspace, &call.request_id).to_string()
+}
+
+/// What is wrong with the form of an answer.
+fn answer_fault(sent: &SentCall) -> Option<&'static str> {
+    let (call, answer) = (&sent.call, &sent.answer);
+    let own = (0..).zip(&answer.tokens).all(|(index, event)| {
+        event["text"] == token_text(&call.prompt, index) && event["id"] == call.request_id.as_str()
+    });
+    if !own {
+        return Some("a token is not its own");
+    }
+    let whole = answer.tokens.len() == call.max_tokens as usize && answer.well_formed;
+    if answer.done && !whole {
+        return Some("the final event ends an answer that is not whole");
+    }
+    let truncated = answer.status == 200 && !answer.done;
+    (truncated && answer.well_formed).then_some("a truncated answer has a well-formed end")
+}
+
+/// What the journals contradict in the outcome of an answer.
+fn outcome_fault(
+    sent: &SentCall,
+    records: &[DispatchRecord],
+    calls: &[SentCall],
+) -> Option<&'static str> {
+    match sent.answer.outcome() {
+        "completed" if records.is_empty() => Some("completed without a dispatch"),
+        "not_run" => {
+            let resent = calls.iter().any(|other| {
+                other.sent_ms >= sent.ended_ms && request_key(&other.call) == request_key(&sent.call)
+            });
+            let ran = records.iter().any(|record| !resent || record.at_ms < sent.ended_ms);
+            ran.then_some("reported as not run and dispatched")
         }
-        counts.into_values().max().unwrap_or(0)
+        _ => None,
     }
 }
 
@@ -164,7 +257,7 @@
     number: usize,
 ) -> Result<FakeEngine, TestbedError> {
     let mut settings = EngineSettings::named(&format!("engine-{number}"), MODEL_POOL);
-    settings.target.models = vec![MODEL.into()];
+    settings.target.models = vec![MODEL.into(), BATCH_MODEL.into()];
     settings.target.control_urls = deployment.control_urls();
     settings.target.slots = plan.slots;
     settings.decode_rate = plan.decode_rate;
--- /dev/null
+++ b/crates/testbed/tests/entry_failures.rs
@@ -0,0 +1,116 @@
+//! Entries that die, freeze or are cut off while requests wait and run.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_testbed::deployment::{ProcessSignal, wait_until};
+use burdockcleat_testbed::probe::{SentCall, get};
+use burdockcleat_testbed::stage::{StagePlan, TestStage, request_key};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+fn stage(entries: usize, engines: usize, slots: u32) -> TestStage {
+    TestStage::open(StagePlan { entries, engines, slots, ..StagePlan::default() }).unwrap()
+}
+
+fn join(workers: Vec<JoinHandle<SentCall>>) -> Vec<SentCall> {
+    workers.into_iter().map(|worker| worker.join().unwrap()).collect()
+}
+
+/// Guards against a request that is lost, doubled or misreported when its entry dies.
+#[test]
+fn requests_of_a_killed_entry_resume_through_another_one() {
+    let mut stage = stage(2, 1, 2);
+    let call = |entry, number| stage.completion(entry, &format!("r-{number}"), 120);
+    let first: Vec<_> = (0..4).map(|number| call(0, number).spawn()).collect();
+    wait_until("two requests to run", 5_000, || stage.dispatch_count() == 2).unwrap();
+    thread::sleep(Duration::from_millis(300));
+    let resends: Vec<_> = (0..4).map(|number| call(1, number)).collect();
+    stage.deployment.signal("entry-0", ProcessSignal::Kill).unwrap();
+    let mut calls = join(first);
+    assert!(calls.iter().all(|sent| sent.answer.outcome() == "none"), "{calls:?}");
+    let running: Vec<_> = resends
+        .iter()
+        .map(|call| stage.dispatches().contains_key(&request_key(call)))
+        .collect();
+    let resent = join(resends.iter().map(|call| call.spawn()).collect());
+    for (sent, ran) in resent.iter().zip(running) {
+        // The slots of the killed entry may still count as taken, so a request that waited may be
+        // shed; it must not be told anything else.
+        let shed = !ran
+            && sent.answer.error["reason"] == "overloaded"
+            && sent.answer.error["retry_after_ms"].as_u64() > Some(0);
+        assert!(sent.answer.done || shed, "{sent:?}");
+    }
+    calls.extend(resent);
+    // The slots come back once the engine reports that it is idle.
+    wait_until("a slot of the killed entry", 10_000, || {
+        calls.push(stage.completion(1, &format!("after-{}", calls.len()), 10).send_timed());
+        calls.last().is_some_and(|sent| sent.answer.done)
+    })
+    .unwrap();
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+}
+
+/// Guards against a woken entry that uses a grant for a target that left in the meantime.
+#[test]
+fn an_entry_frozen_after_the_grant_does_not_use_it() {
+    let mut stage = stage(2, 1, 1);
+    let blocker = stage.completion(1, "blocker", 60).spawn();
+    wait_until("the blocker to run", 5_000, || stage.dispatch_count() == 1).unwrap();
+    let waiting = stage.completion(0, "waiting", 20).spawn();
+    wait_until("the second request to wait", 5_000, || {
+        stage.deployment.entry_dump(0).is_ok_and(|dump| dump["session"]["waiting"] == 1)
+    })
+    .unwrap();
+    thread::sleep(Duration::from_millis(150));
+    stage.deployment.signal("entry-0", ProcessSignal::Stop).unwrap();
+    let blocker = blocker.join().unwrap();
+    // The slot is free, so the leader grants it to the frozen entry.
+    thread::sleep(Duration::from_millis(300));
+    assert!(stage.engines[0].leave());
+    stage.add_engine().unwrap();
+    thread::sleep(Duration::from_millis(2_700));
+    stage.deployment.signal("entry-0", ProcessSignal::Continue).unwrap();
+    let calls = [blocker, waiting.join().unwrap()];
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    let counts: Vec<_> =
+        stage.engines.iter().map(|engine| engine.journal().dispatch_count()).collect();
+    assert_eq!(counts, [1, 1], "the grant for the target that left was used");
+}
+
+/// Guards against an entry without a leader that stays ready, cuts its streams, dispatches, or
+/// leaves its callers without an answer.
+#[test]
+fn an_entry_that_is_cut_off_is_not_ready_and_finishes_its_streams() {
+    let stage = stage(2, 2, 8);
+    let deployment = &stage.deployment;
+    let running = stage.completion(0, "running", 300).spawn();
+    wait_until("the stream to run", 5_000, || stage.dispatch_count() == 1).unwrap();
+    deployment.isolate("entry-0");
+    thread::sleep(Duration::from_millis(200));
+    let mut early = stage.completion(0, "early", 10);
+    early.deadline_ms = 2_000;
+    let early = early.spawn();
+    let ready = format!("{}/readyz", deployment.entry_operator_url(0));
+    wait_until("the entry to be not ready", 4_500, || {
+        get(&ready).is_ok_and(|answer| answer.status == 503)
+    })
+    .unwrap();
+    let late = stage.completion(0, "late", 10).send_timed();
+    assert_eq!((late.answer.status, late.answer.outcome()), (503, "unknown"), "{late:?}");
+    assert!(late.answer.error["retry_after_ms"].as_u64() > Some(0), "{late:?}");
+    assert!(late.ended_ms - late.sent_ms < 1_000, "{late:?}");
+    let early = early.join().unwrap();
+    assert_eq!(early.answer.outcome(), "unknown", "{early:?}");
+    let elsewhere = stage.completion(1, "elsewhere", 10).send_timed();
+    let running = running.join().unwrap();
+    assert_eq!(stage.dispatch_count(), 2, "only the stream and the other entry's request ran");
+    deployment.heal();
+    deployment.wait_ready(0).unwrap();
+    let healed = stage.completion(0, "healed", 10).send_timed();
+    assert!(running.answer.done && elsewhere.answer.done && healed.answer.done, "{running:?}");
+    let calls = [running, early, late, elsewhere, healed];
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 3);
+}
