Wait for the recorded outcome of a request that is ending

Cause: a resend that arrived between the report of an end and its commit was told to resume, since the log still had the claim as open. If the target had answered with an error, there was no stream, and after five tries the caller got unknown and owner_lost. The outcome follows with the commit a few ms later.

Change: such an attempt waits for the commit and gets the recorded outcome. The in-process fakes also answered with status 500 when they were to crash, because their server answers dropped requests; they reset the connection first.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -95,6 +95,8 @@
     started: bool,
     /// Whether the claim was restored from the log, without the request itself.
     restored: bool,
+    /// Whether the end of the request is proposed and not yet committed.
+    ending: bool,
 }
 
 /// What the leader knows of an entry.
@@ -277,6 +279,7 @@
             duplicates: Vec::new(),
             started: false,
             restored: true,
+            ending: false,
         };
         self.requests.insert(record.key, tracked);
     }
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -137,8 +137,11 @@
             (RequestStage::Granted { .. }, true) if !tracked.started => {
                 self.grant_again(record, attempt);
             }
+            // The outcome of an ending request follows with the commit; until then the record says
+            // that it runs, and a target that failed has no stream to resume.
             (RequestStage::Granted { .. }, _)
-                if !attempt.is_stream() && record.fingerprint == attempt.request.fingerprint =>
+                if (tracked.ending || !attempt.is_stream())
+                    && record.fingerprint == attempt.request.fingerprint =>
             {
                 tracked.duplicates.retain(|known| !known.is_same(&attempt));
                 tracked.duplicates.push(attempt);
@@ -191,6 +194,7 @@
             duplicates,
             started: false,
             restored: false,
+            ending: false,
         };
         self.requests.insert(request.key, tracked);
         self.step_pool(time, pool, PoolInput::Submit { entry, request });
@@ -229,7 +233,8 @@
             outcome: report.outcome,
             reason: report.reason,
         });
-        let Some(tracked) = self.requests.get(&report.key) else { return };
+        let Some(tracked) = self.requests.get_mut(&report.key) else { return };
+        tracked.ending |= tracked.stage == RequestStage::Granted { claim: report.claim };
         let pool = tracked.pool.clone();
         // The slot is free at once; the record of the outcome follows with the commit.
         self.step_pool(time, &pool, PoolInput::Finish(report));
--- a/crates/testbed/src/service.rs
+++ b/crates/testbed/src/service.rs
@@ -157,6 +157,8 @@
             std::process::exit(101);
         }
         self.crashed.store(true, Ordering::Release);
+        // The server answers a dropped request with status 500, which a dead process cannot.
+        caller.reset();
         caller.close_all();
     }
 }
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -242,7 +242,8 @@
         "completed" if records.is_empty() => Some("completed without a dispatch"),
         "not_run" => {
             let resent = calls.iter().any(|other| {
-                other.sent_ms >= sent.ended_ms && request_key(&other.call) == request_key(&sent.call)
+                other.sent_ms >= sent.ended_ms
+                    && request_key(&other.call) == request_key(&sent.call)
             });
             let ran = records.iter().any(|record| !resent || record.at_ms < sent.ended_ms);
             ran.then_some("reported as not run and dispatched")
--- a/crates/testbed/tests/entry_failures.rs
+++ b/crates/testbed/tests/entry_failures.rs
@@ -28,10 +28,8 @@
     stage.deployment.signal("entry-0", ProcessSignal::Kill).unwrap();
     let mut calls = join(first);
     assert!(calls.iter().all(|sent| sent.answer.outcome() == "none"), "{calls:?}");
-    let running: Vec<_> = resends
-        .iter()
-        .map(|call| stage.dispatches().contains_key(&request_key(call)))
-        .collect();
+    let running: Vec<_> =
+        resends.iter().map(|call| stage.dispatches().contains_key(&request_key(call))).collect();
     let resent = join(resends.iter().map(|call| call.spawn()).collect());
     for (sent, ran) in resent.iter().zip(running) {
         // The slots of the killed entry may still count as taken, so a request that waited may be
--- /dev/null
+++ b/crates/testbed/tests/target_failures.rs
@@ -0,0 +1,197 @@
+//! Targets that leave, die, come back, slow down or answer wrongly.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_testbed::announce::{LoadReport, TargetAnnouncement, TargetKind};
+use burdockcleat_testbed::deployment::{TARGET_TOKEN, wait_until};
+use burdockcleat_testbed::fault::FaultSet;
+use burdockcleat_testbed::probe::SentCall;
+use burdockcleat_testbed::stage::{MODEL, MODEL_POOL, StagePlan, TestStage};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+fn stage(entries: usize, engines: usize) -> TestStage {
+    TestStage::open(StagePlan { entries, engines, ..StagePlan::default() }).unwrap()
+}
+
+fn join(workers: Vec<JoinHandle<SentCall>>) -> Vec<SentCall> {
+    workers.into_iter().map(|worker| worker.join().unwrap()).collect()
+}
+
+/// Sends a short request every 100 ms, through each entry in turn.
+fn send_paced(stage: &TestStage, entries: usize, count: usize) -> Vec<JoinHandle<SentCall>> {
+    (0..count)
+        .map(|number| {
+            let mut call = stage.completion(number % entries, &format!("r-{number}"), 6);
+            call.deadline_ms = 5_000;
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(100 * number as u64));
+                call.send_timed()
+            })
+        })
+        .collect()
+}
+
+fn assert_cut(sent: &SentCall, reason: &str) {
+    let answer = &sent.answer;
+    assert_eq!((answer.outcome(), &answer.error["reason"]), ("failed", &reason.into()), "{sent:?}");
+    assert!(!answer.done && (answer.status != 200 || !answer.well_formed), "{sent:?}");
+}
+
+/// Guards against new work for a target that left, also from an entry that cannot hear of it.
+#[test]
+fn a_target_that_left_gets_nothing_new_after_three_seconds() {
+    let mut stage = stage(2, 2);
+    let workers = send_paced(&stage, 2, 70);
+    thread::sleep(Duration::from_millis(1_500));
+    stage.deployment.isolate("entry-1");
+    assert!(stage.engines[0].leave());
+    let left_at = ClockTime::wall().as_ms();
+    let calls = join(workers);
+    stage.deployment.heal();
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    let journal = stage.engines[0].journal();
+    assert!(journal.dispatch_count() > 0, "the target had no work before it left");
+    let late = journal.dispatches.iter().filter(|record| record.at_ms > left_at + 3_000).count();
+    assert_eq!(late, 0, "dispatches later than 3 s after the leave");
+    let linked = calls.iter().filter(|sent| sent.call.entry_url == stage.deployment.entry_url(0));
+    assert!(linked.clone().all(|sent| sent.answer.done), "the other entry's requests go on");
+    assert!(linked.clone().any(|sent| sent.sent_ms > left_at + 3_000));
+}
+
+/// Guards against a truncated stream that looks whole, against a second run of a request whose
+/// target died, and against a returned target that gets no work.
+#[test]
+fn streams_of_a_killed_target_fail_and_its_next_incarnation_serves() {
+    let mut stage = stage(1, 1);
+    let workers: Vec<_> =
+        (0..4).map(|number| stage.completion(0, &format!("r-{number}"), 200).spawn()).collect();
+    wait_until("the streams to run", 5_000, || stage.dispatch_count() == 4).unwrap();
+    thread::sleep(Duration::from_millis(500));
+    stage.engines[0].stop();
+    let mut calls = join(workers);
+    for sent in &calls {
+        assert_cut(sent, "upstream_cut");
+        assert!(!sent.answer.tokens.is_empty(), "{sent:?}");
+    }
+    stage.restart_engine(0).unwrap();
+    wait_until("the next incarnation to serve", 8_000, || {
+        calls.push(stage.completion(0, &format!("after-{}", calls.len()), 5).send_timed());
+        calls.last().is_some_and(|sent| sent.answer.done)
+    })
+    .unwrap();
+    let resent = calls[0].call.send_timed();
+    assert_eq!(resent.answer.outcome(), "failed", "{resent:?}");
+    calls.push(resent);
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+}
+
+/// Guards against new work for a target that has become slow, and against a second run of the
+/// stream that it still serves.
+#[test]
+fn a_straggler_finishes_its_streams_and_gets_nothing_new() {
+    let stage = stage(1, 3);
+    let running: Vec<_> =
+        (0..12).map(|number| stage.completion(0, &format!("run-{number}"), 150).spawn()).collect();
+    wait_until("the streams to run", 5_000, || stage.dispatch_count() == 12).unwrap();
+    let slow = &stage.engines[0];
+    let before = slow.journal().dispatch_count();
+    assert!(before > 0, "the straggler has no stream");
+    thread::sleep(Duration::from_millis(700));
+    slow.set_fault(FaultSet { straggler_factor: 5.0, ..FaultSet::default() });
+    thread::sleep(Duration::from_millis(4_500));
+    let later: Vec<_> =
+        (0..8).map(|number| stage.completion(0, &format!("late-{number}"), 10).spawn()).collect();
+    let mut calls = join(later);
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(slow.journal().dispatch_count(), before, "the straggler got new work");
+    slow.set_fault(FaultSet::default());
+    calls.extend(join(running));
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+}
+
+/// Guards against answers that look whole, mix with others or run again when a target misbehaves.
+#[test]
+fn cut_crossed_and_refused_streams_are_told_as_they_are() {
+    let stage = stage(1, 1);
+    let engine = &stage.engines[0];
+    let run = |name: &str, fault: FaultSet| {
+        engine.set_fault(fault);
+        let call = |number| stage.completion(0, &format!("{name}-{number}"), 30);
+        join((0..4).map(|number| call(number).spawn()).collect())
+    };
+    let cut = run("cut", FaultSet { cut_after: Some(10), ..FaultSet::default() });
+    for sent in &cut {
+        assert_cut(sent, "upstream_cut");
+        assert!(sent.answer.tokens.len() <= 10, "{sent:?}");
+    }
+    let crossed = run("crossed", FaultSet { crossed_frames: true, ..FaultSet::default() });
+    assert!(crossed.iter().all(|sent| sent.answer.done), "{crossed:?}");
+    let refused = run("refused", FaultSet { error_status: Some(500), ..FaultSet::default() });
+    for sent in &refused {
+        assert_cut(sent, "upstream_error");
+    }
+    engine.set_fault(FaultSet::default());
+    let resent = join(refused.iter().map(|sent| sent.call.spawn()).collect());
+    assert!(resent.iter().all(|sent| sent.answer.outcome() == "failed"), "{resent:?}");
+    let calls = [cut, crossed, refused, resent].concat();
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 12);
+}
+
+/// Announces a target at an address that refuses connections until `stop` is set.
+fn announce_unreachable(stage: &TestStage, stop: &AtomicBool) {
+    let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let announcement = TargetAnnouncement {
+        name: "unreachable".into(),
+        incarnation: 1,
+        address: address.to_string(),
+        pool: MODEL_POOL.into(),
+        kind: TargetKind::Model,
+        generation: "g1".into(),
+        failure_domain: "d1".into(),
+        order_issuer: String::new(),
+        models: vec![MODEL.into()],
+        slots: 8,
+        enforces_fencing: true,
+        load: LoadReport::default(),
+        cache_events: Vec::new(),
+    };
+    let url = format!("{}/v1/targets/announce", stage.deployment.control_url(0));
+    while !stop.load(Ordering::SeqCst) {
+        let token = format!("Bearer {TARGET_TOKEN}");
+        ureq::post(&url).header("authorization", token).send_json(&announcement).unwrap();
+        thread::sleep(Duration::from_millis(400));
+    }
+}
+
+/// Guards against a request that is lost, or counts as run, when its target refuses the
+/// connection.
+#[test]
+fn an_unreachable_target_is_passed_over_and_the_request_runs_once() {
+    let stage = stage(1, 1);
+    let stop = AtomicBool::new(false);
+    let calls: Vec<_> = thread::scope(|scope| {
+        scope.spawn(|| announce_unreachable(&stage, &stop));
+        thread::sleep(Duration::from_millis(600));
+        // Running streams make the unreachable target the better choice.
+        let busy = |number| stage.completion(0, &format!("busy-{number}"), 100);
+        let mut workers: Vec<_> = (0..2).map(|number| busy(number).spawn()).collect();
+        for number in 0..3 {
+            thread::sleep(Duration::from_millis(200));
+            workers.push(stage.completion(0, &format!("r-{number}"), 10).spawn());
+        }
+        let calls = join(workers);
+        stop.store(true, Ordering::SeqCst);
+        calls
+    });
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 5);
+    let log = std::fs::read_to_string(stage.deployment.log_file("entry-0")).unwrap();
+    assert!(log.contains("dispatch_not_connected"), "the unreachable target was never chosen");
+}
--- a/crates/testbed/tests/tier_failures.rs
+++ b/crates/testbed/tests/tier_failures.rs
@@ -23,7 +23,13 @@
 }
 
 /// A call of a tier by its rank.
-fn tier_call(stage: &TestStage, rank: usize, entry: usize, id: &str, tokens: u32) -> CompletionCall {
+fn tier_call(
+    stage: &TestStage,
+    rank: usize,
+    entry: usize,
+    id: &str,
+    tokens: u32,
+) -> CompletionCall {
     let mut call = stage.completion(entry, id, tokens);
     match rank {
         0 => call.credential = URGENT_CREDENTIAL.into(),
@@ -60,7 +66,10 @@
                 && lower.ended_ms >= refused.ended_ms + TRANSIT_MS
         };
         found.extend(calls.iter().filter(present).map(|lower| {
-            format!("{} was refused while {} was there", refused.call.request_id, lower.call.request_id)
+            format!(
+                "{} was refused while {} was there",
+                refused.call.request_id, lower.call.request_id
+            )
         }));
     }
     found
@@ -94,8 +103,7 @@
     let counts = [refused(0), refused(1), refused(2)];
     println!("refused by tier: {counts:?} of {}", calls.len());
     assert!(counts[2] > 0 && counts[1] > 0, "the burst refused nothing: {counts:?}");
-    let urgent_done =
-        calls.iter().filter(|sent| rank(&sent.call) == 0 && sent.answer.done).count();
+    let urgent_done = calls.iter().filter(|sent| rank(&sent.call) == 0 && sent.answer.done).count();
     assert!(urgent_done > 0, "no urgent request completed");
     for sent in calls.iter().filter(|sent| is_refused(sent)) {
         assert!(sent.answer.error["retry_after_ms"].as_u64() > Some(0), "{sent:?}");
