Wake the inner server for requests that it has not taken

Cause: tiny_http leaves a connection to an idle thread even if that thread has just been given another one. In a burst, a connection then waits until any other one ends. Entry dumps showed 12 connections, 10 in flight and a first token after 2.2 s, when the first stream of 2 s had ended. The scheduler does not know of such a request, so no tier rule applies to it.

Change: while a request has arrived at the gate and was not taken, the gate opens and closes a connection to the inner server, after 5 ms and then at doubling intervals up to 500 ms. Such a connection makes the server start a thread, which takes the one that waits. The fake targets use the same gate.

--- a/crates/burdockcleat/src/entry/gate/relay.rs
+++ b/crates/burdockcleat/src/entry/gate/relay.rs
@@ -17,6 +17,10 @@
 const COPY_BYTES: usize = 8 * 1024;
 /// Interval at which the socket of a half-closed caller is looked at.
 const HALF_CLOSED_LOOK: Duration = Duration::from_millis(50);
+/// Time after which the inner server is woken for a request that it has not taken. Each further
+/// wait is twice as long, up to the second value, since a slow sender looks the same.
+const FIRST_WAKE: Duration = Duration::from_millis(5);
+const LONGEST_WAKE: Duration = Duration::from_millis(500);
 /// Interval of the probes to a half-closed caller that waits for its response.
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Interim response that a caller must skip (RFC 9110, section 15.2). A socket that the
@@ -135,6 +139,7 @@
     /// Watches deadlines, resets and half-closed callers.
     async fn supervise(&self, wake: &Receiver<()>) -> LinkEnd {
         let mut next_probe = Instant::now();
+        let mut server_wake = None;
         loop {
             let now = Instant::now();
             let (phase, deadline, half_closed) = {
@@ -151,6 +156,10 @@
                 };
             }
             let mut wait_until = deadline;
+            server_wake = self.wake_server(phase, server_wake, now).await;
+            if let Some((next, _)) = server_wake {
+                wait_until = Some(deadline.map_or(next, |deadline| deadline.min(next)));
+            }
             if half_closed {
                 let probes = phase == LinkPhase::Received && next_probe <= now;
                 if probes {
@@ -160,13 +169,40 @@
                     return LinkEnd::Gone;
                 }
                 let look = now + HALF_CLOSED_LOOK;
-                wait_until = Some(deadline.map_or(look, |deadline| deadline.min(look)));
+                wait_until = Some(wait_until.map_or(look, |until| until.min(look)));
             }
             let timer = wait_until.map_or_else(Timer::never, Timer::at);
             future::select(pin!(wake.recv()), timer).await;
         }
     }
 
+    /// Makes the inner server take a request that waits, and returns when to look again.
+    ///
+    /// `tiny_http` leaves a connection to an idle thread even if that thread has just been given
+    /// another one. The connection then waits until any other one ends, which with streams takes
+    /// seconds. A further connection starts a thread, which ends at once and takes the one that
+    /// waits.
+    async fn wake_server(
+        &self,
+        phase: LinkPhase,
+        scheduled: Option<(Instant, Duration)>,
+        now: Instant,
+    ) -> Option<(Instant, Duration)> {
+        if phase != LinkPhase::Receiving {
+            return None;
+        }
+        let Some((next, wait)) = scheduled else { return Some((now + FIRST_WAKE, FIRST_WAKE)) };
+        if next > now {
+            return scheduled;
+        }
+        if let Ok(address) = self.inner.get_ref().peer_addr() {
+            let connect = pin!(Async::<TcpStream>::connect(address));
+            future::select(connect, Timer::after(wait)).await;
+        }
+        let wait = (2 * wait).min(LONGEST_WAKE);
+        Some((now + wait, wait))
+    }
+
     /// Looks at a caller that sent FIN. After FIN, reads only return the end, so a reset
     /// shows as a pending socket error or as a failed write.
     fn is_closed_by_caller(&self, probes: bool) -> bool {
--- a/crates/testbed/tests/entry_failures.rs
+++ b/crates/testbed/tests/entry_failures.rs
@@ -112,3 +112,22 @@
     assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
     assert_eq!(stage.dispatch_count(), 3);
 }
+
+/// Guards against requests of a burst that the entry takes only when other streams end.
+#[test]
+fn streams_of_a_burst_start_while_the_others_run() {
+    let stage = stage(1, 3, 16);
+    for round in 0..4 {
+        let workers: Vec<_> = (0..12)
+            .map(|number| stage.completion(0, &format!("r-{round}-{number}"), 100).spawn())
+            .collect();
+        let calls = join(workers);
+        let late: Vec<_> = calls
+            .iter()
+            .filter_map(|sent| sent.answer.times.first())
+            .filter(|time| time.as_millis() > 1_000)
+            .collect();
+        assert!(late.is_empty(), "first tokens after {late:?}");
+        assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    }
+}
