--- a/crates/burdockcleat/src/entry.rs
+++ b/crates/burdockcleat/src/entry.rs
@@ -10,6 +10,7 @@
 pub mod claim;
 pub mod config;
 pub mod dispatch;
+pub mod gate;
 pub mod metrics;
 pub mod refusal;
 pub mod request;
--- /dev/null
+++ b/crates/burdockcleat/tests/gate_stand/mod.rs
@@ -0,0 +1,222 @@
+//! Gate in front of a small `tiny_http` application.
+#![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
+
+use burdockcleat::entry::gate::{ConnectionGate, GateLimits, open_inner_listener};
+use chunked_transfer::Encoder;
+use std::io::{self, Read, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+use tiny_http::{Request, Response, Server};
+
+/// Longest wait of a test for a condition.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Gate, inner server and what its handlers report.
+pub struct GateStand {
+    pub gate: Arc<ConnectionGate>,
+    /// One message for each handler that waited for a hang-up.
+    pub gone: Receiver<bool>,
+    server: Arc<Server>,
+    watch: Arc<Mutex<Option<PortWatch>>>,
+    whole: Arc<AtomicUsize>,
+    stopped: Arc<AtomicBool>,
+}
+
+/// Called with the port of each whole request.
+type PortWatch = Box<dyn Fn(u16, &ConnectionGate) + Send>;
+
+struct StandHandler {
+    watch: Arc<Mutex<Option<PortWatch>>>,
+    gate: Arc<ConnectionGate>,
+    gone: Sender<bool>,
+    whole: Arc<AtomicUsize>,
+}
+
+impl GateStand {
+    pub fn spawn(limits: GateLimits) -> Self {
+        let server = Server::from_listener(open_inner_listener().unwrap(), None).unwrap();
+        let server = Arc::new(server);
+        let inner = server.server_addr().to_ip().unwrap();
+        let gate = ConnectionGate::bind("127.0.0.1:0".parse().unwrap(), inner, limits).unwrap();
+        let gate = Arc::new(gate);
+        let (sender, gone) = channel();
+        let (whole, stopped) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicBool::new(false)));
+        let watch = Arc::default();
+        let handler = StandHandler {
+            watch: Arc::clone(&watch),
+            gate: Arc::clone(&gate),
+            gone: sender,
+            whole: Arc::clone(&whole),
+        };
+        let (handler, accepting, flag) =
+            (Arc::new(handler), Arc::clone(&server), Arc::clone(&stopped));
+        thread::spawn(move || {
+            while !flag.load(Ordering::Acquire) {
+                let Ok(request) = accepting.recv() else { continue };
+                let handler = Arc::clone(&handler);
+                thread::spawn(move || handler.serve(request));
+            }
+        });
+        Self { gate, gone, server, watch, whole, stopped }
+    }
+
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.gate.address())
+    }
+
+    /// Sets a function that handlers call for each whole request.
+    pub fn watch(&self, watch: impl Fn(u16, &ConnectionGate) + Send + 'static) {
+        *self.watch.lock().unwrap() = Some(Box::new(watch));
+    }
+
+    pub fn connect(&self) -> TcpStream {
+        let socket = TcpStream::connect(self.gate.address()).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        socket
+    }
+
+    /// Requests that the application took for whole.
+    pub fn whole_requests(&self) -> usize {
+        self.whole.load(Ordering::Acquire)
+    }
+
+    pub fn wait_marked(&self) {
+        let before = Instant::now();
+        while self.whole_requests() == 0 && before.elapsed() < PATIENCE {
+            thread::sleep(Duration::from_millis(5));
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+
+    pub fn wait_empty(&self) {
+        self.wait_connections(0);
+    }
+
+    pub fn wait_connections(&self, count: usize) {
+        let before = Instant::now();
+        while self.gate.open_connections() != count {
+            assert!(before.elapsed() < PATIENCE, "{} connections", self.gate.open_connections());
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for GateStand {
+    fn drop(&mut self) {
+        self.stopped.store(true, Ordering::Release);
+        self.server.unblock();
+    }
+}
+
+/// Whether all connections end within the time.
+pub fn closed_within(stand: &GateStand, limit: Duration) -> bool {
+    let before = Instant::now();
+    while stand.gate.open_connections() > 0 {
+        if before.elapsed() > limit {
+            return false;
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    true
+}
+
+/// Reads until the end or a reset.
+pub fn read_all(socket: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    if let Err(error) = socket.read_to_end(&mut bytes) {
+        assert_eq!(error.kind(), io::ErrorKind::ConnectionReset, "no end in time");
+    }
+    String::from_utf8(bytes).unwrap()
+}
+
+/// Writer that flushes each write, so that the last chunk is sent too.
+struct Flushing(Box<dyn Write + Send>);
+
+impl Write for Flushing {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write_all(bytes)?;
+        self.0.flush()?;
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl StandHandler {
+    fn serve(&self, mut request: Request) {
+        let port = request.remote_addr().unwrap().port();
+        let mut body = Vec::new();
+        let whole = request.as_reader().read_to_end(&mut body).is_ok();
+        if !whole || !self.gate.mark_received(port) {
+            return;
+        }
+        self.whole.fetch_add(1, Ordering::AcqRel);
+        if let Some(watch) = &*self.watch.lock().unwrap() {
+            watch(port, &self.gate);
+        }
+        let url = request.url().to_owned();
+        let value = |name: &str| {
+            let query = url.split_once('?').map_or("", |(_, query)| query);
+            let found = query.split('&').find_map(|pair| pair.strip_prefix(&format!("{name}=")));
+            found.unwrap_or_default().to_owned()
+        };
+        let number = |name: &str| value(name).parse::<u64>().unwrap_or(0);
+        match url.split('?').next().unwrap() {
+            "/echo" => drop(request.respond(Response::from_data(body))),
+            "/events" => {
+                thread::sleep(Duration::from_millis(number("pause")));
+                drop(self.events(request, "", number("count"), number("pause")));
+            }
+            "/named" => {
+                drop(self.events(request, &format!("{} ", value("name")), number("count"), 1));
+            }
+            "/reset" => {
+                let encoder = self.events(request, "", number("count"), 0);
+                self.gate.reset(port);
+                drop(encoder);
+            }
+            "/wait-gone" => {
+                let (sender, receiver) = channel();
+                self.gate.on_gone(
+                    port,
+                    Box::new(move || {
+                        let _ = sender.send(());
+                    }),
+                );
+                let told = receiver.recv_timeout(PATIENCE).is_ok();
+                let _ = self.gone.send(told && self.gate.caller_gone(port));
+                drop(request);
+            }
+            "/until-gone" => {
+                let fills = request.headers().iter().any(|header| header.field.equiv("x-fill"));
+                let mut encoder = self.events(request, "", 1, 0);
+                let start = Instant::now();
+                while !self.gate.caller_gone(port) && start.elapsed() < PATIENCE {
+                    let text = if fills { &[b'x'; 8_000][..] } else { b"more\n" };
+                    let _ = encoder.write_all(text).and_then(|()| encoder.flush());
+                    thread::sleep(Duration::from_millis(if fills { 0 } else { 10 }));
+                }
+                let _ = self.gone.send(self.gate.caller_gone(port));
+            }
+            _ => drop(request.respond(Response::empty(404))),
+        }
+        self.gate.mark_finished(port);
+    }
+
+    fn events(&self, request: Request, prefix: &str, count: u64, pause: u64) -> Encoder<Flushing> {
+        let mut writer = Flushing(request.into_writer());
+        let _ = writer.write_all(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n");
+        let mut encoder = Encoder::new(writer);
+        for index in 0..count {
+            let _ = writeln!(encoder, "{prefix}event {index}").and_then(|()| encoder.flush());
+            thread::sleep(Duration::from_millis(pause));
+        }
+        encoder
+    }
+}
