--- a/crates/burdockcleat/src/cmd.rs
+++ b/crates/burdockcleat/src/cmd.rs
@@ -40,7 +40,9 @@
 
 const TAIL: &str = "
 Environment:
-  BURDOCKCLEAT_CONTROL  URLs of the control instances, separated by commas, used without --control
+  BURDOCKCLEAT_CONTROL         URLs of the control instances, separated by commas, used without
+                               --control
+  BURDOCKCLEAT_OPERATOR_TOKEN  token of operators, used without --token
 
 With --json, an error is printed as {\"error\", ...} on standard output as well.
 
--- a/crates/burdockcleat/src/cmd/apply.rs
+++ b/crates/burdockcleat/src/cmd/apply.rs
@@ -21,6 +21,8 @@
   --author NAME       who makes the edit, for the history (default: $USER)
   --wait SECS         wait until every entry reports the new version
   --control URLS      control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --token TOKEN       token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users
+                      of the machine cannot see)
   --timeout SECS      longest wait for a reply, 1 to 600 (default 10)
   --json              print {\"version\", \"operation_id\"} instead of text
 
@@ -30,7 +32,7 @@
 every entry after --wait.
 ",
     values: &["FILE"],
-    options: &["base", "operation-id", "author", "wait", "control", "timeout", "json"],
+    options: &["base", "operation-id", "author", "wait", "control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/cmd/arguments.rs
+++ b/crates/burdockcleat/src/cmd/arguments.rs
@@ -1,7 +1,7 @@
 //! Reads the values and options of a subcommand.
 
 use super::{CommandError, progress};
-use crate::operator::{ClientError, ClientSettings, OperatorClient};
+use crate::operator::{ClientError, ClientSettings, OperatorClient, is_operation_id};
 use burdockcleat_core::document::ConfigDocument;
 use lexopt::{Arg, Parser, ValueExt};
 use std::collections::BTreeMap;
@@ -14,6 +14,9 @@
 /// Environment variable with the URLs of the control instances.
 const CONTROL_VARIABLE: &str = "BURDOCKCLEAT_CONTROL";
 
+/// Environment variable with the operators' token.
+const TOKEN_VARIABLE: &str = "BURDOCKCLEAT_OPERATOR_TOKEN";
+
 /// Options without a value.
 const FLAGS: [&str; 1] = ["json"];
 
@@ -121,7 +124,7 @@
         let Some(id) = self.option("operation-id") else {
             return Ok(format!("{:032x}", rand::random::<u128>()));
         };
-        if !(1..=128).contains(&id.len()) || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        if !is_operation_id(id) {
             let text = "--operation-id must have 1 to 128 printable characters without spaces";
             return Err(self.usage(text));
         }
@@ -140,6 +143,12 @@
         Ok(settings)
     }
 
+    /// Token of `--token`, or else of the environment.
+    pub(super) fn token(&self) -> Option<String> {
+        let variable = || env::var(TOKEN_VARIABLE).ok();
+        self.option("token").map(str::to_owned).or_else(variable).filter(|token| !token.is_empty())
+    }
+
     /// Opens a client for `--control`, or else for the URLs in the environment.
     pub(super) fn client(&self) -> Result<OperatorClient, CommandError> {
         let variable = || env::var(CONTROL_VARIABLE).ok();
@@ -151,6 +160,7 @@
             .map(str::to_owned)
             .collect();
         let client = OperatorClient::open(&urls, self.client_settings()?);
+        let client = client.map(|client| client.with_token(self.token()));
         client.map(|client| client.with_notice(progress)).map_err(|error| match error {
             ClientError::NoUrl | ClientError::BadUrl(_) => self.usage(&error.to_string()),
             other => CommandError::Client(other),
--- a/crates/burdockcleat/src/cmd/diff.rs
+++ b/crates/burdockcleat/src/cmd/diff.rs
@@ -17,6 +17,8 @@
   --against FILE   older document
   --control URLS   compare with the configuration in force; without this option and --against,
                    BURDOCKCLEAT_CONTROL is used
+  --token TOKEN    token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users of
+                   the machine cannot see)
   --timeout SECS   longest wait for a reply, 1 to 600 (default 10)
   --json           print {\"base_version\", \"changes\": [...]} instead of text
 
@@ -24,7 +26,7 @@
 unreadable file, 3 no control instance in reach.
 ",
     values: &["FILE"],
-    options: &["against", "control", "timeout", "json"],
+    options: &["against", "control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/cmd/drain.rs
+++ b/crates/burdockcleat/src/cmd/drain.rs
@@ -21,6 +21,8 @@
   --author NAME       who asks (default: $USER)
   --wait SECS         wait until nothing runs there any more
   --control URLS      control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --token TOKEN       token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users
+                      of the machine cannot see)
   --timeout SECS      longest wait for a reply, 1 to 600 (default 10)
   --json              print {\"running\", \"operation_id\"} instead of text
 
@@ -29,7 +31,7 @@
 again with the printed --operation-id, 5 requests still run there after --wait.
 ",
     values: &["KIND", "NAME"],
-    options: &["operation-id", "author", "wait", "control", "timeout", "json"],
+    options: &["operation-id", "author", "wait", "control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/cmd/dump.rs
+++ b/crates/burdockcleat/src/cmd/dump.rs
@@ -17,27 +17,29 @@
 
   URL              http://host:port of a control instance, or of the operator port of an entry;
                    with a path, exactly this path is read
+  --token TOKEN    token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users of
+                   the machine cannot see)
   --timeout SECS   longest wait for the reply, 1 to 600 (default 10)
   --json           accepted as for other commands; the output is always JSON
 
 Exit status: 0 printed, 1 refused, 2 wrong usage, 3 the process is not in reach.
 ",
     values: &["URL"],
-    options: &["timeout", "json"],
+    options: &["token", "timeout", "json"],
     run,
 };
 
 fn run(arguments: &Arguments, out: &mut dyn Write) -> Result<(), CommandError> {
     let url = arguments.value("URL").trim_end_matches('/');
     let settings = arguments.client_settings()?;
+    let token = arguments.token();
+    let fetch = |url: &str| fetch(url, token.as_deref(), settings);
     let has_path = url.strip_prefix("http://").is_some_and(|rest| rest.contains('/'));
     let text = if has_path {
-        fetch(url, settings)?
+        fetch(url)?
     } else {
-        match fetch(&format!("{url}{}", paths::DUMP), settings) {
-            Err(ClientError::Refused { status: 404, .. }) => {
-                fetch(&format!("{url}{ENTRY_DUMP}"), settings)?
-            }
+        match fetch(&format!("{url}{}", paths::DUMP)) {
+            Err(ClientError::Refused { status: 404, .. }) => fetch(&format!("{url}{ENTRY_DUMP}"))?,
             other => other?,
         }
     };
--- a/crates/burdockcleat/src/cmd/history.rs
+++ b/crates/burdockcleat/src/cmd/history.rs
@@ -14,13 +14,15 @@
 Usage: burdockcleat history [OPTIONS]
 
   --control URLS   control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --token TOKEN    token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users of
+                   the machine cannot see)
   --timeout SECS   longest wait for a reply, 1 to 600 (default 10)
   --json           print {\"versions\": [...]} instead of text
 
 Exit status: 0 listed, 1 refused, 2 wrong usage, 3 no leading control instance in reach.
 ",
     values: &[],
-    options: &["control", "timeout", "json"],
+    options: &["control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/cmd/order.rs
+++ b/crates/burdockcleat/src/cmd/order.rs
@@ -21,6 +21,8 @@
   --author NAME       who asks (default: $USER)
   --wait SECS         wait until the target serves the model
   --control URLS      control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --token TOKEN       token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users
+                      of the machine cannot see)
   --timeout SECS      longest wait for a reply, 1 to 600 (default 10)
   --json              print {\"fencing\", \"state\", \"operation_id\"} instead of text
 
@@ -29,7 +31,7 @@
 --operation-id, 5 the target does not serve the model after --wait.
 ",
     values: &["TARGET", "MODEL"],
-    options: &["operation-id", "author", "wait", "control", "timeout", "json"],
+    options: &["operation-id", "author", "wait", "control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/cmd/status.rs
+++ b/crates/burdockcleat/src/cmd/status.rs
@@ -13,13 +13,15 @@
 Usage: burdockcleat status [OPTIONS]
 
   --control URLS   control instances, separated by commas (default: BURDOCKCLEAT_CONTROL)
+  --token TOKEN    token of operators (default: BURDOCKCLEAT_OPERATOR_TOKEN, which other users of
+                   the machine cannot see)
   --timeout SECS   longest wait for a reply, 1 to 600 (default 10)
   --json           print the reply of the control instance instead of text
 
 Exit status: 0 shown, 1 refused, 2 wrong usage, 3 no leading control instance in reach.
 ",
     values: &[],
-    options: &["control", "timeout", "json"],
+    options: &["control", "token", "timeout", "json"],
     run,
 };
 
--- a/crates/burdockcleat/src/console/token.rs
+++ b/crates/burdockcleat/src/console/token.rs
@@ -1,6 +1,7 @@
 //! Refuses posts that another site caused.
 
 use super::{AUTHOR, BASE_VERSION, FORM_TOKEN, OPERATION_ID};
+use crate::operator::is_operation_id;
 use std::net::{IpAddr, SocketAddr};
 use thiserror::Error;
 
@@ -93,7 +94,3 @@
     let bare = host.trim_start_matches('[').trim_end_matches(']');
     name == "localhost" || host.parse::<SocketAddr>().is_ok() || bare.parse::<IpAddr>().is_ok()
 }
-
-fn is_operation_id(id: &str) -> bool {
-    (1..=128).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
-}
--- a/crates/burdockcleat/src/control.rs
+++ b/crates/burdockcleat/src/control.rs
@@ -4,10 +4,13 @@
 //! one part of the state each: [`config`], [`members`], [`orders`], [`replies`], and the admission of the
 //! core library. The link thread and the HTTP threads only pass events.
 
+mod calls;
 pub mod config;
 pub mod event;
 pub mod http;
+pub mod listen;
 pub mod members;
+pub mod metrics;
 pub mod node;
 pub mod orders;
 pub mod peer;
--- a/crates/burdockcleat/src/control/event.rs
+++ b/crates/burdockcleat/src/control/event.rs
@@ -1,7 +1,8 @@
 //! Events of the control thread.
 
 use crate::link::LinkEvent;
-use crate::operator::{ApplyRequest, DrainRequest, OrderRequest};
+use crate::operator::{ApplyRequest, DrainRequest, FaultText, OrderRequest};
+use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::TargetIdentity;
 use burdockcleat_core::registry::TargetAnnouncement;
 use serde::Serialize;
@@ -29,14 +30,25 @@
 pub enum OperatorCall {
     /// Reads the configuration in force.
     ReadConfig,
+    /// Reads a kept version of the configuration.
+    ReadVersion(u64),
     /// Applies a document.
-    Apply(ApplyRequest),
+    Apply {
+        /// What the operator sent.
+        request: ApplyRequest,
+        /// The document, or every fault of it.
+        document: Result<Box<ConfigDocument>, Vec<FaultText>>,
+    },
     /// Lists the kept versions.
     History,
     /// Reads the state of the deployment.
     Status,
     /// Dumps the state of this instance.
     Dump,
+    /// Collects the metrics of this instance.
+    Metrics,
+    /// Asks whether this instance takes part in the group.
+    Ready,
     /// Drains an entry or a target.
     Drain(DrainRequest),
     /// Orders an engine to load a model.
--- a/crates/burdockcleat/src/control/http.rs
+++ b/crates/burdockcleat/src/control/http.rs
@@ -1,25 +1,33 @@
 //! HTTP interface for operators and targets.
 
 use super::event::{CallReply, ControlEvent, OperatorCall};
-use super::replies::unconfirmed;
-use crate::operator::{ApplyRequest, ErrorCode, ErrorReply, FaultText, FaultsReply, paths};
+use super::listen::{HttpCall, HttpReply, RequestClass};
+use super::replies::{refusal, unconfirmed};
+use crate::operator::{
+    ApplyRequest, DrainRequest, ErrorCode, FaultText, OrderRequest, is_operation_id, paths,
+};
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::TargetIdentity;
 use serde::de::DeserializeOwned;
-use std::io::Read;
+use std::sync::Arc;
 use std::sync::mpsc::{Sender, channel};
 use std::time::Duration;
-use tiny_http::{Header, Method, Request, Response, StatusCode};
+use tiny_http::Method;
 
 /// Time for a majority to confirm a decision before the caller is told that it is not known.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(5);
-/// Largest body: a document of 7,100 workspaces has about 1.5 MB.
-const MAX_BODY_BYTES: u64 = 4 << 20;
+/// Threads of each class of requests.
+const OPERATOR_THREADS: usize = 8;
+const TARGET_THREADS: usize = 8;
+const LOCAL_THREADS: usize = 2;
 
 /// Path of the announcements of targets.
 pub const ANNOUNCE: &str = "/v1/targets/announce";
 /// Path on which targets leave.
 pub const LEAVE: &str = "/v1/targets/leave";
+/// Paths that need no token.
+const ALIVE: &str = "/healthz";
+const READY: &str = "/readyz";
 
 /// Tokens of the two kinds of callers.
 #[derive(Clone, Debug)]
@@ -30,18 +38,46 @@
     pub target: String,
 }
 
-/// Serves one request.
-pub fn serve(mut request: Request, tokens: &AccessTokens, events: &Sender<ControlEvent>) {
-    let reply = match decode(&mut request, tokens) {
-        Ok(call) => ask(call, events),
+/// Where calls go.
+#[derive(Clone)]
+pub struct CallChannels {
+    /// Calls in the order of all other events.
+    pub events: Sender<ControlEvent>,
+    /// Calls that must be answered even if events queue up.
+    pub urgent: Sender<ControlEvent>,
+}
+
+/// The classes of requests of operators and targets.
+pub fn request_classes(tokens: AccessTokens, channels: &CallChannels) -> Vec<RequestClass> {
+    let tokens = Arc::new(tokens);
+    let class = |name, threads, claims, events: &Sender<ControlEvent>| {
+        let (tokens, events) = (tokens.clone(), events.clone());
+        let serve = Arc::new(move |call: HttpCall| serve(call, &tokens, &events));
+        RequestClass { name, threads, claims, serve }
+    };
+    vec![
+        class("local", LOCAL_THREADS, is_local, &channels.urgent),
+        class("targets", TARGET_THREADS, is_target, &channels.events),
+        class("operators", OPERATOR_THREADS, |_| true, &channels.events),
+    ]
+}
+
+fn is_local(call: &HttpCall) -> bool {
+    *call.method() == Method::Get
+        && [ALIVE, READY, paths::DUMP, paths::METRICS].contains(&call.path())
+}
+
+fn is_target(call: &HttpCall) -> bool {
+    call.path().starts_with("/v1/targets/")
+}
+
+fn serve(mut call: HttpCall, tokens: &AccessTokens, events: &Sender<ControlEvent>) {
+    let reply = match decode(&mut call, tokens) {
+        Ok(asked) => ask(asked, events),
         Err(reply) => reply,
     };
-    let mut response = Response::from_string(reply.body).with_status_code(StatusCode(reply.status));
-    if let Ok(header) = Header::from_bytes("content-type", "application/json") {
-        response.add_header(header);
-    }
-    // A failed write means that the caller has gone.
-    let _ = request.respond(response);
+    let headers = vec![("content-type", "application/json".to_owned())];
+    call.respond(HttpReply { status: reply.status, body: reply.body, headers });
 }
 
 fn ask(call: OperatorCall, events: &Sender<ControlEvent>) -> CallReply {
@@ -52,69 +88,86 @@
     inbox.recv_timeout(REPLY_TIMEOUT).unwrap_or_else(|_| unconfirmed())
 }
 
-fn error(status: u16, code: ErrorCode, message: impl Into<String>) -> CallReply {
-    CallReply::json(status, &ErrorReply { error: code, message: message.into() })
-}
-
-fn decode(request: &mut Request, tokens: &AccessTokens) -> Result<OperatorCall, CallReply> {
-    let path = request.url().split('?').next().unwrap_or_default().to_owned();
-    let is_target = path.starts_with("/v1/targets/");
-    let token = if is_target { &tokens.target } else { &tokens.operator };
-    if path == "/healthz" {
-        return Err(CallReply { status: 200, body: "{\"alive\":true}".into() });
+fn decode(call: &mut HttpCall, tokens: &AccessTokens) -> Result<OperatorCall, CallReply> {
+    let path = call.path().to_owned();
+    match path.as_str() {
+        ALIVE => return Err(CallReply { status: 200, body: "{\"alive\":true}".into() }),
+        READY => return Ok(OperatorCall::Ready),
+        _ => {}
+    }
+    let token = if is_target(call) { &tokens.target } else { &tokens.operator };
+    if !bears(call, token) {
+        let message = "the token is missing or wrong";
+        return Err(refusal(401, ErrorCode::Unauthorized, message));
     }
-    check_token(request, token)?;
-    match (request.method(), path.as_str()) {
-        (Method::Get, paths::CONFIG) => Ok(OperatorCall::ReadConfig),
+    match (call.method(), path.as_str()) {
+        (Method::Get, paths::CONFIG) => read_config(call),
         (Method::Get, paths::HISTORY) => Ok(OperatorCall::History),
         (Method::Get, paths::STATUS) => Ok(OperatorCall::Status),
         (Method::Get, paths::DUMP) => Ok(OperatorCall::Dump),
+        (Method::Get, paths::METRICS) => Ok(OperatorCall::Metrics),
         (Method::Post, paths::CONFIG) => {
-            let body = read_json(request)?;
-            check_document(&body)?;
-            Ok(OperatorCall::Apply(body))
+            let request: ApplyRequest = read_write(call, |body: &ApplyRequest| &body.operation_id)?;
+            let document = ConfigDocument::parse(&request.document).map(Box::new);
+            let document = document.map_err(|faults| faults.iter().map(FaultText::from).collect());
+            Ok(OperatorCall::Apply { request, document })
         }
-        (Method::Post, paths::DRAIN) => Ok(OperatorCall::Drain(read_json(request)?)),
-        (Method::Post, paths::ORDERS) => Ok(OperatorCall::Order(read_json(request)?)),
-        (Method::Post, ANNOUNCE) => Ok(OperatorCall::Announce(Box::new(read_json(request)?))),
-        (Method::Post, LEAVE) => Ok(OperatorCall::Leave(read_json::<TargetIdentity>(request)?)),
-        _ => Err(error(404, ErrorCode::NotFound, "no such path")),
+        (Method::Post, paths::DRAIN) => {
+            read_write(call, |body: &DrainRequest| &body.operation_id).map(OperatorCall::Drain)
+        }
+        (Method::Post, paths::ORDERS) => {
+            read_write(call, |body: &OrderRequest| &body.operation_id).map(OperatorCall::Order)
+        }
+        (Method::Post, ANNOUNCE) => Ok(OperatorCall::Announce(Box::new(read_json(call)?))),
+        (Method::Post, LEAVE) => Ok(OperatorCall::Leave(read_json::<TargetIdentity>(call)?)),
+        _ => Err(refusal(404, ErrorCode::NotFound, "no such path")),
     }
 }
 
-fn check_token(request: &Request, token: &str) -> Result<(), CallReply> {
-    let expected = format!("Bearer {token}");
-    let mut headers = request.headers().iter();
-    let given = headers.find(|header| header.field.equiv("authorization"));
-    let matches = given.is_some_and(|header| {
-        let given = header.value.as_str().as_bytes();
-        // Compared without leaving early, so that timing tells nothing about a prefix.
-        let difference = given.iter().zip(expected.as_bytes()).fold(0, |sum, (a, b)| sum | (a ^ b));
-        given.len() == expected.len() && difference == 0
-    });
-    match matches {
-        true => Ok(()),
-        false => Err(error(401, ErrorCode::Other, "the token is missing or wrong")),
+fn read_config(call: &HttpCall) -> Result<OperatorCall, CallReply> {
+    match call.query("version").map(str::parse) {
+        None => Ok(OperatorCall::ReadConfig),
+        Some(Ok(version)) => Ok(OperatorCall::ReadVersion(version)),
+        Some(Err(_)) => Err(bad_request("version must be a whole number")),
     }
 }
 
-fn read_json<T: DeserializeOwned>(request: &mut Request) -> Result<T, CallReply> {
-    let mut body = Vec::new();
-    let mut bounded = request.as_reader().take(MAX_BODY_BYTES + 1);
-    if bounded.read_to_end(&mut body).is_err() || body.len() as u64 > MAX_BODY_BYTES {
-        return Err(error(413, ErrorCode::BadRequest, "the body broke off or is too large"));
-    }
-    serde_json::from_slice(&body)
-        .map_err(|fault| error(400, ErrorCode::BadRequest, format!("reading the body: {fault}")))
+/// Whether the request bears this token.
+fn bears(call: &HttpCall, token: &str) -> bool {
+    let expected = format!("Bearer {token}");
+    call.header("authorization").is_some_and(|given| same_text(given, &expected))
+}
+
+/// Compares without leaving early, so that timing tells nothing about a prefix.
+pub(super) fn same_text(given: &str, expected: &str) -> bool {
+    let pairs = given.bytes().zip(expected.bytes());
+    given.len() == expected.len() && pairs.fold(0, |sum, (a, b)| sum | (a ^ b)) == 0
 }
 
-/// Refuses a bad document before it is proposed, with every fault.
-fn check_document(body: &ApplyRequest) -> Result<(), CallReply> {
-    if body.operation_id.is_empty() {
-        return Err(error(400, ErrorCode::BadRequest, "operation_id must not be empty"));
+fn bad_request(message: impl Into<String>) -> CallReply {
+    refusal(400, ErrorCode::BadRequest, message)
+}
+
+/// Reads the body of an operator's write.
+fn read_write<T: DeserializeOwned>(
+    call: &mut HttpCall,
+    operation_id: fn(&T) -> &String,
+) -> Result<T, CallReply> {
+    let content = call.header("content-type").unwrap_or_default();
+    let content = content.split(';').next().unwrap_or_default().trim();
+    if !content.eq_ignore_ascii_case("application/json") {
+        return Err(bad_request("content-type must be application/json"));
+    }
+    let body = read_json(call)?;
+    if !is_operation_id(operation_id(&body)) {
+        return Err(bad_request("operation_id must have 1 to 128 printable ASCII characters"));
     }
-    ConfigDocument::parse(&body.document).map(|_| ()).map_err(|faults| {
-        let faults = faults.iter().map(FaultText::from).collect();
-        CallReply::json(422, &FaultsReply { faults })
-    })
+    Ok(body)
+}
+
+fn read_json<T: DeserializeOwned>(call: &mut HttpCall) -> Result<T, CallReply> {
+    let Some(body) = call.read_body() else {
+        return Err(refusal(413, ErrorCode::BadRequest, "the body broke off or is too large"));
+    };
+    serde_json::from_slice(&body).map_err(|fault| bad_request(format!("reading the body: {fault}")))
 }
--- /dev/null
+++ b/crates/burdockcleat/src/control/listen.rs
@@ -0,0 +1,173 @@
+//! Listeners of the control daemon: a connection gate, a `tiny_http` server, and worker threads.
+//!
+//! Requests are sorted into classes with their own threads, so that operators who wait for a
+//! majority delay neither the announcements of targets nor the dump.
+
+use super::server::ControlError;
+use crate::entry::gate::{ConnectionGate, GateLimits, open_inner_listener};
+use std::io::Read;
+use std::net::SocketAddr;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use tiny_http::{Header, Method, Request, Response, Server, StatusCode};
+
+/// Requests of one class that wait for a thread. Further ones are refused at once.
+const WAITING_REQUESTS: usize = 128;
+/// Largest body: a document of 7,100 workspaces has about 1.5 MB.
+pub const MAX_BODY_BYTES: u64 = 4 << 20;
+
+/// Bounds of the connections of operators and targets.
+pub const LIMITS: GateLimits = GateLimits {
+    connections: 2_048,
+    request_bytes: MAX_BODY_BYTES + (64 << 10),
+    head_bytes: 32 << 10,
+    receive_ms: 10_000,
+    write_ms: 10_000,
+    idle_ms: 30_000,
+};
+
+/// What is sent back.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HttpReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: String,
+    /// Headers, the content type included.
+    pub headers: Vec<(&'static str, String)>,
+}
+
+/// A request with the connection that it came over.
+pub struct HttpCall {
+    request: Request,
+    gate: Arc<ConnectionGate>,
+    port: u16,
+}
+
+impl HttpCall {
+    /// Method of the request.
+    pub fn method(&self) -> &Method {
+        self.request.method()
+    }
+
+    /// Path without the query.
+    pub fn path(&self) -> &str {
+        self.request.url().split('?').next().unwrap_or_default()
+    }
+
+    /// Value of a field of the query. Values are not decoded.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.request.url().split_once('?')?;
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+    }
+
+    /// Value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.request.headers().iter();
+        let found =
+            headers.find(|header| header.field.as_str().as_str().eq_ignore_ascii_case(name));
+        found.map(|header| header.value.as_str())
+    }
+
+    /// Reads the body; `None` if it broke off or is too large.
+    pub fn read_body(&mut self) -> Option<Vec<u8>> {
+        let mut body = Vec::new();
+        let read = self.request.as_reader().take(MAX_BODY_BYTES + 1).read_to_end(&mut body);
+        let whole = self.gate.mark_received(self.port);
+        (read.is_ok() && whole && body.len() as u64 <= MAX_BODY_BYTES).then_some(body)
+    }
+
+    /// Sends the reply.
+    pub fn respond(self, reply: HttpReply) {
+        // Without a body there was nothing to read, but the gate still waits for the mark.
+        self.gate.mark_received(self.port);
+        let mut response =
+            Response::from_string(reply.body).with_status_code(StatusCode(reply.status));
+        // The string's own content type is replaced.
+        for (name, value) in reply.headers {
+            if let Ok(header) = Header::from_bytes(name, value) {
+                response.add_header(header);
+            }
+        }
+        // A failed write means that the caller has gone.
+        let _ = self.request.respond(response);
+        self.gate.mark_finished(self.port);
+    }
+}
+
+/// One class of requests.
+pub struct RequestClass {
+    /// Name of its threads.
+    pub name: &'static str,
+    /// Number of its threads.
+    pub threads: usize,
+    /// Whether a request belongs to it. The first class that claims a request gets it.
+    pub claims: fn(&HttpCall) -> bool,
+    /// Serves a request.
+    pub serve: Arc<dyn Fn(HttpCall) + Send + Sync>,
+}
+
+/// Binds an address and serves its requests by class.
+///
+/// # Errors
+/// Fails if the address is not available or a thread cannot be created.
+pub fn spawn_listener(address: SocketAddr, classes: Vec<RequestClass>) -> Result<(), ControlError> {
+    let listen = |source| ControlError::Listen { address, source };
+    let inner = open_inner_listener().map_err(|error| listen(error.into()))?;
+    let server = Server::from_listener(inner, None).map_err(listen)?;
+    let inner = server.server_addr().to_ip().unwrap_or(address);
+    let gate =
+        ConnectionGate::bind(address, inner, LIMITS).map_err(|error| listen(error.into()))?;
+    let gate = Arc::new(gate);
+    let mut queues = Vec::new();
+    for class in classes {
+        queues.push((class.claims, spawn_class(&class)?));
+    }
+    let accept = move || {
+        for request in server.incoming_requests() {
+            let Some(port) = request.remote_addr().map(SocketAddr::port) else { continue };
+            let call = HttpCall { request, gate: gate.clone(), port };
+            sort(&queues, call);
+        }
+    };
+    thread::Builder::new()
+        .name("accept".into())
+        .spawn(accept)
+        .map(|_| ())
+        .map_err(ControlError::Thread)
+}
+
+type ClassQueue = (fn(&HttpCall) -> bool, SyncSender<HttpCall>);
+
+fn sort(queues: &[ClassQueue], call: HttpCall) {
+    let queue = queues.iter().find(|(claims, _)| claims(&call));
+    let refused = match queue.map(|(_, queue)| queue.try_send(call)) {
+        Some(Err(TrySendError::Full(call) | TrySendError::Disconnected(call))) => call,
+        _ => return,
+    };
+    let body = r#"{"error":"unconfirmed","message":"too many requests wait; send again"}"#.into();
+    refused.respond(HttpReply { status: 503, body, headers: Vec::new() });
+}
+
+fn spawn_class(class: &RequestClass) -> Result<SyncSender<HttpCall>, ControlError> {
+    let (queue, calls) = sync_channel(WAITING_REQUESTS);
+    let calls = Arc::new(Mutex::new(calls));
+    for _ in 0..class.threads {
+        let (calls, serve) = (calls.clone(), class.serve.clone());
+        thread::Builder::new()
+            .name(class.name.into())
+            .spawn(move || {
+                while let Some(call) = next_call(&calls) {
+                    serve(call);
+                }
+            })
+            .map_err(ControlError::Thread)?;
+    }
+    Ok(queue)
+}
+
+fn next_call(calls: &Mutex<Receiver<HttpCall>>) -> Option<HttpCall> {
+    calls.lock().unwrap_or_else(PoisonError::into_inner).recv().ok()
+}
--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -2,11 +2,12 @@
 //! the controllers.
 
 use super::config::ConfigController;
-use super::event::{CallReply, ControlEvent, OperatorCall};
+use super::event::ControlEvent;
 use super::members::MemberController;
-use super::orders::{OrderController, OrderSender};
+use super::metrics::ControlMetrics;
+use super::orders::{OrderController, OrderSender, SEND_WITHIN_MS};
 use super::peer::{PeerIntroduction, PeerMessage};
-use super::replies::{PendingCall, ReplyController, not_leading, unconfirmed};
+use super::replies::ReplyController;
 use crate::link::{LinkEvent, LinkHandle, LinkKey, PeerRole};
 use crate::settings::ControlSettings;
 use crate::storage::{LogStorage, StorageError};
@@ -21,7 +22,8 @@
     ReplicaInput, ReplicaMessage, StoredState,
 };
 use burdockcleat_core::state::{
-    CommandReply, DocumentReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand,
+    CommandReply, DocumentReply, DrainSubject, ReplicatedState, SnapshotError, StampedCommand,
+    StateCommand,
 };
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
@@ -70,10 +72,15 @@
     pub(super) config: ConfigController,
     pub(super) replies: ReplyController,
     pub(super) orders: OrderController,
+    pub(super) metrics: ControlMetrics,
     /// Targets, while this instance follows. The admission holds them while it leads.
     pub(super) followed: TargetRegistry,
     /// Present while this instance leads and has committed a record of its term.
     pub(super) admission: Option<AdmissionController>,
+    /// Since when this instance leads with a committed record.
+    pub(super) leading_since: ClockTime,
+    /// The configuration in force, as the leader last parsed it.
+    pub(super) document: ConfigDocument,
     stopping: Option<Sender<()>>,
     next_log_tick: ClockTime,
     next_controller_tick: ClockTime,
@@ -109,16 +116,19 @@
         let config = ReplicaConfig::of_node(storage.node(), rand::random());
         let mut node = Self {
             replica: LogReplica::open(config, stored, now),
-            settings,
             link,
             storage,
             state,
             members,
             config: ConfigController::default(),
             replies: ReplyController::default(),
-            orders: OrderController::open(orders),
+            orders: OrderController::open(&settings.order_issuer, orders),
+            metrics: ControlMetrics::open(),
             followed: TargetRegistry::default(),
             admission: None,
+            leading_since: now,
+            document: ConfigDocument::default(),
+            settings,
             stopping: None,
             next_log_tick: now,
             next_controller_tick: now,
@@ -132,7 +142,13 @@
     ///
     /// # Errors
     /// Stops if the data folder fails: an instance that cannot sync must not acknowledge.
-    pub fn run(&mut self, inbox: &Receiver<ControlEvent>) -> Result<(), NodeError> {
+    ///
+    /// Events of `urgent` are handled before those of `inbox`, so that dumps answer under load.
+    pub fn run(
+        &mut self,
+        inbox: &Receiver<ControlEvent>,
+        urgent: &Receiver<ControlEvent>,
+    ) -> Result<(), NodeError> {
         loop {
             let now = ClockTime::monotonic();
             let next = self.next_log_tick.min(self.next_controller_tick);
@@ -142,6 +158,9 @@
                 Err(RecvTimeoutError::Disconnected) => return Ok(()),
             }
             for _ in 0..MAX_EVENTS_PER_FLUSH {
+                while let Ok(event) = urgent.try_recv() {
+                    self.handle(event)?;
+                }
                 let Ok(event) = inbox.try_recv() else { break };
                 self.handle(event)?;
             }
@@ -280,6 +299,7 @@
                 entry.entry_time = *entry_time;
                 entry.config_version = *config_version;
                 self.welcome(node, *entry_time);
+                self.repeat_drain(node);
             }
             EntryMessage::Heartbeat { entry_time, config_version } => {
                 entry.entry_time = *entry_time;
@@ -307,72 +327,7 @@
         }
     }
 
-    fn handle_call(&mut self, call: OperatorCall, reply: Sender<CallReply>) {
-        let local = match &call {
-            OperatorCall::Dump => Some(self.dump_reply()),
-            OperatorCall::Status => Some(self.status_reply()),
-            OperatorCall::Announce(announcement) => Some(self.announce(announcement)),
-            OperatorCall::Leave(identity) => Some(self.leave(identity)),
-            _ if self.admission.is_none() => Some(not_leading(self.leader_url())),
-            _ => None,
-        };
-        if let Some(answer) = local {
-            // The receiver gives up after its timeout; then nobody waits for the answer.
-            let _ = reply.send(answer);
-            return;
-        }
-        match call {
-            OperatorCall::Apply(request) => {
-                let command = StateCommand::ApplyDocument {
-                    base_version: request.base_version,
-                    operation_id: request.operation_id,
-                    author: request.author,
-                    document: request.document.into(),
-                };
-                self.propose_call(command, reply, super::report::apply_reply);
-            }
-            OperatorCall::ReadConfig => {
-                let answer = super::report::config_reply(&self.state.config());
-                self.propose_call(StateCommand::Barrier, reply, move |_| answer);
-            }
-            OperatorCall::History => {
-                let answer = super::report::history_reply(&self.state);
-                self.propose_call(StateCommand::Barrier, reply, move |_| answer);
-            }
-            OperatorCall::Order(request) => match self.order_command(&request) {
-                Ok(command) => self.propose_call(command, reply, super::report::order_reply),
-                Err(answer) => {
-                    let _ = reply.send(answer);
-                }
-            },
-            OperatorCall::Drain(request) => {
-                let _ = reply.send(self.drain(&request));
-            }
-            OperatorCall::Dump
-            | OperatorCall::Status
-            | OperatorCall::Announce(_)
-            | OperatorCall::Leave(_) => {}
-        }
-    }
-
-    /// Proposes a command whose reply answers a call.
-    fn propose_call(
-        &mut self,
-        command: StateCommand,
-        reply: Sender<CallReply>,
-        build: impl FnOnce(&CommandReply) -> CallReply + Send + 'static,
-    ) {
-        match self.propose(command) {
-            Some(position) => {
-                self.replies.hold_call(position, PendingCall { reply, build: Box::new(build) });
-            }
-            None => {
-                let _ = reply.send(unconfirmed());
-            }
-        }
-    }
-
-    fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
+    pub(super) fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
         let stamped = StampedCommand { at: ClockTime::wall(), command };
         let payload = EntryPayload::Command(encode_frame(&stamped));
         let now = ClockTime::monotonic();
@@ -428,9 +383,12 @@
             return;
         };
         admission.tick(step_time(), &self.state);
-        let lease = self.replica.lease_valid(now);
+        // The rest of the lease must outlast the time from here to the send.
+        let lease = self.replica.lease_valid(now.plus(SEND_WITHIN_MS));
         if let (true, Some(admission)) = (lease, &self.admission) {
-            self.orders.send_due(now, &self.state, admission.registry());
+            for command in self.orders.send_due(now, &self.state, admission.registry()) {
+                self.propose(command);
+            }
         }
         self.push_config(now);
     }
@@ -513,7 +471,7 @@
                     .map_err(|source| NodeError::Record { index: entry.index, source })?;
                 let reply = self.state.apply(entry.index, &stamped);
                 self.applied(&stamped.command, &reply);
-                for (node, message) in self.replies.committed(position, &reply) {
+                for (node, message) in self.replies.committed(position, &reply, &self.state) {
                     self.send_entry(node, &message);
                 }
             }
@@ -534,6 +492,9 @@
             log::info!(event = "config_accepted", version = *version; "configuration committed");
             self.configure();
         }
+        if let CommandReply::Drained(subject) = reply {
+            self.start_drain(subject);
+        }
         if let Some(admission) = &mut self.admission {
             admission.committed(step_time(), command, reply, &self.state);
         }
@@ -549,6 +510,7 @@
                 if let Some(admission) = &mut self.admission {
                     admission.configure(step_time(), &document);
                 }
+                self.document = document;
             }
             Err(faults) => {
                 log::error!(event = "config_invalid", version = config.version; "{} faults", faults.len());
@@ -559,6 +521,22 @@
         }
     }
 
+    /// Carries out a drain. It may be repeated, since a resend gets the first reply again.
+    fn start_drain(&mut self, subject: &DrainSubject) {
+        let Some(admission) = &mut self.admission else { return };
+        match subject {
+            DrainSubject::Target(identity) => admission.drain_target(step_time(), identity),
+            DrainSubject::Entry { node, .. } => self.send_entry(*node, &ControlMessage::Drain),
+        }
+    }
+
+    /// Tells an entry again that it is drained, since the first message may have been lost.
+    fn repeat_drain(&mut self, node: NodeId) {
+        if self.admission.is_some() && self.state.entry_drained(node) {
+            self.send_entry(node, &ControlMessage::Drain);
+        }
+    }
+
     fn start_leading(&mut self) {
         let now = ClockTime::monotonic();
         log::info!(event = "leading", term = self.replica.term(); "leading with a committed record");
@@ -567,11 +545,16 @@
         let registry = std::mem::take(&mut self.followed);
         let admission = AdmissionController::open(step_time(), &document, &self.state, registry);
         self.admission = Some(admission);
+        self.leading_since = now;
+        self.orders.configure(document.limits());
+        self.state.set_claim_limit(document.limits().claim_limit as usize);
+        self.document = document;
         self.orders.start_leading(now);
         let entries: Vec<_> =
             self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
         for (node, entry_time) in entries {
             self.welcome(node, entry_time);
+            self.repeat_drain(node);
         }
     }
 
--- a/crates/burdockcleat/src/control/orders.rs
+++ b/crates/burdockcleat/src/control/orders.rs
@@ -19,17 +19,45 @@
 /// Time that a new leader waits before it orders a target that ignores fencing numbers: the old
 /// leader's lease (500 ms), the clock margin (100 ms), and an order in flight.
 pub const EXCLUSION_MS: u64 = 500 + 100 + ORDER_FLIGHT_MS;
+/// Time from the check of the lease until an order must have a connection. The lease has to last
+/// that long.
+pub const SEND_WITHIN_MS: u64 = 200;
+/// Time without an announcement after which the target of an order counts as gone. A whole restart
+/// forgets all targets; they announce themselves twice a second.
+const GONE_AFTER_MS: u64 = 10_000;
 /// Pause before an unconfirmed order is sent again.
 const RESEND_MS: u64 = 3_000;
 const MINUTE_MS: u64 = 60_000;
 
+/// What became of sending an order once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum OrderReply {
+    /// No answer arrived; the order is sent again.
+    None,
+    /// The target took the order.
+    Taken {
+        /// Whether it has ended only when the target reports the model.
+        load: bool,
+    },
+    /// The target refused the order.
+    Refused(String),
+}
+
 /// Answer of a target to an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OrderAnswer {
     /// The order.
     pub id: OrderId,
-    /// How it ended; `None` if no answer arrived and it is to be sent again.
-    pub result: Option<OrderResult>,
+    /// Incarnation of the target that was asked.
+    pub incarnation: u64,
+    /// The answer.
+    pub reply: OrderReply,
+}
+
+/// An order as an HTTP call.
+struct OrderCall {
+    request: TargetCall,
+    load: bool,
 }
 
 /// Passes answers to the control thread.
@@ -37,12 +65,19 @@
 
 /// Sends the orders of the log while this instance leads.
 pub struct OrderController {
+    /// Name under which targets let us order them.
+    issuer: String,
     answers: OrderSender,
     /// When targets that ignore fencing numbers may be ordered; absent while not leading.
     exclusive_from: Option<ClockTime>,
-    leading: bool,
     in_flight: BTreeSet<OrderId>,
     resend_at: BTreeMap<OrderId, ClockTime>,
+    /// Incarnations that took a load, until they report the model.
+    taken: BTreeMap<OrderId, u64>,
+    /// Since when the target of an order is not announced.
+    absent: BTreeMap<OrderId, ClockTime>,
+    /// When the end of an order was proposed.
+    proposed: BTreeMap<OrderId, ClockTime>,
     loads_per_minute: u64,
     /// Time at which the weight store can serve the next load.
     next_load: ClockTime,
@@ -50,13 +85,16 @@
 
 impl OrderController {
     /// Starts without leadership.
-    pub fn open(answers: OrderSender) -> Self {
+    pub fn open(issuer: &str, answers: OrderSender) -> Self {
         Self {
+            issuer: issuer.to_owned(),
             answers,
             exclusive_from: None,
-            leading: false,
             in_flight: BTreeSet::new(),
             resend_at: BTreeMap::new(),
+            taken: BTreeMap::new(),
+            absent: BTreeMap::new(),
+            proposed: BTreeMap::new(),
             loads_per_minute: u64::from(LimitSettings::default().weight_loads_per_minute),
             next_load: ClockTime::default(),
         }
@@ -64,7 +102,6 @@
 
     /// Notes that this instance leads from now on.
     pub fn start_leading(&mut self, now: ClockTime) {
-        self.leading = true;
         self.exclusive_from = Some(now.plus(EXCLUSION_MS));
         // The previous leader may have used the weight store's rate just before.
         self.next_load = now.plus(self.load_interval());
@@ -72,9 +109,11 @@
 
     /// Notes that this instance no longer leads.
     pub fn stop_leading(&mut self) {
-        self.leading = false;
         self.exclusive_from = None;
         self.resend_at.clear();
+        self.taken.clear();
+        self.absent.clear();
+        self.proposed.clear();
     }
 
     /// Takes the weight store's rate from the document.
@@ -86,28 +125,62 @@
         MINUTE_MS.div_ceil(self.loads_per_minute)
     }
 
-    /// Sends what is due. To be called only while the lease is valid.
-    pub fn send_due(&mut self, now: ClockTime, state: &ReplicatedState, registry: &TargetRegistry) {
-        if !self.leading {
-            return;
+    /// Sends what is due and returns the ends of orders to record. To be called only while the
+    /// lease lasts for another [`SEND_WITHIN_MS`].
+    pub fn send_due(
+        &mut self,
+        now: ClockTime,
+        state: &ReplicatedState,
+        registry: &TargetRegistry,
+    ) -> Vec<StateCommand> {
+        if self.exclusive_from.is_none() {
+            return Vec::new();
         }
         let mut busy = BTreeSet::new();
+        let mut ends = Vec::new();
         for record in state.orders().filter(|record| record.result.is_none()) {
             // Orders to one target keep the order of the log.
-            if !busy.insert(record.order.target.clone()) || self.in_flight.contains(&record.id) {
-                continue;
-            }
-            if self.resend_at.get(&record.id).is_some_and(|at| now < *at) {
+            if !busy.insert(&record.order.target) || self.in_flight.contains(&record.id) {
                 continue;
             }
             let target = registry
                 .iter()
                 .map(|(_, known)| &known.announcement)
                 .find(|known| known.name == record.order.target);
-            if let Some(target) = target {
-                self.send(now, record, target);
+            if let Some(result) = self.advance(now, record, target)
+                && self.proposed.get(&record.id).is_none_or(|at| now.since(*at) >= RESEND_MS)
+            {
+                self.proposed.insert(record.id, now);
+                ends.push(StateCommand::OrderDone { id: record.id, result });
             }
         }
+        ends
+    }
+
+    /// Takes the next step of an order; returns its result once it has ended.
+    fn advance(
+        &mut self,
+        now: ClockTime,
+        record: &OrderRecord,
+        target: Option<&TargetAnnouncement>,
+    ) -> Option<OrderResult> {
+        let Some(target) = target else {
+            let since = *self.absent.entry(record.id).or_insert(now);
+            let gone = now.since(since) >= GONE_AFTER_MS;
+            return gone.then(|| failed("the target has left"));
+        };
+        self.absent.remove(&record.id);
+        if target.order_issuer != self.issuer {
+            return Some(failed("the target takes no orders from this deployment"));
+        }
+        if self.taken.get(&record.id) == Some(&target.incarnation) {
+            let OrderAction::LoadModel { model, .. } = &record.order.action else { return None };
+            return target.models.contains(model).then_some(OrderResult::Succeeded);
+        }
+        if self.resend_at.get(&record.id).is_none_or(|at| now >= *at) {
+            self.send(now, record, target);
+        }
+        None
     }
 
     fn send(&mut self, now: ClockTime, record: &OrderRecord, target: &TargetAnnouncement) {
@@ -126,10 +199,11 @@
         }
         self.in_flight.insert(record.id);
         self.resend_at.insert(record.id, now.plus(RESEND_MS));
+        log::info!(event = "order_sent", order = record.id.0, target = target.name.as_str(); "sending an order");
         let call = order_call(record, target);
-        let (id, answers) = (record.id, self.answers.clone());
+        let (id, incarnation, answers) = (record.id, target.incarnation, self.answers.clone());
         let spawned = thread::Builder::new().name("order".into()).spawn(move || {
-            answers(OrderAnswer { id, result: send_order(&call) });
+            answers(OrderAnswer { id, incarnation, reply: send_order(&call, now) });
         });
         if let Err(error) = spawned {
             log::error!(event = "thread_failed"; "starting an order thread: {error}");
@@ -137,20 +211,39 @@
         }
     }
 
-    /// Takes an answer. Returns the command that records it.
+    /// Takes an answer. Returns the command that records the end of the order, if it has ended.
+    ///
+    /// A load has ended when the target reports the model; loading outlasts the answer.
     pub fn answered(&mut self, answer: OrderAnswer) -> Option<StateCommand> {
         self.in_flight.remove(&answer.id);
-        let result = answer.result?;
+        let result = match answer.reply {
+            OrderReply::None => return None,
+            OrderReply::Taken { load: true } => {
+                self.taken.insert(answer.id, answer.incarnation);
+                return None;
+            }
+            OrderReply::Taken { load: false } => OrderResult::Succeeded,
+            OrderReply::Refused(message) => OrderResult::Failed { message },
+        };
         Some(StateCommand::OrderDone { id: answer.id, result })
     }
 
+    /// Whether this leader has sent an order.
+    pub fn is_sent(&self, id: OrderId) -> bool {
+        self.resend_at.contains_key(&id)
+    }
+
     /// Number of orders in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len()
     }
 }
 
-fn order_call(record: &OrderRecord, target: &TargetAnnouncement) -> TargetCall {
+fn failed(message: &str) -> OrderResult {
+    OrderResult::Failed { message: message.to_owned() }
+}
+
+fn order_call(record: &OrderRecord, target: &TargetAnnouncement) -> OrderCall {
     let (kind, model) = match &record.order.action {
         OrderAction::LoadModel { model, .. } => ("load_model", model.clone()),
         OrderAction::UnloadModel { model } => ("unload_model", model.clone()),
@@ -165,27 +258,32 @@
         "model": model,
         "action": record.order.action,
     });
-    TargetCall {
+    let request = TargetCall {
         address: target.address.clone(),
         method: Method::POST,
         path: "/v1/orders".into(),
         headers: vec![("content-type".into(), "application/json".into())],
         body: body.to_string().into_bytes().into(),
         timeout: Duration::from_millis(ORDER_FLIGHT_MS),
-    }
+    };
+    OrderCall { request, load: kind == "load_model" }
 }
 
-fn send_order(call: &TargetCall) -> Option<OrderResult> {
-    match call.send(|| true) {
-        Ok(response) if response.status().is_success() => Some(OrderResult::Succeeded),
+/// Sends an order that was due at `approved`.
+///
+/// A process that was frozen since then may have lost its lease; it sends nothing, since the next
+/// leader counts on [`EXCLUSION_MS`].
+fn send_order(call: &OrderCall, approved: ClockTime) -> OrderReply {
+    let in_time = move || ClockTime::monotonic().since(approved) < SEND_WITHIN_MS;
+    match call.request.send(in_time) {
+        Ok(response) if response.status().is_success() => OrderReply::Taken { load: call.load },
         Ok(response) if response.status().is_client_error() => {
-            let message = format!("the target answered with status {}", response.status());
-            Some(OrderResult::Failed { message })
+            OrderReply::Refused(format!("the target answered with status {}", response.status()))
         }
-        Ok(_) => None,
+        Ok(_) => OrderReply::None,
         Err(error) => {
             log::info!(event = "order_unanswered"; "{error}");
-            None
+            OrderReply::None
         }
     }
 }
--- a/crates/burdockcleat/src/control/replies.rs
+++ b/crates/burdockcleat/src/control/replies.rs
@@ -5,12 +5,12 @@
 use burdockcleat_core::keys::NodeId;
 use burdockcleat_core::message::ControlMessage;
 use burdockcleat_core::replica::LogPosition;
-use burdockcleat_core::state::CommandReply;
+use burdockcleat_core::state::{CommandReply, ReplicatedState};
 use std::collections::BTreeMap;
 use std::sync::mpsc::Sender;
 
 /// Builds the answer to a call from the reply of the state machine.
-type ReplyBuilder = Box<dyn FnOnce(&CommandReply) -> CallReply + Send>;
+type ReplyBuilder = Box<dyn FnOnce(&CommandReply, &ReplicatedState) -> CallReply + Send>;
 
 /// A call that waits.
 pub struct PendingCall {
@@ -55,6 +55,7 @@
         &mut self,
         position: LogPosition,
         reply: &CommandReply,
+        state: &ReplicatedState,
     ) -> Vec<(NodeId, ControlMessage)> {
         let mut messages = Vec::new();
         while let Some(entry) = self.pending.first_entry() {
@@ -68,7 +69,7 @@
             }
             for call in record.calls {
                 // A receiver that has given up is gone; its caller asks again.
-                let _ = call.reply.send((call.build)(reply));
+                let _ = call.reply.send((call.build)(reply, state));
             }
             messages.extend(record.messages);
         }
@@ -106,8 +107,21 @@
 
 /// The decision may still take effect; a resend with the same operation id finds out.
 pub fn unconfirmed() -> CallReply {
-    let message = "no majority confirmed the decision in time; resend with the same id".into();
-    CallReply::json(503, &ErrorReply { error: ErrorCode::Unconfirmed, message })
+    refusal(
+        503,
+        ErrorCode::Unconfirmed,
+        "no majority confirmed the decision in time; resend with the same id",
+    )
+}
+
+/// This instance leads, but does not know the whole state yet. Nothing was changed.
+pub fn rebuilding() -> CallReply {
+    refusal(503, ErrorCode::Unconfirmed, "the new leader still rebuilds its state; send again")
+}
+
+/// A reply that carries an error code.
+pub fn refusal(status: u16, error: ErrorCode, message: impl Into<String>) -> CallReply {
+    CallReply::json(status, &ErrorReply { error, message: message.into() })
 }
 
 /// This instance does not lead.
--- a/crates/burdockcleat/src/control/report.rs
+++ b/crates/burdockcleat/src/control/report.rs
@@ -2,20 +2,20 @@
 
 use super::event::CallReply;
 use super::node::ControlNode;
-use super::replies::unconfirmed;
+use super::replies::{refusal, unconfirmed};
 use crate::operator::{
-    ApplyReply, ConfigReply, ConflictReply, DrainKind, DrainReply, DrainRequest, EntryStatus,
-    ErrorCode, ErrorReply, HistoryEntry, HistoryReply, MemberStatus, OrderReply, OrderRequest,
-    OrderState, OrderStatus, PoolStatus, StatusReply, TargetStatus,
+    ApplyReply, ConfigReply, ConflictReply, DrainReply, EntryStatus, ErrorCode, HistoryEntry,
+    HistoryReply, MemberStatus, OrderReply, OrderState, OrderStatus, PoolStatus, StatusReply,
+    TargetStatus,
 };
 use burdockcleat_core::clock::ClockTime;
-use burdockcleat_core::registry::TargetAnnouncement;
 use burdockcleat_core::replica::ReplicaStatus;
 use burdockcleat_core::state::{
-    CommandReply, ConfigView, DocumentReply, EngineOrder, OrderAction, OrderResult,
-    ReplicatedState, StateCommand, StateSummary,
+    CommandReply, ConfigView, DocumentReply, DrainSubject, OrderAction, OrderRecord, OrderResult,
+    ReplicatedState, StateSummary,
 };
 use serde::Serialize;
+use serde_json::json;
 
 /// Dump of a control instance.
 #[derive(Serialize)]
@@ -34,27 +34,52 @@
     log_syncs: u64,
 }
 
-/// Answer to an apply.
-pub(super) fn apply_reply(reply: &CommandReply) -> CallReply {
+/// Answer to an operator's write.
+pub(super) fn command_reply(reply: &CommandReply, state: &ReplicatedState) -> CallReply {
     match reply {
         CommandReply::Document(DocumentReply::Accepted { version }) => {
             CallReply::json(200, &ApplyReply { version: *version })
         }
-        CommandReply::Document(DocumentReply::Conflict { current }) => CallReply::json(
-            409,
-            &ConflictReply { error: ErrorCode::Conflict, current_version: *current },
-        ),
+        CommandReply::Document(DocumentReply::Conflict { current }) => {
+            let (error, current_version) = (ErrorCode::Conflict, *current);
+            CallReply::json(409, &ConflictReply { error, current_version })
+        }
+        CommandReply::OrderIssued(id) => {
+            let record = state.orders().find(|record| record.id == *id);
+            let state = record.map_or(OrderState::Done, |record| order_state(record, false).0);
+            CallReply::json(200, &OrderReply { fencing: id.0, state })
+        }
+        CommandReply::Drained(subject) => {
+            let running = match subject {
+                DrainSubject::Entry { node, .. } => state.open_claims_of(*node).count(),
+                DrainSubject::Target(identity) => state.open_claims_at(identity).count(),
+            };
+            CallReply::json(200, &DrainReply { running: saturate(running) })
+        }
+        CommandReply::OperationReused => {
+            let message = "the operation id was used before with another request";
+            refusal(409, ErrorCode::OperationReused, message)
+        }
         _ => unconfirmed(),
     }
 }
 
-/// Answer to an order.
-pub(super) fn order_reply(reply: &CommandReply) -> CallReply {
-    match reply {
-        CommandReply::OrderIssued(id) => {
-            CallReply::json(200, &OrderReply { fencing: id.0, state: OrderState::Accepted })
-        }
-        _ => unconfirmed(),
+/// Answer with a kept version.
+pub(super) fn version_reply(state: &ReplicatedState, version: u64) -> CallReply {
+    match state.document(version) {
+        Some(document) => config_reply(&ConfigView { version, document }),
+        None => refusal(404, ErrorCode::NotFound, format!("version {version} is not kept")),
+    }
+}
+
+/// State of an order and the explanation of a failure.
+fn order_state(record: &OrderRecord, sent: bool) -> (OrderState, String) {
+    match &record.result {
+        None if sent => (OrderState::Sent, String::new()),
+        None => (OrderState::Accepted, String::new()),
+        Some(OrderResult::Succeeded) => (OrderState::Done, String::new()),
+        Some(OrderResult::Failed { message }) => (OrderState::Failed, message.clone()),
+        Some(OrderResult::Unknown) => (OrderState::Failed, "not confirmed".into()),
     }
 }
 
@@ -74,17 +99,13 @@
             author: record.author,
             operation_id: record.operation_id,
             time_ms: record.at.as_ms(),
-            changes: 0,
+            changes: record.changes,
         })
         .collect();
     versions.sort_by_key(|entry| std::cmp::Reverse(entry.version));
     CallReply::json(200, &HistoryReply { versions })
 }
 
-fn not_found(message: &str) -> CallReply {
-    CallReply::json(404, &ErrorReply { error: ErrorCode::NotFound, message: message.into() })
-}
-
 /// A count as it is reported.
 fn saturate(count: usize) -> u32 {
     u32::try_from(count).unwrap_or(u32::MAX)
@@ -99,54 +120,16 @@
         self.members.operator_url(leader)
     }
 
-    /// The command for an order, after a check that the target takes orders from us.
-    pub(super) fn order_command(&self, request: &OrderRequest) -> Result<StateCommand, CallReply> {
-        let Some(admission) = &self.admission else { return Err(unconfirmed()) };
-        let mut known = admission.registry().iter().map(|(_, record)| &record.announcement);
-        if !known.any(|target| target.name == request.target) {
-            return Err(not_found("no such target is announced"));
-        }
-        let action =
-            OrderAction::LoadModel { model: request.model.clone(), version: String::new() };
-        let order = EngineOrder { target: request.target.clone(), action };
-        Ok(StateCommand::IssueOrder { order, operation_id: request.operation_id.clone() })
-    }
-
-    pub(super) fn drain(&mut self, request: &DrainRequest) -> CallReply {
-        let Some(admission) = &self.admission else { return unconfirmed() };
-        match request.kind {
-            DrainKind::Target => {
-                let identity = admission
-                    .registry()
-                    .iter()
-                    .map(|(_, record)| &record.announcement)
-                    .find(|target| target.name == request.name)
-                    .map(TargetAnnouncement::identity);
-                let Some(identity) = identity else {
-                    return not_found("no such target is announced");
-                };
-                self.leave(&identity);
-                let running = self.state.open_claims_at(&identity).count();
-                let running = saturate(running);
-                CallReply::json(200, &DrainReply { running })
-            }
-            DrainKind::Entry => {
-                let node = self
-                    .config
-                    .entries()
-                    .find(|(_, entry)| entry.name == request.name)
-                    .map(|(node, _)| *node);
-                let Some(node) = node else { return not_found("no such entry is linked") };
-                self.send_entry(node, &burdockcleat_core::message::ControlMessage::Drain);
-                let running = self.state.open_claims_of(node).count();
-                let running = saturate(running);
-                CallReply::json(200, &DrainReply { running })
-            }
-        }
-    }
-
-    pub(super) fn status_reply(&self) -> CallReply {
-        CallReply::json(200, &self.status())
+    /// Whether this instance takes part in the group: it votes and follows or is the leader.
+    pub(super) fn ready_reply(&self) -> CallReply {
+        let now = ClockTime::monotonic();
+        let node = self.replica.node();
+        let ready = self.replica.members().is_voter(node)
+            && match self.replica.is_leader() {
+                true => self.admission.is_some() && self.replica.lease_valid(now),
+                false => self.replica.leader().is_some(),
+            };
+        CallReply::json(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
     }
 
     pub(super) fn dump_reply(&self) -> CallReply {
@@ -167,7 +150,7 @@
         CallReply::json(200, &dump)
     }
 
-    fn status(&self) -> StatusReply {
+    pub(super) fn status(&self) -> StatusReply {
         let now = ClockTime::monotonic();
         let leading = self.admission.is_some() && self.replica.lease_valid(now);
         StatusReply {
@@ -217,7 +200,7 @@
             .map(|(node, entry)| EntryStatus {
                 name: entry.name.clone(),
                 config_version: entry.config_version,
-                draining: false,
+                draining: self.state.entry_drained(*node),
                 running: saturate(self.state.open_claims_of(*node).count()),
                 silent_ms: now.since(entry.heard),
             })
@@ -226,9 +209,12 @@
 
     fn pool_status(&self) -> Vec<PoolStatus> {
         let Some(admission) = &self.admission else { return Vec::new() };
+        let registry = admission.registry();
         let eligible = |name: &str| {
-            let targets = admission.registry().iter();
-            targets.filter(|(_, record)| record.announcement.pool == name && !record.silent).count()
+            let targets = registry.iter();
+            targets
+                .filter(|(key, record)| record.announcement.pool == name && registry.eligible(*key))
+                .count()
         };
         let pools = admission.pools().iter();
         pools
@@ -248,14 +234,22 @@
         let Some(admission) = &self.admission else { return Vec::new() };
         let targets = admission.registry().iter();
         targets
-            .map(|(_, record)| {
+            .map(|(key, record)| {
                 let target = &record.announcement;
+                let straggler =
+                    admission.pools().get(&target.pool).is_some_and(|pool| pool.straggler(key));
                 let running = self.state.open_claims_at(&target.identity()).count();
                 TargetStatus {
                     name: target.name.clone(),
                     pool: target.pool.clone(),
                     incarnation: target.incarnation,
-                    state: if record.silent { "silent" } else { "ready" }.into(),
+                    state: match (record.drained, record.silent, straggler) {
+                        (true, ..) => "draining",
+                        (_, true, _) => "silent",
+                        (_, _, true) => "straggler",
+                        _ => "ready",
+                    }
+                    .into(),
                     models: target.models.clone(),
                     running: saturate(running),
                     slots: target.slots,
@@ -268,18 +262,14 @@
         let orders = self.state.orders();
         orders
             .map(|record| {
-                let (state, message) = match &record.result {
-                    None => (OrderState::Accepted, String::new()),
-                    Some(OrderResult::Succeeded) => (OrderState::Done, String::new()),
-                    Some(OrderResult::Failed { message }) => (OrderState::Failed, message.clone()),
-                    Some(OrderResult::Unknown) => (OrderState::Failed, "not confirmed".into()),
-                };
+                let (state, message) = order_state(record, self.orders.is_sent(record.id));
                 let model = match &record.order.action {
                     OrderAction::LoadModel { model, .. } => model.clone(),
                     _ => String::new(),
                 };
                 let target = record.order.target.clone();
-                OrderStatus { operation_id: record.id.0.to_string(), target, model, state, message }
+                let operation_id = record.operation_id.clone();
+                OrderStatus { operation_id, target, model, state, message }
             })
             .collect()
     }
--- a/crates/burdockcleat/src/control/server.rs
+++ b/crates/burdockcleat/src/control/server.rs
@@ -1,7 +1,8 @@
 //! Binds the sockets of a control instance and runs its threads.
 
 use super::event::ControlEvent;
-use super::http::{AccessTokens, serve};
+use super::http::{AccessTokens, CallChannels, request_classes};
+use super::listen::spawn_listener;
 use super::node::{ControlNode, NodeError};
 use crate::link::{LinkError, LinkHandle, LinkIdentity, PeerRole};
 use crate::settings::ControlSettings;
@@ -12,10 +13,7 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 use thiserror::Error;
-use tiny_http::Server;
 
-/// Threads that serve operators and targets.
-const HTTP_THREADS: usize = 8;
 /// Time that a hand-over of leadership may take before the process stops without it.
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -61,9 +59,8 @@
     pub fn bind(settings: ControlSettings) -> Result<Self, ControlError> {
         let (storage, stored) = LogStorage::open(&settings.data_folder)?;
         let address = settings.operator_listen;
-        let http =
-            Server::http(address).map_err(|source| ControlError::Listen { address, source })?;
         let (events, inbox) = channel();
+        let (urgent, urgent_inbox) = channel();
         let identity = LinkIdentity {
             role: PeerRole::Control,
             node: storage.node(),
@@ -84,7 +81,8 @@
             operator: settings.operator_token.clone(),
             target: settings.target_token.clone(),
         };
-        spawn_http(&Arc::new(http), &tokens, &events)?;
+        let channels = CallChannels { events: events.clone(), urgent };
+        spawn_listener(address, request_classes(tokens, &channels))?;
         let answers = events.clone();
         let orders = Arc::new(move |answer| {
             // The control thread has stopped; its successor sends the order again.
@@ -92,7 +90,7 @@
         });
         log::info!(event = "control_started", operators:% = address, links:% = settings.link_listen; "serving");
         let node = ControlNode::open(settings, link, storage, stored, orders)?;
-        let worker = spawn_node(node, inbox)?;
+        let worker = spawn_node(node, inbox, urgent_inbox)?;
         Ok(Self { events, worker })
     }
 
@@ -121,11 +119,12 @@
 fn spawn_node(
     mut node: ControlNode,
     inbox: Receiver<ControlEvent>,
+    urgent: Receiver<ControlEvent>,
 ) -> Result<JoinHandle<Result<(), NodeError>>, ControlError> {
     thread::Builder::new()
         .name("control".into())
         .spawn(move || {
-            let result = node.run(&inbox);
+            let result = node.run(&inbox, &urgent);
             if let Err(error) = &result {
                 log::error!(event = "control_failed"; "{error}");
             }
@@ -133,22 +132,3 @@
         })
         .map_err(ControlError::Thread)
 }
-
-fn spawn_http(
-    server: &Arc<Server>,
-    tokens: &AccessTokens,
-    events: &Sender<ControlEvent>,
-) -> Result<(), ControlError> {
-    for _ in 0..HTTP_THREADS {
-        let (server, tokens, events) = (server.clone(), tokens.clone(), events.clone());
-        thread::Builder::new()
-            .name("operators".into())
-            .spawn(move || {
-                for request in server.incoming_requests() {
-                    serve(request, &tokens, &events);
-                }
-            })
-            .map_err(ControlError::Thread)?;
-    }
-    Ok(())
-}
--- a/crates/burdockcleat/src/operator.rs
+++ b/crates/burdockcleat/src/operator.rs
@@ -19,12 +19,19 @@
     pub const STATUS: &str = "/v1/status";
     /// `GET` dumps the state of this instance.
     pub const DUMP: &str = "/v1/dump";
+    /// `GET` reads the metrics of this instance.
+    pub const METRICS: &str = "/v1/metrics";
     /// `POST` drains an entry or a target.
     pub const DRAIN: &str = "/v1/drain";
     /// `POST` orders a target to load a model.
     pub const ORDERS: &str = "/v1/orders";
 }
 
+/// Whether a text can be an operation id: 1 to 128 printable ASCII characters without spaces.
+pub fn is_operation_id(id: &str) -> bool {
+    (1..=128).contains(&id.len()) && id.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
 /// Reply to `GET /v1/config`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ConfigReply {
@@ -112,6 +119,8 @@
     OperationReused,
     /// 400: the request is malformed.
     BadRequest,
+    /// 401: the token is missing or wrong.
+    Unauthorized,
     /// 404: no such path, entry, target or model.
     NotFound,
     /// 503: the decision was not confirmed by a majority in time; it may still take effect.
@@ -224,7 +233,7 @@
     pub pool: String,
     /// Incarnation.
     pub incarnation: u64,
-    /// `ready`, `silent`, `straggler`, `draining` or `left`.
+    /// `ready`, `silent`, `straggler` or `draining`.
     pub state: String,
     /// Models that it serves.
     pub models: Vec<String>,
--- a/crates/burdockcleat/src/operator/client.rs
+++ b/crates/burdockcleat/src/operator/client.rs
@@ -12,7 +12,7 @@
 use std::thread;
 use std::time::Duration;
 use thiserror::Error;
-use ureq::{Agent, Timeout};
+use ureq::{Agent, RequestBuilder, Timeout};
 
 /// Bound of a reply's body; a document of 7,100 workspaces has about 1.5 MB.
 const REPLY_BYTES: u64 = 64 << 20;
@@ -97,6 +97,7 @@
     agent: Agent,
     urls: Vec<String>,
     settings: ClientSettings,
+    token: Option<String>,
     notice: fn(&str),
 }
 
@@ -125,7 +126,14 @@
         if urls.is_empty() {
             return Err(ClientError::NoUrl);
         }
-        Ok(Self { agent: open_agent(settings), urls, settings, notice: |_| () })
+        Ok(Self { agent: open_agent(settings), urls, settings, token: None, notice: |_| () })
+    }
+
+    /// Sets the token that each request bears.
+    #[must_use]
+    pub fn with_token(mut self, token: Option<String>) -> Self {
+        self.token = token;
+        self
     }
 
     /// Sets the function that is told about failed attempts.
@@ -143,6 +151,14 @@
         self.read(paths::CONFIG)
     }
 
+    /// Reads a kept version of the configuration.
+    ///
+    /// # Errors
+    /// See [`ClientError`]. A version that is not kept is refused with status 404.
+    pub fn version(&self, version: u64) -> Result<ConfigReply, ClientError> {
+        self.read(&format!("{}?version={version}", paths::CONFIG))
+    }
+
     /// Reads the kept versions.
     ///
     /// # Errors
@@ -263,10 +279,11 @@
     fn attempt(&self, url: &str, path: &str, body: Option<&str>) -> Attempt {
         let target = format!("{url}{path}");
         let sent = match body {
-            None => self.agent.get(&target).call(),
+            None => with_token(self.agent.get(&target), self.token.as_deref()).call(),
             // The interface accepts only JSON, which a page of another site cannot send unasked.
             Some(body) => {
-                self.agent.post(&target).header("content-type", "application/json").send(body)
+                let post = self.agent.post(&target).header("content-type", "application/json");
+                with_token(post, self.token.as_deref()).send(body)
             }
         };
         match sent {
@@ -295,12 +312,16 @@
 ///
 /// # Errors
 /// See [`ClientError`].
-pub fn fetch(url: &str, settings: ClientSettings) -> Result<String, ClientError> {
+pub fn fetch(
+    url: &str,
+    token: Option<&str>,
+    settings: ClientSettings,
+) -> Result<String, ClientError> {
     if !url.starts_with("http://") {
         return Err(ClientError::BadUrl(url.to_owned()));
     }
     let lost = |error: ureq::Error| ClientError::Unreachable(format!("{url}: {error}"));
-    let response = open_agent(settings).get(url).call().map_err(lost)?;
+    let response = with_token(open_agent(settings).get(url), token).call().map_err(lost)?;
     let status = response.status().as_u16();
     let body = response
         .into_body()
@@ -311,6 +332,13 @@
     if status == 200 { Ok(body) } else { Err(refusal(url, &Reply { status, body })) }
 }
 
+fn with_token<B>(request: RequestBuilder<B>, token: Option<&str>) -> RequestBuilder<B> {
+    match token {
+        Some(token) => request.header("authorization", format!("Bearer {token}")),
+        None => request,
+    }
+}
+
 fn open_agent(settings: ClientSettings) -> Agent {
     Agent::config_builder()
         .http_status_as_error(false)
--- a/crates/burdockcleat/src/settings/control.rs
+++ b/crates/burdockcleat/src/settings/control.rs
@@ -41,6 +41,16 @@
         help: "bearer token that operators present",
         default: None,
     },
+    SettingSpec {
+        name: "order-issuer",
+        help: "name under which targets take orders from this deployment",
+        default: Some("burdockcleat"),
+    },
+    SettingSpec {
+        name: "console-listen",
+        help: "address of the console of forms; no console without it",
+        default: Some(""),
+    },
     SettingSpec { name: "target-token", help: "bearer token that targets present", default: None },
     SettingSpec { name: "log-level", help: "error, warn, info, debug", default: Some("info") },
 ];
@@ -72,6 +82,10 @@
     pub operator_token: String,
     /// Bearer token that targets present.
     pub target_token: String,
+    /// Name under which targets take orders from this deployment.
+    pub order_issuer: String,
+    /// Address of the console of forms, if it is served.
+    pub console_listen: Option<SocketAddr>,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -108,6 +122,11 @@
         let secret = reader.nonempty("secret");
         let operator_token = reader.nonempty("operator-token");
         let target_token = reader.nonempty("target-token");
+        let order_issuer = reader.nonempty("order-issuer");
+        let console_listen = match reader.text("console-listen").is_empty() {
+            true => None,
+            false => reader.parsed("console-listen", "an address such as 10.0.0.1:7002"),
+        };
         let log_level = reader.parsed("log-level", "error, warn, info or debug");
         let operator_listen: SocketAddr = operator_listen?;
         Some(Self {
@@ -126,6 +145,8 @@
             secret,
             operator_token,
             target_token,
+            order_issuer,
+            console_listen,
             log_level: log_level?,
         })
     }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -18,9 +18,9 @@
 use crate::outcome::{ReasonCode, RequestOutcome};
 use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
 use crate::registry::{
-    AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRegistry,
+    AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRecord, TargetRegistry,
 };
-use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
+use crate::state::{ClaimPhase, ClaimRecord, DrainSubject, ReplicatedState, StateCommand};
 use std::collections::{BTreeMap, HashMap};
 
 /// Time without a link after which an entry counts as lost, in milliseconds.
@@ -137,8 +137,14 @@
         time: StepTime,
         document: &ConfigDocument,
         state: &ReplicatedState,
-        registry: TargetRegistry,
+        mut registry: TargetRegistry,
     ) -> Self {
+        for subject in state.drains() {
+            if let DrainSubject::Target(identity) = subject {
+                // The pools learn of it when they learn of the target.
+                registry.drain(identity);
+            }
+        }
         let mut controller = Self {
             registry,
             pools: BTreeMap::new(),
@@ -188,10 +194,13 @@
             .registry
             .iter()
             .filter(|(_, record)| record.announcement.pool == pool)
-            .map(|(target, record)| (target, record.announcement.clone(), record.silent))
+            .map(|(target, record)| (target, record.clone()))
             .collect();
-        for (target, announcement, silent) in known {
-            let change = TargetChangeKind::Announced(Box::new(announcement));
+        for (target, TargetRecord { announcement, silent, drained, .. }) in known {
+            let change = match drained {
+                true => TargetChangeKind::Drained(Box::new(announcement)),
+                false => TargetChangeKind::Announced(Box::new(announcement)),
+            };
             self.step_pool(time, pool, PoolInput::Target { target, change });
             if silent {
                 let change = TargetChangeKind::Silent;
@@ -225,6 +234,12 @@
         self.apply_changes(time, change);
     }
 
+    /// Gives an incarnation of a target no new work from now on.
+    pub fn drain_target(&mut self, time: StepTime, identity: &TargetIdentity) {
+        let change = self.registry.drain(identity);
+        self.apply_changes(time, change);
+    }
+
     /// Notes that time has passed. Expected every 50 ms.
     pub fn tick(&mut self, time: StepTime, state: &ReplicatedState) {
         let changes = self.registry.tick(time.now);
--- a/crates/core/src/pool/target.rs
+++ b/crates/core/src/pool/target.rs
@@ -20,6 +20,12 @@
             TargetChangeKind::Announced(announcement) => {
                 self.announced_target(now, key, *announcement);
             }
+            TargetChangeKind::Drained(announcement) => {
+                self.announced_target(now, key, *announcement);
+                if let Some(target) = self.targets.get_mut(&key) {
+                    target.eligible = false;
+                }
+            }
             TargetChangeKind::Silent => {
                 if let Some(target) = self.targets.get_mut(&key) {
                     target.eligible = false;
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -32,6 +32,8 @@
     pub heard: ClockTime,
     /// Whether the silence bound has passed.
     pub silent: bool,
+    /// Whether an operator drains this incarnation.
+    pub drained: bool,
 }
 
 /// A change that the pool of the target has to learn of.
@@ -50,6 +52,9 @@
 pub enum TargetChangeKind {
     /// A new incarnation announced itself, or a known one repeated its announcement.
     Announced(Box<TargetAnnouncement>),
+    /// An incarnation that an operator drains announced itself, or its drain began. Running
+    /// requests may finish.
+    Drained(Box<TargetAnnouncement>),
     /// No announcement arrived within the silence bound.
     Silent,
     /// The incarnation left; running requests may finish.
@@ -114,6 +119,8 @@
 pub struct TargetRegistry {
     records: SlotMap<TargetKey, TargetRecord>,
     names: HashMap<String, NameRecord>,
+    /// Incarnation that an operator drains, by name.
+    drained: HashMap<String, u64>,
 }
 
 impl TargetRegistry {
@@ -151,7 +158,10 @@
         changes.push(TargetChange {
             pool: announcement.pool.clone(),
             target: key,
-            kind: TargetChangeKind::Announced(Box::new(announcement)),
+            kind: match self.records.get(key).is_some_and(|record| record.drained) {
+                true => TargetChangeKind::Drained(Box::new(announcement)),
+                false => TargetChangeKind::Announced(Box::new(announcement)),
+            },
         });
         Ok((key, changes))
     }
@@ -176,6 +186,17 @@
         Some(TargetChange { pool: ended.announcement.pool, target: key, kind })
     }
 
+    /// Drains an incarnation, whether it has announced itself or not. A newer one is not drained.
+    pub fn drain(&mut self, identity: &TargetIdentity) -> Option<TargetChange> {
+        self.drained.insert(identity.name.clone(), identity.incarnation);
+        let target = self.find(identity)?;
+        let record = self.records.get_mut(target)?;
+        record.drained = true;
+        let pool = record.announcement.pool.clone();
+        let kind = TargetChangeKind::Drained(Box::new(record.announcement.clone()));
+        Some(TargetChange { pool, target, kind })
+    }
+
     /// Reports the targets whose silence bound has passed since the last call.
     pub fn tick(&mut self, now: ClockTime) -> Vec<TargetChange> {
         let mut changes = Vec::new();
@@ -191,7 +212,7 @@
 
     /// Whether the target may get new work.
     pub fn eligible(&self, key: TargetKey) -> bool {
-        self.records.get(key).is_some_and(|record| !record.silent)
+        self.records.get(key).is_some_and(|record| !record.silent && !record.drained)
     }
 
     /// The record of an incarnation that has not ended.
@@ -212,8 +233,9 @@
 
     fn insert(&mut self, now: ClockTime, announcement: &TargetAnnouncement) -> TargetKey {
         let stored = without_events(announcement);
-        let key =
-            self.records.insert(TargetRecord { announcement: stored, heard: now, silent: false });
+        let drained = self.drained.get(&announcement.name) == Some(&announcement.incarnation);
+        let record = TargetRecord { announcement: stored, heard: now, silent: false, drained };
+        let key = self.records.insert(record);
         let record = NameRecord { newest: announcement.incarnation, current: Some(key) };
         self.names.insert(announcement.name.clone(), record);
         key
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod command;
 mod config;
+mod drains;
 mod image;
 mod index;
 mod intern;
@@ -28,9 +29,13 @@
     RefuseReply, StampedCommand, StateCommand,
 };
 pub use config::{ConfigView, VERSIONS_KEPT, VersionRecord};
+pub use drains::{DRAINS_KEPT, DrainSubject};
 pub use image::SnapshotError;
-pub use operations::OPERATIONS_KEPT;
-pub use orders::{ENDED_ORDERS_KEPT, EngineOrder, OrderAction, OrderId, OrderRecord, OrderResult};
+pub use operations::{KnownOperation, OPERATIONS_KEPT, OperationBody, OperationResult};
+pub use orders::{
+    ENDED_ORDER_RETENTION_MS, ENDED_ORDERS_KEPT, EngineOrder, OrderAction, OrderId, OrderRecord,
+    OrderResult,
+};
 pub use refusals::RefusalRecord;
 pub use suspects::{MARK_RETENTION_MS, SuspectRecord};
 
@@ -38,7 +43,8 @@
 use crate::keys::{NodeId, RequestFingerprint, RequestKey, TargetIdentity};
 use claims::ClaimTable;
 use config::ConfigHistory;
-use operations::{OperationLog, OperationResult};
+use drains::DrainTable;
+use operations::OperationLog;
 use orders::OrderTable;
 use refusals::RefusalTable;
 use serde::{Deserialize, Serialize};
@@ -89,6 +95,7 @@
     claims: ClaimTable,
     refusals: RefusalTable,
     orders: OrderTable,
+    drains: DrainTable,
     suspects: SuspectTable,
 }
 
@@ -115,6 +122,7 @@
             claims: ClaimTable::new(rules),
             refusals: RefusalTable::default(),
             orders: OrderTable::default(),
+            drains: DrainTable::default(),
             suspects: SuspectTable::default(),
         }
     }
@@ -126,9 +134,9 @@
         self.now = self.now.max(command.at);
         match &command.command {
             StateCommand::Barrier => CommandReply::Done,
-            StateCommand::ApplyDocument { base_version, operation_id, author, document } => {
-                self.apply_document(*base_version, operation_id, author, document)
-            }
+            StateCommand::ApplyDocument { .. }
+            | StateCommand::IssueOrder { .. }
+            | StateCommand::Drain { .. } => self.operate(index, &command.command),
             StateCommand::Claim(request) => CommandReply::Claim(self.claim_key(index, request)),
             StateCommand::Refuse { key, until, reason } => {
                 let record = RefusalRecord { key: *key, until: *until, reason: *reason };
@@ -157,11 +165,8 @@
                 self.suspects.quarantine(*fingerprint, *until);
                 CommandReply::Done
             }
-            StateCommand::IssueOrder { order, operation_id } => {
-                self.issue_order(index, order, operation_id)
-            }
             StateCommand::OrderDone { id, result } => {
-                CommandReply::OrderDone(self.orders.finish(*id, result))
+                CommandReply::OrderDone(self.orders.finish(self.now, *id, result))
             }
         }
     }
@@ -190,28 +195,51 @@
         reply
     }
 
-    fn apply_document(
-        &mut self,
-        base_version: u64,
-        operation_id: &str,
-        author: &str,
-        document: &Arc<str>,
-    ) -> CommandReply {
-        if let Some(reply) = self.operations.document(operation_id) {
-            return CommandReply::Document(reply);
+    /// Carries out an operator's request unless its id is known.
+    fn operate(&mut self, index: u64, command: &StateCommand) -> CommandReply {
+        let Some((id, body)) = command.operation() else { return CommandReply::Done };
+        match self.operations.find(id, &body) {
+            Some(KnownOperation::Repeated(result)) => return CommandReply::of_operation(result),
+            Some(KnownOperation::Reused) => return CommandReply::OperationReused,
+            None => {}
         }
-        let reply = self.config.apply(base_version, self.now, author, operation_id, document);
-        self.operations.record(operation_id, OperationResult::Document(reply));
-        CommandReply::Document(reply)
+        let result = match command {
+            StateCommand::ApplyDocument { base_version, author, document, changes, .. } => {
+                let edit = (self.now, author.as_str(), id);
+                OperationResult::Document(self.config.apply(
+                    *base_version,
+                    edit,
+                    document,
+                    *changes,
+                ))
+            }
+            StateCommand::IssueOrder { order, author, .. } => {
+                OperationResult::Order(self.orders.issue(index, order, id, author))
+            }
+            StateCommand::Drain { subject, .. } => {
+                self.drains.insert(subject);
+                OperationResult::Drain(subject.clone())
+            }
+            _ => return CommandReply::Done,
+        };
+        self.operations.record(id, &body, result.clone());
+        CommandReply::of_operation(result)
     }
 
-    fn issue_order(&mut self, index: u64, order: &EngineOrder, operation_id: &str) -> CommandReply {
-        if let Some(id) = self.operations.order(operation_id) {
-            return CommandReply::OrderIssued(id);
-        }
-        let id = self.orders.issue(index, order);
-        self.operations.record(operation_id, OperationResult::Order(id));
-        CommandReply::OrderIssued(id)
+    /// What is known of an operation id.
+    pub fn operation(&self, id: &str, body: &OperationBody<'_>) -> Option<KnownOperation> {
+        self.operations.find(id, body)
+    }
+
+    /// Runs of entries and targets that are drained, one for each name.
+    pub fn drains(&self) -> impl Iterator<Item = &DrainSubject> {
+        self.drains.subjects()
+    }
+
+    /// Whether a run of an entry is drained.
+    pub fn entry_drained(&self, entry: NodeId) -> bool {
+        self.drains()
+            .any(|known| matches!(known, DrainSubject::Entry { node, .. } if *node == entry))
     }
 
     /// Log index of the last applied command.
--- a/crates/core/src/state/command.rs
+++ b/crates/core/src/state/command.rs
@@ -1,6 +1,8 @@
 //! Commands of the replicated state machine and its typed replies.
 
 use super::claim::ClaimRecord;
+use super::drains::DrainSubject;
+use super::operations::{OperationBody, OperationResult};
 use super::orders::{EngineOrder, OrderId, OrderResult};
 use super::refusals::RefusalRecord;
 use crate::clock::ClockTime;
@@ -61,6 +63,8 @@
         author: String,
         /// Document text in TOML.
         document: Arc<str>,
+        /// Number of changes against the base version, for the history.
+        changes: u32,
     },
     /// Claims a request key for one dispatch.
     Claim(ClaimRequest),
@@ -130,6 +134,17 @@
         order: EngineOrder,
         /// Id that the issuer drew; resends carry the same one.
         operation_id: String,
+        /// Who asks.
+        author: String,
+    },
+    /// Drains one run of an entry or a target.
+    Drain {
+        /// What is drained.
+        subject: DrainSubject,
+        /// Id that the operator's tool drew; resends carry the same one.
+        operation_id: String,
+        /// Who asks.
+        author: String,
     },
     /// An order has ended.
     OrderDone {
@@ -140,6 +155,28 @@
     },
 }
 
+impl StateCommand {
+    /// Operation id and body of an operator's request.
+    pub fn operation(&self) -> Option<(&str, OperationBody<'_>)> {
+        match self {
+            Self::ApplyDocument { base_version, operation_id, author, document, .. } => {
+                let body =
+                    OperationBody::Document { base_version: *base_version, author, document };
+                Some((operation_id, body))
+            }
+            Self::IssueOrder { order, operation_id, author } => {
+                Some((operation_id, OperationBody::Order { author, order }))
+            }
+            Self::Drain { subject, operation_id, author } => {
+                let entry = matches!(subject, DrainSubject::Entry { .. });
+                let body = OperationBody::Drain { author, entry, name: subject.name() };
+                Some((operation_id, body))
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Reply to one command.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CommandReply {
@@ -161,6 +198,21 @@
     OrderIssued(OrderId),
     /// Reply to `OrderDone`.
     OrderDone(OrderDoneReply),
+    /// Reply to `Drain`: what the first request with this id drained.
+    Drained(DrainSubject),
+    /// The operation id was used before with another request; nothing changed.
+    OperationReused,
+}
+
+impl CommandReply {
+    /// The reply that an operation's first result stands for.
+    pub fn of_operation(result: OperationResult) -> Self {
+        match result {
+            OperationResult::Document(reply) => Self::Document(reply),
+            OperationResult::Order(id) => Self::OrderIssued(id),
+            OperationResult::Drain(subject) => Self::Drained(subject),
+        }
+    }
 }
 
 /// Reply to a configuration edit. A resent operation id gets the first reply again.
--- a/crates/core/src/state/config.rs
+++ b/crates/core/src/state/config.rs
@@ -21,6 +21,8 @@
     pub at: ClockTime,
     /// Id of the edit.
     pub operation_id: String,
+    /// Number of changes against the version before.
+    pub changes: u32,
 }
 
 /// The configuration in force.
@@ -54,10 +56,9 @@
     pub(super) fn apply(
         &mut self,
         base_version: u64,
-        at: ClockTime,
-        author: &str,
-        operation_id: &str,
+        (at, author, operation_id): (ClockTime, &str, &str),
         document: &Arc<str>,
+        changes: u32,
     ) -> DocumentReply {
         let current = self.version();
         if base_version != current {
@@ -69,6 +70,7 @@
             author: author.to_owned(),
             at,
             operation_id: operation_id.to_owned(),
+            changes,
         };
         if let Some(replaced) = self.current.replace(record) {
             let change = TextChange::between(&self.document, document);
--- a/crates/core/src/state/image.rs
+++ b/crates/core/src/state/image.rs
@@ -9,8 +9,9 @@
 use super::claim::ClaimRules;
 use super::claims::{ClaimTable, TargetPlace};
 use super::config::ConfigHistory;
+use super::drains::DrainTable;
 use super::intern::{InternKey, InternTable};
-use super::operations::{OperationLog, OperationResult};
+use super::operations::{OperationLog, OperationRecord};
 use super::orders::OrderTable;
 use super::refusals::{RefusalRecord, RefusalTable};
 use super::row::{ClaimRow, RowPhase, SlotKey};
@@ -24,7 +25,7 @@
 use thiserror::Error;
 
 /// Version of the snapshot layout. Change it with any change of a type that is written.
-const FORMAT_VERSION: u32 = 1;
+const FORMAT_VERSION: u32 = 2;
 const PREFIX_BYTES: usize = 8;
 /// More than the longest row: 19 bytes for the key, 10 for each of three 64-bit numbers, 5 for
 /// each of four 32-bit numbers and up to 5 for the rest.
@@ -76,9 +77,10 @@
     now: ClockTime,
     claim_limit: u64,
     config: ConfigHistory,
-    operations: Vec<(Arc<str>, OperationResult)>,
+    operations: Vec<OperationRecord>,
     refusals: Vec<RefusalRecord>,
     orders: OrderTable,
+    drains: DrainTable,
     suspects: SuspectTable,
     targets: Vec<(TargetIdentity, String)>,
     entries: Vec<NodeId>,
@@ -190,6 +192,7 @@
             operations: self.operations.image(),
             refusals: self.refusals.image(),
             orders: self.orders.clone(),
+            drains: self.drains.clone(),
             suspects: self.suspects.clone(),
             targets: targets.map(|place| (place.identity.clone(), place.address.clone())).collect(),
             entries: entries.map(|entry| **entry).collect(),
@@ -231,6 +234,7 @@
             refusals: RefusalTable::from_image(header.refusals),
             claims,
             orders: header.orders,
+            drains: header.drains,
             suspects: header.suspects,
         })
     }
--- a/crates/core/src/state/operations.rs
+++ b/crates/core/src/state/operations.rs
@@ -1,67 +1,111 @@
 //! First results of operation ids, so that a resent operation has no second effect.
 
 use super::command::DocumentReply;
-use super::orders::OrderId;
+use super::drains::DrainSubject;
+use super::orders::{EngineOrder, OrderId};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
+use xxhash_rust::xxh3::xxh3_128;
 
 /// Number of operation ids whose results are kept; the oldest is forgotten first.
 pub const OPERATIONS_KEPT: usize = 4_096;
 
-/// Edits and orders have separate id spaces, so an id that an operator used for an edit cannot
-/// answer an order.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct OperationRecord {
-    id: Arc<str>,
-    result: OperationResult,
+/// What an operator asked for, without what the leader added to it.
+///
+/// A drain names its entry or target as the operator did, so that a resend after a restart of
+/// that process is still the same request.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub enum OperationBody<'a> {
+    /// An edit of the configuration.
+    Document {
+        /// Version that the edit started from.
+        base_version: u64,
+        /// Who made the edit.
+        author: &'a str,
+        /// Document text in TOML.
+        document: &'a str,
+    },
+    /// An order to an engine.
+    Order {
+        /// Who asks.
+        author: &'a str,
+        /// The order.
+        order: &'a EngineOrder,
+    },
+    /// A drain of an entry or a target.
+    Drain {
+        /// Who asks.
+        author: &'a str,
+        /// Whether the name is that of an entry.
+        entry: bool,
+        /// Name of the entry or target.
+        name: &'a str,
+    },
+}
+
+impl OperationBody<'_> {
+    fn digest(&self) -> u128 {
+        // Encoding into a growable buffer fails only for types that refuse to serialise themselves.
+        xxh3_128(&postcard::to_stdvec(self).unwrap_or_default())
+    }
 }
 
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(super) enum OperationResult {
+/// First result of an operation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperationResult {
+    /// Result of an edit.
     Document(DocumentReply),
+    /// The order that was issued.
     Order(OrderId),
+    /// What was drained.
+    Drain(DrainSubject),
+}
+
+/// What is known of an operation id.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KnownOperation {
+    /// The same request was made before, with this result.
+    Repeated(OperationResult),
+    /// Another request was made with this id.
+    Reused,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct OperationRecord {
+    id: Arc<str>,
+    digest: u128,
+    result: OperationResult,
 }
 
+/// One id space for all kinds of operations: an id that was used for an edit cannot order.
 #[derive(Clone, Debug, Default)]
 pub(super) struct OperationLog {
-    order: VecDeque<OperationRecord>,
-    documents: BTreeMap<Arc<str>, DocumentReply>,
-    orders: BTreeMap<Arc<str>, OrderId>,
+    order: VecDeque<Arc<str>>,
+    records: BTreeMap<Arc<str>, OperationRecord>,
 }
 
 impl OperationLog {
-    pub(super) fn document(&self, id: &str) -> Option<DocumentReply> {
-        self.documents.get(id).copied()
+    pub(super) fn find(&self, id: &str, body: &OperationBody<'_>) -> Option<KnownOperation> {
+        let record = self.records.get(id)?;
+        Some(match record.digest == body.digest() {
+            true => KnownOperation::Repeated(record.result.clone()),
+            false => KnownOperation::Reused,
+        })
     }
 
-    pub(super) fn order(&self, id: &str) -> Option<OrderId> {
-        self.orders.get(id).copied()
+    /// Records the first result of an id.
+    pub(super) fn record(&mut self, id: &str, body: &OperationBody<'_>, result: OperationResult) {
+        self.insert(OperationRecord { id: id.into(), digest: body.digest(), result });
     }
 
-    /// Records the first result of an id.
-    pub(super) fn record(&mut self, id: &str, result: OperationResult) {
-        let id: Arc<str> = Arc::from(id);
-        match result {
-            OperationResult::Document(reply) => {
-                self.documents.insert(Arc::clone(&id), reply);
-            }
-            OperationResult::Order(order) => {
-                self.orders.insert(Arc::clone(&id), order);
-            }
-        }
-        self.order.push_back(OperationRecord { id, result });
-        if self.order.len() <= OPERATIONS_KEPT {
-            return;
-        }
-        let Some(oldest) = self.order.pop_front() else { return };
-        match oldest.result {
-            OperationResult::Document(_) => {
-                self.documents.remove(&oldest.id);
-            }
-            OperationResult::Order(_) => {
-                self.orders.remove(&oldest.id);
-            }
+    fn insert(&mut self, record: OperationRecord) {
+        self.order.push_back(Arc::clone(&record.id));
+        self.records.insert(Arc::clone(&record.id), record);
+        if self.order.len() > OPERATIONS_KEPT
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.records.remove(&oldest);
         }
     }
 
@@ -70,15 +114,13 @@
     }
 
     /// Ids and results in the order of their recording.
-    pub(super) fn image(&self) -> Vec<(Arc<str>, OperationResult)> {
-        self.order.iter().map(|record| (Arc::clone(&record.id), record.result)).collect()
+    pub(super) fn image(&self) -> Vec<OperationRecord> {
+        self.order.iter().filter_map(|id| self.records.get(id)).cloned().collect()
     }
 
-    pub(super) fn from_image(image: Vec<(Arc<str>, OperationResult)>) -> Self {
+    pub(super) fn from_image(image: Vec<OperationRecord>) -> Self {
         let mut log = Self::default();
-        for (id, result) in image {
-            log.record(&id, result);
-        }
+        image.into_iter().for_each(|record| log.insert(record));
         log
     }
 }
--- a/crates/core/src/state/orders.rs
+++ b/crates/core/src/state/orders.rs
@@ -1,11 +1,14 @@
 //! Orders to engines with their fencing numbers.
 
 use super::command::OrderDoneReply;
+use crate::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-/// Number of ended orders that are kept for the console and the dump.
+/// Number of ended orders that are kept even after their retention.
 pub const ENDED_ORDERS_KEPT: usize = 1_024;
+/// Time for which every ended order is kept, so that an operator who waits sees its result.
+pub const ENDED_ORDER_RETENTION_MS: u64 = 600_000;
 
 /// Id of an order: the log index of its command, which is also its fencing number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -81,8 +84,14 @@
     pub id: OrderId,
     /// The order.
     pub order: EngineOrder,
+    /// Id that the operator gave the order.
+    pub operation_id: String,
+    /// Who asked.
+    pub author: String,
     /// How it ended, if it has.
     pub result: Option<OrderResult>,
+    /// Time of the command that ended it.
+    pub ended: Option<ClockTime>,
 }
 
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -92,13 +101,27 @@
 }
 
 impl OrderTable {
-    pub(super) fn issue(&mut self, index: u64, order: &EngineOrder) -> OrderId {
+    pub(super) fn issue(
+        &mut self,
+        index: u64,
+        order: &EngineOrder,
+        operation_id: &str,
+        author: &str,
+    ) -> OrderId {
         let id = OrderId(index);
-        self.records.insert(id, OrderRecord { id, order: order.clone(), result: None });
+        let (operation_id, author) = (operation_id.to_owned(), author.to_owned());
+        let order = order.clone();
+        let record = OrderRecord { id, order, operation_id, author, result: None, ended: None };
+        self.records.insert(id, record);
         id
     }
 
-    pub(super) fn finish(&mut self, id: OrderId, result: &OrderResult) -> OrderDoneReply {
+    pub(super) fn finish(
+        &mut self,
+        now: ClockTime,
+        id: OrderId,
+        result: &OrderResult,
+    ) -> OrderDoneReply {
         let Some(record) = self.records.get_mut(&id) else {
             return OrderDoneReply::UnknownOrder;
         };
@@ -106,13 +129,24 @@
             return OrderDoneReply::AlreadyDone(recorded.clone());
         }
         record.result = Some(result.clone());
+        record.ended = Some(now);
         self.ended.push_back(id);
-        if self.ended.len() > ENDED_ORDERS_KEPT
-            && let Some(oldest) = self.ended.pop_front()
+        self.expire(now);
+        OrderDoneReply::Accepted
+    }
+
+    /// Removes the oldest ended orders that are past their retention and above the number kept.
+    fn expire(&mut self, now: ClockTime) {
+        while self.ended.len() > ENDED_ORDERS_KEPT
+            && let Some(oldest) = self.ended.front()
         {
-            self.records.remove(&oldest);
+            let ended = self.records.get(oldest).and_then(|record| record.ended);
+            if ended.is_some_and(|at| now.since(at) < ENDED_ORDER_RETENTION_MS) {
+                return;
+            }
+            self.records.remove(oldest);
+            self.ended.pop_front();
         }
-        OrderDoneReply::Accepted
     }
 
     pub(super) fn records(&self) -> impl Iterator<Item = &OrderRecord> {
