Serve the console on a listener of its own

The console existed as pure functions only.

A page of thousands of workspaces is not usable and a post of it exceeds the body bound. A page shows 100 workspaces, selected by a search; a post carries these only and leaves the others as they are in the version that it is based on. After a conflict the rows are carried over by name, since rows move when the other edit adds or removes workspaces.

--- a/crates/burdockcleat/src/console.rs
+++ b/crates/burdockcleat/src/console.rs
@@ -7,11 +7,13 @@
 mod page;
 mod read;
 mod token;
+mod window;
 
 pub use fields::form_fields;
-pub use page::{render_page, render_refusal};
+pub use page::{render_login, render_notice, render_page, render_refusal};
 pub use read::read_form;
-pub use token::{ConsolePost, FormToken, PostRefusal, check_post};
+pub use token::{ConsolePost, FormToken, PostRefusal, check_origin, check_post};
+pub use window::{PAGE_ROWS, WorkspaceWindow, carried_over, with_unshown};
 
 use burdockcleat_core::document::{ConfigDocument, DocumentChange, DocumentFault};
 
@@ -21,6 +23,12 @@
 pub const OPERATION_ID: &str = "operation-id";
 /// Name of the hidden field with the form token.
 pub const FORM_TOKEN: &str = "form-token";
+/// Name of the hidden field and of the search field with the text that workspaces are searched by.
+pub const SEARCH: &str = "search";
+/// Name of the hidden field with the number of the page.
+pub const PAGE: &str = "page";
+/// Name of the field with the operators' token in the login form.
+pub const LOGIN_TOKEN: &str = "operator-token";
 /// Name of the field with the author.
 pub const AUTHOR: &str = "author";
 
@@ -43,8 +51,10 @@
     pub token: FormToken,
     /// Who makes the edit.
     pub author: String,
-    /// Fields of the document: from [`form_fields`] or as they were posted.
+    /// Fields that the page shows: from [`WorkspaceWindow::fields`] or as they were posted.
     pub fields: FormFields,
+    /// Part of the workspaces that the page shows.
+    pub window: WorkspaceWindow,
     /// Faults of the posted document.
     pub faults: Vec<DocumentFault>,
     /// What became of the last post.
--- a/crates/burdockcleat/src/console/page.rs
+++ b/crates/burdockcleat/src/console/page.rs
@@ -4,8 +4,10 @@
     FieldKind, FormField, LIMIT_FIELDS, LIMITS, PLACE, REMOVE, RULES, SALT, SECTIONS, field_name,
     split_name,
 };
+use super::window::{PAGED, WorkspaceWindow};
 use super::{
-    AUTHOR, BASE_VERSION, ConsoleOutcome, ConsoleView, FORM_TOKEN, OPERATION_ID, PostRefusal,
+    AUTHOR, BASE_VERSION, ConsoleOutcome, ConsoleView, FORM_TOKEN, LOGIN_TOKEN, OPERATION_ID, PAGE,
+    PostRefusal, SEARCH,
 };
 use burdockcleat_core::document::{DocumentChange, DocumentFault};
 use maud::{DOCTYPE, Markup, html};
@@ -24,12 +26,13 @@
         .iter()
         .map(|section| {
             let rows = form.indexes(section.name);
-            let next = rows.last().map_or(0, |index| index + 1);
+            let next = form.next_row(section.name, view);
             html! {
                 h2 id=(section.name) { (section.title) }
                 @if section.name == RULES {
                     p { "Rules are tried by place; the first that matches decides." }
                 }
+                @if section.name == PAGED { (page_links(&view.window)) }
                 @for index in rows { (form.row(section.name, index, &section.fields, true)) }
                 p { "New:" }
                 (form.row(section.name, next, &section.fields, false))
@@ -41,7 +44,10 @@
         h1 { "Configuration" }
         (outcome_notice(view))
         (form.other_faults())
-        form method="post" autocomplete="off" {
+        (search_form(&view.window))
+        form method="post" action="/console" autocomplete="off" {
+            input type="hidden" name=(SEARCH) value=(view.window.search);
+            input type="hidden" name=(PAGE) value=(view.window.page);
             input type="hidden" name=(BASE_VERSION) value=(view.base_version);
             input type="hidden" name=(OPERATION_ID) value=(view.operation_id);
             input type="hidden" name=(FORM_TOKEN) value=(view.token.as_str());
@@ -79,6 +85,58 @@
     .into_string()
 }
 
+/// Renders the form that asks for the operators' token.
+pub fn render_login(wrong: bool) -> String {
+    page(&html! {
+        h1 { "Log in" }
+        @if wrong { p.fault role="alert" { "The token is wrong." } }
+        form method="post" action="/login" {
+            label { "operator token" input type="password" name=(LOGIN_TOKEN) autofocus; }
+            p { button type="submit" { "Log in" } }
+        }
+    })
+}
+
+/// Renders a page that says why there is no form.
+pub fn render_notice(title: &str, text: &str) -> String {
+    page(&html! {
+        h1 { (title) }
+        p.notice { (text) }
+        p { a href="/console" { "Open the console again" } }
+    })
+}
+
+/// The search form stands outside of the document's form, so it does not post the document.
+fn search_form(window: &WorkspaceWindow) -> Markup {
+    html! {
+        form method="get" action="/console" {
+            label { "workspaces whose name contains"
+                input name=(SEARCH) value=(window.search) maxlength="128"; }
+            p { button type="submit" { "Search" } }
+        }
+    }
+}
+
+fn page_links(window: &WorkspaceWindow) -> Markup {
+    let link = |page: usize| {
+        let query = form_urlencoded::Serializer::new(String::new())
+            .append_pair(SEARCH, &window.search)
+            .append_pair(PAGE, &page.to_string())
+            .finish();
+        format!("/console?{query}#{PAGED}")
+    };
+    html! {
+        p {
+            (window.shown.len()) " of " (window.total) " workspaces, page " (window.page) " of " (window.pages) ". "
+            @if window.page > 1 { a href=(link(window.page - 1)) { "Previous" } " " }
+            @if window.page < window.pages { a href=(link(window.page + 1)) { "Next" } " " }
+            @if window.pages > 1 || !window.search.is_empty() {
+                "Workspaces that are not shown stay as they are. Apply before you turn the page or search."
+            }
+        }
+    }
+}
+
 fn submit_text(outcome: &ConsoleOutcome) -> String {
     match outcome {
         ConsoleOutcome::Conflict { current_version, .. } => {
@@ -180,6 +238,13 @@
         shown.then(|| field_name(section, index, key))
     }
 
+    /// Row for a new item: after the rows of the document, shown or not.
+    fn next_row(&self, section: &str, view: &ConsoleView) -> usize {
+        let shown = self.rows.get(section).and_then(BTreeSet::last);
+        let after = shown.map_or(0, |index| index.saturating_add(1));
+        if section == PAGED { after.max(view.window.total) } else { after }
+    }
+
     fn indexes(&self, section: &str) -> Vec<usize> {
         self.rows.get(section).map(|rows| rows.iter().copied().collect()).unwrap_or_default()
     }
--- a/crates/burdockcleat/src/console/read.rs
+++ b/crates/burdockcleat/src/console/read.rs
@@ -4,13 +4,13 @@
     FieldKind, FormField, LIMIT_FIELDS, LIMITS, PLACE, REMOVE, RULES, SALT, SECTIONS, field_name,
     split_name,
 };
-use super::{AUTHOR, BASE_VERSION, FORM_TOKEN, OPERATION_ID};
+use super::{AUTHOR, BASE_VERSION, FORM_TOKEN, OPERATION_ID, PAGE, SEARCH};
 use burdockcleat_core::document::{ConfigDocument, DocumentFault, FaultKind};
 use std::collections::{BTreeMap, HashMap};
 use toml::{Table, Value};
 
 /// Fields of the form that are not part of the document.
-const OUTSIDE: [&str; 4] = [BASE_VERSION, OPERATION_ID, FORM_TOKEN, AUTHOR];
+const OUTSIDE: [&str; 6] = [BASE_VERSION, OPERATION_ID, FORM_TOKEN, AUTHOR, SEARCH, PAGE];
 
 /// Reads the fields of a form and validates them like a document text.
 ///
--- a/crates/burdockcleat/src/console/token.rs
+++ b/crates/burdockcleat/src/console/token.rs
@@ -71,10 +71,7 @@
     origin: Option<&str>,
     posted: &[(String, String)],
 ) -> Result<ConsolePost, PostRefusal> {
-    let host = host.filter(|host| is_address(host)).ok_or(PostRefusal::ForeignHost)?;
-    if origin.is_some_and(|origin| origin.strip_prefix("http://") != Some(host)) {
-        return Err(PostRefusal::ForeignOrigin);
-    }
+    check_origin(host, origin)?;
     let field = |name| posted.iter().find(|(key, _)| key == name).map(|(_, value)| value.trim());
     if !field(FORM_TOKEN).is_some_and(|text| token.accepts(text)) {
         return Err(PostRefusal::ForeignToken);
@@ -89,6 +86,18 @@
     Ok(ConsolePost { base_version, operation_id, author })
 }
 
+/// Checks the headers `Host` and `Origin` of a request that a browser may have sent.
+///
+/// # Errors
+/// Says why the request is refused.
+pub fn check_origin(host: Option<&str>, origin: Option<&str>) -> Result<(), PostRefusal> {
+    let host = host.filter(|host| is_address(host)).ok_or(PostRefusal::ForeignHost)?;
+    match origin.is_some_and(|origin| origin.strip_prefix("http://") != Some(host)) {
+        true => Err(PostRefusal::ForeignOrigin),
+        false => Ok(()),
+    }
+}
+
 fn is_address(host: &str) -> bool {
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let bare = host.trim_start_matches('[').trim_end_matches(']');
--- a/crates/burdockcleat/src/control.rs
+++ b/crates/burdockcleat/src/control.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 pub mod config;
+pub mod console;
 pub mod event;
 pub mod http;
 pub mod listen;
--- /dev/null
+++ b/crates/burdockcleat/src/control/console.rs
@@ -0,0 +1,285 @@
+//! Serves the console of forms on a listener of its own.
+//!
+//! The console is a client of the operators' interface. It finds the leader and resends a write as
+//! the command line does, so it works at every instance.
+
+use super::http::same_text;
+use super::listen::{HttpCall, HttpReply, RequestClass};
+use crate::console::{
+    CONTENT_POLICY, ConsoleOutcome, ConsolePost, ConsoleView, FormFields, FormToken, LOGIN_TOKEN,
+    PAGE, SEARCH, WorkspaceWindow, carried_over, check_origin, check_post, decode_form, read_form,
+    render_login, render_notice, render_page, render_refusal, with_unshown,
+};
+use crate::operator::{ApplyRequest, ClientError, ClientSettings, OperatorClient};
+use burdockcleat_core::document::ConfigDocument;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+use tiny_http::Method;
+
+const THREADS: usize = 4;
+const COOKIE: &str = "burdockcleat-session";
+/// Time after which an operator has to log in again.
+const SESSION_TIME: Duration = Duration::from_secs(12 * 3_600);
+/// Sessions at a time; the oldest is ended first.
+const SESSIONS_MAX: usize = 1_000;
+/// Delay of the answer to a wrong token. With the threads, it bounds the guesses per second.
+const WRONG_TOKEN_DELAY: Duration = Duration::from_millis(300);
+
+/// The console of one control instance.
+pub struct ConsoleServer {
+    client: OperatorClient,
+    operator_token: String,
+    form_token: FormToken,
+    /// When each session ends.
+    sessions: Mutex<BTreeMap<String, Instant>>,
+}
+
+/// A page with its status.
+struct ConsolePage(u16, String);
+
+impl ConsoleServer {
+    /// Opens a console that calls the operators' interface of its own instance.
+    ///
+    /// # Errors
+    /// Fails if the URL is malformed.
+    pub fn open(operator_url: &str, operator_token: &str) -> Result<Self, ClientError> {
+        let client = OperatorClient::open(&[operator_url.to_owned()], ClientSettings::default())?
+            .with_token(Some(operator_token.to_owned()));
+        Ok(Self {
+            client,
+            operator_token: operator_token.to_owned(),
+            form_token: FormToken::from_random(rand::random()),
+            sessions: Mutex::default(),
+        })
+    }
+
+    /// The requests of the console, for its listener.
+    pub fn request_class(self) -> RequestClass {
+        let console = Arc::new(self);
+        let serve = Arc::new(move |call: HttpCall| console.serve(call));
+        RequestClass { name: "console", threads: THREADS, claims: |_| true, serve }
+    }
+
+    fn serve(&self, mut call: HttpCall) {
+        let path = call.path().to_owned();
+        let reply = match (call.method().clone(), path.as_str()) {
+            (Method::Get, "/") => redirect(None),
+            (Method::Post, "/login") => self.login(&mut call),
+            (Method::Get | Method::Post, "/console") if !self.logged_in(&call) => {
+                page_reply(ConsolePage(401, render_login(false)))
+            }
+            (Method::Get, "/console") => page_reply(self.show(&call)),
+            (Method::Post, "/console") => page_reply(self.post(&mut call)),
+            _ => page_reply(ConsolePage(404, render_notice("Not found", "There is no such page."))),
+        };
+        call.respond(reply);
+    }
+
+    fn login(&self, call: &mut HttpCall) -> HttpReply {
+        if let Err(refused) = check_origin(call.header("host"), call.header("origin")) {
+            return page_reply(ConsolePage(403, render_refusal(refused)));
+        }
+        let fields = decode_form(&call.read_body().unwrap_or_default());
+        let given = field(&fields, LOGIN_TOKEN).unwrap_or_default();
+        if !same_text(given, &self.operator_token) {
+            log::warn!(event = "console_login_refused"; "a login with a wrong token");
+            thread::sleep(WRONG_TOKEN_DELAY);
+            return page_reply(ConsolePage(401, render_login(true)));
+        }
+        let session = format!("{:032x}", rand::random::<u128>());
+        self.keep_session(session.clone());
+        let cookie = format!(
+            "{COOKIE}={session}; HttpOnly; SameSite=Strict; Path=/; Max-Age={}",
+            SESSION_TIME.as_secs()
+        );
+        redirect(Some(cookie))
+    }
+
+    fn keep_session(&self, session: String) {
+        let mut sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        sessions.retain(|_, end| *end > now);
+        if sessions.len() >= SESSIONS_MAX {
+            let oldest = sessions.iter().min_by_key(|(_, end)| **end);
+            let oldest = oldest.map(|(session, _)| session.clone()).unwrap_or_default();
+            sessions.remove(&oldest);
+        }
+        sessions.insert(session, now + SESSION_TIME);
+    }
+
+    fn logged_in(&self, call: &HttpCall) -> bool {
+        let cookies = call.header("cookie").unwrap_or_default().split(';');
+        let mut pairs = cookies.filter_map(|pair| pair.trim().split_once('='));
+        let Some((_, session)) = pairs.find(|(name, _)| *name == COOKIE) else { return false };
+        let sessions = self.sessions.lock().unwrap_or_else(PoisonError::into_inner);
+        sessions.get(session).is_some_and(|end| *end > Instant::now())
+    }
+
+    /// The form with the version in force.
+    fn show(&self, call: &HttpCall) -> ConsolePage {
+        // A foreign name that was pointed at this address must not read the page either.
+        if let Err(refused) = check_origin(call.header("host"), None) {
+            return ConsolePage(403, render_refusal(refused));
+        }
+        let query = call.query_text();
+        let fields: FormFields = decode_form(query.as_bytes());
+        let search = field(&fields, SEARCH).unwrap_or_default();
+        let page = field(&fields, PAGE).and_then(|text| text.parse().ok()).unwrap_or(1);
+        let outcome = ConsoleOutcome::Editing;
+        self.form_page(200, search, page, "", outcome).unwrap_or_else(|error| unreachable(&error))
+    }
+
+    /// A form with the version in force and a new operation id.
+    fn form_page(
+        &self,
+        status: u16,
+        search: &str,
+        page: usize,
+        author: &str,
+        outcome: ConsoleOutcome,
+    ) -> Result<ConsolePage, ClientError> {
+        let (version, document) = self.document(None)?;
+        let window = WorkspaceWindow::select(&document, search, page);
+        let view = ConsoleView {
+            base_version: version,
+            operation_id: new_operation_id(),
+            token: self.form_token.clone(),
+            author: author.to_owned(),
+            fields: window.fields(&document),
+            window,
+            faults: Vec::new(),
+            outcome,
+        };
+        Ok(ConsolePage(status, render_page(&view)))
+    }
+
+    /// A version of the document, or the one in force.
+    fn document(&self, version: Option<u64>) -> Result<(u64, ConfigDocument), ClientError> {
+        if version == Some(0) {
+            return Ok((0, ConfigDocument::default()));
+        }
+        let reply = match version {
+            Some(version) => self.client.version(version)?,
+            None => self.client.config()?,
+        };
+        // A document that was in force has been validated.
+        Ok((reply.version, ConfigDocument::parse(&reply.document).unwrap_or_default()))
+    }
+
+    fn post(&self, call: &mut HttpCall) -> ConsolePage {
+        let body = call.read_body();
+        let fields = decode_form(&body.unwrap_or_default());
+        let (host, origin) = (call.header("host"), call.header("origin"));
+        match check_post(&self.form_token, host, origin, &fields) {
+            Ok(post) => self.edit(&post, fields).unwrap_or_else(|error| unreachable(&error)),
+            Err(refused) => ConsolePage(403, render_refusal(refused)),
+        }
+    }
+
+    fn edit(&self, post: &ConsolePost, posted: FormFields) -> Result<ConsolePage, ClientError> {
+        let (_, base) = self.document(Some(post.base_version))?;
+        let (search, page) = (
+            field(&posted, SEARCH).unwrap_or_default().to_owned(),
+            field(&posted, PAGE).and_then(|text| text.parse().ok()).unwrap_or(1),
+        );
+        let mut view = ConsoleView {
+            base_version: post.base_version,
+            operation_id: post.operation_id.clone(),
+            token: self.form_token.clone(),
+            author: post.author.clone(),
+            window: WorkspaceWindow::select(&base, &search, page),
+            fields: posted,
+            faults: Vec::new(),
+            outcome: ConsoleOutcome::Editing,
+        };
+        let document = match read_form(&with_unshown(&base, view.fields.clone())) {
+            Ok(document) => document,
+            Err(faults) => {
+                view.faults = faults;
+                // Nothing was sent under this id, but a page with the same fields may be in flight.
+                view.operation_id = new_operation_id();
+                return Ok(ConsolePage(422, render_page(&view)));
+            }
+        };
+        let request = ApplyRequest {
+            base_version: post.base_version,
+            operation_id: post.operation_id.clone(),
+            author: post.author.clone(),
+            document: document.to_toml(),
+        };
+        match self.client.apply(&request) {
+            Ok(reply) => {
+                let outcome = ConsoleOutcome::Applied { version: reply.version };
+                self.form_page(200, &search, page, &post.author, outcome)
+            }
+            Err(ClientError::Conflict { .. }) => self.conflict(view, &base),
+            Err(ClientError::OutcomeUnknown { .. } | ClientError::Unreachable(_)) => {
+                view.outcome = ConsoleOutcome::Unknown;
+                Ok(ConsolePage(503, render_page(&view)))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// The form as posted, carried over to the version in force.
+    fn conflict(
+        &self,
+        mut view: ConsoleView,
+        base: &ConfigDocument,
+    ) -> Result<ConsolePage, ClientError> {
+        let (version, current) = self.document(None)?;
+        view.fields = carried_over(base, &current, &view.fields);
+        view.base_version = version;
+        view.operation_id = new_operation_id();
+        view.window = WorkspaceWindow::select(&current, &view.window.search, view.window.page);
+        match read_form(&with_unshown(&current, view.fields.clone())) {
+            Ok(yours) => {
+                view.outcome = ConsoleOutcome::conflict(Some(base), version, &current, &yours);
+            }
+            // The other edit removed something that this one names.
+            Err(faults) => {
+                view.outcome = ConsoleOutcome::conflict(Some(base), version, &current, &current);
+                view.faults = faults;
+            }
+        }
+        Ok(ConsolePage(409, render_page(&view)))
+    }
+}
+
+fn field<'a>(fields: &'a [(String, String)], name: &str) -> Option<&'a str> {
+    fields.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+}
+
+fn new_operation_id() -> String {
+    format!("{:032x}", rand::random::<u128>())
+}
+
+/// The page for an answer that leads to no form.
+fn unreachable(error: &ClientError) -> ConsolePage {
+    let (status, title) = match error {
+        ClientError::Refused { .. } | ClientError::OperationReused => (409, "Refused"),
+        _ => (503, "No answer"),
+    };
+    ConsolePage(status, render_notice(title, &format!("{error}.")))
+}
+
+fn page_reply(ConsolePage(status, body): ConsolePage) -> HttpReply {
+    let headers = vec![
+        ("content-type", "text/html; charset=utf-8".to_owned()),
+        ("content-security-policy", CONTENT_POLICY.to_owned()),
+        ("x-content-type-options", "nosniff".to_owned()),
+        // The origin must still be sent with posts to the console itself.
+        ("referrer-policy", "same-origin".to_owned()),
+        ("cache-control", "no-store".to_owned()),
+    ];
+    HttpReply { status, body, headers }
+}
+
+fn redirect(cookie: Option<String>) -> HttpReply {
+    let mut reply = page_reply(ConsolePage(303, String::new()));
+    reply.headers.push(("location", "/console".to_owned()));
+    reply.headers.extend(cookie.map(|cookie| ("set-cookie", cookie)));
+    reply
+}
--- a/crates/burdockcleat/src/control/listen.rs
+++ b/crates/burdockcleat/src/control/listen.rs
@@ -63,6 +63,11 @@
         pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
     }
 
+    /// The query, empty if there is none.
+    pub fn query_text(&self) -> String {
+        self.request.url().split_once('?').map_or_else(String::new, |(_, query)| query.to_owned())
+    }
+
     /// Value of a header.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut headers = self.request.headers().iter();
--- a/crates/burdockcleat/src/control/server.rs
+++ b/crates/burdockcleat/src/control/server.rs
@@ -1,5 +1,6 @@
 //! Binds the sockets of a control instance and runs its threads.
 
+use super::console::ConsoleServer;
 use super::event::ControlEvent;
 use super::http::{AccessTokens, CallChannels, request_classes};
 use super::listen::spawn_listener;
@@ -31,6 +32,9 @@
     /// The data folder cannot be opened.
     #[error("opening the data folder")]
     Storage(#[from] StorageError),
+    /// The console cannot call its own instance.
+    #[error("opening the console")]
+    Console(#[from] crate::operator::ClientError),
     /// The links could not be started.
     #[error("opening the links")]
     Link(#[from] LinkError),
@@ -83,6 +87,11 @@
         };
         let channels = CallChannels { events: events.clone(), urgent };
         spawn_listener(address, request_classes(tokens, &channels))?;
+        if let Some(address) = settings.console_listen {
+            let console = ConsoleServer::open(&settings.operator_url, &settings.operator_token)?;
+            spawn_listener(address, vec![console.request_class()])?;
+            log::info!(event = "console_started", address:%; "serving the console");
+        }
         let answers = events.clone();
         let orders = Arc::new(move |answer| {
             // The control thread has stopped; its successor sends the order again.
--- a/crates/burdockcleat/tests/console.rs
+++ b/crates/burdockcleat/tests/console.rs
@@ -5,8 +5,8 @@
 
 use burdockcleat::console::{
     AUTHOR, BASE_VERSION, ConsoleOutcome, ConsoleView, FORM_TOKEN, FormFields, FormToken,
-    OPERATION_ID, PostRefusal, check_post, decode_form, form_fields, read_form, render_page,
-    render_refusal,
+    OPERATION_ID, PostRefusal, WorkspaceWindow, carried_over, check_post, decode_form, form_fields,
+    read_form, render_page, render_refusal, with_unshown,
 };
 use burdockcleat_core::document::ConfigDocument;
 use documents::document;
@@ -28,6 +28,7 @@
         author: "oyun".to_owned(),
         faults: read_form(&fields).err().unwrap_or_default(),
         fields,
+        window: WorkspaceWindow::default(),
         outcome: ConsoleOutcome::Editing,
     }
 }
@@ -51,7 +52,9 @@
 fn posted_by_browser(page: &str) -> FormFields {
     let mut fields = FormFields::new();
     for tag in ["<input ", "<textarea ", "<select "] {
-        for part in page.split(tag).skip(1) {
+        // The search form stands before the document's form and is not posted with it.
+        let form = page.split_once("<form method=\"post\"").map_or(page, |(_, form)| form);
+        for part in form.split(tag).skip(1) {
             let Some(name) = between(part, "name=\"", "\"") else { continue };
             let head = part.split_once('>').map_or(part, |(head, _)| head);
             let value = match tag {
@@ -221,3 +224,69 @@
     assert!(render_refusal(PostRefusal::ForeignOrigin).contains("another site"));
     assert!(!good.iter().any(|(name, _)| name == AUTHOR));
 }
+
+/// A document with this many more workspaces.
+fn large(count: usize) -> ConfigDocument {
+    let mut text = BUREAU.to_owned();
+    for number in 0..count {
+        let digest = format!("sha256:{number:064x}");
+        text.push_str(&format!(
+            "\n[[workspaces]]\nname = \"clinic-{number:04}\"\ncredentials = [\"{digest}\"]\n\
+             pools = [\"hinge-model\"]\ntiers = [\"standard\"]\n"
+        ));
+    }
+    ConfigDocument::parse(&text).expect("a valid document")
+}
+
+fn window_view(document: &ConfigDocument, search: &str, page: usize) -> ConsoleView {
+    let window = WorkspaceWindow::select(document, search, page);
+    ConsoleView { window: window.clone(), ..view(window.fields(document)) }
+}
+
+// Guards against a save that removes or changes workspaces on other pages, a new row that takes
+// the place of one of them, and a page that grows with the document.
+#[test]
+fn a_page_shows_a_part_and_leaves_the_rest() {
+    let document = large(7_100);
+    let shown = window_view(&document, "", 2);
+    assert_eq!((shown.window.pages, shown.window.shown.len()), (72, 100));
+    let page = render_page(&shown);
+    assert!(page.len() < 200_000, "{} bytes", page.len());
+    assert!(!page.contains("clinic-0097") && page.contains("clinic-0098"));
+    let mut posted = posted_by_browser(&page);
+    assert_eq!(read_form(&with_unshown(&document, posted.clone())), Ok(document.clone()));
+
+    set(&mut posted, "workspaces[150].weight", "7");
+    set(&mut posted, "workspaces[151].remove", "on");
+    set(&mut posted, "workspaces[7105].name", "new");
+    set(&mut posted, "workspaces[7105].pools", "hinge-model");
+    set(&mut posted, "workspaces[7105].tiers", "standard");
+    set(&mut posted, "workspaces[7105].credentials", &format!("sha256:{}", "a".repeat(64)));
+    let edited = read_form(&with_unshown(&document, posted)).expect("a valid form");
+    let changes: Vec<String> =
+        document.changes_to(&edited).iter().map(ToString::to_string).collect();
+    assert_eq!(changes.len(), 3, "{changes:?}");
+    assert!(changes.contains(&"~ workspaces.clinic-0148.weight: 1 -> 7".to_owned()), "{changes:?}");
+
+    let found = window_view(&document, "CLINIC-70", 9);
+    assert_eq!((found.window.page, found.window.shown.len()), (1, 100));
+    let posted = posted_by_browser(&render_page(&found));
+    assert_eq!(read_form(&with_unshown(&document, posted)), Ok(document));
+}
+
+// Guards against a conflict page that puts an edit onto another workspace because rows moved.
+#[test]
+fn a_conflict_carries_rows_over_by_name() {
+    let base = large(300);
+    let window = WorkspaceWindow::select(&base, "clinic-0200", 1);
+    let mut posted = window.fields(&base);
+    set(&mut posted, "workspaces[202].weight", "9");
+    let mut theirs = form_fields(&base);
+    set(&mut theirs, "workspaces[3].remove", "on");
+    set(&mut theirs, "workspaces[250].weight", "5");
+    let current = read_form(&theirs).expect("valid");
+    let carried = carried_over(&base, &current, &posted);
+    let yours = read_form(&with_unshown(&current, carried)).expect("valid");
+    let changes: Vec<String> = current.changes_to(&yours).iter().map(ToString::to_string).collect();
+    assert_eq!(changes, ["~ workspaces.clinic-0200.weight: 1 -> 9"]);
+}
