Collect the metrics of the control daemon

GET /v1/metrics did not exist. The admission now reports what its pools refuse, cancel and finish, and the daemon counts it by pool and tier; queue lengths, the oldest waiting time, claims, log, lease and orders are read when the metrics are collected. Wasted prefill counts the uncached prompt of each request that did not complete, which is an upper bound.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -458,6 +458,9 @@
         for command in output.commands {
             self.propose(command);
         }
+        for event in &output.events {
+            self.metrics.count(event);
+        }
         for (node, message) in output.messages {
             self.send_entry(node, &message);
         }
--- a/crates/burdockcleat/src/entry/metrics.rs
+++ b/crates/burdockcleat/src/entry/metrics.rs
@@ -1,11 +1,10 @@
 //! Metrics of the entry.
 
 use super::chain::ChainRecord;
-use crate::telemetry::metrics::MetricSet;
+use crate::telemetry::metrics::{MetricSet, label};
 use burdockcleat_core::outcome::RequestOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
-use serde::Serialize;
 use serde_json::Value;
 
 /// Instruments of the entry.
@@ -62,11 +61,3 @@
         self.set.collect()
     }
 }
-
-/// Name of an outcome or reason as it is written in answers.
-fn label<T: Serialize>(value: &T) -> String {
-    match serde_json::to_value(value) {
-        Ok(Value::String(text)) => text,
-        _ => "unknown".to_owned(),
-    }
-}
--- a/crates/burdockcleat/src/telemetry/metrics.rs
+++ b/crates/burdockcleat/src/telemetry/metrics.rs
@@ -10,6 +10,7 @@
 use opentelemetry_sdk::metrics::{
     InstrumentKind, ManualReader, Pipeline, SdkMeterProvider, Temporality,
 };
+use serde::Serialize;
 use serde_json::{Map, Value, json};
 use std::fmt::Display;
 use std::sync::{Arc, Weak};
@@ -87,6 +88,14 @@
     attributes.map(|label| (label.key.to_string(), label.value.as_str().into())).collect()
 }
 
+/// Name of an outcome or reason as it is written in answers.
+pub fn label<T: Serialize>(value: &T) -> String {
+    match serde_json::to_value(value) {
+        Ok(Value::String(text)) => text,
+        _ => "unknown".to_owned(),
+    }
+}
+
 /// A reader that the provider and the dump share.
 #[derive(Clone, Debug)]
 struct SharedReader(Arc<ManualReader>);
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,8 +7,10 @@
 
 mod claim;
 mod entry;
+mod event;
 mod settings;
 
+pub use event::{AdmissionEvent, AdmissionEventKind};
 pub use settings::pool_settings;
 
 use crate::clock::ClockTime;
@@ -49,6 +51,8 @@
     pub commands: Vec<StateCommand>,
     /// Messages to send at once.
     pub messages: Vec<(NodeId, ControlMessage)>,
+    /// Events to count.
+    pub events: Vec<AdmissionEvent>,
 }
 
 /// One attempt of an entry.
@@ -86,6 +90,11 @@
 #[derive(Clone, Debug)]
 struct TrackedRequest {
     pool: String,
+    tier: u8,
+    /// Deadline on the monotonic clock.
+    deadline: ClockTime,
+    /// Whether its end has been counted; a new link makes the entry report it again.
+    counted: bool,
     stage: RequestStage,
     /// The attempt that gets the grant; absent for a claim of an earlier leader.
     owner: Option<AttemptRecord>,
@@ -158,7 +167,7 @@
         controller.configure(time, document);
         let mut claims: BTreeMap<String, Vec<OpenClaim>> = BTreeMap::new();
         for record in state.open_claims() {
-            controller.track_claim(&record);
+            controller.track_claim(time, &record);
             let pool = record.pool.to_string();
             claims.entry(pool).or_default().extend(open_claim(time, &record));
         }
@@ -284,9 +293,16 @@
         }
     }
 
-    fn track_claim(&mut self, record: &ClaimRecord) {
+    fn track_claim(&mut self, time: StepTime, record: &ClaimRecord) {
+        let deadline = match record.phase {
+            ClaimPhase::Open { deadline, .. } => time.now.plus(deadline.since(time.wall)),
+            ClaimPhase::Ended { .. } => time.now,
+        };
         let tracked = TrackedRequest {
             pool: record.pool.to_string(),
+            tier: record.tier,
+            deadline,
+            counted: false,
             stage: RequestStage::Granted { claim: record.claim },
             owner: None,
             duplicates: Vec::new(),
@@ -317,10 +333,13 @@
                     self.place(time, pool, key, (entry, attempt), target);
                 }
                 PoolOutput::Cancel { key, claim, entry, reason, retry_after_ms } => {
+                    let tier = self.requests.get(&key).map_or(0, |tracked| tracked.tier);
+                    self.count(pool, tier, AdmissionEventKind::Cancelled(reason));
                     let cancel = ControlMessage::Cancel { key, claim, reason, retry_after_ms };
                     self.output.messages.push((entry, cancel));
                 }
-                PoolOutput::Refuse { key, outcome, reason, retry_after_ms, .. } => {
+                PoolOutput::Refuse { key, tier, outcome, reason, retry_after_ms, .. } => {
+                    self.count(pool, tier, AdmissionEventKind::Refused(reason));
                     self.refuse_all(time, key, outcome, reason, retry_after_ms);
                 }
                 PoolOutput::Suspect(change) => {
@@ -330,6 +349,10 @@
         }
     }
 
+    fn count(&mut self, pool: &str, tier: u8, kind: AdmissionEventKind) {
+        self.output.events.push(AdmissionEvent { pool: pool.to_owned(), tier, kind });
+    }
+
     /// Refuses every attempt of a request that will not run.
     fn refuse_all(
         &mut self,
--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -154,7 +154,7 @@
             self.resume(record, &attempt);
         }
         if matches!(record.phase, ClaimPhase::Open { .. }) {
-            self.track_claim(record);
+            self.track_claim(time, record);
         }
     }
 
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -2,8 +2,8 @@
 
 use super::claim::retry_after;
 use super::{
-    AdmissionController, AttemptRecord, ENTRY_LOST_MS, EntryRecord, PendingRefusal, RequestStage,
-    StepTime, TrackedRequest, UNKNOWN_RETRY_MS,
+    AdmissionController, AdmissionEventKind, AttemptRecord, ENTRY_LOST_MS, EntryRecord,
+    PendingRefusal, RequestStage, StepTime, TrackedRequest, UNKNOWN_RETRY_MS,
 };
 use crate::keys::NodeId;
 use crate::message::{EntryMessage, FinishReport, HeldClaim, StreamProgress, SubmitRequest};
@@ -186,6 +186,9 @@
         let (entry, request) = (owner.entry, owner.request.clone());
         let tracked = TrackedRequest {
             pool: pool.to_owned(),
+            tier: request.tier,
+            deadline: time.now.plus(u64::from(request.deadline_in_ms)),
+            counted: false,
             stage: RequestStage::Waiting,
             owner: Some(owner),
             duplicates,
@@ -229,8 +232,20 @@
             outcome: report.outcome,
             reason: report.reason,
         });
-        let Some(tracked) = self.requests.get(&report.key) else { return };
-        let pool = tracked.pool.clone();
+        let Some(tracked) = self.requests.get_mut(&report.key) else { return };
+        let (pool, tier) = (tracked.pool.clone(), tracked.tier);
+        if !std::mem::replace(&mut tracked.counted, true) {
+            let prompt = tracked.owner.as_ref().map_or(0, |owner| owner.request.prompt_tokens);
+            let kind = AdmissionEventKind::Ended {
+                outcome: report.outcome,
+                in_time: time.now <= tracked.deadline,
+                wasted_tokens: match report.outcome {
+                    RequestOutcome::Completed => 0,
+                    _ => prompt.saturating_sub(report.cached_tokens),
+                },
+            };
+            self.count(&pool, tier, kind);
+        }
         // The slot is free at once; the record of the outcome follows with the commit.
         self.step_pool(time, &pool, PoolInput::Finish(report));
     }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -23,7 +23,7 @@
 mod target;
 mod workspace;
 
-pub use check::{PoolCounts, TierViolation};
+pub use check::{PoolCounts, TierCounts, TierViolation};
 pub use event::{OpenClaim, PoolInput, PoolOutput};
 pub use settings::{
     MechanismSwitches, PoolSettings, RoutingPolicy, TierSettings, WorkspaceSettings,
--- a/crates/core/src/pool/check.rs
+++ b/crates/core/src/pool/check.rs
@@ -3,9 +3,11 @@
 use super::PoolScheduler;
 use super::event::PoolOutput;
 use super::request::PoolTarget;
+use crate::clock::ClockTime;
 use crate::keys::RequestKey;
 use crate::outcome::ReasonCode;
 use crate::registry::TargetKey;
+use std::collections::BTreeMap;
 use thiserror::Error;
 
 /// A request was shed, or its deadline passed in the queue, while a lower tier was served.
@@ -39,7 +41,35 @@
     pub slots: usize,
 }
 
+/// Numbers of requests of one tier in a pool.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TierCounts {
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests that occupy a slot.
+    pub running: usize,
+    /// Time for which the oldest request has waited, in milliseconds.
+    pub oldest_wait_ms: u64,
+}
+
 impl PoolScheduler {
+    /// Numbers of requests by tier. Tiers without requests are left out.
+    ///
+    /// Costs O(tiers), so that metrics can be read while the queue is long.
+    pub fn tier_counts(&self, now: ClockTime) -> BTreeMap<u8, TierCounts> {
+        let mut tiers: BTreeMap<u8, TierCounts> = BTreeMap::new();
+        for (tier, waiting, oldest) in self.queue.lengths() {
+            let submitted = self.requests.get(oldest).map(|record| record.submitted);
+            let counts = tiers.entry(tier).or_default();
+            counts.waiting = waiting;
+            counts.oldest_wait_ms = submitted.map_or(0, |at| now.since(at));
+        }
+        for (tier, slots) in self.running.iter().filter(|(_, slots)| !slots.is_empty()) {
+            tiers.entry(*tier).or_default().running = slots.len();
+        }
+        tiers
+    }
+
     /// Checks an output of the last step against the tier rule.
     ///
     /// The check is exact for pools whose targets all serve the same models. With several models,
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -116,6 +116,13 @@
         }
     }
 
+    /// Number of requests and the oldest one of each tier.
+    pub fn lengths(&self) -> impl Iterator<Item = (u8, usize, RequestSlot)> {
+        self.tiers.iter().filter_map(|(tier, index)| {
+            index.by_age.first().map(|(_, oldest)| (*tier, index.by_age.len(), *oldest))
+        })
+    }
+
     /// Makes a waiting request eligible for placement.
     pub fn enter_flow(&mut self, item: &QueueItem) {
         if self.classes.len() <= item.class {
