--- /dev/null
+++ b/crates/testbed/src/command.rs
@@ -0,0 +1,83 @@
+//! Runs the operators' command line against a deployment.
+
+use crate::deployment::{DeploymentError, OPERATOR_TOKEN, daemon};
+use serde_json::Value;
+use std::process::{Child, Command, Stdio};
+
+/// What a command printed and how it ended.
+#[derive(Clone, Debug)]
+pub struct CommandEnd {
+    /// Exit status; -1 if a signal ended the command.
+    pub status: i32,
+    /// Standard output.
+    pub out: String,
+    /// Standard error.
+    pub err: String,
+}
+
+impl CommandEnd {
+    /// Standard output as JSON, null if it is not.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.out).unwrap_or(Value::Null)
+    }
+}
+
+/// The command line with the URLs and the token in its environment.
+#[derive(Clone, Debug)]
+pub struct OperatorCommand {
+    control: String,
+    token: String,
+}
+
+impl OperatorCommand {
+    /// A command line for these control instances.
+    pub fn new(urls: &[String]) -> Self {
+        Self { control: urls.join(","), token: OPERATOR_TOKEN.to_owned() }
+    }
+
+    /// Uses another token.
+    #[must_use]
+    pub fn with_token(self, token: &str) -> Self {
+        Self { token: token.to_owned(), ..self }
+    }
+
+    /// Starts a command.
+    ///
+    /// # Errors
+    /// Fails if the command line was not built.
+    pub fn spawn(&self, arguments: &[&str]) -> Result<Child, DeploymentError> {
+        let program = daemon("burdockcleat");
+        Command::new(&program)
+            .args(arguments)
+            .env("BURDOCKCLEAT_CONTROL", &self.control)
+            .env("BURDOCKCLEAT_OPERATOR_TOKEN", &self.token)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(|source| DeploymentError::Start { program, source })
+    }
+
+    /// Runs a command to its end.
+    ///
+    /// # Errors
+    /// Fails if the command line was not built.
+    pub fn run(&self, arguments: &[&str]) -> Result<CommandEnd, DeploymentError> {
+        finish(self.spawn(arguments)?)
+    }
+}
+
+/// Waits for a command and reads its output.
+///
+/// # Errors
+/// Fails if the command cannot be waited for.
+pub fn finish(child: Child) -> Result<CommandEnd, DeploymentError> {
+    let output = child
+        .wait_with_output()
+        .map_err(|source| DeploymentError::Start { program: daemon("burdockcleat"), source })?;
+    Ok(CommandEnd {
+        status: output.status.code().unwrap_or(-1),
+        out: String::from_utf8_lossy(&output.stdout).into_owned(),
+        err: String::from_utf8_lossy(&output.stderr).into_owned(),
+    })
+}
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -15,6 +15,8 @@
 const HTTP_PORT: u16 = 7300;
 /// Port of operators at an entry, and of links at a control instance.
 const SECOND_PORT: u16 = 7301;
+/// Port of the console at a control instance.
+const CONSOLE_PORT: u16 = 7302;
 /// Distance between the host number of a control instance and that of its relay.
 const RELAY_HOSTS: usize = 50;
 /// Interval at which a condition is checked.
@@ -201,6 +203,11 @@
         format!("http://{}", self.address(Self::control_host(index), HTTP_PORT))
     }
 
+    /// Base URL of the console of a control instance.
+    pub fn console_url(&self, index: usize) -> String {
+        format!("http://{}", self.address(Self::control_host(index), CONSOLE_PORT))
+    }
+
     /// Base URLs of all control instances.
     pub fn control_urls(&self) -> Vec<String> {
         (0..self.controls).map(|index| self.control_url(index)).collect()
@@ -253,6 +260,7 @@
             format!("--link-listen={}", self.control_own(index)),
             format!("--link-address={}", self.control_link(index)),
             format!("--operator-listen={}", self.address(Self::control_host(index), HTTP_PORT)),
+            format!("--console-listen={}", self.address(Self::control_host(index), CONSOLE_PORT)),
             format!("--peers={}", peers.join(",")),
             format!("--data-folder={}", self.data_folder(index).display()),
             "--form-group=true".into(),
@@ -297,7 +305,7 @@
     }
 
     fn start(&mut self, name: String, command: Vec<String>) -> Result<(), DeploymentError> {
-        let program = daemon_folder().join(&command[0]);
+        let program = daemon(&command[0]);
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -384,6 +392,11 @@
     }
 }
 
+/// Path of a built program of this workspace.
+pub fn daemon(name: &str) -> PathBuf {
+    daemon_folder().join(name)
+}
+
 /// Folder of the built daemons: that of the test program, or the one above its `deps`.
 fn daemon_folder() -> PathBuf {
     let program = std::env::current_exe().unwrap_or_default();
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here listens on and connects to loopback addresses only.
 
 pub mod announce;
+pub mod command;
 pub mod deployment;
 pub mod engine;
 pub mod error;
--- /dev/null
+++ b/crates/testbed/tests/operators.rs
@@ -0,0 +1,44 @@
+//! The operators' side of a real deployment: configuration, drains, orders, console and dumps.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+#[path = "operators/commands.rs"]
+mod commands;
+#[path = "operators/config.rs"]
+mod config;
+#[path = "operators/console.rs"]
+mod console;
+#[path = "operators/drain.rs"]
+mod drain;
+#[path = "operators/orders.rs"]
+mod orders;
+#[path = "operators/overload.rs"]
+mod overload;
+
+use burdockcleat_testbed::command::OperatorCommand;
+use burdockcleat_testbed::stage::{DOCUMENT, StagePlan, TestStage};
+use std::io::Write;
+use tempfile::NamedTempFile;
+
+fn stage(entries: usize, engines: usize) -> TestStage {
+    TestStage::open(StagePlan { entries, engines, ..StagePlan::default() }).unwrap()
+}
+
+fn commands(stage: &TestStage) -> OperatorCommand {
+    OperatorCommand::new(&stage.deployment.control_urls())
+}
+
+fn file(text: &str) -> NamedTempFile {
+    let mut file = NamedTempFile::new().unwrap();
+    file.write_all(text.as_bytes()).unwrap();
+    file
+}
+
+fn path(file: &NamedTempFile) -> &str {
+    file.path().to_str().unwrap()
+}
+
+/// The stage's document with another weight of the first workspace.
+fn weighted(weight: u64) -> String {
+    DOCUMENT.replacen("weight = 8", &format!("weight = {weight}"), 1)
+}
--- /dev/null
+++ b/crates/testbed/tests/operators/orders.rs
@@ -0,0 +1,150 @@
+//! Orders to engines: effect, fencing, rate and exclusion of an old leader.
+
+use super::{commands, stage};
+use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, wait_until};
+use burdockcleat_testbed::engine::{EngineSettings, FakeEngine};
+use burdockcleat_testbed::fault::FaultSet;
+use burdockcleat_testbed::journal::OrderRecord;
+use burdockcleat_testbed::stage::{MODEL, MODEL_POOL, TestStage};
+use serde_json::Value;
+use std::thread;
+use std::time::Duration;
+
+/// Second model of the pool, which no engine serves at its start.
+const OTHER_MODEL: &str = "hinge-spares-13b-catalogue";
+
+fn engine(stage: &TestStage, name: &str, enforces: bool, issuer: &str) -> FakeEngine {
+    let mut settings = EngineSettings::named(name, MODEL_POOL);
+    settings.target.models = vec![MODEL.into()];
+    settings.target.control_urls = stage.deployment.control_urls();
+    settings.target.enforces_fencing = enforces;
+    settings.target.order_issuer = issuer.into();
+    let engine = FakeEngine::spawn(settings).unwrap();
+    wait_until("the engine to be listed", 9_000, || target(stage, name).is_some()).unwrap();
+    engine
+}
+
+fn status(stage: &TestStage) -> Value {
+    commands(stage).run(&["status", "--json"]).unwrap().json()
+}
+
+fn target(stage: &TestStage, name: &str) -> Option<Value> {
+    let status = status(stage);
+    let targets = status["targets"].as_array()?;
+    targets.iter().find(|target| target["name"] == name).cloned()
+}
+
+fn orders(engine: &FakeEngine) -> Vec<OrderRecord> {
+    engine.journal().orders
+}
+
+fn order(stage: &TestStage, name: &str, model: &str, id: &str) -> Value {
+    let ended = commands(stage)
+        .run(&["order", name, model, "--operation-id", id, "--json", "--wait", "20"])
+        .unwrap();
+    assert_eq!(ended.status, 0, "{name}: {}", ended.err);
+    ended.json()
+}
+
+/// Guards against an order without effect, one that has its effect twice, one to a target that
+/// takes none from us, and a result that is reported before the model is served.
+#[test]
+fn an_order_has_one_effect_at_both_kinds_of_engines() {
+    let mut stage = stage(1, 1);
+    let fenced = engine(&stage, "fenced", true, "burdockcleat");
+    let open = engine(&stage, "open", false, "burdockcleat");
+    let foreign = engine(&stage, "foreign", true, "somebody");
+    for (engine, name) in [(&fenced, "fenced"), (&open, "open")] {
+        let first = order(&stage, name, OTHER_MODEL, name);
+        let models = target(&stage, name).unwrap()["models"].clone();
+        assert!(models.as_array().unwrap().contains(&OTHER_MODEL.into()), "{models}");
+        assert_eq!(order(&stage, name, OTHER_MODEL, name)["fencing"], first["fencing"]);
+        let received = orders(engine);
+        assert_eq!(received.iter().filter(|order| order.applied).count(), 1, "{received:?}");
+        assert_eq!(Value::from(received[0].fencing), first["fencing"]);
+    }
+    let refused = commands(&stage).run(&["order", "foreign", OTHER_MODEL]).unwrap();
+    assert_eq!(refused.status, 1);
+    assert!(refused.err.contains("takes orders from \"somebody\""), "{}", refused.err);
+
+    let leader = stage.deployment.wait_leader().unwrap();
+    stage.deployment.signal(&Deployment::control_name(leader), ProcessSignal::Kill).unwrap();
+    let before = orders(&fenced).len();
+    order(&stage, "fenced", OTHER_MODEL, "fenced");
+    thread::sleep(Duration::from_millis(4_000));
+    assert_eq!(orders(&fenced).len(), before, "an ended order was sent again");
+    let listed = status(&stage)["orders"].clone();
+    let listed = listed.as_array().unwrap().iter().find(|order| order["operation_id"] == "fenced");
+    assert_eq!(listed.unwrap()["state"], "done");
+    assert!(orders(&foreign).is_empty());
+}
+
+/// Guards against loads above the rate that the weight store sustains.
+#[test]
+fn loads_keep_to_the_rate_of_the_weight_store() {
+    let stage = stage(1, 4);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let rate = "weight-loads-per-minute = ";
+    let text = burdockcleat_testbed::stage::DOCUMENT.replacen(
+        &format!("{rate}6"),
+        &format!("{rate}40"),
+        1,
+    );
+    assert_eq!(stage.deployment.apply(leader, 1, "rate", &text).unwrap().status, 200);
+    thread::scope(|scope| {
+        for number in 0..4 {
+            let stage = &stage;
+            scope.spawn(move || {
+                let name = format!("engine-{number}");
+                order(stage, &name, OTHER_MODEL, &name);
+            });
+        }
+    });
+    let mut times: Vec<u64> =
+        stage.engines.iter().flat_map(orders).map(|order| order.at_ms).collect();
+    times.sort_unstable();
+    let gaps: Vec<u64> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    println!("gaps between loads: {gaps:?} ms");
+    // 40 loads a minute are 1,500 ms apart; sending and receiving take up to 100 ms.
+    assert!(gaps.len() == 3 && gaps.iter().all(|gap| *gap >= 1_400), "{gaps:?}");
+}
+
+/// Guards against an old leader whose order arrives after one of its successor: an engine that
+/// enforces fencing must refuse it, and one that ignores fencing must not receive it.
+#[test]
+fn an_old_leader_cannot_order() {
+    let mut stage = stage(1, 1);
+    let fenced = engine(&stage, "fenced", true, "burdockcleat");
+    let open = engine(&stage, "open", false, "burdockcleat");
+    let leader = stage.deployment.wait_leader().unwrap();
+    let name = Deployment::control_name(leader);
+    // Orders that the old leader sends and that stay open: the engines do not answer.
+    for engine in [&fenced, &open] {
+        engine.set_fault(FaultSet { freeze: true, ..FaultSet::default() });
+    }
+    for target in ["fenced", "open"] {
+        let ended = commands(&stage).run(&["order", target, OTHER_MODEL, "--operation-id", target]);
+        assert_eq!(ended.unwrap().status, 0);
+    }
+    thread::sleep(Duration::from_millis(4_000));
+    stage.deployment.signal(&name, ProcessSignal::Stop).unwrap();
+    for engine in [&fenced, &open] {
+        engine.set_fault(FaultSet::default());
+    }
+    let next = stage.deployment.wait_leader().unwrap();
+    assert_ne!(next, leader);
+    for target in ["fenced", "open"] {
+        order(&stage, target, OTHER_MODEL, target);
+        order(&stage, target, MODEL, &format!("{target}-later"));
+    }
+    stage.deployment.signal(&name, ProcessSignal::Continue).unwrap();
+    thread::sleep(Duration::from_millis(5_000));
+    for engine in [&fenced, &open] {
+        let received = orders(engine);
+        let applied: Vec<u64> =
+            received.iter().filter(|order| order.applied).map(|order| order.fencing).collect();
+        assert!(applied.len() == 2 && applied[0] < applied[1], "{received:?}");
+    }
+    let received: Vec<u64> = orders(&open).iter().map(|order| order.fencing).collect();
+    assert!(received.is_sorted(), "the old leader's order arrived late: {received:?}");
+}
