--- a/crates/burdockcleat/src/control/report.rs
+++ b/crates/burdockcleat/src/control/report.rs
@@ -3,6 +3,7 @@
 use super::event::CallReply;
 use super::node::ControlNode;
 use super::replies::{refusal, unconfirmed};
+use crate::link::LinkTotals;
 use crate::operator::{
     ApplyReply, ConfigReply, ConflictReply, DrainReply, EntryStatus, ErrorCode, HistoryEntry,
     HistoryReply, MemberStatus, OrderReply, OrderState, OrderStatus, PoolStatus, StatusReply,
@@ -32,6 +33,7 @@
     orders_in_flight: usize,
     log_bytes: u64,
     log_syncs: u64,
+    links: LinkTotals,
 }
 
 /// Answer to an operator's write.
@@ -146,6 +148,7 @@
             orders_in_flight: self.orders.in_flight(),
             log_bytes: self.storage.log_bytes(),
             log_syncs: self.storage.sync_count(),
+            links: self.link.totals(),
         };
         CallReply::json(200, &dump)
     }
--- a/crates/burdockcleat/src/entry/gate/relay.rs
+++ b/crates/burdockcleat/src/entry/gate/relay.rs
@@ -1,7 +1,7 @@
 //! Copies bytes between a caller and the inner server and supervises the connection.
 
 use super::GateLimits;
-use super::link::{CallerLink, LinkPhase};
+use super::link::{CallerLink, FIRST_NUDGE, LinkPhase};
 use super::refusal::GateRefusal;
 use async_channel::Receiver;
 use async_io::{Async, Timer};
@@ -142,22 +142,32 @@
     /// Watches deadlines, resets and half-closed callers.
     async fn supervise(&self, wake: &Receiver<()>) -> LinkEnd {
         let mut next_probe = Instant::now();
+        let mut nudge_pause = FIRST_NUDGE;
         loop {
             let now = Instant::now();
-            let (phase, deadline, half_closed) = {
-                let state = self.link.state();
+            let (phase, deadline, half_closed, nudge_at) = {
+                let mut state = self.link.state();
                 if state.reset_requested {
                     return LinkEnd::Reset;
                 }
-                (state.phase, state.deadline, state.half_closed)
+                let nudge_at = state.nudge_at;
+                if nudge_at.is_some_and(|at| at <= now) {
+                    nudge_pause *= 2;
+                    state.nudge_at = Some(now + nudge_pause);
+                }
+                (state.phase, state.deadline, state.half_closed, nudge_at)
             };
+            if nudge_at.is_some_and(|at| at <= now) {
+                self.nudge_inner().await;
+                continue;
+            }
             if deadline.is_some_and(|deadline| deadline <= now) {
                 return match phase {
                     LinkPhase::Idle => LinkEnd::Idle,
                     _ => LinkEnd::Refused(GateRefusal::SenderTimeout),
                 };
             }
-            let mut wait_until = deadline;
+            let mut wait_until = deadline.into_iter().chain(nudge_at).min();
             if half_closed {
                 let probes = phase == LinkPhase::Received && next_probe <= now;
                 if probes {
@@ -167,13 +177,26 @@
                     return LinkEnd::Gone;
                 }
                 let look = now + HALF_CLOSED_LOOK;
-                wait_until = Some(deadline.map_or(look, |deadline| deadline.min(look)));
+                wait_until = Some(wait_until.map_or(look, |until| until.min(look)));
             }
             let timer = wait_until.map_or_else(Timer::never, Timer::at);
             future::select(pin!(wake.recv()), timer).await;
         }
     }
 
+    /// Opens and closes a connection to the inner server.
+    ///
+    /// The thread pool of `tiny_http` counts a notified thread as free until it has woken up.
+    /// In a burst it queues more connections than it has free threads, and the rest would
+    /// wait until another connection ends. A further connection makes it start a thread,
+    /// which then takes one from the queue.
+    async fn nudge_inner(&self) {
+        let Ok(address) = self.inner.get_ref().peer_addr() else { return };
+        if let Err(error) = Async::<TcpStream>::connect(address).await {
+            log::warn!(error:% = error; "the inner server is unreachable");
+        }
+    }
+
     /// Looks at a caller that sent FIN. After FIN, reads only return the end, so a reset
     /// shows as a pending socket error or as a failed write.
     fn is_closed_by_caller(&self, probes: bool) -> bool {
--- a/crates/testbed/src/flags.rs
+++ b/crates/testbed/src/flags.rs
@@ -3,13 +3,14 @@
 use crate::announce::TargetSettings;
 use crate::engine::EngineSettings;
 use crate::error::TestbedError;
+use crate::load::{LoadProfile, LoadSettings, PlanSettings};
 use crate::service::ServiceSettings;
 use lexopt::{Arg, Parser, ValueExt};
+use std::collections::BTreeMap;
 use std::str::FromStr;
 
 /// Builds the error of a flag.
-#[allow(clippy::needless_pass_by_value, reason = "callers pass errors that they own")]
-pub fn flag_error(flag: &str, problem: impl ToString) -> TestbedError {
+pub fn flag_error(flag: &str, problem: &impl ToString) -> TestbedError {
     TestbedError::Flag { flag: flag.to_owned(), problem: problem.to_string() }
 }
 
@@ -21,8 +22,8 @@
 where
     T::Err: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let value = parser.value().map_err(|error| flag_error(flag, error))?;
-    value.parse().map_err(|error| flag_error(flag, error))
+    let value = parser.value().map_err(|error| flag_error(flag, &error))?;
+    value.parse().map_err(|error| flag_error(flag, &error))
 }
 
 /// Reads the next flag, without its leading dashes.
@@ -30,10 +31,10 @@
 /// # Errors
 /// Fails on a short flag or a free argument.
 pub fn next_flag(parser: &mut Parser) -> Result<Option<String>, TestbedError> {
-    match parser.next().map_err(|error| flag_error("command line", error))? {
+    match parser.next().map_err(|error| flag_error("command line", &error))? {
         None => Ok(None),
         Some(Arg::Long(name)) => Ok(Some(name.to_owned())),
-        Some(other) => Err(flag_error("command line", other.unexpected())),
+        Some(other) => Err(flag_error("command line", &other.unexpected())),
     }
 }
 
@@ -84,7 +85,7 @@
             "retention-ms" => settings.retention_ms = flag_value(&mut parser, &flag)?,
             "order-ms" => settings.order_ms = flag_value(&mut parser, &flag)?,
             _ if set_target_flag(&mut settings.target, &mut parser, &flag)? => {}
-            _ => return Err(flag_error(&flag, "unknown flag")),
+            _ => return Err(flag_error(&flag, &"unknown flag")),
         }
     }
     Ok(settings)
@@ -101,8 +102,60 @@
         match flag.as_str() {
             "latency-ms" => settings.latency_ms = flag_value(&mut parser, &flag)?,
             _ if set_target_flag(&mut settings.target, &mut parser, &flag)? => {}
-            _ => return Err(flag_error(&flag, "unknown flag")),
+            _ => return Err(flag_error(&flag, &"unknown flag")),
         }
     }
     Ok(settings)
 }
+
+/// Parses the flags of `load`; the second value tells whether `--json` was given.
+///
+/// # Errors
+/// Fails on an unknown flag or a bad value.
+pub fn parse_load(mut parser: Parser) -> Result<(LoadSettings, bool), TestbedError> {
+    let mut json = false;
+    let mut settings = LoadSettings {
+        plan: PlanSettings {
+            profile: LoadProfile::Bureau,
+            rate: 5.0,
+            seconds: 30.0,
+            seed: 1,
+            model: "m1".to_owned(),
+            services: true,
+            tier_in_path: false,
+        },
+        entries: Vec::new(),
+        default_credential: String::new(),
+        tier_credentials: BTreeMap::new(),
+        targets: Vec::new(),
+        max_open: 512,
+    };
+    while let Some(flag) = next_flag(&mut parser)? {
+        match flag.as_str() {
+            "entry" => settings.entries.push(flag_value(&mut parser, &flag)?),
+            "credential" => settings.default_credential = flag_value(&mut parser, &flag)?,
+            "tier-credential" => {
+                let text: String = flag_value(&mut parser, &flag)?;
+                let pair = text.split_once('=').and_then(|(tier, credential)| {
+                    Some((tier.parse().ok()?, credential.to_owned()))
+                });
+                let Some((tier, credential)) = pair else {
+                    return Err(flag_error(&flag, &"not of the form tier=credential"));
+                };
+                settings.tier_credentials.insert(tier, credential);
+            }
+            "profile" => settings.plan.profile = flag_value(&mut parser, &flag)?,
+            "rate" => settings.plan.rate = flag_value(&mut parser, &flag)?,
+            "seconds" => settings.plan.seconds = flag_value(&mut parser, &flag)?,
+            "seed" => settings.plan.seed = flag_value(&mut parser, &flag)?,
+            "model" => settings.plan.model = flag_value(&mut parser, &flag)?,
+            "services" => settings.plan.services = flag_value(&mut parser, &flag)?,
+            "tier-in-path" => settings.plan.tier_in_path = flag_value(&mut parser, &flag)?,
+            "target" => settings.targets.push(flag_value(&mut parser, &flag)?),
+            "max-open" => settings.max_open = flag_value(&mut parser, &flag)?,
+            "json" => json = true,
+            _ => return Err(flag_error(&flag, &"unknown flag")),
+        }
+    }
+    Ok((settings, json))
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 //! Everything here listens on and connects to loopback addresses only.
 
 pub mod announce;
+pub mod capacity;
 pub mod command;
 pub mod deployment;
 pub mod engine;
@@ -10,11 +11,14 @@
 pub mod fault;
 pub mod flags;
 pub mod journal;
+pub mod load;
+pub mod measure;
 pub mod probe;
 pub mod prompt;
 pub mod relay;
 pub mod service;
 pub mod stage;
+pub mod usage;
 
 mod http;
 mod sync;
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers shared by the tests of the testbed.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
+#![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -77,6 +78,11 @@
         format!("http://{}", self.server.server_addr())
     }
 
+    /// Takes a post that has already arrived.
+    pub fn try_next(&self) -> Option<(String, Value)> {
+        self.posts.try_recv().ok()
+    }
+
     /// Waits for the next post to a path.
     pub fn next(&self, path: &str, limit: Duration) -> Value {
         let end = Instant::now() + limit;
