Satisfy clippy

Boxed calls keep the error of a full queue small.

Measured: clippy passes for the workspace with warnings denied.

--- a/crates/burdockcleat/src/control/calls.rs
+++ b/crates/burdockcleat/src/control/calls.rs
@@ -41,7 +41,7 @@
         }
         match call {
             OperatorCall::Apply { request, document } => self.apply_call(request, document, reply),
-            OperatorCall::Order(request) => self.order_call(request, reply),
+            OperatorCall::Order(request) => self.order_call(&request, reply),
             OperatorCall::Drain(request) => self.drain_call(request, reply),
             OperatorCall::ReadConfig => {
                 self.read_call(reply, |state| report::config_reply(&state.config()));
@@ -102,13 +102,13 @@
         self.operate(&command, checked, reply);
     }
 
-    fn order_call(&mut self, request: OrderRequest, reply: Sender<CallReply>) {
+    fn order_call(&mut self, request: &OrderRequest, reply: Sender<CallReply>) {
         let action =
             OrderAction::LoadModel { model: request.model.clone(), version: String::new() };
         let order = EngineOrder { target: request.target.clone(), action };
         let (operation_id, author) = (request.operation_id.clone(), request.author.clone());
         let command = StateCommand::IssueOrder { order, operation_id, author };
-        let checked = self.check_order(&request).map(|()| command.clone());
+        let checked = self.check_order(request).map(|()| command.clone());
         self.operate(&command, checked, reply);
     }
 
--- a/crates/burdockcleat/src/control/listen.rs
+++ b/crates/burdockcleat/src/control/listen.rs
@@ -134,7 +134,7 @@
         for request in server.incoming_requests() {
             let Some(port) = request.remote_addr().map(SocketAddr::port) else { continue };
             let call = HttpCall { request, gate: gate.clone(), port };
-            sort(&queues, call);
+            sort(&queues, Box::new(call));
         }
     };
     thread::Builder::new()
@@ -144,19 +144,20 @@
         .map_err(ControlError::Thread)
 }
 
-type ClassQueue = (fn(&HttpCall) -> bool, SyncSender<HttpCall>);
+type ClassQueue = (fn(&HttpCall) -> bool, SyncSender<Box<HttpCall>>);
 
-fn sort(queues: &[ClassQueue], call: HttpCall) {
-    let queue = queues.iter().find(|(claims, _)| claims(&call));
-    let refused = match queue.map(|(_, queue)| queue.try_send(call)) {
-        Some(Err(TrySendError::Full(call) | TrySendError::Disconnected(call))) => call,
-        _ => return,
+fn sort(queues: &[ClassQueue], call: Box<HttpCall>) {
+    let Some((_, queue)) = queues.iter().find(|(claims, _)| claims(&call)) else { return };
+    let Err(TrySendError::Full(refused) | TrySendError::Disconnected(refused)) =
+        queue.try_send(call)
+    else {
+        return;
     };
     let body = r#"{"error":"unconfirmed","message":"too many requests wait; send again"}"#.into();
     refused.respond(HttpReply { status: 503, body, headers: Vec::new() });
 }
 
-fn spawn_class(class: &RequestClass) -> Result<SyncSender<HttpCall>, ControlError> {
+fn spawn_class(class: &RequestClass) -> Result<SyncSender<Box<HttpCall>>, ControlError> {
     let (queue, calls) = sync_channel(WAITING_REQUESTS);
     let calls = Arc::new(Mutex::new(calls));
     for _ in 0..class.threads {
@@ -165,7 +166,7 @@
             .name(class.name.into())
             .spawn(move || {
                 while let Some(call) = next_call(&calls) {
-                    serve(call);
+                    serve(*call);
                 }
             })
             .map_err(ControlError::Thread)?;
@@ -173,6 +174,6 @@
     Ok(queue)
 }
 
-fn next_call(calls: &Mutex<Receiver<HttpCall>>) -> Option<HttpCall> {
+fn next_call(calls: &Mutex<Receiver<Box<HttpCall>>>) -> Option<Box<HttpCall>> {
     calls.lock().unwrap_or_else(PoisonError::into_inner).recv().ok()
 }
