--- a/crates/burdockcleat/src/cmd.rs
+++ b/crates/burdockcleat/src/cmd.rs
@@ -9,6 +9,7 @@
 mod error;
 mod history;
 mod order;
+mod show;
 mod status;
 mod wait;
 
@@ -18,8 +19,9 @@
 use lexopt::Parser;
 use std::io::Write;
 
-const COMMANDS: [&CommandSpec; 8] = [
+const COMMANDS: [&CommandSpec; 9] = [
     &check::SPEC,
+    &show::SPEC,
     &diff::SPEC,
     &apply::SPEC,
     &status::SPEC,
--- a/crates/burdockcleat/tests/operator/commands.rs
+++ b/crates/burdockcleat/tests/operator/commands.rs
@@ -188,7 +188,7 @@
 fn every_command_explains_itself() {
     let overview = run("", &["--help"]);
     assert_eq!(overview.status, 0);
-    for name in ["check", "diff", "apply", "status", "history", "dump", "drain", "order"] {
+    for name in ["check", "show", "diff", "apply", "status", "history", "dump", "drain", "order"] {
         assert!(overview.out.contains(&format!("\n  {name} ")), "{name}");
         let help = run("", &[name, "--help"]);
         assert_eq!(help.status, 0);
--- a/crates/burdockcleat/tests/operator/fake_control.rs
+++ b/crates/burdockcleat/tests/operator/fake_control.rs
@@ -146,7 +146,7 @@
 impl FakeState {
     fn answer(&mut self, method: &str, path: &str, body: &str) -> (u16, String) {
         match (method, path) {
-            ("GET", "/v1/config") => reply(&self.config),
+            ("GET", "/v1/config" | "/v1/config?version=1") => reply(&self.config),
             ("POST", "/v1/config") => self.apply(&serde_json::from_str(body).expect("a request")),
             ("GET", "/v1/history") => reply(&HistoryReply { versions: self.history.clone() }),
             ("GET", "/v1/status") => reply(&self.status),
--- a/crates/burdockcleat/tests/operator/main.rs
+++ b/crates/burdockcleat/tests/operator/main.rs
@@ -2,4 +2,5 @@
 
 mod client;
 mod commands;
+mod console;
 mod fake_control;
--- a/crates/testbed/tests/operators/commands.rs
+++ b/crates/testbed/tests/operators/commands.rs
@@ -21,6 +21,9 @@
         (&["apply", path(&next), "--base", "1", "--json", "--wait", "9"], 0, "/version", "2"),
         (&["apply", path(&next), "--base", "1", "--json"], 1, "/current_version", "2"),
         (&["apply", path(&next), "--json"], 2, "/error", "\"failed\""),
+        (&["show", "--json"], 0, "/version", "2"),
+        (&["show", "--version", "1", "--json"], 0, "/version", "1"),
+        (&["show", "--version", "7", "--json"], 1, "/error", "\"failed\""),
         (&["status", "--json"], 0, "/config_version", "2"),
         (&["history", "--json"], 0, "/versions/0/changes", "1"),
         (&["drain", "target", "nobody", "--json"], 1, "/error", "\"failed\""),
@@ -37,6 +40,7 @@
         let found = ended.json().pointer(pointer).map(ToString::to_string);
         assert_eq!(found.as_deref(), Some(*expected), "{arguments:?}: {}", ended.out);
     }
+    assert_eq!(run(&["show", "--version", "1"]).out, DOCUMENT);
     let url = stage.deployment.control_url(0);
     let dump = run(&["dump", &url]);
     assert_eq!((dump.status, dump.json()["name"].as_str()), (0, Some("control-0")), "{}", dump.err);
@@ -49,6 +53,7 @@
     let next = file(&weighted(9));
     let url = stage.deployment.control_url(0);
     let cases: &[&[&str]] = &[
+        &["show"],
         &["diff", path(&next)],
         &["apply", path(&next), "--base", "1"],
         &["status"],
