--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -202,3 +202,30 @@
         total_ms: 50,
     }
 }
+
+/// Guards against a drained target that gets work from its leader, from a new leader that knows
+/// the drain from the log only, or after its next announcement; and against a drain that outlasts
+/// the incarnation.
+#[test]
+fn a_drained_incarnation_gets_no_work_from_any_leader() {
+    for carried_out in [true, false] {
+        let mut harness = AdmissionHarness::open();
+        harness.drain("engine-1", 1, carried_out);
+        if !carried_out {
+            harness.replace_leader();
+            harness.hello(ENTRY_A, &[]);
+            harness.end_rebuild();
+        }
+        harness.announce("engine-1", 1);
+        harness.take_messages();
+        harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+        harness.announce("engine-1", 1);
+        harness.commit();
+        assert!(harness.take_messages().is_empty(), "carried out: {carried_out}");
+        harness.announce("engine-1", 2);
+        harness.commit();
+        let granted = harness.take_messages();
+        let ticket = granted.iter().find_map(|(_, message)| grant(message)).expect("a grant");
+        assert_eq!(ticket.target.incarnation, 2);
+    }
+}
--- a/crates/core/tests/admission/harness.rs
+++ b/crates/core/tests/admission/harness.rs
@@ -3,10 +3,12 @@
 use burdockcleat_core::admission::{AdmissionController, StepTime};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::document::ConfigDocument;
-use burdockcleat_core::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey};
+use burdockcleat_core::keys::{
+    ClaimNumber, NodeId, RequestFingerprint, RequestKey, TargetIdentity,
+};
 use burdockcleat_core::message::{ControlMessage, EntryMessage, HeldClaim, SubmitRequest};
 use burdockcleat_core::registry::{TargetAnnouncement, TargetRegistry};
-use burdockcleat_core::state::{ReplicatedState, StampedCommand, StateCommand};
+use burdockcleat_core::state::{DrainSubject, ReplicatedState, StampedCommand, StateCommand};
 
 pub const ENTRY_A: NodeId = NodeId(101);
 pub const ENTRY_B: NodeId = NodeId(102);
@@ -137,6 +139,21 @@
         }
     }
 
+    /// Commits the drain of an incarnation; this leader carries it out only if it still leads.
+    pub fn drain(&mut self, name: &str, incarnation: u64, carry_out: bool) {
+        let identity = TargetIdentity { name: name.into(), incarnation };
+        self.uncommitted.push(StateCommand::Drain {
+            subject: DrainSubject::Target(identity.clone()),
+            operation_id: format!("drain-{name}-{incarnation}"),
+            author: "operator".into(),
+        });
+        self.commit();
+        if carry_out {
+            self.admission.drain_target(time(self.now), &identity);
+            self.collect();
+        }
+    }
+
     /// The leader dies with everything uncommitted; another one takes over the applied state.
     pub fn replace_leader(&mut self) {
         self.uncommitted.clear();
