--- a/crates/testbed/tests/operators/orders.rs
+++ b/crates/testbed/tests/operators/orders.rs
@@ -1,11 +1,12 @@
 //! Orders to engines: effect, fencing, rate and exclusion of an old leader.
 
 use super::{commands, stage};
+use burdockcleat_core::clock::ClockTime;
 use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, wait_until};
 use burdockcleat_testbed::engine::{EngineSettings, FakeEngine};
 use burdockcleat_testbed::fault::FaultSet;
 use burdockcleat_testbed::journal::OrderRecord;
-use burdockcleat_testbed::stage::{MODEL, MODEL_POOL, TestStage};
+use burdockcleat_testbed::stage::{DOCUMENT, MODEL, MODEL_POOL, TestStage};
 use serde_json::Value;
 use std::thread;
 use std::time::Duration;
@@ -148,3 +149,36 @@
     let received: Vec<u64> = orders(&open).iter().map(|order| order.fencing).collect();
     assert!(received.is_sorted(), "the old leader's order arrived late: {received:?}");
 }
+
+/// Guards against a new leader that orders an engine which ignores fencing while an order of its
+/// predecessor may still be in flight, and against the same wait for engines that need none.
+#[test]
+fn a_new_leader_waits_for_engines_that_ignore_fencing() {
+    let mut stage = stage(1, 1);
+    let fenced = engine(&stage, "fenced", true, "burdockcleat");
+    let open = engine(&stage, "open", false, "burdockcleat");
+    let leader = stage.deployment.wait_leader().unwrap();
+    // The weight store's rate must not be what delays the orders.
+    let rate = "weight-loads-per-minute = ";
+    let text = DOCUMENT.replacen(&format!("{rate}6"), &format!("{rate}600"), 1);
+    assert_eq!(stage.deployment.apply(leader, 1, "rate", &text).unwrap().status, 200);
+    stage.deployment.signal(&Deployment::control_name(leader), ProcessSignal::Kill).unwrap();
+    wait_until("the next leader", 9_000, || {
+        let dumps = (0..3).filter_map(|index| stage.deployment.control_dump(index).ok());
+        dumps.into_iter().any(|dump| dump["leading"] == true)
+    })
+    .unwrap();
+    let led = ClockTime::wall().as_ms();
+    for target in ["open", "fenced"] {
+        let id = format!("early-{target}");
+        let ended = commands(&stage).run(&["order", target, OTHER_MODEL, "--operation-id", &id]);
+        assert_eq!(ended.unwrap().status, 0);
+    }
+    wait_until("both orders", 9_000, || !orders(&open).is_empty() && !orders(&fenced).is_empty())
+        .unwrap();
+    let after = |engine: &FakeEngine| orders(engine)[0].at_ms.saturating_sub(led);
+    println!("received {} ms (open) and {} ms (fenced) after", after(&open), after(&fenced));
+    // The leader is noticed up to 200 ms late.
+    assert!(after(&open) >= 2_400, "{} ms", after(&open));
+    assert!(after(&fenced) < 2_400, "{} ms", after(&fenced));
+}
