--- a/crates/burdockcleat/src/cmd.rs
+++ b/crates/burdockcleat/src/cmd.rs
@@ -9,6 +9,7 @@
 mod error;
 mod history;
 mod order;
+mod show;
 mod status;
 mod wait;
 
@@ -18,8 +19,9 @@
 use lexopt::Parser;
 use std::io::Write;
 
-const COMMANDS: [&CommandSpec; 8] = [
+const COMMANDS: [&CommandSpec; 9] = [
     &check::SPEC,
+    &show::SPEC,
     &diff::SPEC,
     &apply::SPEC,
     &status::SPEC,
@@ -40,7 +42,9 @@
 
 const TAIL: &str = "
 Environment:
-  BURDOCKCLEAT_CONTROL  URLs of the control instances, separated by commas, used without --control
+  BURDOCKCLEAT_CONTROL         URLs of the control instances, separated by commas, used without
+                               --control
+  BURDOCKCLEAT_OPERATOR_TOKEN  token of operators, used without --token
 
 With --json, an error is printed as {\"error\", ...} on standard output as well.
 
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -7,8 +7,10 @@
 
 mod claim;
 mod entry;
+mod event;
 mod settings;
 
+pub use event::{AdmissionEvent, AdmissionEventKind};
 pub use settings::pool_settings;
 
 use crate::clock::ClockTime;
@@ -18,9 +20,9 @@
 use crate::outcome::{ReasonCode, RequestOutcome};
 use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
 use crate::registry::{
-    AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRegistry,
+    AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRecord, TargetRegistry,
 };
-use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
+use crate::state::{ClaimPhase, ClaimRecord, DrainSubject, ReplicatedState, StateCommand};
 use std::collections::{BTreeMap, HashMap};
 
 /// Time without a link after which an entry counts as lost, in milliseconds.
@@ -49,6 +51,8 @@
     pub commands: Vec<StateCommand>,
     /// Messages to send at once.
     pub messages: Vec<(NodeId, ControlMessage)>,
+    /// Events to count.
+    pub events: Vec<AdmissionEvent>,
 }
 
 /// One attempt of an entry.
@@ -86,6 +90,11 @@
 #[derive(Clone, Debug)]
 struct TrackedRequest {
     pool: String,
+    tier: u8,
+    /// Deadline on the monotonic clock.
+    deadline: ClockTime,
+    /// Whether its end has been counted; a new link makes the entry report it again.
+    counted: bool,
     stage: RequestStage,
     /// The attempt that gets the grant; absent for a claim of an earlier leader.
     owner: Option<AttemptRecord>,
@@ -139,8 +148,14 @@
         time: StepTime,
         document: &ConfigDocument,
         state: &ReplicatedState,
-        registry: TargetRegistry,
+        mut registry: TargetRegistry,
     ) -> Self {
+        for subject in state.drains() {
+            if let DrainSubject::Target(identity) = subject {
+                // The pools learn of it when they learn of the target.
+                registry.drain(identity);
+            }
+        }
         let mut controller = Self {
             registry,
             pools: BTreeMap::new(),
@@ -154,7 +169,7 @@
         controller.configure(time, document);
         let mut claims: BTreeMap<String, Vec<OpenClaim>> = BTreeMap::new();
         for record in state.open_claims() {
-            controller.track_claim(&record);
+            controller.track_claim(time, &record);
             let pool = record.pool.to_string();
             claims.entry(pool).or_default().extend(open_claim(time, &record));
         }
@@ -190,10 +205,13 @@
             .registry
             .iter()
             .filter(|(_, record)| record.announcement.pool == pool)
-            .map(|(target, record)| (target, record.announcement.clone(), record.silent))
+            .map(|(target, record)| (target, record.clone()))
             .collect();
-        for (target, announcement, silent) in known {
-            let change = TargetChangeKind::Announced(Box::new(announcement));
+        for (target, TargetRecord { announcement, silent, drained, .. }) in known {
+            let change = match drained {
+                true => TargetChangeKind::Drained(Box::new(announcement)),
+                false => TargetChangeKind::Announced(Box::new(announcement)),
+            };
             self.step_pool(time, pool, PoolInput::Target { target, change });
             if silent {
                 let change = TargetChangeKind::Silent;
@@ -227,6 +245,12 @@
         self.apply_changes(time, change);
     }
 
+    /// Gives an incarnation of a target no new work from now on.
+    pub fn drain_target(&mut self, time: StepTime, identity: &TargetIdentity) {
+        let change = self.registry.drain(identity);
+        self.apply_changes(time, change);
+    }
+
     /// Notes that time has passed. Expected every 50 ms.
     pub fn tick(&mut self, time: StepTime, state: &ReplicatedState) {
         let changes = self.registry.tick(time.now);
@@ -271,9 +295,16 @@
         }
     }
 
-    fn track_claim(&mut self, record: &ClaimRecord) {
+    fn track_claim(&mut self, time: StepTime, record: &ClaimRecord) {
+        let deadline = match record.phase {
+            ClaimPhase::Open { deadline, .. } => time.now.plus(deadline.since(time.wall)),
+            ClaimPhase::Ended { .. } => time.now,
+        };
         let tracked = TrackedRequest {
             pool: record.pool.to_string(),
+            tier: record.tier,
+            deadline,
+            counted: false,
             stage: RequestStage::Granted { claim: record.claim },
             owner: None,
             duplicates: Vec::new(),
@@ -305,10 +336,13 @@
                     self.place(time, pool, key, (entry, attempt), target);
                 }
                 PoolOutput::Cancel { key, claim, entry, reason, retry_after_ms } => {
+                    let tier = self.requests.get(&key).map_or(0, |tracked| tracked.tier);
+                    self.count(pool, tier, AdmissionEventKind::Cancelled(reason));
                     let cancel = ControlMessage::Cancel { key, claim, reason, retry_after_ms };
                     self.output.messages.push((entry, cancel));
                 }
-                PoolOutput::Refuse { key, outcome, reason, retry_after_ms, .. } => {
+                PoolOutput::Refuse { key, tier, outcome, reason, retry_after_ms, .. } => {
+                    self.count(pool, tier, AdmissionEventKind::Refused(reason));
                     self.refuse_all(time, key, outcome, reason, retry_after_ms);
                 }
                 PoolOutput::Suspect(change) => {
@@ -318,6 +352,10 @@
         }
     }
 
+    fn count(&mut self, pool: &str, tier: u8, kind: AdmissionEventKind) {
+        self.output.events.push(AdmissionEvent { pool: pool.to_owned(), tier, kind });
+    }
+
     /// Refuses every attempt of a request that will not run.
     fn refuse_all(
         &mut self,
--- a/crates/core/tests/state_differential.rs
+++ b/crates/core/tests/state_differential.rs
@@ -10,7 +10,7 @@
 };
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::state::{
-    ClaimRequest, EngineOrder, IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
+    ClaimRequest, DrainSubject, EngineOrder, IDEMPOTENT_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
     OWNERLESS_MARGIN_MS, OrderAction, OrderId, OrderResult, ReplicatedState, StampedCommand,
     StateCommand,
 };
@@ -47,6 +47,7 @@
         assert_eq!(state.document(version).as_deref(), Some(expected.as_str()));
     }
     assert!(state.orders().eq(naive.orders.values()));
+    assert!(state.drains().eq(&naive.drains));
     let marks = state.suspects().map(|mark| ((mark.fingerprint, mark.target), mark.at));
     assert!(marks.eq(naive.marks.clone()));
     for fingerprint in (0..3).map(RequestFingerprint) {
@@ -134,7 +135,14 @@
     prop_oneof![
         (0..8_u64, operation.clone(), "[a-cé]{0,8}").prop_map(|(base, operation_id, text)| {
             let (author, document) = ("operator".to_owned(), text.into());
-            StateCommand::ApplyDocument { base_version: base, operation_id, author, document }
+            let changes = base as u32;
+            StateCommand::ApplyDocument {
+                base_version: base,
+                operation_id,
+                author,
+                document,
+                changes,
+            }
         }),
         (fingerprint.clone(), target, time.clone()).prop_map(|(fingerprint, target, at)| {
             StateCommand::SuspectMark { fingerprint, target, at }
@@ -142,8 +150,17 @@
         fingerprint.clone().prop_map(|fingerprint| StateCommand::SuspectClear { fingerprint }),
         (fingerprint, time)
             .prop_map(|(fingerprint, until)| StateCommand::Quarantine { fingerprint, until }),
-        (order, operation)
-            .prop_map(|(order, operation_id)| StateCommand::IssueOrder { order, operation_id }),
+        (order, operation.clone()).prop_map(|(order, operation_id)| {
+            StateCommand::IssueOrder { order, operation_id, author: "operator".to_owned() }
+        }),
+        (0..4_u8, any::<bool>(), operation).prop_map(|(number, entry, operation_id)| {
+            let target = target_of(number);
+            let subject = match entry {
+                true => DrainSubject::Entry { name: target.name, node: NodeId(number.into()) },
+                false => DrainSubject::Target(target),
+            };
+            StateCommand::Drain { subject, operation_id, author: "operator".to_owned() }
+        }),
         (0..200_u64, result)
             .prop_map(|(id, result)| StateCommand::OrderDone { id: OrderId(id), result }),
     ]
--- a/crates/core/tests/state_differential/naive.rs
+++ b/crates/core/tests/state_differential/naive.rs
@@ -5,9 +5,9 @@
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::state::{
     ClaimPhase, ClaimRecord, ClaimReply, ClaimRequest, CloseReply, CommandReply, DocumentReply,
-    ExpireReply, IDEMPOTENT_RETENTION_MS, MARK_RETENTION_MS, NON_IDEMPOTENT_RETENTION_MS,
-    OWNERLESS_MARGIN_MS, OrderDoneReply, OrderId, OrderRecord, OrderResult, RefusalRecord,
-    RefuseReply, StampedCommand, StateCommand,
+    DrainSubject, ExpireReply, IDEMPOTENT_RETENTION_MS, MARK_RETENTION_MS,
+    NON_IDEMPOTENT_RETENTION_MS, OWNERLESS_MARGIN_MS, OrderDoneReply, OrderId, OrderRecord,
+    OrderResult, RefusalRecord, RefuseReply, StampedCommand, StateCommand,
 };
 use std::collections::BTreeMap;
 
@@ -18,8 +18,9 @@
     pub claims: BTreeMap<RequestKey, ClaimRecord>,
     pub refusals: BTreeMap<RequestKey, RefusalRecord>,
     pub documents: Vec<String>,
-    pub edits: BTreeMap<String, DocumentReply>,
-    pub issued: BTreeMap<String, OrderId>,
+    /// First request and reply of each operation id.
+    pub operations: BTreeMap<String, (StateCommand, CommandReply)>,
+    pub drains: Vec<DrainSubject>,
     pub orders: BTreeMap<OrderId, OrderRecord>,
     pub marks: BTreeMap<(RequestFingerprint, String), ClockTime>,
     pub quarantines: BTreeMap<RequestFingerprint, ClockTime>,
@@ -30,8 +31,10 @@
         self.now = self.now.max(stamped.at);
         match &stamped.command {
             StateCommand::Barrier => CommandReply::Done,
-            StateCommand::ApplyDocument { base_version, operation_id, document, .. } => {
-                CommandReply::Document(self.edit(*base_version, operation_id, document))
+            StateCommand::ApplyDocument { operation_id, .. }
+            | StateCommand::IssueOrder { operation_id, .. }
+            | StateCommand::Drain { operation_id, .. } => {
+                self.operate(index, operation_id, &stamped.command)
             }
             StateCommand::Claim(request) => CommandReply::Claim(self.claim(index, request)),
             StateCommand::Refuse { key, until, reason } => {
@@ -74,33 +77,61 @@
                 *end = (*end).max(*until);
                 CommandReply::Done
             }
-            StateCommand::IssueOrder { order, operation_id } => {
-                let id = *self.issued.entry(operation_id.clone()).or_insert(OrderId(index));
-                let record = OrderRecord { id, order: order.clone(), result: None };
-                self.orders.entry(id).or_insert(record);
-                CommandReply::OrderIssued(id)
-            }
             StateCommand::OrderDone { id, result } => {
                 CommandReply::OrderDone(self.finish_order(*id, result))
             }
         }
     }
 
-    fn edit(&mut self, base: u64, id: &str, document: &str) -> DocumentReply {
-        if let Some(reply) = self.edits.get(id) {
-            return *reply;
+    /// Compares whole requests, where the state machine compares their digests.
+    fn operate(&mut self, index: u64, id: &str, command: &StateCommand) -> CommandReply {
+        if let Some((first, reply)) = self.operations.get(id) {
+            return match asked(first) == asked(command) {
+                true => reply.clone(),
+                false => CommandReply::OperationReused,
+            };
         }
-        let current = self.documents.len() as u64;
-        let reply = if base == current {
-            self.documents.push(document.to_owned());
-            DocumentReply::Accepted { version: current + 1 }
-        } else {
-            DocumentReply::Conflict { current }
+        let reply = match command {
+            StateCommand::ApplyDocument { base_version, document, .. } => {
+                CommandReply::Document(self.edit(*base_version, document))
+            }
+            StateCommand::IssueOrder { order, operation_id, author } => {
+                let id = OrderId(index);
+                let record = OrderRecord {
+                    id,
+                    order: order.clone(),
+                    operation_id: operation_id.clone(),
+                    author: author.clone(),
+                    result: None,
+                    ended: None,
+                };
+                self.orders.insert(id, record);
+                CommandReply::OrderIssued(id)
+            }
+            StateCommand::Drain { subject, .. } => {
+                let entry = matches!(subject, DrainSubject::Entry { .. });
+                self.drains.retain(|known| {
+                    known.name() != subject.name()
+                        || matches!(known, DrainSubject::Entry { .. }) != entry
+                });
+                self.drains.push(subject.clone());
+                CommandReply::Drained(subject.clone())
+            }
+            other => panic!("no operation: {other:?}"),
         };
-        self.edits.insert(id.to_owned(), reply);
+        self.operations.insert(id.to_owned(), (command.clone(), reply.clone()));
         reply
     }
 
+    fn edit(&mut self, base: u64, document: &str) -> DocumentReply {
+        let current = self.documents.len() as u64;
+        if base != current {
+            return DocumentReply::Conflict { current };
+        }
+        self.documents.push(document.to_owned());
+        DocumentReply::Accepted { version: current + 1 }
+    }
+
     fn claim(&mut self, index: u64, request: &ClaimRequest) -> ClaimReply {
         if let Some(record) = self.refusal(request.key) {
             return ClaimReply::Refused(record);
@@ -188,6 +219,7 @@
             return OrderDoneReply::AlreadyDone(kept.clone());
         }
         record.result = Some(result.clone());
+        record.ended = Some(self.now);
         OrderDoneReply::Accepted
     }
 }
@@ -199,3 +231,15 @@
 fn retention_of(record: &ClaimRecord) -> u64 {
     if record.idempotent { IDEMPOTENT_RETENTION_MS } else { NON_IDEMPOTENT_RETENTION_MS }
 }
+
+/// What the operator asked for: a drain names no run, and an edit does not count its changes.
+fn asked(command: &StateCommand) -> StateCommand {
+    let mut asked = command.clone();
+    match &mut asked {
+        StateCommand::ApplyDocument { changes, .. } => *changes = 0,
+        StateCommand::Drain { subject: DrainSubject::Entry { node, .. }, .. } => *node = NodeId(0),
+        StateCommand::Drain { subject: DrainSubject::Target(target), .. } => target.incarnation = 0,
+        _ => {}
+    }
+    asked
+}
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod announce;
 pub mod capacity;
+pub mod command;
 pub mod deployment;
 pub mod engine;
 pub mod error;
