Move the entry's side of the claim protocol into a step machine

Cause: the protocol was mixed with locks and threads in entry/session.rs and entry/claim.rs, so no search could drive it. Reports were dropped at the next Welcome of the same leader, which may answer an older heartbeat.

Change: core::entry_agent::EntryAgent holds links, leader, attempts, grants and reports. ControlSession and PendingClaim lock, step it, send, and wake threads. A report is kept until the same leader, in the same term and over the same link, answers a question with a later clock reading than the report. The control instance proposes what it received before the record that confirms a Welcome, since the rule depends on that order. Hello names granted claims as well as running ones. A claim is used by one attempt, and not again after it was given back. The check at the moment of dispatch covers readiness as well as the grant's age.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -291,6 +291,9 @@
             config_version: self.state.config().version,
             entry_time,
         };
+        // The entry forgets a report when a later question is answered, so what was received
+        // before the question is proposed before the record that confirms the answer.
+        self.drain_admission();
         match leading {
             true => self.confirm(vec![(node, message)]),
             false => self.send_entry(node, &message),
--- a/crates/burdockcleat/src/entry/dispatch.rs
+++ b/crates/burdockcleat/src/entry/dispatch.rs
@@ -1,7 +1,6 @@
 //! The dispatch and record filters: runs a granted request and reports how it ended.
 
 use super::caller::CallerConnection;
-use super::claim::is_fresh;
 use super::refusal::FilterRefusal;
 use super::request::{AnswerForm, RoutedRequest};
 use super::session::{CancelOrder, ControlSession};
@@ -163,9 +162,8 @@
     pub fn run(mut self, mut deliver: impl FnMut(Value) -> std::io::Result<()>) -> DispatchEnd {
         let cancel = self.session.start_running(self.ticket.key, self.ticket.claim);
         let call = target_call(self.routed, &self.ticket.address);
-        let ticket = self.ticket.clone();
         let stream = self.ticket.key.to_string();
-        let items = match spawn_reader(call, stream, move || is_fresh(&ticket)) {
+        let items = match spawn_reader(call, stream, self.session.dispatch_check(self.ticket)) {
             Ok(items) => items,
             Err(error) => return DispatchEnd::NotSent(UpstreamError::Thread(error)),
         };
@@ -266,8 +264,8 @@
     // A call of a plain service cannot be cancelled; the order channel is dropped.
     let _ = session.start_running(ticket.key, ticket.claim);
     let mut record = RunRecord::start();
-    let fresh = ticket.clone();
-    let response = match target_call(routed, &ticket.address).send(move || is_fresh(&fresh)) {
+    let allowed = session.dispatch_check(ticket);
+    let response = match target_call(routed, &ticket.address).send(allowed) {
         Ok(response) => response,
         Err(error) if error.never_sent() => return (DispatchEnd::NotSent(error), None),
         Err(error) => {
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -3,9 +3,10 @@
 use super::caller::CallerConnection;
 use super::chain::FilterChain;
 use super::metrics::EntryMetrics;
-use super::session::{ControlSession, SessionError, SessionSummary};
+use super::session::{ControlSession, SessionError};
 use crate::settings::EntrySettings;
 use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::entry_agent::EntrySummary;
 use burdockcleat_core::keys::NodeId;
 use serde::Serialize;
 use std::net::SocketAddr;
@@ -59,7 +60,7 @@
     /// Requests in flight.
     pub in_flight: usize,
     /// Links, configuration and attempts.
-    pub session: SessionSummary,
+    pub session: EntrySummary,
     /// Totals since the start.
     pub metrics: serde_json::Value,
 }
--- a/crates/burdockcleat/src/link.rs
+++ b/crates/burdockcleat/src/link.rs
@@ -6,6 +6,7 @@
 mod session;
 
 use crate::link_capnp::hello::Role;
+pub use burdockcleat_core::keys::LinkKey;
 use burdockcleat_core::keys::NodeId;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
@@ -22,10 +23,6 @@
 /// Pause between two attempts to connect to the same peer.
 pub const REDIAL_MS: u64 = 200;
 
-/// Names one link of this process. Keys are not reused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LinkKey(pub u64);
-
 /// Part that a process plays in the deployment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum PeerRole {
--- /dev/null
+++ b/crates/core/src/entry_agent/leader.rs
@@ -0,0 +1,81 @@
+//! Links, and the leader among the control instances.
+
+use super::{EntryAgent, FollowedLeader};
+use crate::clock::ClockTime;
+use crate::keys::LinkKey;
+use crate::message::{EntryMessage, HeldClaim};
+
+impl EntryAgent {
+    pub(super) fn link_up(&mut self, now: ClockTime, link: LinkKey) {
+        self.links.insert(link);
+        self.say_hello(now, link);
+    }
+
+    pub(super) fn link_down(&mut self, link: LinkKey) {
+        self.links.remove(&link);
+        self.leader = self.leader.filter(|leader| leader.link != link);
+    }
+
+    /// Takes the answer of a control instance to `Hello` or to a heartbeat.
+    pub(super) fn welcome(
+        &mut self,
+        now: ClockTime,
+        sender: FollowedLeader,
+        leading: bool,
+        config_version: u64,
+        entry_time: ClockTime,
+    ) {
+        let outdated = self.rules.check_term && sender.term < self.term;
+        if !leading || outdated {
+            self.leader = self.leader.filter(|leader| leader.link != sender.link);
+            return;
+        }
+        self.term = self.term.max(sender.term);
+        // The time of the question, not of the answer: a frozen leader answers late.
+        self.last_leader = self.last_leader.max(Some(entry_time));
+        self.confirmed_version = self.confirmed_version.max(Some(config_version));
+        if self.leader == Some(sender) {
+            self.confirm_reports(sender, entry_time);
+        } else {
+            self.follow(now, sender);
+        }
+    }
+
+    /// Tells a new leader, or the same one over a new link or in a new term, everything that it
+    /// has to know: first the claims, then the reports, then the waiting attempts.
+    fn follow(&mut self, now: ClockTime, leader: FollowedLeader) {
+        self.leader = Some(leader);
+        self.say_hello(now, leader.link);
+        self.send_reports(now, leader);
+        if self.rules.submit_again {
+            self.submit_waiting(now, leader.link);
+        }
+    }
+
+    fn say_hello(&mut self, now: ClockTime, link: LinkKey) {
+        let held = self.held.iter().filter(|(_, held)| held.running || self.rules.report_grants);
+        let running = held.map(|(key, held)| HeldClaim { key: *key, claim: held.claim }).collect();
+        let hello = EntryMessage::Hello {
+            name: self.name.clone(),
+            entry_time: now,
+            config_version: self.config_version.unwrap_or_default(),
+            running,
+        };
+        self.send(link, hello);
+    }
+
+    pub(super) fn send_heartbeats(&mut self, now: ClockTime) {
+        let config_version = self.config_version.unwrap_or_default();
+        for link in self.links.clone() {
+            self.send(link, EntryMessage::Heartbeat { entry_time: now, config_version });
+        }
+    }
+
+    pub(super) fn send_progress(&mut self) {
+        if self.progress.is_empty() {
+            return;
+        }
+        let batch = std::mem::take(&mut self.progress).into_values().collect();
+        self.send_leader(EntryMessage::Progress(batch));
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry_agent/rules.rs
@@ -0,0 +1,44 @@
+//! Rules of the entry's side that tests turn off one at a time.
+
+/// Rules of the agent. All are on in production; only the specification's tests turn one off, to
+/// show that the search finds the fault that the rule prevents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct EntryRules {
+    /// A grant is not used after its time to live.
+    pub check_grant_age: bool,
+    /// An entry that is not ready uses no grant.
+    pub check_ready: bool,
+    /// A leader of an older term is not followed.
+    pub check_term: bool,
+    /// A report is kept until the leader answered a question that followed it.
+    pub confirm_reports: bool,
+    /// `Hello` names granted requests, too, before they start to dispatch.
+    pub report_grants: bool,
+    /// A claim is used by one attempt of the entry only.
+    pub one_attempt_per_claim: bool,
+    /// A claim that was given back or has ended is not used again.
+    pub refuse_closed: bool,
+    /// A grant for an attempt that has withdrawn is given back.
+    pub return_withdrawn: bool,
+    /// A withdrawn attempt ends after its grace even if no leader answers.
+    pub end_withdrawn: bool,
+    /// Waiting attempts are submitted again to a new leader.
+    pub submit_again: bool,
+}
+
+impl Default for EntryRules {
+    fn default() -> Self {
+        Self {
+            check_grant_age: true,
+            check_ready: true,
+            check_term: true,
+            confirm_reports: true,
+            report_grants: true,
+            one_attempt_per_claim: true,
+            refuse_closed: true,
+            return_withdrawn: true,
+            end_withdrawn: true,
+            submit_again: true,
+        }
+    }
+}
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -51,6 +51,10 @@
     }
 }
 
+/// Names one link of a process to a peer. Keys are not reused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct LinkKey(pub u64);
+
 /// Number of a claim: the log index of the record that created it. Later claims have larger numbers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ClaimNumber(pub u64);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod clock;
 pub mod document;
+pub mod entry_agent;
 pub mod estimate;
 pub mod keys;
 pub mod message;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -17,7 +17,7 @@
 pub const PROTOCOL_VERSION: u32 = 1;
 
 /// A request that asks for a target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct SubmitRequest {
     /// Key of the request.
     pub key: RequestKey,
@@ -46,7 +46,7 @@
 }
 
 /// Permission of the leader to dispatch one request to one target.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct GrantTicket {
     /// Key of the request.
     pub key: RequestKey,
@@ -66,7 +66,7 @@
 }
 
 /// Report of the owner that a dispatched request has ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct FinishReport {
     /// Key of the request.
     pub key: RequestKey,
@@ -87,7 +87,7 @@
 }
 
 /// Progress of one running request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct StreamProgress {
     /// Key of the request.
     pub key: RequestKey,
@@ -98,7 +98,7 @@
 }
 
 /// A request that an entry holds a claim for, reported to a new leader.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct HeldClaim {
     /// Key of the request.
     pub key: RequestKey,
@@ -107,7 +107,7 @@
 }
 
 /// Messages from an entry to a control instance.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum EntryMessage {
     /// First message on a link, and again after each change of leader.
     Hello {
@@ -154,7 +154,7 @@
 }
 
 /// Messages from a control instance to an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ControlMessage {
     /// Answer to `Hello`: who leads, and which configuration a majority holds.
     Welcome {
