Search the claim protocol over the real machines

Cause: the entry's side had no search; only a hand-written model of it was checked with the claim table.

Change: tests/protocol drives AdmissionController, ReplicatedState and EntryAgent breadth-first through sends, lost and late messages, a replaced leader, a frozen or dead entry, failed connections, withdrawals and time. AdmissionController and PoolScheduler get a digest of what decides the next steps, since their hash maps and estimates cannot be hashed.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -6,6 +6,7 @@
 //! committed, since a leader that was replaced unnoticed must not say that a request did not run.
 
 mod claim;
+mod digest;
 mod entry;
 mod settings;
 
@@ -41,7 +42,7 @@
 }
 
 /// What the caller of the controller has to do.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AdmissionOutput {
     /// Commands to propose, in order.
     pub commands: Vec<StateCommand>,
@@ -50,7 +51,7 @@
 }
 
 /// One attempt of an entry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct AttemptRecord {
     entry: NodeId,
     request: SubmitRequest,
@@ -68,7 +69,7 @@
 }
 
 /// How far a request has come.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum RequestStage {
     /// It waits in its pool.
     Waiting,
@@ -81,7 +82,7 @@
 }
 
 /// A request that the leader knows of and that has not ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct TrackedRequest {
     pool: String,
     stage: RequestStage,
@@ -96,7 +97,7 @@
 }
 
 /// What the leader knows of an entry.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 struct EntryRecord {
     /// Newest reading of the entry's clock.
     entry_time: ClockTime,
@@ -105,7 +106,7 @@
 }
 
 /// A refusal whose record is proposed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 struct PendingRefusal {
     entry: NodeId,
     attempt: u32,
@@ -114,6 +115,7 @@
 }
 
 /// Admits requests over all pools.
+#[derive(Clone, Debug)]
 pub struct AdmissionController {
     registry: TargetRegistry,
     pools: BTreeMap<String, PoolScheduler>,
--- a/crates/core/src/entry_agent.rs
+++ b/crates/core/src/entry_agent.rs
@@ -249,6 +249,11 @@
         self.leader.map(|leader| leader.term)
     }
 
+    /// Whether the report of a claim may still be unknown to every leader.
+    pub fn owes_report(&self, key: RequestKey, claim: ClaimNumber) -> bool {
+        self.reports.contains_key(&(key, claim))
+    }
+
     /// Counts and times for the dump.
     pub fn summary(&self, now: ClockTime) -> EntrySummary {
         EntrySummary {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -9,6 +9,7 @@
 //! - tick: O(T log T) for the straggler comparison, plus O(log n) per due timer.
 
 mod check;
+mod digest;
 mod event;
 mod intake;
 mod preempt;
--- a/crates/core/src/pool/rebuild.rs
+++ b/crates/core/src/pool/rebuild.rs
@@ -11,7 +11,7 @@
 use std::collections::{BTreeSet, HashSet};
 
 /// Until when a new leader neither grants nor sheds.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 pub(super) struct RebuildState {
     until: ClockTime,
     pending: BTreeSet<NodeId>,
--- a/crates/core/tests/entry_agent.rs
+++ b/crates/core/tests/entry_agent.rs
@@ -94,11 +94,13 @@
 }
 
 fn answers(outputs: &[EntryOutput]) -> Vec<&AttemptAnswer> {
-    let answer = |output| match output {
-        &EntryOutput::Answer { ref answer, .. } => Some(answer),
-        _ => None,
-    };
-    outputs.iter().filter_map(answer).collect()
+    let mut answers = Vec::new();
+    for output in outputs {
+        if let EntryOutput::Answer { answer, .. } = output {
+            answers.push(answer);
+        }
+    }
+    answers
 }
 
 fn releases(outputs: &[EntryOutput]) -> usize {
--- a/crates/core/tests/pool/tier_rule.rs
+++ b/crates/core/tests/pool/tier_rule.rs
@@ -174,11 +174,11 @@
                 let running = running.collect();
                 self.step(PoolInput::EntryReported { entry: NodeId(entry), running })
             }
-            other => self.apply_target(other),
+            other => self.apply_target(&other),
         }
     }
 
-    fn apply_target(&mut self, event: Event) -> Result<(), TestCaseError> {
+    fn apply_target(&mut self, event: &Event) -> Result<(), TestCaseError> {
         match event {
             Event::Crash { number } => {
                 if let Some(incarnation) = self.incarnations.get_mut(&number) {
