Show that each invariant of the protocol search can fail

Cause: a search that finds nothing proves nothing unless it can find a fault.

Change: each invariant has a rule that protects it; a test turns the rule off and expects the violation. AdmissionRules::confirm_not_run is the leader's switch. Random walks go beyond the depth of the search.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -48,6 +48,22 @@
     pub commands: Vec<StateCommand>,
     /// Messages to send at once.
     pub messages: Vec<(NodeId, ControlMessage)>,
+    /// Messages to send after a record that follows `commands` is committed.
+    pub confirmed: Vec<(NodeId, ControlMessage)>,
+}
+
+/// Rules of the admission. All are on in production; only the specification's tests turn one off,
+/// to show that the search finds the fault that the rule prevents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRules {
+    /// "Not run" is sent only after a record that follows the decision is committed.
+    pub confirm_not_run: bool,
+}
+
+impl Default for AdmissionRules {
+    fn default() -> Self {
+        Self { confirm_not_run: true }
+    }
 }
 
 /// One attempt of an entry.
@@ -117,6 +133,7 @@
 /// Admits requests over all pools.
 #[derive(Clone, Debug)]
 pub struct AdmissionController {
+    rules: AdmissionRules,
     registry: TargetRegistry,
     pools: BTreeMap<String, PoolScheduler>,
     requests: HashMap<RequestKey, TrackedRequest>,
@@ -133,7 +150,18 @@
     /// Open claims count as running. The pools neither grant nor shed before the entries have
     /// reported or the rebuild time is over.
     pub fn open(time: StepTime, document: &ConfigDocument, state: &ReplicatedState) -> Self {
+        Self::with_rules(time, document, state, AdmissionRules::default())
+    }
+
+    /// Starts with some rules turned off, for the specification's tests.
+    pub fn with_rules(
+        time: StepTime,
+        document: &ConfigDocument,
+        state: &ReplicatedState,
+        rules: AdmissionRules,
+    ) -> Self {
         let mut controller = Self {
+            rules,
             registry: TargetRegistry::default(),
             pools: BTreeMap::new(),
             requests: HashMap::new(),
@@ -342,8 +370,14 @@
         reason: ReasonCode,
         refusals: Vec<PendingRefusal>,
     ) {
-        self.refusals.entry(key).or_default().extend(refusals);
         self.output.commands.push(StateCommand::Refuse { key, until, reason });
+        if self.rules.confirm_not_run {
+            self.refusals.entry(key).or_default().extend(refusals);
+            return;
+        }
+        for refusal in refusals {
+            self.send_refusal(key, RequestOutcome::NotRun, refusal);
+        }
     }
 
     fn send_refusal(&mut self, key: RequestKey, outcome: RequestOutcome, refusal: PendingRefusal) {
--- a/crates/core/src/entry_agent/attempt.rs
+++ b/crates/core/src/entry_agent/attempt.rs
@@ -104,11 +104,8 @@
             }
             return;
         }
-        let Some(attempt) = self.waiting.get(&id) else {
-            self.give_back(now, key, claim, false);
-            return;
-        };
-        if attempt.withdrawn.is_some() && self.rules.return_withdrawn {
+        let withdrawn = self.waiting.get(&id).map(|attempt| attempt.withdrawn.is_some());
+        if withdrawn != Some(false) && self.rules.check_waiting {
             self.give_back(now, key, claim, false);
             self.answer(id, AttemptAnswer::GiveUp { outcome: RequestOutcome::NotRun });
             return;
@@ -119,7 +116,8 @@
         }
         let entry_time = ticket.entry_time;
         self.held.insert(key, HeldGrant { claim, entry_time, running: false, cancel: None });
-        self.answer(id, AttemptAnswer::Grant(ticket));
+        self.waiting.remove(&id);
+        self.outputs.push(EntryOutput::Answer { id, answer: AttemptAnswer::Grant(ticket) });
     }
 
     pub(super) fn start_running(&mut self, key: RequestKey, claim: ClaimNumber) {
--- a/crates/core/src/entry_agent/leader.rs
+++ b/crates/core/src/entry_agent/leader.rs
@@ -25,8 +25,7 @@
         config_version: u64,
         entry_time: ClockTime,
     ) {
-        let outdated = self.rules.check_term && sender.term < self.term;
-        if !leading || outdated {
+        if !leading || sender.term < self.term {
             self.leader = self.leader.filter(|leader| leader.link != sender.link);
             return;
         }
@@ -47,9 +46,7 @@
         self.leader = Some(leader);
         self.say_hello(now, leader.link);
         self.send_reports(now, leader);
-        if self.rules.submit_again {
-            self.submit_waiting(now, leader.link);
-        }
+        self.submit_waiting(now, leader.link);
     }
 
     fn say_hello(&mut self, now: ClockTime, link: LinkKey) {
--- a/crates/core/src/entry_agent/rules.rs
+++ b/crates/core/src/entry_agent/rules.rs
@@ -8,8 +8,6 @@
     pub check_grant_age: bool,
     /// An entry that is not ready uses no grant.
     pub check_ready: bool,
-    /// A leader of an older term is not followed.
-    pub check_term: bool,
     /// A report is kept until the leader answered a question that followed it.
     pub confirm_reports: bool,
     /// `Hello` names granted requests, too, before they start to dispatch.
@@ -18,12 +16,10 @@
     pub one_attempt_per_claim: bool,
     /// A claim that was given back or has ended is not used again.
     pub refuse_closed: bool,
-    /// A grant for an attempt that has withdrawn is given back.
-    pub return_withdrawn: bool,
+    /// A grant is used only by an attempt that still waits.
+    pub check_waiting: bool,
     /// A withdrawn attempt ends after its grace even if no leader answers.
     pub end_withdrawn: bool,
-    /// Waiting attempts are submitted again to a new leader.
-    pub submit_again: bool,
 }
 
 impl Default for EntryRules {
@@ -31,14 +27,12 @@
         Self {
             check_grant_age: true,
             check_ready: true,
-            check_term: true,
             confirm_reports: true,
             report_grants: true,
             one_attempt_per_claim: true,
             refuse_closed: true,
-            return_withdrawn: true,
+            check_waiting: true,
             end_withdrawn: true,
-            submit_again: true,
         }
     }
 }
--- a/crates/core/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -9,8 +9,8 @@
 #[path = "protocol/world.rs"]
 mod world;
 
-use search::{Bounds, Budget, SearchResult, search};
-use world::{Rules, Setup, World};
+use search::{Action, Bounds, Budget, SearchResult, search, walk};
+use world::{Rules, Setup, Violation, World};
 
 /// One target with one slot, and one key of the highest tier.
 fn setup() -> Setup {
@@ -19,8 +19,11 @@
         targets: 1,
         slots: 1,
         tiers: vec![0],
+        // Two advances pass the deadline and the time to live of a grant.
+        deadline_ms: 2_000,
         advance_ms: 1_100,
         single_messages: false,
+        commit_at_once: false,
     }
 }
 
@@ -28,6 +31,17 @@
     assert_eq!(result.violation, None, "path: {:#?}", result.path);
 }
 
+/// Guards against "not run" from a leader that was replaced without knowing it and finds a
+/// recorded refusal that has ended by now.
+#[test]
+fn a_recorded_refusal_is_confirmed_before_it_is_repeated() {
+    let setup = Setup { commit_at_once: true, ..setup() };
+    let sends = vec![(0, 0), (1, 0), (0, 0)];
+    let budget = Budget { sends, failures: 1, replacements: 1, advances: 1, ..Budget::default() };
+    let bounds = Bounds { states: 60_000, depth: 30, settle_every: 0 };
+    expect_none(&search("recorded refusal", World::open(setup), budget, bounds));
+}
+
 /// A scenario with its budget of sends and faults.
 struct Scenario {
     name: &'static str,
@@ -67,6 +81,112 @@
     ]
 }
 
+/// A rule that is turned off, and the violation that the search then finds.
+struct Fault {
+    violation: Violation,
+    change: fn(&mut Setup),
+    /// Steps before the search.
+    prefix: Vec<Action>,
+    budget: Budget,
+}
+
+fn faults() -> Vec<Fault> {
+    let one = vec![(0, 0)];
+    let both = vec![(0, 0), (1, 0)];
+    let twice = vec![(0, 0), (0, 0)];
+    let budget = |sends: &Vec<(usize, usize)>| Budget { sends: sends.clone(), ..Budget::default() };
+    let fault = |violation, change, budget| Fault { violation, change, prefix: Vec::new(), budget };
+    // The submit of a withdrawn attempt is lost, so a leader sees the withdrawal alone.
+    let withdrawn = vec![
+        Action::Send { entry: 0, key: 0 },
+        Action::Break { entry: 0, control: 0, lose: true },
+        Action::Relink { entry: 0, control: 0 },
+        Action::HangUp(0),
+        Action::DeliverUp { entry: 0, control: 0 },
+        Action::DeliverDown { entry: 0, control: 0 },
+    ];
+    vec![
+        fault(
+            Violation::OldGrant,
+            |setup| setup.rules.entry.check_grant_age = false,
+            Budget { advances: 2, ..budget(&one) },
+        ),
+        fault(
+            Violation::NotReady,
+            |setup| {
+                setup.rules.entry.check_ready = false;
+                (setup.deadline_ms, setup.advance_ms) = (20_000, 3_100);
+                (setup.single_messages, setup.commit_at_once) = (true, false);
+            },
+            Budget { advances: 1, ..budget(&one) },
+        ),
+        fault(
+            Violation::ReportLost,
+            |setup| setup.rules.entry.confirm_reports = false,
+            Budget { advances: 1, breaks: 1, ..budget(&one) },
+        ),
+        fault(
+            Violation::SecondDispatch,
+            |setup| {
+                setup.rules.entry.report_grants = false;
+                setup.rules.entry.one_attempt_per_claim = false;
+            },
+            Budget { replacements: 1, ..budget(&twice) },
+        ),
+        fault(
+            Violation::OutcomeChanged,
+            |setup| {
+                setup.rules.claims.first_outcome_stays = false;
+                setup.advance_ms = 8_000;
+            },
+            Budget { breaks: 1, advances: 1, ..budget(&one) },
+        ),
+        Fault {
+            violation: Violation::NotRunAfterDispatch,
+            change: |setup| setup.rules.admission.confirm_not_run = false,
+            prefix: withdrawn,
+            budget: Budget { replacements: 1, ..budget(&vec![(1, 0)]) },
+        },
+        fault(
+            Violation::SecondDispatch,
+            |setup| {
+                setup.rules.entry.refuse_closed = false;
+                setup.targets = 2;
+            },
+            Budget { failures: 1, hang_ups: 1, breaks: 1, ..budget(&both) },
+        ),
+        fault(
+            Violation::DispatchAfterAnswer,
+            |setup| setup.rules.entry.check_waiting = false,
+            Budget { hang_ups: 1, breaks: 1, ..budget(&one) },
+        ),
+        fault(
+            Violation::WaitsForEver,
+            |setup| setup.rules.entry.end_withdrawn = false,
+            Budget { hang_ups: 1, breaks: 1, ..budget(&one) },
+        ),
+    ]
+}
+
+/// Guards against an invariant that the search could not see violated: with the rule that
+/// protects it turned off, the search finds the violation.
+#[test]
+fn each_rule_is_needed() {
+    let mut found = Vec::new();
+    for Fault { violation, change, prefix, budget } in faults() {
+        let mut setup = Setup { commit_at_once: true, ..setup() };
+        change(&mut setup);
+        let settle_every = u64::from(violation == Violation::WaitsForEver);
+        let bounds = Bounds { states: 30_000, depth: 30, settle_every };
+        let world = World::open(setup).play(&prefix);
+        let result = search(&format!("{violation:?}"), world, budget, bounds);
+        found.push((violation, result.violation));
+    }
+    for (expected, found) in found {
+        assert_eq!(found, Some(expected));
+    }
+}
+
 /// Guards against a fault of the whole protocol within a small number of steps.
 #[test]
 fn no_scenario_violates_an_invariant() {
@@ -91,3 +211,31 @@
     }
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// Guards against faults that need more steps than the search can take.
+#[test]
+#[ignore = "takes a minute in release mode"]
+fn no_random_walk_violates_an_invariant() {
+    let everything = Budget {
+        sends: vec![(0, 0), (1, 0), (0, 0), (1, 1)],
+        failures: 2,
+        hang_ups: 1,
+        breaks: 3,
+        replacements: 1,
+        freezes: 1,
+        kills: 1,
+        advances: 5,
+    };
+    let mut failed = Vec::new();
+    for (seed, single_messages) in [(1, false), (2, true)] {
+        for (tiers, targets) in [(vec![0, 0], 1), (vec![2, 0], 1), (vec![0, 0], 2)] {
+            let setup = Setup { tiers, targets, single_messages, ..setup() };
+            let result = walk("walk", &World::open(setup), &everything, 4_000, seed);
+            if result.violation.is_some() {
+                println!("{:#?}", result.path);
+                failed.push(result.violation);
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
--- a/crates/core/tests/protocol/search.rs
+++ b/crates/core/tests/protocol/search.rs
@@ -2,6 +2,8 @@
 
 use crate::world::{Phase, Violation, World};
 use pathfinding::directed::bfs::bfs;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::cell::{Cell, RefCell};
 use std::hash::{Hash, Hasher};
 use std::rc::Rc;
@@ -66,11 +68,21 @@
 }
 
 impl World {
+    /// The world after some steps that lead to the situation of a test.
+    pub fn play(&self, actions: &[Action]) -> Self {
+        actions.iter().fold(self.clone(), |world, action| world.after(action))
+    }
+
     fn after(&self, action: &Action) -> Self {
         let mut world = self.clone();
         match *action {
             Action::Send { entry, key } => world.send_request(entry, key),
-            Action::DeliverUp { entry, control } => world.deliver_up(entry, control),
+            Action::DeliverUp { entry, control } => {
+                world.deliver_up(entry, control);
+                if world.setup.commit_at_once && !world.controls[control].deposed {
+                    world.commit(control, usize::MAX);
+                }
+            }
             Action::DeliverDown { entry, control } => world.deliver_down(entry, control),
             Action::DeliverLate { entry, control } => world.deliver_late(entry, control),
             Action::DropLate { entry, control } => world.links[entry][control].late.clear(),
@@ -318,3 +330,41 @@
     );
     result
 }
+
+/// Walks at random far beyond the depth that the search reaches, and lets each walk settle.
+pub fn walk(name: &str, world: &World, budget: &Budget, walks: u64, seed: u64) -> SearchResult {
+    let started = Instant::now();
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut result =
+        SearchResult { states: 0, depth: 0, complete: false, violation: None, path: Vec::new() };
+    for _ in 0..walks {
+        let (mut world, mut budget) = (world.clone(), budget.clone());
+        let mut path = Vec::new();
+        while world.violation.is_none() && path.len() < WALK_STEPS {
+            let actions = world.actions(&budget);
+            let action = &actions[random.random_range(0..actions.len())];
+            let Some(left) = budget.after(action) else {
+                // Nothing but faults without a budget is left.
+                if actions.iter().all(|action| budget.after(action).is_none()) {
+                    break;
+                }
+                continue;
+            };
+            (world, budget) = (world.after(action), left);
+            path.push(action.clone());
+        }
+        result.states += path.len();
+        result.depth = result.depth.max(path.len());
+        result.violation = world.violation.or_else(|| world.settles().err());
+        if result.violation.is_some() {
+            result.path = path;
+            break;
+        }
+    }
+    let elapsed = started.elapsed().as_millis();
+    println!("{name}: {} steps in walks, {elapsed} ms, {:?}", result.states, result.violation);
+    result
+}
+
+/// Longest walk. Most walks end earlier, when their budget is used up.
+const WALK_STEPS: usize = 80;
--- a/crates/core/tests/protocol/step.rs
+++ b/crates/core/tests/protocol/step.rs
@@ -19,7 +19,8 @@
 
     pub fn start_leading(&mut self, control: usize) {
         let state = self.log.clone();
-        let admission = AdmissionController::open(self.time(), document(), &state);
+        let rules = self.setup.rules.admission;
+        let admission = AdmissionController::with_rules(self.time(), document(), &state, rules);
         let leader = Leader { admission: Rc::new(admission), state, pending: Vec::new() };
         self.controls[control].leader = Some(leader);
         self.announce(control);
@@ -45,6 +46,10 @@
         let output = Rc::make_mut(&mut leader.admission).take_output();
         let proposal = |command| Proposal { command: CommandKey(command), held: Vec::new() };
         leader.pending.extend(output.commands.into_iter().map(proposal));
+        if !output.confirmed.is_empty() {
+            let command = CommandKey(StateCommand::Barrier);
+            leader.pending.push(Proposal { command, held: output.confirmed });
+        }
         for (entry, message) in output.messages {
             self.send_entry(control, entry, message);
         }
@@ -93,7 +98,7 @@
             self.controls[control].heard.insert(from, reading);
             self.welcome(control, from, reading);
         }
-        let time = self.time();
+        let time = self.time_of(control);
         let Some(leader) = &mut self.controls[control].leader else { return };
         let admission = Rc::make_mut(&mut leader.admission);
         admission.receive(time, from, message, &leader.state);
@@ -149,6 +154,7 @@
     /// 0 does not notice.
     pub fn replace_leader(&mut self, count: usize) {
         self.controls[0].deposed = true;
+        self.controls[0].stopped = Some(self.now);
         self.commit(0, count);
         if let Some(leader) = &mut self.controls[0].leader {
             leader.pending.clear();
@@ -418,8 +424,11 @@
 
     pub fn advance(&mut self, ms: u64) {
         self.now += ms;
-        let time = self.time();
         for control in 0..2 {
+            let time = self.time_of(control);
+            if self.controls[control].deposed {
+                continue;
+            }
             self.announce(control);
             if let Some(leader) = &mut self.controls[control].leader {
                 Rc::make_mut(&mut leader.admission).tick(time, &leader.state);
--- a/crates/core/tests/protocol/world.rs
+++ b/crates/core/tests/protocol/world.rs
@@ -1,6 +1,6 @@
 //! The state of the protocol model: two control instances, two entries, and their links.
 
-use burdockcleat_core::admission::{AdmissionController, StepTime};
+use burdockcleat_core::admission::{AdmissionController, AdmissionRules, StepTime};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::entry_agent::{AttemptId, EntryAgent, EntryRules};
@@ -18,8 +18,6 @@
 const DOCUMENT: &str = include_str!("../../../../examples/bureau.toml");
 const POOL: &str = "hinge-model";
 const MODEL: &str = "hinge-spares-13b";
-/// Remaining time of each request, so that two advances pass the deadline.
-const DEADLINE_MS: u32 = 2_000;
 
 /// What must never happen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -47,6 +45,7 @@
 pub struct Rules {
     pub entry: EntryRules,
     pub claims: ClaimRules,
+    pub admission: AdmissionRules,
 }
 
 /// How a scenario starts.
@@ -57,10 +56,14 @@
     pub slots: u32,
     /// Tier of each request key.
     pub tiers: Vec<u8>,
+    /// Remaining time of each request when it is sent.
+    pub deadline_ms: u32,
     /// Milliseconds of one advance of time.
     pub advance_ms: u64,
     /// Whether messages are delivered one at a time, or all that wait on a link at once.
     pub single_messages: bool,
+    /// Whether a leader's proposals are committed as soon as they are made.
+    pub commit_at_once: bool,
 }
 
 /// A message to an entry. Remembers whether its key had been dispatched when it was sent.
@@ -112,6 +115,8 @@
     pub leader: Option<Leader>,
     /// Whether another instance was elected. Its proposals are not committed any more.
     pub deposed: bool,
+    /// Clock of a deposed leader. It may be frozen between reading its clock and a send.
+    pub stopped: Option<u64>,
     /// Newest clock reading of each entry.
     pub heard: BTreeMap<NodeId, ClockTime>,
 }
@@ -231,7 +236,7 @@
             model: MODEL.into(),
             tier: self.setup.tiers[key],
             idempotent: true,
-            deadline_in_ms: DEADLINE_MS,
+            deadline_in_ms: self.setup.deadline_ms,
             prompt_tokens: 40,
             output_tokens: 8,
             prefix_hashes: Vec::new(),
@@ -255,6 +260,12 @@
         StepTime { now: at(self.now), wall: at(1_000_000 + self.now) }
     }
 
+    /// Clock of a control instance.
+    pub fn time_of(&self, control: usize) -> StepTime {
+        let now = self.controls[control].stopped.unwrap_or(self.now);
+        StepTime { now: at(now), wall: at(1_000_000 + now) }
+    }
+
     pub fn violate(&mut self, violation: Violation) {
         self.violation.get_or_insert(violation);
     }
@@ -265,7 +276,8 @@
         (self.now, self.index, self.violation).hash(&mut hasher);
         self.hash_log(&self.log, &mut hasher);
         for control in &self.controls {
-            (control.deposed, &control.heard, control.leader.is_some()).hash(&mut hasher);
+            (control.deposed, control.stopped, &control.heard).hash(&mut hasher);
+            control.leader.is_some().hash(&mut hasher);
             if let Some(leader) = &control.leader {
                 leader.admission.digest(&mut hasher);
                 leader.pending.hash(&mut hasher);
