Confirm a recorded refusal before it is repeated

Cause: a submit that met a recorded refusal was answered not_run at once. A leader that was frozen or replaced may see the refusal after its end, when its successor has already run the request.

Seen: the model, with the clock of a replaced leader stopped, told an entry not_run for a key that the other entry had dispatched. The same steps gave NotRunAfterDispatch before this change and no violation after it.

Change: AdmissionOutput::confirmed carries messages that leave after a record that follows the commands; the control daemon appends one barrier for all of them.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -493,6 +493,7 @@
         for command in output.commands {
             self.propose(command);
         }
+        self.confirm(output.confirmed);
         for (node, message) in output.messages {
             self.send_entry(node, &message);
         }
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -380,6 +380,14 @@
         }
     }
 
+    /// Tells an attempt of a recorded refusal, once the leader is known to be current.
+    fn repeat_refusal(&mut self, key: RequestKey, refusal: PendingRefusal) {
+        let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
+        let outcome = RequestOutcome::NotRun;
+        let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
+        self.output.confirmed.push((entry, message));
+    }
+
     fn send_refusal(&mut self, key: RequestKey, outcome: RequestOutcome, refusal: PendingRefusal) {
         let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
         let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -111,8 +111,9 @@
                     reason: record.reason,
                     retry_after_ms: retry_after(time, &record),
                 };
-                // The recorded refusal keeps the key from being claimed until it ends.
-                self.send_refusal(attempt.request.key, RequestOutcome::NotRun, refusal);
+                // The recorded refusal keeps the key from being claimed until it ends. A leader
+                // that was frozen may see it after its end, so the answer waits for a commit.
+                self.repeat_refusal(attempt.request.key, refusal);
             }
             None => self.submit_unclaimed(time, attempt),
         }
