Free and answer the requests of a claim that ends without its owner

Three faults of the leader, each with a test that failed before this change: - A released claim dropped the duplicates that wait for a plain service. They got no grant until their own deadline, also after a failover. They are now queued. - An entry that reported a claim and then retried kept the mark that it runs. If the grant of the next claim was lost, the repeated submit was told to resume a stream that never started. A retry clears the mark. - A claim that ended because its owner was lost stayed tracked for ever. Its duplicates learned nothing, and after the retention a submit of the key was ignored. The expiry now ends it and tells the duplicates.

A release whose claim had ended meanwhile also dropped its attempts; they are now told the recorded outcome.

--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -41,6 +41,11 @@
             (StateCommand::Finish { key, claim, .. }, CommandReply::Close(_)) => {
                 self.finished(*key, *claim, state);
             }
+            (StateCommand::ExpireClaims, CommandReply::Expired(reply))
+                if !reply.ended.is_empty() =>
+            {
+                self.expired(&reply.ended, state);
+            }
             _ => {}
         }
     }
@@ -218,20 +223,43 @@
             return;
         }
         let pool = tracked.pool.clone();
-        if *reply != CloseReply::Accepted {
-            self.requests.remove(&key);
-            return;
-        }
-        if retry && !tracked.restored {
+        if *reply == CloseReply::Accepted && retry && !tracked.restored {
             tracked.stage = RequestStage::Waiting;
+            tracked.started = false;
             self.step_pool(time, &pool, PoolInput::Release { key, claim, retry });
             return;
         }
-        let owner = self.requests.remove(&key).and_then(|tracked| tracked.owner);
+        let Some(tracked) = self.requests.remove(&key) else { return };
         self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: false });
-        if let (true, Some(owner)) = (retry, owner) {
-            // The scheduler knows a restored claim without its request, so it is submitted anew.
-            self.enqueue(time, &pool, owner, Vec::new());
+        // The scheduler knows a restored claim without its request, so it is submitted anew.
+        let owner = tracked.owner.filter(|_| retry);
+        let mut waiting = owner.into_iter().chain(tracked.duplicates);
+        match reply {
+            CloseReply::AlreadyEnded(record) => {
+                for attempt in waiting {
+                    self.resume(record, &attempt);
+                }
+            }
+            _ => {
+                if let Some(next) = waiting.next() {
+                    self.enqueue(time, &pool, next, waiting.collect());
+                }
+            }
+        }
+    }
+
+    /// Forgets the requests of lost entries whose claims ended without a report.
+    fn expired(&mut self, ended: &[ClaimNumber], state: &ReplicatedState) {
+        let is_ended = |tracked: &TrackedRequest| matches!(tracked.stage, RequestStage::Granted { claim } if ended.contains(&claim));
+        let ended = self.requests.iter().filter(|(_, tracked)| is_ended(tracked));
+        let mut keys: Vec<RequestKey> = ended.map(|(key, _)| *key).collect();
+        keys.sort_unstable();
+        for key in keys {
+            let Some(tracked) = self.requests.remove(&key) else { continue };
+            let Some(record) = state.claim(key) else { continue };
+            for attempt in tracked.duplicates {
+                self.resume(&record, &attempt);
+            }
         }
     }
 
--- a/crates/core/src/admission/entry.rs
+++ b/crates/core/src/admission/entry.rs
@@ -230,7 +230,9 @@
             outcome: report.outcome,
             reason: report.reason,
         });
-        let Some(tracked) = self.requests.get(&report.key) else { return };
+        let Some(tracked) = self.requests.get_mut(&report.key) else { return };
+        // Until the commit, a resend through the same entry must not get the grant again.
+        tracked.started = true;
         let pool = tracked.pool.clone();
         // The slot is free at once; the record of the outcome follows with the commit.
         self.step_pool(time, &pool, PoolInput::Finish(report));
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -8,7 +8,7 @@
 use burdockcleat_core::keys::ClaimNumber;
 use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, GrantTicket};
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
-use harness::{AdmissionHarness, ENTRY_A, ENTRY_B, submit};
+use harness::{AdmissionHarness, ENTRY_A, ENTRY_B, submit, submit_call};
 
 fn grant(message: &ControlMessage) -> Option<&GrantTicket> {
     match message {
@@ -190,6 +190,72 @@
     ));
 }
 
+/// Guards against a duplicate call that waits until its deadline, although the owner of the claim
+/// gave it back without a dispatch.
+#[test]
+fn a_duplicate_runs_after_the_owner_gave_up() {
+    for replaced in [false, true] {
+        let mut harness = AdmissionHarness::open();
+        harness.announce_service();
+        harness.receive(ENTRY_A, EntryMessage::Submit(submit_call(1, 1)));
+        harness.commit();
+        let first = grant(&harness.take_messages()[0].1).unwrap().clone();
+        if replaced {
+            harness.replace_leader();
+            harness.hello(ENTRY_A, &[]);
+        }
+        harness.receive(ENTRY_B, EntryMessage::Submit(submit_call(1, 2)));
+        let (key, claim) = (first.key, first.claim);
+        harness.receive(ENTRY_A, EntryMessage::Release { key, claim, retry: false });
+        harness.commit();
+        harness.end_rebuild();
+        let sent = harness.take_messages();
+        let granted = sent.iter().find(|(_, message)| grant(message).is_some());
+        assert_eq!(granted.map(|(entry, _)| *entry), Some(ENTRY_B), "{sent:?}");
+    }
+}
+
+/// Guards against an attempt that is told to resume a stream that never started: its entry held
+/// an earlier claim, and the grant of the next one was lost with a link.
+#[test]
+fn a_lost_grant_is_repeated_after_a_retry() {
+    let mut harness = AdmissionHarness::open();
+    harness.announce("engine-two", 1);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let first = grant(&harness.take_messages()[0].1).unwrap().clone();
+    harness.hello(ENTRY_A, &[(first.key, first.claim)]);
+    let release = EntryMessage::Release { key: first.key, claim: first.claim, retry: true };
+    harness.receive(ENTRY_A, release);
+    harness.commit();
+    harness.take_messages();
+    harness.hello(ENTRY_A, &[]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let sent = harness.take_messages();
+    assert!(sent.iter().any(|(_, message)| grant(message).is_some()), "{sent:?}");
+}
+
+/// Guards against a request that is tracked for ever after its entry was lost, and against an
+/// attempt that waits for its outcome.
+#[test]
+fn the_claim_of_a_lost_entry_ends_for_those_who_wait() {
+    let mut harness = AdmissionHarness::open();
+    harness.announce_service();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit_call(1, 1)));
+    harness.commit();
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit_call(1, 2)));
+    harness.take_messages();
+    harness.lose_entry(ENTRY_A, 20_000);
+    let sent = harness.take_messages();
+    let ended = |message: &ControlMessage| {
+        let unknown = Some(RequestOutcome::Unknown);
+        matches!(message, ControlMessage::Resume { recorded, .. } if *recorded == unknown)
+    };
+    assert!(sent.iter().any(|(entry, message)| *entry == ENTRY_B && ended(message)), "{sent:?}");
+    assert_eq!(harness.admission.request_count(), 0);
+}
+
 fn finish(ticket: &GrantTicket, outcome: RequestOutcome) -> FinishReport {
     FinishReport {
         key: ticket.key,
--- a/crates/core/tests/admission/harness.rs
+++ b/crates/core/tests/admission/harness.rs
@@ -5,7 +5,7 @@
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey};
 use burdockcleat_core::message::{ControlMessage, EntryMessage, HeldClaim, SubmitRequest};
-use burdockcleat_core::registry::TargetAnnouncement;
+use burdockcleat_core::registry::{TargetAnnouncement, TargetKind};
 use burdockcleat_core::state::{ReplicatedState, StampedCommand, StateCommand};
 
 pub const ENTRY_A: NodeId = NodeId(101);
@@ -14,6 +14,7 @@
 const WORKSPACE: &str = "provincial-depots";
 const MODEL: &str = "hinge-spares-13b";
 const POOL: &str = "hinge-model";
+const SERVICE_POOL: &str = "depot-orders";
 const SLOTS: u32 = 4;
 
 /// A request with this number, as attempt `attempt` of its entry.
@@ -34,6 +35,12 @@
     }
 }
 
+/// A call of a plain service with this number.
+pub fn submit_call(number: u64, attempt: u32) -> SubmitRequest {
+    let request = submit(number, attempt);
+    SubmitRequest { pool: SERVICE_POOL.into(), model: String::new(), idempotent: false, ..request }
+}
+
 pub struct AdmissionHarness {
     pub state: ReplicatedState,
     pub admission: AdmissionController,
@@ -103,6 +110,34 @@
         self.collect();
     }
 
+    /// A plain service announces itself.
+    pub fn announce_service(&mut self) {
+        let announcement = TargetAnnouncement {
+            name: "service-1".into(),
+            incarnation: 1,
+            address: "127.0.0.1:9100".into(),
+            pool: SERVICE_POOL.into(),
+            kind: TargetKind::Service,
+            slots: SLOTS,
+            ..TargetAnnouncement::default()
+        };
+        self.admission.announce(time(self.now), announcement).unwrap();
+        self.collect();
+    }
+
+    /// An entry loses its link, and time passes in which it does not return.
+    pub fn lose_entry(&mut self, entry: NodeId, ms: u64) {
+        self.admission.unlink(time(self.now), entry);
+        self.now += ms;
+        // The first tick records the loss, and the second ends what has become too old.
+        for _ in 0..2 {
+            self.now += 5_000;
+            self.admission.tick(time(self.now), &self.state);
+            self.collect();
+            self.commit();
+        }
+    }
+
     /// Runs requests on all slots of the engine.
     pub fn fill_slots(&mut self) {
         for number in 100..100 + u64::from(SLOTS) {
