--- a/crates/core/tests/pool/tier_rule.rs
+++ b/crates/core/tests/pool/tier_rule.rs
@@ -179,7 +179,7 @@
     }
 
     fn apply_target(&mut self, event: &Event) -> Result<(), TestCaseError> {
-        match event {
+        match *event {
             Event::Crash { number } => {
                 if let Some(incarnation) = self.incarnations.get_mut(&number) {
                     *incarnation += 1;
@@ -253,14 +253,14 @@
             while let Some(key) = self.committed(0) {
                 self.finish(key, false)?;
             }
-            self.apply_target(Event::Announce)?;
-            self.apply_target(Event::Advance { ms: 100 })?;
+            self.apply_target(&Event::Announce)?;
+            self.apply_target(&Event::Advance { ms: 100 })?;
             if self.running.is_empty() && self.uncommitted.is_empty() {
                 break;
             }
         }
         // Requests of lost entries keep their slots until their deadlines.
-        self.apply_target(Event::Advance { ms: 60_000 })?;
+        self.apply_target(&Event::Advance { ms: 60_000 })?;
         let counts = self.harness.scheduler.counts();
         prop_assert_eq!((counts.waiting, counts.running), (0, 0));
         Ok(())
