Queue or withdraw a retry whose request the scheduler has dropped

Cause: an entry without a link for 2 s counts as lost, and the scheduler drops its request. A release with retry then left the request tracked as waiting without a place in any queue. A withdrawal during such a release got no answer either, and the request was queued for nobody.

Seen: the search found a request left after 8 steps (grant, break, two advances, failed check, hang up).

Change: such a request is submitted anew.

--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -227,7 +227,10 @@
             return;
         }
         let pool = tracked.pool.clone();
-        if *reply == CloseReply::Accepted && retry && !tracked.restored {
+        // The scheduler knows no request behind a restored claim, and has dropped one whose entry
+        // was lost for a time.
+        let known = !tracked.restored && self.pools.get(&pool).is_some_and(|pool| pool.knows(key));
+        if *reply == CloseReply::Accepted && retry && known {
             tracked.stage = RequestStage::Waiting;
             tracked.started = false;
             self.step_pool(time, &pool, PoolInput::Release { key, claim, retry });
@@ -235,7 +238,6 @@
         }
         let Some(tracked) = self.requests.remove(&key) else { return };
         self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: false });
-        // The scheduler knows a restored claim without its request, so it is submitted anew.
         let owner = tracked.owner.filter(|_| retry);
         let mut waiting = owner.into_iter().chain(tracked.duplicates);
         match reply {
@@ -303,6 +305,17 @@
             return;
         }
         let owns = tracked.owner.as_ref().is_some_and(is_attempt);
+        if let RequestStage::Releasing { claim, retry: true } = tracked.stage
+            && owns
+        {
+            tracked.stage = RequestStage::Releasing { claim, retry: false };
+            let outcome = match tracked.duplicates.is_empty() {
+                true => RequestOutcome::NotRun,
+                false => RequestOutcome::Unknown,
+            };
+            self.answer_withdrawal(time, from, key, number, outcome);
+            return;
+        }
         if !owns || tracked.stage != RequestStage::Waiting {
             // A grant is on its way; the entry releases it.
             return;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -146,6 +146,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Whether a request waits or runs here.
+    pub fn knows(&self, key: RequestKey) -> bool {
+        self.by_key.contains_key(&key)
+    }
+
     fn apply(&mut self, now: ClockTime, input: PoolInput) {
         match input {
             PoolInput::Submit { entry, request } => self.submit(now, entry, request),
