--- a/crates/core/tests/protocol.rs
+++ b/crates/core/tests/protocol.rs
@@ -9,6 +9,7 @@
 #[path = "protocol/world.rs"]
 mod world;
 
+use burdockcleat_core::message::ControlMessage;
 use search::{Action, Bounds, Budget, SearchResult, search, walk};
 use world::{Rules, Setup, Violation, World};
 
@@ -91,6 +92,29 @@
     assert_eq!(world.play(&[Action::HangUp(0)]).settles(), Ok(()));
 }
 
+/// Guards against a fault around a cancel order: the order is lost, the leader is replaced, or the
+/// request ends on its own.
+#[test]
+fn a_preempted_request_makes_room() {
+    let setup = Setup { tiers: vec![2, 0], commit_at_once: true, ..setup() };
+    let steps = [
+        Action::Send { entry: 0, key: 0 },
+        Action::DeliverUp { entry: 0, control: 0 },
+        Action::DeliverDown { entry: 0, control: 0 },
+        Action::Connect { attempt: 0, established: true },
+        Action::Send { entry: 1, key: 1 },
+        Action::DeliverUp { entry: 1, control: 0 },
+        Action::Advance,
+    ];
+    let world = World::open(setup).play(&steps);
+    let cancelled = |message: &ControlMessage| matches!(message, ControlMessage::Cancel { .. });
+    let downward = &world.links[0][0].downward;
+    assert!(downward.iter().any(|sent| cancelled(&sent.message)), "{downward:?}");
+    let budget = Budget { breaks: 1, replacements: 1, ..Budget::default() };
+    let bounds = Bounds { states: 4_000, depth: 40, settle_every: 4 };
+    expect_none(&search("cancel", world, budget, bounds));
+}
+
 /// A scenario with its budget of sends and faults.
 struct Scenario {
     name: &'static str,
--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! Helpers shared by the tests of the testbed.
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
 
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
