Keep the commands that the log refuses during a transfer of leadership

Cause: the control daemon dropped a command of the admission if the log did not take it. During a transfer of leadership the log refuses every command, and a transfer that fails leaves the same leader in office. A Finish that was dropped in between was confirmed to the entry by the next Welcome, and its claim stayed open; a claim that was dropped left its request without a grant.

Change: such commands wait and are proposed in order when the transfer is over. No record confirms an answer before them. Found by reading the code against the rule for reports; no test starts a transfer that fails.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -22,6 +22,7 @@
 use burdockcleat_core::state::{
     CommandReply, DocumentReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand,
 };
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::Duration;
@@ -71,6 +72,8 @@
     pub(super) orders: OrderController,
     /// Present while this instance leads and has committed a record of its term.
     pub(super) admission: Option<AdmissionController>,
+    /// Commands of the admission that the log does not take during a transfer of leadership.
+    backlog: VecDeque<StateCommand>,
     stopping: Option<Sender<()>>,
     next_log_tick: ClockTime,
     next_controller_tick: ClockTime,
@@ -115,6 +118,7 @@
             replies: ReplyController::default(),
             orders: OrderController::open(orders),
             admission: None,
+            backlog: VecDeque::new(),
             stopping: None,
             next_log_tick: now,
             next_controller_tick: now,
@@ -370,10 +374,7 @@
     }
 
     fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
-        let stamped = StampedCommand { at: ClockTime::wall(), command };
-        let payload = EntryPayload::Command(encode_frame(&stamped));
-        let now = ClockTime::monotonic();
-        match self.replica.step(now, ReplicaInput::Propose(payload)) {
+        match self.try_propose(command) {
             Ok(position) => position,
             Err(error) => {
                 log::debug!(event = "proposal_refused"; "{error}");
@@ -382,9 +383,16 @@
         }
     }
 
+    fn try_propose(&mut self, command: StateCommand) -> Result<Option<LogPosition>, ReplicaError> {
+        let stamped = StampedCommand { at: ClockTime::wall(), command };
+        let payload = EntryPayload::Command(encode_frame(&stamped));
+        self.replica.step(ClockTime::monotonic(), ReplicaInput::Propose(payload))
+    }
+
     /// Sends messages after a record that is appended now is committed.
     fn confirm(&mut self, messages: Vec<(NodeId, ControlMessage)>) {
-        if messages.is_empty() {
+        // A record that overtook the backlog would confirm reports that are not in the log yet.
+        if messages.is_empty() || !self.backlog.is_empty() {
             return;
         }
         if let Some(position) = self.propose(StateCommand::Barrier) {
@@ -490,15 +498,28 @@
     fn drain_admission(&mut self) {
         let Some(admission) = &mut self.admission else { return };
         let output = admission.take_output();
-        for command in output.commands {
-            self.propose(command);
-        }
+        self.backlog.extend(output.commands);
+        self.propose_backlog();
         self.confirm(output.confirmed);
         for (node, message) in output.messages {
             self.send_entry(node, &message);
         }
     }
 
+    fn propose_backlog(&mut self) {
+        while let Some(command) = self.backlog.pop_front() {
+            match self.try_propose(command.clone()) {
+                Ok(_) => {}
+                Err(ReplicaError::TransferInProgress) => {
+                    // If the transfer fails, this instance leads on and must not have lost any.
+                    self.backlog.push_front(command);
+                    return;
+                }
+                Err(error) => log::debug!(event = "proposal_refused"; "{error}"),
+            }
+        }
+    }
+
     fn apply(&mut self, entry: &LogEntry) -> Result<(), NodeError> {
         let position = LogPosition { index: entry.index, term: entry.term };
         match &entry.payload {
@@ -559,6 +580,7 @@
         let config = self.state.config();
         let document = ConfigDocument::parse(&config.document).unwrap_or_default();
         self.admission = Some(AdmissionController::open(step_time(), &document, &self.state));
+        self.backlog.clear();
         self.orders.start_leading(now);
         let entries: Vec<_> =
             self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
@@ -572,6 +594,7 @@
             return;
         }
         log::info!(event = "not_leading", term = self.replica.term(); "leadership ended");
+        self.backlog.clear();
         self.replies.fail_all();
         self.orders.stop_leading();
         let entries: Vec<_> =
