--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -8,6 +8,7 @@
 mod claim;
 mod digest;
 mod entry;
+mod refusal;
 mod settings;
 
 pub use settings::pool_settings;
@@ -16,7 +17,7 @@
 use crate::document::ConfigDocument;
 use crate::keys::{ClaimNumber, NodeId, RequestKey, TargetIdentity};
 use crate::message::{ControlMessage, SubmitRequest};
-use crate::outcome::{ReasonCode, RequestOutcome};
+use crate::outcome::ReasonCode;
 use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
 use crate::registry::{AnnounceError, TargetAnnouncement, TargetChange, TargetRegistry};
 use crate::state::{ClaimPhase, ClaimRecord, ReplicatedState, StateCommand};
@@ -335,83 +336,6 @@
             }
         }
     }
-
-    /// Refuses every attempt of a request that will not run.
-    fn refuse_all(
-        &mut self,
-        time: StepTime,
-        key: RequestKey,
-        outcome: RequestOutcome,
-        reason: ReasonCode,
-        retry_after_ms: u32,
-    ) {
-        let Some(tracked) = self.requests.remove(&key) else { return };
-        let refusals: Vec<PendingRefusal> = tracked
-            .owner
-            .into_iter()
-            .chain(tracked.duplicates)
-            .map(|attempt| PendingRefusal {
-                entry: attempt.entry,
-                attempt: attempt.request.attempt,
-                reason,
-                retry_after_ms,
-            })
-            .collect();
-        if outcome == RequestOutcome::NotRun {
-            let until = time.wall.plus(u64::from(retry_after_ms));
-            self.propose_refusal(key, until, reason, refusals);
-            return;
-        }
-        for refusal in refusals {
-            self.send_refusal(key, outcome, refusal);
-        }
-    }
-
-    /// Proposes the record of a refusal; its attempts are told after the commit.
-    ///
-    /// The key cannot be claimed before `until`, so a resend before the time to come back costs
-    /// one look-up, and a late message of an earlier attempt cannot run the request.
-    fn propose_refusal(
-        &mut self,
-        key: RequestKey,
-        until: ClockTime,
-        reason: ReasonCode,
-        refusals: Vec<PendingRefusal>,
-    ) {
-        self.output.commands.push(StateCommand::Refuse { key, until, reason });
-        if self.rules.confirm_not_run {
-            self.refusals.entry(key).or_default().extend(refusals);
-            return;
-        }
-        for refusal in refusals {
-            self.send_refusal(key, RequestOutcome::NotRun, refusal);
-        }
-    }
-
-    /// Tells an attempt of a recorded refusal, once the leader is known to be current.
-    fn repeat_refusal(&mut self, key: RequestKey, refusal: PendingRefusal) {
-        let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
-        let outcome = RequestOutcome::NotRun;
-        let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
-        self.output.confirmed.push((entry, message));
-    }
-
-    fn send_refusal(&mut self, key: RequestKey, outcome: RequestOutcome, refusal: PendingRefusal) {
-        let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
-        let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
-        self.output.messages.push((entry, message));
-    }
-
-    /// Refuses one attempt with an outcome that needs no record.
-    fn refuse(&mut self, attempt: &AttemptRecord, outcome: RequestOutcome, reason: ReasonCode) {
-        let refusal = PendingRefusal {
-            entry: attempt.entry,
-            attempt: attempt.request.attempt,
-            reason,
-            retry_after_ms: UNKNOWN_RETRY_MS,
-        };
-        self.send_refusal(attempt.request.key, outcome, refusal);
-    }
 }
 
 /// The claim as the scheduler needs it, with its deadline on the monotonic clock.
