--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -25,6 +25,7 @@
     CommandReply, DocumentReply, DrainSubject, ReplicatedState, SnapshotError, StampedCommand,
     StateCommand,
 };
+use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::thread;
 use std::time::Duration;
@@ -84,6 +85,8 @@
     pub(super) leading_since: ClockTime,
     /// The configuration in force, as the leader last parsed it.
     pub(super) document: ConfigDocument,
+    /// Commands of the admission that the log does not take during a transfer of leadership.
+    backlog: VecDeque<StateCommand>,
     stopping: Option<Sender<()>>,
     events: Sender<ControlEvent>,
     /// Whether a snapshot is being encoded.
@@ -136,6 +139,7 @@
             leading_since: now,
             document: ConfigDocument::default(),
             settings,
+            backlog: VecDeque::new(),
             stopping: None,
             events,
             encoding: false,
@@ -331,6 +335,9 @@
             config_version: self.state.config().version,
             entry_time,
         };
+        // The entry forgets a report when a later question is answered, so what was received
+        // before the question is proposed before the record that confirms the answer.
+        self.drain_admission();
         match leading {
             true => self.confirm(vec![(node, message)]),
             false => self.send_entry(node, &message),
@@ -338,10 +345,7 @@
     }
 
     pub(super) fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
-        let stamped = StampedCommand { at: ClockTime::wall(), command };
-        let payload = EntryPayload::Command(encode_frame(&stamped));
-        let now = ClockTime::monotonic();
-        match self.replica.step(now, ReplicaInput::Propose(payload)) {
+        match self.try_propose(command) {
             Ok(position) => position,
             Err(error) => {
                 log::debug!(event = "proposal_refused"; "{error}");
@@ -350,9 +354,16 @@
         }
     }
 
+    fn try_propose(&mut self, command: StateCommand) -> Result<Option<LogPosition>, ReplicaError> {
+        let stamped = StampedCommand { at: ClockTime::wall(), command };
+        let payload = EntryPayload::Command(encode_frame(&stamped));
+        self.replica.step(ClockTime::monotonic(), ReplicaInput::Propose(payload))
+    }
+
     /// Sends messages after a record that is appended now is committed.
     fn confirm(&mut self, messages: Vec<(NodeId, ControlMessage)>) {
-        if messages.is_empty() {
+        // A record that overtook the backlog would confirm reports that are not in the log yet.
+        if messages.is_empty() || !self.backlog.is_empty() {
             return;
         }
         if let Some(position) = self.propose(StateCommand::Barrier) {
@@ -465,9 +476,9 @@
     fn drain_admission(&mut self) {
         let Some(admission) = &mut self.admission else { return };
         let output = admission.take_output();
-        for command in output.commands {
-            self.propose(command);
-        }
+        self.backlog.extend(output.commands);
+        self.propose_backlog();
+        self.confirm(output.confirmed);
         for event in &output.events {
             self.metrics.count(event);
         }
@@ -476,6 +487,20 @@
         }
     }
 
+    fn propose_backlog(&mut self) {
+        while let Some(command) = self.backlog.pop_front() {
+            match self.try_propose(command.clone()) {
+                Ok(_) => {}
+                Err(ReplicaError::TransferInProgress) => {
+                    // If the transfer fails, this instance leads on and must not have lost any.
+                    self.backlog.push_front(command);
+                    return;
+                }
+                Err(error) => log::debug!(event = "proposal_refused"; "{error}"),
+            }
+        }
+    }
+
     fn apply(&mut self, entry: &LogEntry) -> Result<(), NodeError> {
         let position = LogPosition { index: entry.index, term: entry.term };
         match &entry.payload {
@@ -562,6 +587,7 @@
         self.orders.configure(document.limits());
         self.state.set_claim_limit(document.limits().claim_limit as usize);
         self.document = document;
+        self.backlog.clear();
         self.orders.start_leading(now);
         let entries: Vec<_> =
             self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
@@ -575,6 +601,7 @@
         let Some(admission) = self.admission.take() else { return };
         self.followed = admission.into_registry();
         log::info!(event = "not_leading", term = self.replica.term(); "leadership ended");
+        self.backlog.clear();
         self.replies.fail_all();
         self.orders.stop_leading();
         let entries: Vec<_> =
--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -6,8 +6,10 @@
 //! committed, since a leader that was replaced unnoticed must not say that a request did not run.
 
 mod claim;
+mod digest;
 mod entry;
 mod event;
+mod refusal;
 mod settings;
 
 pub use event::{AdmissionEvent, AdmissionEventKind};
@@ -17,7 +19,7 @@
 use crate::document::ConfigDocument;
 use crate::keys::{ClaimNumber, NodeId, RequestKey, TargetIdentity};
 use crate::message::{ControlMessage, SubmitRequest};
-use crate::outcome::{ReasonCode, RequestOutcome};
+use crate::outcome::ReasonCode;
 use crate::pool::{OpenClaim, PoolInput, PoolOutput, PoolScheduler};
 use crate::registry::{
     AnnounceError, TargetAnnouncement, TargetChange, TargetChangeKind, TargetRecord, TargetRegistry,
@@ -30,6 +32,10 @@
 /// Longer than the redial interval of the links, so that a broken connection alone does not end
 /// the claims of a running entry.
 pub const ENTRY_LOST_MS: u64 = 2_000;
+/// Time from a `Hello` until the claims that it does not name are offered again, in milliseconds.
+///
+/// The submits that follow the `Hello` on the link arrive earlier, and name the waiting attempts.
+const RECHECK_MS: u64 = 1_000;
 /// Interval of the command that removes old claims, in milliseconds.
 const EXPIRE_INTERVAL_MS: u64 = 5_000;
 /// When to come back if an outcome is not known yet, in milliseconds.
@@ -45,7 +51,7 @@
 }
 
 /// What the caller of the controller has to do.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct AdmissionOutput {
     /// Commands to propose, in order.
     pub commands: Vec<StateCommand>,
@@ -53,10 +59,26 @@
     pub messages: Vec<(NodeId, ControlMessage)>,
     /// Events to count.
     pub events: Vec<AdmissionEvent>,
+    /// Messages to send after a record that follows `commands` is committed.
+    pub confirmed: Vec<(NodeId, ControlMessage)>,
+}
+
+/// Rules of the admission. All are on in production; only the specification's tests turn one off,
+/// to show that the search finds the fault that the rule prevents.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AdmissionRules {
+    /// "Not run" is sent only after a record that follows the decision is committed.
+    pub confirm_not_run: bool,
+}
+
+impl Default for AdmissionRules {
+    fn default() -> Self {
+        Self { confirm_not_run: true }
+    }
 }
 
 /// One attempt of an entry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct AttemptRecord {
     entry: NodeId,
     request: SubmitRequest,
@@ -74,7 +96,7 @@
 }
 
 /// How far a request has come.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum RequestStage {
     /// It waits in its pool.
     Waiting,
@@ -87,7 +109,7 @@
 }
 
 /// A request that the leader knows of and that has not ended.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 struct TrackedRequest {
     pool: String,
     tier: u8,
@@ -109,7 +131,7 @@
 }
 
 /// What the leader knows of an entry.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 struct EntryRecord {
     /// Newest reading of the entry's clock.
     entry_time: ClockTime,
@@ -118,7 +140,7 @@
 }
 
 /// A refusal whose record is proposed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Hash)]
 struct PendingRefusal {
     entry: NodeId,
     attempt: u32,
@@ -127,12 +149,16 @@
 }
 
 /// Admits requests over all pools.
+#[derive(Clone, Debug)]
 pub struct AdmissionController {
+    rules: AdmissionRules,
     registry: TargetRegistry,
     pools: BTreeMap<String, PoolScheduler>,
     requests: HashMap<RequestKey, TrackedRequest>,
     entries: BTreeMap<NodeId, EntryRecord>,
     refusals: HashMap<RequestKey, Vec<PendingRefusal>>,
+    /// When a claim that its entry did not name in its `Hello` is offered to the entry again.
+    rechecks: BTreeMap<RequestKey, ClockTime>,
     claims_full: bool,
     next_expiry: ClockTime,
     output: AdmissionOutput,
@@ -145,10 +171,21 @@
     /// reported or the rebuild time is over. The registry is the one that this instance kept while
     /// it followed, so that a change of leader does not make the targets unknown.
     pub fn open(
+        time: StepTime,
+        document: &ConfigDocument,
+        state: &ReplicatedState,
+        registry: TargetRegistry,
+    ) -> Self {
+        Self::with_rules(time, document, state, registry, AdmissionRules::default())
+    }
+
+    /// Starts with some rules turned off, for the specification's tests.
+    pub fn with_rules(
         time: StepTime,
         document: &ConfigDocument,
         state: &ReplicatedState,
         mut registry: TargetRegistry,
+        rules: AdmissionRules,
     ) -> Self {
         for subject in state.drains() {
             if let DrainSubject::Target(identity) = subject {
@@ -157,11 +194,13 @@
             }
         }
         let mut controller = Self {
+            rules,
             registry,
             pools: BTreeMap::new(),
             requests: HashMap::new(),
             entries: BTreeMap::new(),
             refusals: HashMap::new(),
+            rechecks: BTreeMap::new(),
             claims_full: false,
             next_expiry: time.now.plus(EXPIRE_INTERVAL_MS),
             output: AdmissionOutput::default(),
@@ -256,6 +295,7 @@
         let changes = self.registry.tick(time.now);
         self.apply_changes(time, changes);
         self.end_lost_entries(time);
+        self.recheck_claims(time, state);
         if self.claims_full != state.claims_full() {
             self.claims_full = state.claims_full();
             let full = self.claims_full;
@@ -355,69 +395,6 @@
     fn count(&mut self, pool: &str, tier: u8, kind: AdmissionEventKind) {
         self.output.events.push(AdmissionEvent { pool: pool.to_owned(), tier, kind });
     }
-
-    /// Refuses every attempt of a request that will not run.
-    fn refuse_all(
-        &mut self,
-        time: StepTime,
-        key: RequestKey,
-        outcome: RequestOutcome,
-        reason: ReasonCode,
-        retry_after_ms: u32,
-    ) {
-        let Some(tracked) = self.requests.remove(&key) else { return };
-        let refusals: Vec<PendingRefusal> = tracked
-            .owner
-            .into_iter()
-            .chain(tracked.duplicates)
-            .map(|attempt| PendingRefusal {
-                entry: attempt.entry,
-                attempt: attempt.request.attempt,
-                reason,
-                retry_after_ms,
-            })
-            .collect();
-        if outcome == RequestOutcome::NotRun {
-            let until = time.wall.plus(u64::from(retry_after_ms));
-            self.propose_refusal(key, until, reason, refusals);
-            return;
-        }
-        for refusal in refusals {
-            self.send_refusal(key, outcome, refusal);
-        }
-    }
-
-    /// Proposes the record of a refusal; its attempts are told after the commit.
-    ///
-    /// The key cannot be claimed before `until`, so a resend before the time to come back costs
-    /// one look-up, and a late message of an earlier attempt cannot run the request.
-    fn propose_refusal(
-        &mut self,
-        key: RequestKey,
-        until: ClockTime,
-        reason: ReasonCode,
-        refusals: Vec<PendingRefusal>,
-    ) {
-        self.refusals.entry(key).or_default().extend(refusals);
-        self.output.commands.push(StateCommand::Refuse { key, until, reason });
-    }
-
-    fn send_refusal(&mut self, key: RequestKey, outcome: RequestOutcome, refusal: PendingRefusal) {
-        let PendingRefusal { entry, attempt, reason, retry_after_ms } = refusal;
-        let message = ControlMessage::Refuse { key, attempt, outcome, reason, retry_after_ms };
-        self.output.messages.push((entry, message));
-    }
-
-    /// Refuses one attempt with an outcome that needs no record.
-    fn refuse(&mut self, attempt: &AttemptRecord, outcome: RequestOutcome, reason: ReasonCode) {
-        let refusal = PendingRefusal {
-            entry: attempt.entry,
-            attempt: attempt.request.attempt,
-            reason,
-            retry_after_ms: UNKNOWN_RETRY_MS,
-        };
-        self.send_refusal(attempt.request.key, outcome, refusal);
-    }
 }
 
 /// The claim as the scheduler needs it, with its deadline on the monotonic clock.
--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -41,6 +41,11 @@
             (StateCommand::Finish { key, claim, .. }, CommandReply::Close(_)) => {
                 self.finished(*key, *claim, state);
             }
+            (StateCommand::ExpireClaims, CommandReply::Expired(reply))
+                if !reply.ended.is_empty() =>
+            {
+                self.expired(&reply.ended, state);
+            }
             _ => {}
         }
     }
@@ -132,18 +137,22 @@
 
     /// Sends the grant of a committed claim again to the attempt that still waits for it.
     pub(super) fn grant_again(&mut self, record: &ClaimRecord, attempt: AttemptRecord) {
+        self.send_grant(record, attempt.request.attempt);
+        if let Some(tracked) = self.requests.get_mut(&record.key) {
+            tracked.owner = Some(attempt);
+        }
+    }
+
+    pub(super) fn send_grant(&mut self, record: &ClaimRecord, attempt: u32) {
         let ticket = GrantTicket {
             key: record.key,
-            attempt: attempt.request.attempt,
+            attempt,
             claim: record.claim,
             target: record.target.clone(),
             address: record.address.clone(),
             entry_time: self.entry_time(record.entry),
         };
         self.output.messages.push((record.entry, ControlMessage::Grant(ticket)));
-        if let Some(tracked) = self.requests.get_mut(&record.key) {
-            tracked.owner = Some(attempt);
-        }
     }
 
     /// A claim that another leader had recorded came first.
@@ -218,20 +227,45 @@
             return;
         }
         let pool = tracked.pool.clone();
-        if *reply != CloseReply::Accepted {
-            self.requests.remove(&key);
-            return;
-        }
-        if retry && !tracked.restored {
+        // The scheduler knows no request behind a restored claim, and has dropped one whose entry
+        // was lost for a time.
+        let known = !tracked.restored && self.pools.get(&pool).is_some_and(|pool| pool.knows(key));
+        if *reply == CloseReply::Accepted && retry && known {
             tracked.stage = RequestStage::Waiting;
+            tracked.started = false;
             self.step_pool(time, &pool, PoolInput::Release { key, claim, retry });
             return;
         }
-        let owner = self.requests.remove(&key).and_then(|tracked| tracked.owner);
+        let Some(tracked) = self.requests.remove(&key) else { return };
         self.step_pool(time, &pool, PoolInput::Release { key, claim, retry: false });
-        if let (true, Some(owner)) = (retry, owner) {
-            // The scheduler knows a restored claim without its request, so it is submitted anew.
-            self.enqueue(time, &pool, owner, Vec::new());
+        let owner = tracked.owner.filter(|_| retry);
+        let mut waiting = owner.into_iter().chain(tracked.duplicates);
+        match reply {
+            CloseReply::AlreadyEnded(record) => {
+                for attempt in waiting {
+                    self.resume(record, &attempt);
+                }
+            }
+            _ => {
+                if let Some(next) = waiting.next() {
+                    self.enqueue(time, &pool, next, waiting.collect());
+                }
+            }
+        }
+    }
+
+    /// Forgets the requests of lost entries whose claims ended without a report.
+    fn expired(&mut self, ended: &[ClaimNumber], state: &ReplicatedState) {
+        let is_ended = |tracked: &TrackedRequest| matches!(tracked.stage, RequestStage::Granted { claim } if ended.contains(&claim));
+        let ended = self.requests.iter().filter(|(_, tracked)| is_ended(tracked));
+        let mut keys: Vec<RequestKey> = ended.map(|(key, _)| *key).collect();
+        keys.sort_unstable();
+        for key in keys {
+            let Some(tracked) = self.requests.remove(&key) else { continue };
+            let Some(record) = state.claim(key) else { continue };
+            for attempt in tracked.duplicates {
+                self.resume(&record, &attempt);
+            }
         }
     }
 
@@ -271,6 +305,17 @@
             return;
         }
         let owns = tracked.owner.as_ref().is_some_and(is_attempt);
+        if let RequestStage::Releasing { claim, retry: true } = tracked.stage
+            && owns
+        {
+            tracked.stage = RequestStage::Releasing { claim, retry: false };
+            let outcome = match tracked.duplicates.is_empty() {
+                true => RequestOutcome::NotRun,
+                false => RequestOutcome::Unknown,
+            };
+            self.answer_withdrawal(time, from, key, number, outcome);
+            return;
+        }
         if !owns || tracked.stage != RequestStage::Waiting {
             // A grant is on its way; the entry releases it.
             return;
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -14,6 +14,7 @@
 //! A step in which nothing can be placed and nobody seeks a slot costs O(T + K).
 
 mod check;
+mod digest;
 mod event;
 mod intake;
 mod preempt;
@@ -156,6 +157,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Whether a request waits or runs here.
+    pub fn knows(&self, key: RequestKey) -> bool {
+        self.by_key.contains_key(&key)
+    }
+
     fn apply(&mut self, now: ClockTime, input: PoolInput) {
         match input {
             PoolInput::Submit { entry, request } => self.submit(now, entry, request),
--- a/crates/core/src/pool/shed.rs
+++ b/crates/core/src/pool/shed.rs
@@ -158,9 +158,14 @@
 
     /// Whether the queue is too long for the lowest tier that waits.
     fn overloaded(&self, now: ClockTime) -> bool {
-        let Some((tier, _)) = self.queue.newest_of_lowest() else { return false };
-        let bound = self.settings.tier(tier).max_queue_ms as f64;
-        self.queue.len() > self.settings.queue_limit || self.estimated_wait(now) > bound
+        let Some((tier, newest)) = self.queue.newest_of_lowest() else { return false };
+        let mut bound = self.settings.tier(tier).max_queue_ms;
+        let remaining = self.requests[newest].deadline.since(now);
+        if remaining > 0 {
+            // A request that would wait past its own deadline gets its refusal now, not then.
+            bound = bound.min(remaining);
+        }
+        self.queue.len() > self.settings.queue_limit || self.estimated_wait(now) > bound as f64
     }
 
     /// Estimated wait at the end of the queue, in milliseconds. Arrivals of the tiers above are
