Keep what the client reports when no answer arrives

In one of ten runs of entry_failures beside target_failures, the waiting request of an_entry_frozen_after_the_grant_does_not_use_it got no answer 517 ms after it was sent, and the test could not say why. The cause is not known.

--- a/crates/testbed/src/probe.rs
+++ b/crates/testbed/src/probe.rs
@@ -170,7 +170,8 @@
     pub done: bool,
     /// Whether the body ended as HTTP demands.
     pub well_formed: bool,
-    /// The `error` object, if the answer was an error or ended with one.
+    /// The `error` object, if the answer was an error or ended with one. If no answer arrived,
+    /// what the client reported.
     pub error: Value,
 }
 
@@ -235,7 +236,13 @@
             "stream": true,
         });
         let mut answer = CompletionAnswer::default();
-        let Ok(mut response) = request.send_json(body) else { return answer };
+        let mut response = match request.send_json(body) {
+            Ok(response) => response,
+            Err(error) => {
+                answer.error = json!({ "transport": error.to_string() });
+                return answer;
+            }
+        };
         answer.status = response.status().as_u16();
         if answer.status != 200 {
             let body: Value = response.body_mut().read_json().unwrap_or(Value::Null);
