--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -8,22 +8,21 @@
 use super::orders::{OrderController, OrderSender, SEND_WITHIN_MS};
 use super::peer::{PeerIntroduction, PeerMessage};
 use super::replies::ReplyController;
-use crate::link::{LinkEvent, LinkHandle, LinkKey, PeerRole};
+use crate::link::LinkHandle;
 use crate::settings::ControlSettings;
 use crate::storage::{LogStorage, StorageError};
 use burdockcleat_core::admission::{AdmissionController, StepTime};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::NodeId;
-use burdockcleat_core::message::{ControlMessage, EntryMessage, decode_frame, encode_frame};
+use burdockcleat_core::message::{ControlMessage, decode_frame, encode_frame};
 use burdockcleat_core::registry::TargetRegistry;
 use burdockcleat_core::replica::{
-    EntryPayload, LogEntry, LogPosition, LogReplica, MemberRecord, ReplicaConfig, ReplicaError,
-    ReplicaInput, ReplicaMessage, StoredState,
+    EntryPayload, LogEntry, LogPosition, LogReplica, MemberRecord, ReplicaConfig, ReplicaInput,
+    ReplicaMessage, StoredState,
 };
 use burdockcleat_core::state::{
-    CommandReply, DocumentReply, DrainSubject, ReplicatedState, SnapshotError, StampedCommand,
-    StateCommand,
+    CommandReply, DocumentReply, ReplicatedState, SnapshotError, StampedCommand, StateCommand,
 };
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::thread;
@@ -211,132 +210,6 @@
         true
     }
 
-    fn handle_link(&mut self, event: LinkEvent) -> Result<(), NodeError> {
-        let now = ClockTime::monotonic();
-        match event {
-            LinkEvent::Up { link, role: PeerRole::Control, .. } => {
-                let introduction = PeerMessage::Introduce(self.members.introduction().clone());
-                self.link.send(link, encode_frame(&introduction));
-            }
-            LinkEvent::Up { link, role: PeerRole::Entry, node, .. } => {
-                self.config.link(now, node, link);
-            }
-            LinkEvent::Down { link } => self.unlink(now, link),
-            LinkEvent::Frame { link, frame } => match self.config.node(link) {
-                Some(node) => self.receive_entry(link, node, &frame),
-                None => self.receive_peer(link, &frame)?,
-            },
-        }
-        Ok(())
-    }
-
-    fn unlink(&mut self, now: ClockTime, link: LinkKey) {
-        if let Some(node) = self.members.unlink(now, link) {
-            // The peer's messages in flight are lost; the input cannot be refused.
-            let _ = self.replica.step(now, ReplicaInput::PeerDown(node));
-        }
-        if let Some(entry) = self.config.unlink(link) {
-            let time = step_time();
-            if let Some(admission) = &mut self.admission {
-                admission.unlink(time, entry);
-            }
-        }
-    }
-
-    fn receive_peer(&mut self, link: LinkKey, frame: &[u8]) -> Result<(), NodeError> {
-        match decode_frame::<PeerMessage>(frame) {
-            Ok(PeerMessage::Introduce(peer)) => {
-                self.members.introduce(link, peer);
-                self.form_group()?;
-            }
-            Ok(PeerMessage::Replica(message)) => {
-                let Some(from) = self.members.peer(link) else { return Ok(()) };
-                let input = ReplicaInput::Receive { from, message };
-                // Messages of peers are never refused.
-                let _ = self.replica.step(ClockTime::monotonic(), input);
-            }
-            Ok(PeerMessage::Announce(announcement)) => {
-                if let Err(error) = self.enter_announcement(*announcement) {
-                    log::debug!(event = "announcement_refused"; "{error}");
-                }
-            }
-            Ok(PeerMessage::Leave(identity)) => self.enter_leave(&identity),
-            Err(error) => {
-                log::warn!(event = "frame_invalid", link = link.0; "{error}");
-                self.link.close(link);
-            }
-        }
-        Ok(())
-    }
-
-    /// Starts a new group if all instances of it have empty folders.
-    fn form_group(&mut self) -> Result<(), NodeError> {
-        let Some(members) = self.members.new_group() else { return Ok(()) };
-        if self.replica.log_length() > 0 || self.replica.term() > 0 {
-            return Ok(());
-        }
-        log::info!(event = "group_formed", voters = members.voters.len(); "forming a new group");
-        let stored = StoredState::initial(members);
-        self.storage.initialize(&stored)?;
-        let config = ReplicaConfig::of_node(self.storage.node(), rand::random());
-        self.replica = LogReplica::open(config, stored, ClockTime::monotonic());
-        self.members.note_log();
-        Ok(())
-    }
-
-    fn receive_entry(&mut self, link: LinkKey, node: NodeId, frame: &[u8]) {
-        let message = match decode_frame::<EntryMessage>(frame) {
-            Ok(message) => message,
-            Err(error) => {
-                log::warn!(event = "frame_invalid", link = link.0; "{error}");
-                self.link.close(link);
-                return;
-            }
-        };
-        self.note_entry(node, &message);
-        if let Some(admission) = &mut self.admission {
-            admission.receive(step_time(), node, message, &self.state);
-        }
-    }
-
-    /// Keeps what the configuration controller needs, and answers signs of life.
-    fn note_entry(&mut self, node: NodeId, message: &EntryMessage) {
-        let Some(entry) = self.config.entry_mut(node) else { return };
-        entry.heard = ClockTime::monotonic();
-        match message {
-            EntryMessage::Hello { name, entry_time, config_version, .. } => {
-                entry.name.clone_from(name);
-                entry.entry_time = *entry_time;
-                entry.config_version = *config_version;
-                self.welcome(node, *entry_time);
-                self.repeat_drain(node);
-            }
-            EntryMessage::Heartbeat { entry_time, config_version } => {
-                entry.entry_time = *entry_time;
-                entry.config_version = *config_version;
-                self.welcome(node, *entry_time);
-            }
-            _ => {}
-        }
-    }
-
-    /// Tells an entry whether this instance leads. A leader's answer waits for a commit, so that
-    /// a leader that was cut off cannot pass for current.
-    fn welcome(&mut self, node: NodeId, entry_time: ClockTime) {
-        let leading = self.admission.is_some();
-        let message = ControlMessage::Welcome {
-            leading,
-            term: self.replica.term(),
-            leader: self.replica.leader(),
-            config_version: self.state.config().version,
-            entry_time,
-        };
-        match leading {
-            true => self.confirm(vec![(node, message)]),
-            false => self.send_entry(node, &message),
-        }
-    }
-
     pub(super) fn propose(&mut self, command: StateCommand) -> Option<LogPosition> {
         let stamped = StampedCommand { at: ClockTime::wall(), command };
         let payload = EntryPayload::Command(encode_frame(&stamped));
@@ -351,7 +224,7 @@
     }
 
     /// Sends messages after a record that is appended now is committed.
-    fn confirm(&mut self, messages: Vec<(NodeId, ControlMessage)>) {
+    pub(super) fn confirm(&mut self, messages: Vec<(NodeId, ControlMessage)>) {
         if messages.is_empty() {
             return;
         }
@@ -403,27 +276,6 @@
         self.push_config(now);
     }
 
-    fn push_config(&mut self, now: ClockTime) {
-        for (node, message) in self.config.due(now, &self.state.config()) {
-            self.send_entry(node, &message);
-        }
-    }
-
-    fn change_members(&mut self, now: ClockTime) {
-        if self.admission.is_none() {
-            return;
-        }
-        let Some(next) = self.members.next_change(now, self.replica.members()) else { return };
-        let input = ReplicaInput::Propose(EntryPayload::Members(next.clone()));
-        match self.replica.step(now, input) {
-            Ok(_) => {
-                log::info!(event = "members_changing", voters = next.voters.len(), learners = next.learners.len(); "proposing a membership");
-            }
-            Err(ReplicaError::ChangeInProgress { .. } | ReplicaError::LearnerBehind { .. }) => {}
-            Err(error) => log::debug!(event = "members_refused"; "{error}"),
-        }
-    }
-
     /// Persists, sends and applies until there is nothing left to do.
     fn flush(&mut self) -> Result<(), NodeError> {
         loop {
@@ -513,77 +365,6 @@
         }
     }
 
-    /// Puts the committed document in force here and at the entries.
-    fn configure(&mut self) {
-        let config = self.state.config();
-        match ConfigDocument::parse(&config.document) {
-            Ok(document) => {
-                self.state.set_claim_limit(document.limits().claim_limit as usize);
-                self.orders.configure(document.limits());
-                if let Some(admission) = &mut self.admission {
-                    admission.configure(step_time(), &document);
-                }
-                self.document = document;
-            }
-            Err(faults) => {
-                log::error!(event = "config_invalid", version = config.version; "{} faults", faults.len());
-            }
-        }
-        if self.admission.is_some() {
-            self.push_config(ClockTime::monotonic());
-        }
-    }
-
-    /// Carries out a drain. It may be repeated, since a resend gets the first reply again.
-    fn start_drain(&mut self, subject: &DrainSubject) {
-        let Some(admission) = &mut self.admission else { return };
-        match subject {
-            DrainSubject::Target(identity) => admission.drain_target(step_time(), identity),
-            DrainSubject::Entry { node, .. } => self.send_entry(*node, &ControlMessage::Drain),
-        }
-    }
-
-    /// Tells an entry again that it is drained, since the first message may have been lost.
-    fn repeat_drain(&mut self, node: NodeId) {
-        if self.admission.is_some() && self.state.entry_drained(node) {
-            self.send_entry(node, &ControlMessage::Drain);
-        }
-    }
-
-    fn start_leading(&mut self) {
-        let now = ClockTime::monotonic();
-        log::info!(event = "leading", term = self.replica.term(); "leading with a committed record");
-        let config = self.state.config();
-        let document = ConfigDocument::parse(&config.document).unwrap_or_default();
-        let registry = std::mem::take(&mut self.followed);
-        let admission = AdmissionController::open(step_time(), &document, &self.state, registry);
-        self.admission = Some(admission);
-        self.leading_since = now;
-        self.orders.configure(document.limits());
-        self.state.set_claim_limit(document.limits().claim_limit as usize);
-        self.document = document;
-        self.orders.start_leading(now);
-        let entries: Vec<_> =
-            self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
-        for (node, entry_time) in entries {
-            self.welcome(node, entry_time);
-            self.repeat_drain(node);
-        }
-    }
-
-    fn stop_leading(&mut self) {
-        let Some(admission) = self.admission.take() else { return };
-        self.followed = admission.into_registry();
-        log::info!(event = "not_leading", term = self.replica.term(); "leadership ended");
-        self.replies.fail_all();
-        self.orders.stop_leading();
-        let entries: Vec<_> =
-            self.config.entries().map(|(node, entry)| (*node, entry.entry_time)).collect();
-        for (node, entry_time) in entries {
-            self.welcome(node, entry_time);
-        }
-    }
-
     /// Starts a snapshot once the log is long. It is encoded on a thread of its own, since that
     /// takes a large part of the lease at a million claims.
     fn compact(&mut self) {
--- a/crates/testbed/tests/operators/orders.rs
+++ b/crates/testbed/tests/operators/orders.rs
@@ -86,11 +86,7 @@
     let stage = stage(1, 4);
     let leader = stage.deployment.wait_leader().unwrap();
     let rate = "weight-loads-per-minute = ";
-    let text = burdockcleat_testbed::stage::DOCUMENT.replacen(
-        &format!("{rate}6"),
-        &format!("{rate}40"),
-        1,
-    );
+    let text = DOCUMENT.replacen(&format!("{rate}6"), &format!("{rate}40"), 1);
     assert_eq!(stage.deployment.apply(leader, 1, "rate", &text).unwrap().status, 200);
     thread::scope(|scope| {
         for number in 0..4 {
--- a/crates/testbed/tests/operators/overload.rs
+++ b/crates/testbed/tests/operators/overload.rs
@@ -3,6 +3,7 @@
 use super::{commands, stage};
 use burdockcleat_testbed::deployment::{Deployment, OPERATOR_TOKEN, ProcessSignal, wait_until};
 use burdockcleat_testbed::probe::get;
+use burdockcleat_testbed::stage::{DOCUMENT, StagePlan, TestStage};
 use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -105,6 +106,34 @@
     }
 }
 
+/// Guards against shed requests that the metrics miss, or count in another pool or tier.
+#[test]
+fn metrics_count_what_is_shed() {
+    let plan = StagePlan { entries: 1, engines: 1, slots: 1, ..StagePlan::default() };
+    let stage = TestStage::open(plan).unwrap();
+    let leader = stage.deployment.wait_leader().unwrap();
+    let text = DOCUMENT.replacen("queue-limit = 600", "queue-limit = 2", 1);
+    assert_eq!(stage.deployment.apply(leader, 1, "short", &text).unwrap().status, 200);
+    let answers = thread::scope(|scope| {
+        let callers: Vec<_> = (0..10)
+            .map(|number| {
+                let call = stage.completion(0, &format!("r-{number}"), 60);
+                scope.spawn(move || call.send())
+            })
+            .collect();
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect::<Vec<_>>()
+    });
+    let refused = answers.iter().filter(|answer| answer.error["reason"] == "overloaded").count();
+    let completed = answers.iter().filter(|answer| answer.done).count();
+    let url = stage.deployment.control_url(leader);
+    let metrics = get(&format!("{url}/v1/metrics")).unwrap().body;
+    let labels = [("pool", "hinge-model"), ("tier", "1"), ("reason", "overloaded")];
+    println!("{completed} completed, {refused} shed");
+    assert!(refused > 0 && completed + refused == 10, "{answers:?}");
+    assert_eq!(point(&metrics, "shed", &labels), refused as u64);
+    assert_eq!(point(&metrics, "shed", &[]), refused as u64);
+}
+
 /// Guards against a sender that holds a connection, sends too much, or a form of another site.
 #[test]
 fn requests_are_bounded() {
