Notice a freeze of the entry by the gap between its own ticks

Change: a gap of more than 1 s between two ticks makes the entry not ready until a leader answers a question that was asked after it.

Two tests of the agent now tick as a running entry does.

--- a/crates/core/src/entry_agent.rs
+++ b/crates/core/src/entry_agent.rs
@@ -27,6 +27,9 @@
 pub const PROGRESS_MS: u64 = 250;
 /// An entry without a leader for this long is not ready and dispatches nothing.
 pub const STALE_AFTER_MS: u64 = 3_000;
+/// Gap between two ticks from which the process counts as frozen, in milliseconds. Ticks come at
+/// least with each progress batch, so a gap of four of them is not a matter of scheduling.
+pub const FREEZE_MS: u64 = 4 * PROGRESS_MS;
 /// A grant older than this is not used, so that a frozen entry does not dispatch to a target
 /// that has left meanwhile.
 pub const GRANT_TTL_MS: u64 = 2_000;
@@ -105,6 +108,10 @@
     term: u64,
     /// Time of the newest question that a leader answered.
     last_leader: Option<ClockTime>,
+    /// Time of the last tick. A long gap means that the process was frozen.
+    last_tick: ClockTime,
+    /// Time of the first tick after the last freeze. Answers to earlier questions do not count.
+    awake_since: ClockTime,
     config_version: Option<u64>,
     /// Version that a majority confirmed, from the `Welcome` messages of leaders.
     confirmed_version: Option<u64>,
@@ -134,6 +141,8 @@
             leader: None,
             term: 0,
             last_leader: None,
+            last_tick: now,
+            awake_since: now,
             config_version: None,
             confirmed_version: None,
             next_attempt: 0,
@@ -217,6 +226,10 @@
     }
 
     fn tick(&mut self, now: ClockTime) {
+        if now.since(self.last_tick) > FREEZE_MS {
+            self.awake_since = now;
+        }
+        self.last_tick = now;
         if now >= self.next_heartbeat {
             self.next_heartbeat = now.plus(HEARTBEAT_MS);
             self.send_heartbeats(now);
@@ -231,7 +244,11 @@
 
     /// Whether a leader answered recently and the configuration it confirmed is in force here.
     pub fn is_ready(&self, now: ClockTime) -> bool {
-        let fresh = self.last_leader.is_some_and(|time| now.since(time) < STALE_AFTER_MS);
+        let awake = now.since(self.last_tick) <= FREEZE_MS;
+        let fresh = awake
+            && self
+                .last_leader
+                .is_some_and(|time| time >= self.awake_since && now.since(time) < STALE_AFTER_MS);
         let current =
             self.config_version.is_some() && self.config_version >= self.confirmed_version;
         (fresh && current) || !self.rules.check_ready
--- a/crates/core/tests/entry_agent.rs
+++ b/crates/core/tests/entry_agent.rs
@@ -4,7 +4,7 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::entry_agent::{
-    AttemptAnswer, EntryAgent, EntryInput, EntryOutput, GRANT_TTL_MS, STALE_AFTER_MS,
+    AttemptAnswer, EntryAgent, EntryInput, EntryOutput, FREEZE_MS, GRANT_TTL_MS, STALE_AFTER_MS,
 };
 use burdockcleat_core::keys::{
     ClaimNumber, LinkKey, RequestFingerprint, RequestKey, TargetIdentity,
@@ -110,6 +110,13 @@
     outputs.iter().filter(is_release).count()
 }
 
+/// Runs the timers as the entry does.
+fn tick_until(agent: &mut EntryAgent, end: u64) {
+    for now in (0..=end).step_by(100) {
+        let _ = agent.step(at(now), EntryInput::Tick);
+    }
+}
+
 /// Guards against a report that is forgotten because an answer to an earlier heartbeat arrived.
 #[test]
 fn a_report_is_kept_until_a_later_question_is_answered() {
@@ -147,7 +154,8 @@
     let _ = agent.step(at(2_400), welcome(LINK, 1, 2_300));
     let outputs = agent.step(at(2_400), grant(1, 5, 2_400 - GRANT_TTL_MS - 1));
     assert_eq!((releases(&outputs), answers(&outputs).len()), (1, 0));
-    let agent = granted();
+    let mut agent = granted();
+    tick_until(&mut agent, GRANT_TTL_MS);
     assert!(agent.may_dispatch(at(GRANT_TTL_MS), KEY, ClaimNumber(5)));
     assert!(!agent.may_dispatch(at(GRANT_TTL_MS + 1), KEY, ClaimNumber(5)));
 }
@@ -183,7 +191,9 @@
 #[test]
 fn readiness_follows_the_time_of_the_question() {
     let mut agent = following();
+    tick_until(&mut agent, STALE_AFTER_MS - 1);
     assert!(agent.is_ready(at(STALE_AFTER_MS - 1)));
+    tick_until(&mut agent, 6_000);
     let _ = agent.step(at(6_000), welcome(LINK, 1, 10));
     assert!(!agent.is_ready(at(6_000)));
     let mut agent = EntryAgent::open("entry", at(0));
@@ -196,6 +206,22 @@
     assert!(agent.is_ready(at(10)));
 }
 
+/// Guards against an entry that wakes from a freeze shorter than the staleness bound and serves
+/// with the configuration from before, on its own or by an answer that was on its way.
+#[test]
+fn answers_to_questions_before_a_freeze_do_not_count() {
+    let mut agent = following();
+    tick_until(&mut agent, 200);
+    assert!(agent.is_ready(at(200)));
+    let woken = 200 + FREEZE_MS + 1;
+    assert!(!agent.is_ready(at(woken)));
+    let _ = agent.step(at(woken), EntryInput::Tick);
+    let _ = agent.step(at(woken), welcome(LINK, 1, 150));
+    assert!(!agent.is_ready(at(woken)));
+    let _ = agent.step(at(woken + 10), welcome(LINK, 1, woken));
+    assert!(agent.is_ready(at(woken + 10)));
+}
+
 /// Guards against an attempt that waits for ever because no leader answers its withdrawal.
 #[test]
 fn a_withdrawn_attempt_ends_without_a_leader() {
