Give the refused request of the overload test a deadline that the queue exceeds clearly

Cause of the failure: the queue now holds what it can serve within the 20 s deadlines of the test, so whether one more request fits depends on the drift of the estimates; it was admitted and given up 1,035 ms later, against the bound of 1,000 ms from its arrival. The checks are unchanged; the request now has a deadline of 5 s, a third to a quarter of the queue.

--- a/crates/testbed/tests/tier_failures.rs
+++ b/crates/testbed/tests/tier_failures.rs
@@ -137,7 +137,11 @@
     let fill: Vec<_> =
         (0..12).map(|number| stage.completion(0, &format!("fill-{number}"), 200).spawn()).collect();
     thread::sleep(Duration::from_millis(700));
-    let refused = stage.completion(0, "refused", 200).send_timed();
+    // The queue holds three to four times this deadline, so no drift of the estimates lets the
+    // request wait first.
+    let mut call = stage.completion(0, "refused", 200);
+    call.deadline_ms = 5_000;
+    let refused = call.send_timed();
     assert!(is_refused(&refused), "{refused:?}");
     assert!(refused.ended_ms - refused.sent_ms < 1_000, "{refused:?}");
     let retry_after = refused.answer.error["retry_after_ms"].as_u64().unwrap();
