--- a/crates/burdockcleat/src/bin/burdockcleat-entry.rs
+++ b/crates/burdockcleat/src/bin/burdockcleat-entry.rs
@@ -1,11 +1,9 @@
 //! The entry daemon.
 
 use burdockcleat::entry::server::EntryServer;
-use burdockcleat::settings::{EntrySettings, SettingsError};
+use burdockcleat::settings::{EntrySettings, settings_or_help, shutdown_signals};
 use burdockcleat::telemetry::install_logger;
 use eyre::{Result, WrapErr};
-use signal_hook::consts::{SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::time::Duration;
 
 /// Interval at which the daemon looks for signals and for a drain request.
@@ -13,15 +11,10 @@
 
 fn main() -> Result<()> {
     let flags = std::env::args_os().skip(1);
-    let settings = match EntrySettings::read(flags, |name| std::env::var(name).ok()) {
-        Err(SettingsError::Help(text)) => {
-            print!("{text}");
-            return Ok(());
-        }
-        settings => settings?,
-    };
+    let settings = EntrySettings::read(flags, |name| std::env::var(name).ok());
+    let Some(settings) = settings_or_help(settings)? else { return Ok(()) };
     install_logger(settings.log_level, &settings.name)?;
-    let mut signals = Signals::new([SIGTERM, SIGINT]).wrap_err("installing signal handlers")?;
+    let mut signals = shutdown_signals().wrap_err("installing signal handlers")?;
     let server = EntryServer::bind(settings)?;
     while !server.drain_asked() && signals.pending().next().is_none() {
         std::thread::sleep(POLL);
--- a/crates/burdockcleat/src/settings.rs
+++ b/crates/burdockcleat/src/settings.rs
@@ -5,9 +5,11 @@
 
 mod control;
 mod entry;
+mod startup;
 
 pub use control::ControlSettings;
 pub use entry::EntrySettings;
+pub use startup::{settings_or_help, shutdown_signals};
 
 use std::collections::BTreeMap;
 use std::ffi::OsString;
--- a/crates/testbed/src/prompt.rs
+++ b/crates/testbed/src/prompt.rs
@@ -1,40 +1,10 @@
 //! Token arithmetic, block hashes and the answer text of the fake engines.
 
-use xxhash_rust::xxh3::{Xxh3, xxh3_64};
+pub use burdockcleat_core::prompt::{
+    BLOCK_CHARS, BLOCK_TOKENS, TOKEN_CHARS, block_hashes, token_count,
+};
 
-/// Characters of one token.
-pub const TOKEN_CHARS: usize = 4;
-/// Characters of one cache block.
-pub const BLOCK_CHARS: usize = 64;
-/// Tokens of one cache block.
-pub const BLOCK_TOKENS: u32 = (BLOCK_CHARS / TOKEN_CHARS) as u32;
-
-/// Number of tokens of a prompt; a partial token counts as one.
-pub fn token_count(prompt: &str) -> u32 {
-    u32::try_from(prompt.len().div_ceil(TOKEN_CHARS)).unwrap_or(u32::MAX)
-}
-
-/// Cumulative hashes of the whole blocks of a prompt.
-///
-/// Hash `i` is XXH3-64 over the prompt's bytes from its start to the end of block `i`. A
-/// partial last block has no hash.
-///
-/// ```
-/// use burdockcleat_testbed::prompt::block_hashes;
-/// let (one, two) = ("a".repeat(64), "a".repeat(130));
-/// assert_eq!(block_hashes(&one)[..], block_hashes(&two)[..1]);
-/// assert_eq!(block_hashes(&two).len(), 2);
-/// ```
-pub fn block_hashes(prompt: &str) -> Vec<u64> {
-    let mut hasher = Xxh3::new();
-    let blocks = prompt.as_bytes().chunks_exact(BLOCK_CHARS);
-    blocks
-        .map(|block| {
-            hasher.update(block);
-            hasher.digest()
-        })
-        .collect()
-}
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Hash of a request body, as journals record it.
 pub fn body_hash(body: &[u8]) -> u64 {
