--- a/crates/burdockcleat/src/cmd/error.rs
+++ b/crates/burdockcleat/src/cmd/error.rs
@@ -21,7 +21,8 @@
 }
 
 /// Why a subcommand failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum CommandError {
     /// The command line is wrong.
     #[error("{0}")]
--- a/crates/burdockcleat/src/console/token.rs
+++ b/crates/burdockcleat/src/console/token.rs
@@ -42,7 +42,8 @@
 }
 
 /// Why a post is refused before its document is read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum PostRefusal {
     /// The token is missing or another one, for example after a restart of the process.
     #[error("the form is not from this process or is too old; open the console again")]
--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -45,7 +45,8 @@
 const RECORDS_PER_CLAIM: u64 = 2;
 
 /// A fault that stops the control thread.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum NodeError {
     /// The data folder cannot be read or written.
     #[error("using the data folder")]
--- a/crates/burdockcleat/src/control/peer.rs
+++ b/crates/burdockcleat/src/control/peer.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A message between two control instances.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// First message on a link.
     Introduce(PeerIntroduction),
@@ -19,7 +20,8 @@
 }
 
 /// Who a control instance is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerIntroduction {
     /// Identity, address and failure domain.
     pub record: MemberRecord,
--- a/crates/burdockcleat/src/control/server.rs
+++ b/crates/burdockcleat/src/control/server.rs
@@ -19,7 +19,8 @@
 const STOP_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// A control instance that could not be started or that stopped with a fault.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ControlError {
     /// An address is not available.
     #[error("listening on {address}: {source}")]
--- a/crates/burdockcleat/src/entry/config.rs
+++ b/crates/burdockcleat/src/entry/config.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// A configuration that a control instance sent and that cannot be put in force.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum ConfigError {
     /// The document does not validate here.
     #[error("parsing configuration version {version}: {} faults", .faults.len())]
--- a/crates/burdockcleat/src/entry/gate.rs
+++ b/crates/burdockcleat/src/entry/gate.rs
@@ -86,7 +86,8 @@
 }
 
 /// Why the gate could not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum GateError {
     /// The address could not be bound.
     #[error("binding {address}")]
--- a/crates/burdockcleat/src/entry/refusal.rs
+++ b/crates/burdockcleat/src/entry/refusal.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// Final answer to a request that did not complete.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct CallerError {
     /// What is known about the request.
     pub outcome: RequestOutcome,
--- a/crates/burdockcleat/src/entry/request.rs
+++ b/crates/burdockcleat/src/entry/request.rs
@@ -29,7 +29,8 @@
 }
 
 /// Body of a model request, as far as the entry reads it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 struct CompletionBody {
     #[serde(default)]
     model: String,
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -26,7 +26,8 @@
 const HANDLER_STACK_BYTES: usize = 256 << 10;
 
 /// An entry that could not be started.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum EntryError {
     /// An address is not available.
     #[error("listening on {address}: {source}")]
@@ -48,7 +49,8 @@
 }
 
 /// Dump of the entry's state.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct EntryDump {
     /// Name of the instance.
--- a/crates/burdockcleat/src/entry/session.rs
+++ b/crates/burdockcleat/src/entry/session.rs
@@ -27,7 +27,8 @@
 const TICK_MS: u64 = 50;
 
 /// A session that could not be opened.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum SessionError {
     /// The links could not be started.
     #[error("opening the links to the control instances")]
--- a/crates/burdockcleat/src/entry/stream.rs
+++ b/crates/burdockcleat/src/entry/stream.rs
@@ -28,7 +28,8 @@
 }
 
 /// Token counts that an engine reports at the end.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct UsageCounts {
     /// Tokens of the prompt.
     #[serde(default)]
--- a/crates/burdockcleat/src/entry/upstream.rs
+++ b/crates/burdockcleat/src/entry/upstream.rs
@@ -19,7 +19,8 @@
 const MAX_LINE_BYTES: u64 = 1 << 20;
 
 /// A call to a target that failed.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum UpstreamError {
     /// No connection was established, so no byte of the request left this process.
     #[error("connecting to target {address}")]
--- a/crates/burdockcleat/src/link.rs
+++ b/crates/burdockcleat/src/link.rs
@@ -80,7 +80,8 @@
 }
 
 /// A link thread that could not be started.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum LinkError {
     /// The listening address is not available.
     #[error("listening for links on {address}")]
--- a/crates/burdockcleat/src/operator.rs
+++ b/crates/burdockcleat/src/operator.rs
@@ -33,7 +33,8 @@
 }
 
 /// Reply to `GET /v1/config`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigReply {
     /// Version in force.
     pub version: u64,
@@ -42,7 +43,8 @@
 }
 
 /// Body of `POST /v1/config`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ApplyRequest {
     /// Version that the edit started from.
     pub base_version: u64,
@@ -55,14 +57,16 @@
 }
 
 /// Reply 200 to `POST /v1/config`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ApplyReply {
     /// Version that the edit created.
     pub version: u64,
 }
 
 /// Reply 409: the base version is no longer in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConflictReply {
     /// Always [`ErrorCode::Conflict`].
     pub error: ErrorCode,
@@ -71,14 +75,16 @@
 }
 
 /// Reply 422: the document has faults and was not applied.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FaultsReply {
     /// Every fault.
     pub faults: Vec<FaultText>,
 }
 
 /// A fault as text.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FaultText {
     /// Path of the field, empty for faults of the whole text.
     pub path: String,
@@ -93,14 +99,16 @@
 }
 
 /// Reply 421: this instance does not lead.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaderReply {
     /// Base URL of the leader, if known.
     pub leader: Option<String>,
 }
 
 /// Reply with any other status that is not 200.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ErrorReply {
     /// Code of the error.
     pub error: ErrorCode,
@@ -110,7 +118,8 @@
 }
 
 /// Codes of errors.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ErrorCode {
     /// 409: the base version is no longer in force.
@@ -131,14 +140,16 @@
 }
 
 /// Reply to `GET /v1/history`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct HistoryReply {
     /// Kept versions, newest first.
     pub versions: Vec<HistoryEntry>,
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct HistoryEntry {
     /// Version.
@@ -154,7 +165,8 @@
 }
 
 /// Reply to `GET /v1/status`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct StatusReply {
     /// Name of the instance that answers.
@@ -180,7 +192,8 @@
 }
 
 /// A control instance.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct MemberStatus {
     /// Identity in hexadecimal digits.
@@ -194,7 +207,8 @@
 }
 
 /// An entry.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct EntryStatus {
     /// Name.
@@ -210,7 +224,8 @@
 }
 
 /// A pool.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct PoolStatus {
     /// Name.
@@ -224,7 +239,8 @@
 }
 
 /// A target.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct TargetStatus {
     /// Name.
@@ -244,7 +260,8 @@
 }
 
 /// An order to a target.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct OrderStatus {
     /// Id that the operator gave the order.
@@ -260,7 +277,8 @@
 }
 
 /// State of an order.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderState {
     /// Committed, not yet sent.
@@ -275,7 +293,8 @@
 }
 
 /// What to drain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DrainKind {
     /// An entry: it stops accepting callers and finishes its requests.
@@ -285,7 +304,8 @@
 }
 
 /// Body of `POST /v1/drain`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DrainRequest {
     /// Kind.
     pub kind: DrainKind,
@@ -298,14 +318,16 @@
 }
 
 /// Reply 200 to `POST /v1/drain`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DrainReply {
     /// Requests still running there.
     pub running: u32,
 }
 
 /// Body of `POST /v1/orders`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRequest {
     /// Id of the order. A resend with the same id has no further effect.
     pub operation_id: String,
@@ -318,7 +340,8 @@
 }
 
 /// Reply 200 to `POST /v1/orders`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderReply {
     /// Fencing number: the log index of the order.
     pub fencing: u64,
--- a/crates/burdockcleat/src/operator/client.rs
+++ b/crates/burdockcleat/src/operator/client.rs
@@ -46,7 +46,8 @@
 }
 
 /// Why a request to the control instances did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ClientError {
     /// No control URL is known.
     #[error("no control URL; use --control or BURDOCKCLEAT_CONTROL")]
--- a/crates/burdockcleat/src/settings.rs
+++ b/crates/burdockcleat/src/settings.rs
@@ -30,7 +30,8 @@
 }
 
 /// One fault in the settings.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum SettingFault {
     /// A flag that the process does not know.
     #[error("unknown flag {0}")]
@@ -54,7 +55,8 @@
 }
 
 /// Why a process does not start.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum SettingsError {
     /// `--help` was asked for; the text belongs on standard output.
     #[error("{0}")]
--- a/crates/burdockcleat/src/storage/error.rs
+++ b/crates/burdockcleat/src/storage/error.rs
@@ -51,7 +51,8 @@
 }
 
 /// Why the storage could not be opened or written.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum StorageError {
     /// An operation of the file system failed.
     #[error("{step} {}", file.display())]
--- a/crates/burdockcleat/src/storage/record.rs
+++ b/crates/burdockcleat/src/storage/record.rs
@@ -9,7 +9,8 @@
 const HEADER_BYTES: usize = 8;
 
 /// Record of the log. Each batch is one record, so at most the last record can be torn.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct LogRecord {
     /// All entries from this index on are removed first.
     pub(super) truncate_from: Option<u64>,
--- a/crates/burdockcleat/src/telemetry.rs
+++ b/crates/burdockcleat/src/telemetry.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 /// Logging that could not be set up.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("installing the logger, since one is installed already")]
 pub struct TelemetryError(#[from] log::SetLoggerError);
 
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -18,7 +18,8 @@
 /// assert_eq!(start.plus(250).since(start), 250);
 /// assert_eq!(start.since(start.plus(250)), 0);
 /// ```
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClockTime(u64);
 
 impl ClockTime {
--- a/crates/core/src/document/change.rs
+++ b/crates/core/src/document/change.rs
@@ -9,7 +9,8 @@
 use std::fmt;
 
 /// One difference. Values are JSON texts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "change", rename_all = "snake_case")]
 pub enum DocumentChange {
     /// The item is new.
--- a/crates/core/src/document/credential.rs
+++ b/crates/core/src/document/credential.rs
@@ -13,7 +13,8 @@
 ///
 /// Credentials must be long random strings: a digest does not protect a guessable one. Equality
 /// takes the same time wherever two digests differ.
-#[derive(Clone, Copy, Serialize, Deserialize)]
+#[derive(Clone, Copy)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
 pub struct CredentialDigest([u8; 32]);
 
@@ -62,7 +63,8 @@
 }
 
 /// A text that is no digest. The text is not repeated, since it may be a clear credential.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error("not a digest; write `sha256:` and 64 hex digits, never the credential itself")]
 pub struct DigestError;
 
--- a/crates/core/src/document/delta.rs
+++ b/crates/core/src/document/delta.rs
@@ -9,7 +9,8 @@
 use thiserror::Error;
 
 /// The items that differ between two documents.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DocumentDelta {
     /// Digest of the items that the delta applies to.
     pub base: u64,
@@ -22,7 +23,8 @@
 }
 
 /// Why a delta cannot be applied. The receiver must ask for the whole document.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum DeltaError {
     /// The delta was made for another document.
     #[error("the delta is for the document {expected:016x}, not for {found:016x}")]
--- a/crates/core/src/document/fault.rs
+++ b/crates/core/src/document/fault.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// One fault of a document: where it is and what is wrong.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 pub struct DocumentFault {
     /// Path of the field, such as `pools[1].targets-max`; empty for faults of the whole text.
     pub path: String,
@@ -29,7 +30,8 @@
 }
 
 /// What is wrong with a field, with the allowed values.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize, Error)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// The text is not TOML.
--- a/crates/core/src/document/route.rs
+++ b/crates/core/src/document/route.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why a request has no route.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum RouteRefusal {
     /// The document has no such workspace.
     #[error("there is no workspace {0:?}")]
--- a/crates/core/src/document/tables.rs
+++ b/crates/core/src/document/tables.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// All tables of a document, not validated. [`super::ConfigDocument::build`] validates them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct DocumentTables {
     /// Text that precedes each credential when its digest is computed.
@@ -29,7 +30,8 @@
 }
 
 /// A tier of requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct TierRule {
     /// Unique name.
@@ -49,7 +51,8 @@
 }
 
 /// A workspace: a group of callers with common credentials, weight and limits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct WorkspaceRule {
     /// Unique name.
@@ -83,7 +86,8 @@
 }
 
 /// What the targets of a pool are.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum PoolKind {
     /// Engines that serve models and stream tokens.
@@ -94,7 +98,8 @@
 }
 
 /// A pool of targets with its queue and its scheduling thresholds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct PoolRule {
     /// Unique name.
@@ -146,7 +151,8 @@
 }
 
 /// A routing rule: what it matches, and the pool and tier that it chooses.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct RouteRule {
     /// Unique name, reported in dumps and used as the identity of the rule in changes.
@@ -169,7 +175,8 @@
 }
 
 /// Limits of the deployment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
 pub struct LimitSettings {
     /// Largest request body.
--- a/crates/core/src/entry_agent.rs
+++ b/crates/core/src/entry_agent.rs
@@ -67,7 +67,8 @@
 }
 
 /// Counts and times for the dump.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct EntrySummary {
     /// Configuration version in force at this entry.
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -5,7 +5,8 @@
 use xxhash_rust::xxh3::xxh3_128;
 
 /// Names one request of one workspace for its whole life, over all resends.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestKey(pub u128);
 
 impl RequestKey {
@@ -42,7 +43,8 @@
 /// Identity of one run of a control instance's data folder or of one run of an entry process.
 ///
 /// A control instance that lost its data folder draws a new one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeId(pub u64);
 
 impl fmt::Display for NodeId {
@@ -56,15 +58,18 @@
 pub struct LinkKey(pub u64);
 
 /// Number of a claim: the log index of the record that created it. Later claims have larger numbers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimNumber(pub u64);
 
 /// Content fingerprint of a request, equal for resends under new request ids.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestFingerprint(pub u64);
 
 /// One run of a target: its name stays, its incarnation grows with each restart.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetIdentity {
     /// Name that the target announces, unique in the deployment.
     pub name: String,
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -87,7 +87,8 @@
 }
 
 /// Progress of one running request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct StreamProgress {
     /// Key of the request.
     pub key: RequestKey,
@@ -98,7 +99,8 @@
 }
 
 /// A request that an entry holds a claim for, reported to a new leader.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct HeldClaim {
     /// Key of the request.
     pub key: RequestKey,
@@ -107,7 +109,8 @@
 }
 
 /// Messages from an entry to a control instance.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum EntryMessage {
     /// First message on a link, and again after each change of leader.
     Hello {
@@ -154,7 +157,8 @@
 }
 
 /// Messages from a control instance to an entry.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ControlMessage {
     /// Answer to `Hello`: who leads, and which configuration a majority holds.
     Welcome {
@@ -231,7 +235,8 @@
 }
 
 /// A frame that could not be decoded.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("decoding a frame of {length} bytes")]
 pub struct FrameError {
     /// Length of the frame.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What is known about a request when its caller gets the final answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestOutcome {
     /// The whole answer arrived.
@@ -17,7 +18,8 @@
 }
 
 /// Why a request was refused or failed. Codes are part of the public interface.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReasonCode {
     /// A header, the path or the body is malformed.
--- a/crates/core/src/pool/check.rs
+++ b/crates/core/src/pool/check.rs
@@ -10,7 +10,8 @@
 use thiserror::Error;
 
 /// A request was shed, or its deadline passed in the queue, while a lower tier was served.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
 #[error(
     "tier {refused} was refused with {reason:?} while {waiting} requests of lower tiers waited and {running} ran"
 )]
--- a/crates/core/src/registry.rs
+++ b/crates/core/src/registry.rs
@@ -64,7 +64,8 @@
 }
 
 /// Why an announcement is refused.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum AnnounceError {
     /// A newer incarnation is known, or this one has left.
     #[error("incarnation {incarnation} of target {name} has ended; the newest known is {newest}")]
--- a/crates/core/src/registry/announcement.rs
+++ b/crates/core/src/registry/announcement.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a target runs models or is a plain service.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TargetKind {
     /// An engine that runs models and reports tokens.
@@ -15,7 +16,8 @@
 }
 
 /// Load as the target sees it. It arrives late and is only a secondary signal.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests that the target runs.
     pub running: u32,
@@ -26,7 +28,8 @@
 }
 
 /// One change of a target's prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CacheEvent {
     /// Number of the event, one more than that of the event before.
     pub sequence: u64,
@@ -35,7 +38,8 @@
 }
 
 /// The kinds of change of a prefix cache.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CacheChange {
     /// Blocks with these cumulative hashes were stored.
@@ -55,7 +59,8 @@
 /// let announcement: TargetAnnouncement = serde_json::from_str(body).unwrap();
 /// assert!(announcement.serves("small") && !announcement.serves(""));
 /// ```
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetAnnouncement {
     /// Name of the target, unique in the deployment.
     pub name: String,
--- a/crates/core/src/registry/suspect.rs
+++ b/crates/core/src/registry/suspect.rs
@@ -12,7 +12,8 @@
 const TABLE_LIMIT: usize = 4_096;
 
 /// A change of the table, to be written to the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum SuspectChange {
     /// The request was running on a target that crashed.
     Mark {
--- a/crates/core/src/replica/entry.rs
+++ b/crates/core/src/replica/entry.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 
 /// Content of a log entry.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum EntryPayload {
     /// First entry of a new leader; it commits the entries of earlier terms.
     Noop,
@@ -28,7 +29,8 @@
 }
 
 /// One record of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LogEntry {
     /// Position in the log; the first entry has index 1.
     pub index: u64,
@@ -39,7 +41,8 @@
 }
 
 /// Index and term of an entry. Two logs with the same position are equal up to it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct LogPosition {
     /// Position in the log.
     pub index: u64,
@@ -48,7 +51,8 @@
 }
 
 /// Current term and the vote given in it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct VoteRecord {
     /// Newest term that the replica has seen.
     pub term: u64,
@@ -57,7 +61,8 @@
 }
 
 /// State of the state machine after the entry at `index`.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotImage {
     /// Last entry that the image contains.
     pub index: u64,
--- a/crates/core/src/replica/error.rs
+++ b/crates/core/src/replica/error.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// Why an input was refused. A refused input changes nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
 pub enum ReplicaError {
     /// This replica does not lead.
     #[error("proposing at replica that does not lead; known leader: {leader:?}")]
--- a/crates/core/src/replica/members.rs
+++ b/crates/core/src/replica/members.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 /// One control instance that holds the log.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// Identity of the data folder.
     pub node: NodeId,
@@ -16,7 +17,8 @@
 }
 
 /// Voters and learners. Both lists are kept in the order of node ids.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberSet {
     /// Replicas that count towards a majority.
     pub voters: Vec<MemberRecord>,
--- a/crates/core/src/replica/message.rs
+++ b/crates/core/src/replica/message.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Request for a vote or for the promise of one (pre-vote).
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct VoteRequest {
     /// Term that the candidate wants to lead.
     pub term: u64,
@@ -20,7 +21,8 @@
 }
 
 /// Entries for a follower; without entries it is a heartbeat.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct AppendRequest {
     /// Term of the leader.
     pub term: u64,
@@ -35,7 +37,8 @@
 }
 
 /// Result of an append at the follower.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum AppendResult {
     /// The follower's log equals the leader's up to this index.
     Matched(u64),
@@ -49,7 +52,8 @@
 }
 
 /// One part of a snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotPart {
     /// Term of the leader.
     pub term: u64,
@@ -68,7 +72,8 @@
 }
 
 /// Messages between replicas.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum ReplicaMessage {
     /// Asks whether a vote in the given term would be granted.
     PreVote(VoteRequest),
--- a/crates/core/src/replica/status.rs
+++ b/crates/core/src/replica/status.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Role of a replica in its term.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ReplicaRole {
     /// Receives the log but does not vote, or is not a member.
@@ -22,7 +23,8 @@
 }
 
 /// A leader's view of one other member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Identity of the member.
     pub node: NodeId,
@@ -39,7 +41,8 @@
 }
 
 /// State of a replica for the dump.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ReplicaStatus {
     /// Identity of this replica.
     pub node: NodeId,
--- a/crates/core/src/state.rs
+++ b/crates/core/src/state.rs
@@ -52,7 +52,8 @@
 use suspects::SuspectTable;
 
 /// Counts and versions for the dump.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StateSummary {
     /// Log index of the last applied command.
     pub applied: u64,
--- a/crates/core/src/state/claim.rs
+++ b/crates/core/src/state/claim.rs
@@ -52,7 +52,8 @@
 }
 
 /// Whether a claim is open or how it ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimPhase {
     /// The request may be running.
     Open {
@@ -73,7 +74,8 @@
 }
 
 /// A claim with its names resolved.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRecord {
     /// Key of the request.
     pub key: RequestKey,
--- a/crates/core/src/state/command.rs
+++ b/crates/core/src/state/command.rs
@@ -15,7 +15,8 @@
 ///
 /// The state machine reads no clock. Its time is the largest `at` applied so far, so that a
 /// leader whose clock is behind that of its predecessor cannot move the time back.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StampedCommand {
     /// Wall time of the leader when it appended the command.
     pub at: ClockTime,
@@ -24,7 +25,8 @@
 }
 
 /// Asks for the claim of one request key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRequest {
     /// Key of the request.
     pub key: RequestKey,
@@ -49,7 +51,8 @@
 }
 
 /// A change of the replicated state.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StateCommand {
     /// Changes nothing. Its commit confirms what the leader decided before it was appended.
     Barrier,
@@ -178,7 +181,8 @@
 }
 
 /// Reply to one command.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum CommandReply {
     /// The command has no result of its own.
     Done,
@@ -216,7 +220,8 @@
 }
 
 /// Reply to a configuration edit. A resent operation id gets the first reply again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum DocumentReply {
     /// The document is in force.
     Accepted {
@@ -231,7 +236,8 @@
 }
 
 /// Reply to a claim.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimReply {
     /// The key is claimed; the number is the log index of the command.
     Created(ClaimNumber),
@@ -244,7 +250,8 @@
 }
 
 /// Reply to a refusal. The caller may be told `not_run` only after `Recorded`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RefuseReply {
     /// The refusal is in force.
     Recorded,
@@ -253,7 +260,8 @@
 }
 
 /// Reply to a release or a finish.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum CloseReply {
     /// The claim is closed.
     Accepted,
@@ -264,7 +272,8 @@
 }
 
 /// Reply to an expiry.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ExpireReply {
     /// Ownerless claims that ended with outcome `unknown`, in ascending order.
     pub ended: Vec<ClaimNumber>,
@@ -275,7 +284,8 @@
 }
 
 /// Reply to the end of an order.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum OrderDoneReply {
     /// The result is recorded.
     Accepted,
--- a/crates/core/src/state/config.rs
+++ b/crates/core/src/state/config.rs
@@ -11,7 +11,8 @@
 pub const VERSIONS_KEPT: usize = 64;
 
 /// A version of the configuration.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VersionRecord {
     /// Number of the version; the first document is version 1.
     pub version: u64,
@@ -35,13 +36,15 @@
 }
 
 /// A version that is no longer in force, as the difference from the next one.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 struct OlderVersion {
     record: VersionRecord,
     change: TextChange,
 }
 
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct ConfigHistory {
     document: Arc<str>,
     current: Option<VersionRecord>,
--- a/crates/core/src/state/drains.rs
+++ b/crates/core/src/state/drains.rs
@@ -9,7 +9,8 @@
 pub const DRAINS_KEPT: usize = 4_096;
 
 /// One run of a process that is drained. A later run under the same name is not.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum DrainSubject {
     /// An entry.
     Entry {
@@ -32,7 +33,8 @@
     }
 }
 
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct DrainTable(VecDeque<DrainSubject>);
 
 impl DrainTable {
--- a/crates/core/src/state/image.rs
+++ b/crates/core/src/state/image.rs
@@ -32,7 +32,8 @@
 const ROW_BUFFER_BYTES: usize = 96;
 
 /// A snapshot that could not be restored.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum SnapshotError {
     /// The bytes end before the checksum.
     #[error("snapshot has only {length} bytes")]
--- a/crates/core/src/state/operations.rs
+++ b/crates/core/src/state/operations.rs
@@ -15,7 +15,8 @@
 ///
 /// A drain names its entry or target as the operator did, so that a resend after a restart of
 /// that process is still the same request.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub enum OperationBody<'a> {
     /// An edit of the configuration.
     Document {
@@ -52,7 +53,8 @@
 }
 
 /// First result of an operation.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum OperationResult {
     /// Result of an edit.
     Document(DocumentReply),
@@ -71,7 +73,8 @@
     Reused,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct OperationRecord {
     id: Arc<str>,
     digest: u128,
--- a/crates/core/src/state/orders.rs
+++ b/crates/core/src/state/orders.rs
@@ -11,11 +11,13 @@
 pub const ENDED_ORDER_RETENTION_MS: u64 = 600_000;
 
 /// Id of an order: the log index of its command, which is also its fencing number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderId(pub u64);
 
 /// What an engine is asked to do.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderAction {
     /// Load a version of a model.
@@ -54,7 +56,8 @@
 }
 
 /// An order to one engine.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineOrder {
     /// Name of the engine.
     pub target: String,
@@ -63,7 +66,8 @@
 }
 
 /// How an order ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderResult {
     /// The engine confirmed the order.
@@ -78,7 +82,8 @@
 }
 
 /// An order in the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRecord {
     /// Id and fencing number.
     pub id: OrderId,
@@ -94,7 +99,8 @@
     pub ended: Option<ClockTime>,
 }
 
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct OrderTable {
     records: BTreeMap<OrderId, OrderRecord>,
     ended: VecDeque<OrderId>,
--- a/crates/core/src/state/refusals.rs
+++ b/crates/core/src/state/refusals.rs
@@ -10,7 +10,8 @@
 ///
 /// Without the record, a submit of an earlier attempt that arrives late, for example from an
 /// entry that was frozen, could run the request after its caller was told that it did not.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RefusalRecord {
     /// Key of the request.
     pub key: RequestKey,
--- a/crates/core/src/state/row.rs
+++ b/crates/core/src/state/row.rs
@@ -14,7 +14,8 @@
     pub(super) const NONE: Self = Self(u32::MAX);
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) enum RowPhase {
     /// Owned by a live entry run; `time` is the deadline.
     Owned,
--- a/crates/core/src/state/suspects.rs
+++ b/crates/core/src/state/suspects.rs
@@ -10,7 +10,8 @@
 pub const MARK_RETENTION_MS: u64 = super::claim::NON_IDEMPOTENT_RETENTION_MS;
 
 /// A crash of a target while a request with the fingerprint ran on it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SuspectRecord {
     /// Fingerprint of the request.
     pub fingerprint: RequestFingerprint,
@@ -20,7 +21,8 @@
     pub at: ClockTime,
 }
 
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct SuspectTable {
     marks: BTreeMap<RequestFingerprint, BTreeMap<String, ClockTime>>,
     quarantines: BTreeMap<RequestFingerprint, ClockTime>,
--- a/crates/core/src/state/text_change.rs
+++ b/crates/core/src/state/text_change.rs
@@ -6,7 +6,8 @@
 ///
 /// A full text of 700 KB for each of 64 versions would take 45 MB in memory and in each
 /// snapshot; an edit of one item takes a few hundred bytes.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct TextChange {
     prefix: usize,
     suffix: usize,
--- a/crates/testbed/src/capacity.rs
+++ b/crates/testbed/src/capacity.rs
@@ -23,7 +23,8 @@
 const WARM_UP: Duration = Duration::from_secs(4);
 
 /// A measurement that could not be made.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum CapacityError {
     /// The control instances could not be set up.
     #[error("setting up the control instances")]
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -29,7 +29,8 @@
 const SECRET: &str = "testbed-secret";
 
 /// A deployment that could not be started or controlled.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum DeploymentError {
     /// A temporary folder could not be created.
     #[error("creating a data folder")]
--- a/crates/testbed/src/error.rs
+++ b/crates/testbed/src/error.rs
@@ -5,7 +5,8 @@
 use thiserror::Error;
 
 /// Why a fake target or a load run could not start or continue.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum TestbedError {
     /// The listen address is not a loopback address.
     #[error("{0} is not a loopback address")]
--- a/crates/testbed/src/fault.rs
+++ b/crates/testbed/src/fault.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Set of active faults. `POST /testbed/fault` replaces the whole set, so `{}` clears it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct FaultSet {
     /// Factor on all computing times; 1 is normal speed.
--- a/crates/testbed/src/journal.rs
+++ b/crates/testbed/src/journal.rs
@@ -6,7 +6,8 @@
 const JOURNAL_LIMIT: usize = 200_000;
 
 /// How a dispatched request ended at the target.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DispatchEnd {
     /// Waiting or running.
@@ -21,7 +22,8 @@
 }
 
 /// One dispatch that the target received.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct DispatchRecord {
     /// Value of `x-request-id`.
@@ -51,7 +53,8 @@
 }
 
 /// One order that an engine received.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRecord {
     /// Id of the order.
     pub order_id: String,
@@ -71,7 +74,8 @@
 }
 
 /// Journal of one target, the answer to `GET /testbed/journal`.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct TargetJournal {
     /// Name of the target.
     pub name: String,
--- a/crates/testbed/src/load/plan.rs
+++ b/crates/testbed/src/load/plan.rs
@@ -31,7 +31,8 @@
 }
 
 /// Name that is not a profile.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 #[error("the profile is `bureau` or `kerlouan`")]
 pub struct ProfileError;
 
--- a/crates/testbed/src/load/report.rs
+++ b/crates/testbed/src/load/report.rs
@@ -9,7 +9,8 @@
 use std::time::Duration;
 
 /// Percentiles in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TimingReport {
     /// Number of samples.
     pub count: u64,
@@ -22,7 +23,8 @@
 }
 
 /// Figures of one tier.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct TierReport {
     /// Rank of the tier.
     pub tier: u8,
@@ -53,7 +55,8 @@
 }
 
 /// Figures of one run.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests of the plan.
     pub planned: u64,
--- a/crates/testbed/src/load/waste.rs
+++ b/crates/testbed/src/load/waste.rs
@@ -6,7 +6,8 @@
 use std::collections::{HashMap, HashSet};
 
 /// Prompt tokens of a run by what became of them.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PrefillReport {
     /// Dispatches that the targets received.
     pub dispatches: u64,
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -17,7 +17,8 @@
 pub const MODEL_POOL: &str = "models";
 
 /// A measurement that could not be made.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum MeasureError {
     /// The processes could not be set up.
     #[error("setting up the processes")]
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -32,7 +32,8 @@
 const TARGETS_LIMIT_MS: u64 = 10_000;
 
 /// A stage that could not be set up.
-#[derive(Debug, Error)]
+#[derive(Debug)]
+#[derive(Error)]
 pub enum StageError {
     /// A process could not be started or did not become ready.
     #[error("setting up the processes")]
