--- a/crates/burdockcleat/src/link.rs
+++ b/crates/burdockcleat/src/link.rs
@@ -6,6 +6,7 @@
 mod counter;
 mod deflate;
 mod session;
+mod socket;
 
 pub use counter::LinkTotals;
 
--- a/crates/burdockcleat/src/link/session.rs
+++ b/crates/burdockcleat/src/link/session.rs
@@ -2,6 +2,7 @@
 
 use super::counter::{CountedHalf, LinkCounter};
 use super::deflate::{DeflateHalf, InflateHalf};
+use super::socket::{connect, within};
 use super::{
     CONNECT_TIMEOUT_MS, DELIVER_TIMEOUT_MS, LinkCommand, LinkEvent, LinkIdentity, LinkKey,
     MAX_QUEUED_FRAMES, PeerRole, REDIAL_MS,
@@ -17,12 +18,10 @@
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{Disconnector, RpcSystem, new_client, twoparty};
 use futures::AsyncReadExt;
-use futures::future::{Either, select};
-use socket2::{Domain, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::future::Future;
-use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::pin::pin;
 use std::time::Duration;
 
@@ -31,9 +30,6 @@
 /// Largest message that is read, in 8-byte words. Guards against a peer that announces too much.
 const READ_LIMIT_WORDS: usize = 8 << 20;
 
-/// Error number of a connection attempt that goes on in the background (Linux).
-const EINPROGRESS: i32 = 115;
-
 type FrameSender = async_channel::Sender<Vec<u8>>;
 type FrameReceiver = async_channel::Receiver<Vec<u8>>;
 
@@ -179,15 +175,6 @@
     Ok(())
 }
 
-/// Bounds the time of a future.
-async fn within<F: Future>(limit_ms: u64, future: F) -> Result<F::Output, Error> {
-    let timer = Timer::after(Duration::from_millis(limit_ms));
-    match select(pin!(future), timer).await {
-        Either::Left((output, _)) => Ok(output),
-        Either::Right(_) => Err(Error::overloaded(format!("no answer within {limit_ms} ms"))),
-    }
-}
-
 /// Receives the frames of one link.
 struct FrameSink {
     table: Rc<LinkTable>,
@@ -354,23 +341,6 @@
     }
 }
 
-/// Connects from the given address.
-async fn connect(source: IpAddr, address: SocketAddr) -> std::io::Result<Async<TcpStream>> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&SocketAddr::new(source, 0).into())?;
-    match socket.connect(&address.into()) {
-        Err(error) if error.raw_os_error() != Some(EINPROGRESS) => return Err(error),
-        _ => {}
-    }
-    let stream = Async::new(TcpStream::from(socket))?;
-    stream.writable().await?;
-    match stream.get_ref().take_error()? {
-        Some(error) => Err(error),
-        None => Ok(stream),
-    }
-}
-
 async fn dial(table: &Rc<LinkTable>, address: SocketAddr) -> Result<(), Error> {
     let stream = within(CONNECT_TIMEOUT_MS, connect(table.identity.source, address)).await??;
     let mut system = rpc_system(table, stream, Side::Client, None)?;
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -1,5 +1,9 @@
 //! Starts a deployment of real processes on loopback addresses, for tests and the local run.
 
+mod error;
+
+pub use error::DeploymentError;
+
 use crate::relay::{CutSet, PartitionRelay};
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
@@ -9,7 +13,6 @@
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
-use thiserror::Error;
 
 /// Port of callers at an entry, and of operators at a control instance.
 const HTTP_PORT: u16 = 7300;
@@ -28,53 +31,6 @@
 pub const TARGET_TOKEN: &str = "testbed-target";
 const SECRET: &str = "testbed-secret";
 
-/// A deployment that could not be started or controlled.
-#[derive(Debug)]
-#[derive(Error)]
-pub enum DeploymentError {
-    /// A temporary folder could not be created.
-    #[error("creating a data folder")]
-    Folder(#[source] std::io::Error),
-    /// A relay could not be started.
-    #[error("starting a relay")]
-    Relay(#[source] std::io::Error),
-    /// A daemon could not be started. The daemons must be built before.
-    #[error("starting {program}")]
-    Start {
-        /// Path of the daemon.
-        program: PathBuf,
-        /// What the system reported.
-        #[source]
-        source: std::io::Error,
-    },
-    /// A signal could not be sent.
-    #[error("sending a signal to {name}")]
-    Signal {
-        /// Name of the process.
-        name: String,
-        /// What the system reported.
-        #[source]
-        source: std::io::Error,
-    },
-    /// A condition did not hold in time.
-    #[error("waiting {limit_ms} ms for {what}")]
-    Timeout {
-        /// What was waited for.
-        what: String,
-        /// How long.
-        limit_ms: u64,
-    },
-    /// A call to a process failed.
-    #[error("calling {url}")]
-    Call {
-        /// URL of the call.
-        url: String,
-        /// What the client reported.
-        #[source]
-        source: Box<ureq::Error>,
-    },
-}
-
 /// Signals that tests send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ProcessSignal {
