Reserve the loopback network of a test deployment with a listener

Cause: the network of a deployment came from the process id modulo 200 and a counter, so two test programs could take the same addresses. A run of request_path once failed in Deployment::open; a clash is suspected, not shown. Change: a listener on a fixed host and port of the network marks it as taken for as long as the deployment lives; a taken network is passed over. Conclusion: deployments of different programs cannot share a network.

--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -1,16 +1,17 @@
 //! Starts a deployment of real processes on loopback addresses, for tests and the local run.
 
 mod error;
+mod network;
 
 pub use error::DeploymentError;
 
 use crate::relay::{CutSet, PartitionRelay};
 use burdockcleat_core::clock::ClockTime;
+use network::LoopbackNetwork;
 use std::collections::BTreeMap;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 use tempfile::TempDir;
 
@@ -64,15 +65,12 @@
 /// Real control and entry processes on loopback addresses.
 pub struct Deployment {
     folder: TempDir,
-    /// Third octet of all addresses, so that deployments in one test program do not collide.
-    network: [u8; 3],
+    network: LoopbackNetwork,
     controls: usize,
     cuts: CutSet,
     processes: BTreeMap<String, ProcessRecord>,
 }
 
-static NEXT_NETWORK: AtomicU8 = AtomicU8::new(1);
-
 impl Deployment {
     /// Prepares a deployment with this number of control instances. Nothing is started yet.
     ///
@@ -80,10 +78,7 @@
     /// Fails if no temporary folder can be created.
     pub fn open(controls: usize) -> Result<Self, DeploymentError> {
         let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
-        let process = std::process::id();
-        // Tests of different programs run at the same time, so the process id picks the network.
-        let second = 16 + u8::try_from(process % 200).unwrap_or(0);
-        let network = [127, second, NEXT_NETWORK.fetch_add(1, Ordering::Relaxed)];
+        let network = LoopbackNetwork::open()?;
         let (cuts, processes) = (CutSet::default(), BTreeMap::new());
         let deployment = Self { folder, network, controls, cuts, processes };
         for index in 0..controls {
@@ -132,9 +127,7 @@
     }
 
     fn address(&self, host: usize, port: u16) -> SocketAddr {
-        let [first, second, third] = self.network;
-        let host = u8::try_from(host).unwrap_or(u8::MAX);
-        SocketAddr::from((Ipv4Addr::new(first, second, third, host), port))
+        self.network.address(u8::try_from(host).unwrap_or(u8::MAX), port)
     }
 
     fn control_host(index: usize) -> usize {
--- a/crates/testbed/src/deployment/error.rs
+++ b/crates/testbed/src/deployment/error.rs
@@ -10,6 +10,9 @@
     /// A temporary folder could not be created.
     #[error("creating a data folder")]
     Folder(#[source] std::io::Error),
+    /// All networks that were tried are taken.
+    #[error("reserving a loopback network")]
+    Network(#[source] Option<std::io::Error>),
     /// A relay could not be started.
     #[error("starting a relay")]
     Relay(#[source] std::io::Error),
--- /dev/null
+++ b/crates/testbed/src/deployment/network.rs
@@ -0,0 +1,54 @@
+//! Loopback network of one deployment.
+
+use super::DeploymentError;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU8, Ordering};
+
+/// Second octets are `FIRST_SECOND` and the ones after it.
+const FIRST_SECOND: u8 = 16;
+/// Number of second octets in use.
+const SECONDS: u8 = 200;
+/// Host number of the listener that marks a network as taken.
+const GUARD_HOST: u8 = 254;
+/// Port of the listener that marks a network as taken.
+const GUARD_PORT: u16 = 9_999;
+/// Networks tried before the deployment gives up.
+const ATTEMPTS: usize = 1_000;
+
+static NEXT_THIRD: AtomicU8 = AtomicU8::new(1);
+
+/// First three octets of the addresses of a deployment, reserved on this machine.
+///
+/// Tests of different programs run at the same time and process ids alone can clash, so a
+/// listener that lives as long as the deployment marks the network as taken.
+#[derive(Debug)]
+pub(super) struct LoopbackNetwork {
+    octets: [u8; 3],
+    _guard: TcpListener,
+}
+
+impl LoopbackNetwork {
+    /// Reserves a network that no other deployment uses.
+    pub(super) fn open() -> Result<Self, DeploymentError> {
+        let start = u8::try_from(std::process::id() % u32::from(SECONDS)).unwrap_or(0);
+        let mut last = None;
+        for second in (0..SECONDS).cycle().skip(usize::from(start)).take(ATTEMPTS) {
+            let third = NEXT_THIRD.fetch_add(1, Ordering::Relaxed);
+            let octets = [127, FIRST_SECOND + second, third];
+            match TcpListener::bind(socket_address(octets, GUARD_HOST, GUARD_PORT)) {
+                Ok(guard) => return Ok(Self { octets, _guard: guard }),
+                Err(error) => last = Some(error),
+            }
+        }
+        Err(DeploymentError::Network(last))
+    }
+
+    /// An address in the network.
+    pub(super) fn address(&self, host: u8, port: u16) -> SocketAddr {
+        socket_address(self.octets, host, port)
+    }
+}
+
+fn socket_address([first, second, third]: [u8; 3], host: u8, port: u16) -> SocketAddr {
+    SocketAddr::from(([first, second, third, host], port))
+}
