Check the resend time of refusals per request, with room for a slow machine

Three resends of 1.6 s left 0.2 s of the 5 s deadline for four answers, and the stand-in was a plain tiny_http server, which can leave a connection of a burst unserved. Change: the stand-ins of entries run behind a connection gate; the retry-after time is 1.4 s, so that the third resend has 0.8 s to spare and the fourth still does not fit. The test now checks each request's own pause, which the earlier one did not, besides the exact number of resends.

--- a/crates/testbed/tests/common/mod.rs
+++ b/crates/testbed/tests/common/mod.rs
@@ -2,14 +2,15 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 #![allow(clippy::unwrap_used, reason = "a failed helper fails the test")]
 
+use burdockcleat::entry::gate::{ConnectionGate, GateLimits, open_inner_listener};
 use serde_json::{Value, json};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Cursor};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, channel};
 use std::thread;
 use std::time::{Duration, Instant};
-use tiny_http::{Response, Server};
+use tiny_http::{Request, Response, Server};
 use ureq::Body;
 use ureq::http::Response as HttpResponse;
 
@@ -46,6 +47,49 @@
     ureq::post(&format!("http://{address}/testbed/fault")).send_json(fault).unwrap();
 }
 
+/// HTTP server of a stand-in, behind a connection gate: a plain `tiny_http` server can leave a
+/// connection of a burst unserved for seconds.
+pub struct GatedServer {
+    gate: ConnectionGate,
+    server: Server,
+}
+
+impl GatedServer {
+    /// Binds a port of the system's choice.
+    pub fn bind() -> Self {
+        let server = Server::from_listener(open_inner_listener().unwrap(), None).unwrap();
+        let inner = server.server_addr().to_ip().unwrap();
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        let gate = ConnectionGate::bind(address, inner, GateLimits::default()).unwrap();
+        Self { gate, server }
+    }
+
+    /// Base URL of the server.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.gate.address())
+    }
+
+    /// Serves each request on a thread of its own until the server is unblocked.
+    pub fn serve(
+        self: &Arc<Self>,
+        answer: impl Fn(&mut Request) -> Response<Cursor<Vec<u8>>> + Send + Sync + 'static,
+    ) {
+        let (server, answer) = (Arc::clone(self), Arc::new(answer));
+        thread::spawn(move || {
+            while let Ok(mut request) = server.server.recv() {
+                let (server, answer) = (Arc::clone(&server), Arc::clone(&answer));
+                thread::spawn(move || {
+                    let port = request.remote_addr().unwrap().port();
+                    let response = answer(&mut request);
+                    server.gate.mark_received(port);
+                    let _ = request.respond(response);
+                    server.gate.mark_finished(port);
+                });
+            }
+        });
+    }
+}
+
 /// Stand-in of a control instance that records what targets post.
 pub struct ControlStub {
     server: Arc<Server>,
--- a/crates/testbed/tests/load.rs
+++ b/crates/testbed/tests/load.rs
@@ -9,13 +9,13 @@
     LoadPlan, LoadProfile, LoadSettings, PlanSettings, PlannedCall, run_load,
 };
 use burdockcleat_testbed::service::{FakeService, ServiceSettings};
+use common::GatedServer;
 use serde_json::json;
-use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::thread;
-use std::time::Instant;
-use tiny_http::{Response, Server};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use tiny_http::{Request, Response};
 
 fn plan(profile: LoadProfile, rate: f64, seconds: f64) -> PlanSettings {
     PlanSettings {
@@ -113,23 +113,21 @@
     assert_eq!(engine.journal().dispatches.len() as u64, 6 * report.planned);
 }
 
+fn request_id(request: &Request) -> String {
+    let id = request.headers().iter().find(|header| header.field.equiv("x-request-id"));
+    id.unwrap().value.to_string()
+}
+
 /// Stand-in of an entry that passes completions to an engine and other calls to a service.
-fn pass_on(server: &Arc<Server>, engine: String, service: String) {
-    let accepting = Arc::clone(server);
-    thread::spawn(move || {
-        while let Ok(mut request) = accepting.recv() {
-            let base = if request.url().starts_with("/svc/") { &service } else { &engine };
-            let url = format!("{base}{}", request.url());
-            thread::spawn(move || {
-                let id = request.headers().iter().find(|header| header.field.equiv("x-request-id"));
-                let id = id.unwrap().value.to_string();
-                let mut body = Vec::new();
-                request.as_reader().read_to_end(&mut body).unwrap();
-                let sent = ureq::post(&url).header("x-request-id", id).send(&body[..]);
-                let answer = sent.unwrap().into_body().read_to_vec().unwrap();
-                let _ = request.respond(Response::from_data(answer));
-            });
-        }
+fn pass_on(server: &Arc<GatedServer>, engine: String, service: String) {
+    server.serve(move |request| {
+        let base = if request.url().starts_with("/svc/") { &service } else { &engine };
+        let url = format!("{base}{}", request.url());
+        let id = request_id(request);
+        let mut body = Vec::new();
+        request.as_reader().read_to_end(&mut body).unwrap();
+        let sent = ureq::post(&url).header("x-request-id", id).send(&body[..]);
+        Response::from_data(sent.unwrap().into_body().read_to_vec().unwrap())
     });
 }
 
@@ -138,12 +136,12 @@
 fn service_calls_are_part_of_the_load() {
     let engine = engine(FaultSet::default());
     let service = FakeService::spawn(ServiceSettings::named("s1", "depot")).unwrap();
-    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
+    let server = Arc::new(GatedServer::bind());
     let base = |address| format!("http://{address}");
     pass_on(&server, base(engine.address()), base(service.address()));
     let mut settings = plan(LoadProfile::Bureau, 60.0, 1.0);
     settings.services = true;
-    let report = run_load(&load(format!("http://{}", server.server_addr()), settings)).unwrap();
+    let report = run_load(&load(server.url(), settings)).unwrap();
     let in_time: u64 = report.tiers.iter().map(|tier| tier.in_time).sum();
     assert_eq!(in_time, report.planned, "{report}");
     let calls = service.journal().dispatches;
@@ -158,28 +156,34 @@
 /// Guards against a refusal that is not resent, or resent before its retry-after time.
 #[test]
 fn refusals_are_resent_after_their_time() {
-    let server = Arc::new(Server::http("127.0.0.1:0").unwrap());
-    let (accepting, calls) = (Arc::clone(&server), Arc::new(AtomicUsize::new(0)));
-    let counted = Arc::clone(&calls);
-    thread::spawn(move || {
-        while let Ok(request) = accepting.recv() {
+    const RETRY_AFTER_MS: u64 = 1_400;
+    let server = Arc::new(GatedServer::bind());
+    let refusals: Arc<Mutex<HashMap<String, Vec<Instant>>>> = Arc::default();
+    let recorded = Arc::clone(&refusals);
+    let early = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&early);
+    server.serve(move |request| {
+        let mut recorded = recorded.lock().unwrap();
+        let times = recorded.entry(request_id(request)).or_default();
+        let pause = Duration::from_millis(RETRY_AFTER_MS);
+        if times.last().is_some_and(|last| last.elapsed() < pause) {
             counted.fetch_add(1, Ordering::AcqRel);
-            let error = json!({ "error": { "outcome": "not_run", "reason": "overloaded",
-                "message": "", "request_id": "x", "retry_after_ms": 1_600 } });
-            let answer = Response::from_string(error.to_string()).with_status_code(503);
-            let _ = request.respond(answer);
         }
+        let error = json!({ "error": { "outcome": "not_run", "reason": "overloaded",
+            "message": "", "request_id": "x", "retry_after_ms": RETRY_AFTER_MS } });
+        times.push(Instant::now());
+        Response::from_string(error.to_string()).with_status_code(503)
     });
     let mut settings = plan(LoadProfile::Bureau, 4.0, 1.0);
     settings.seed = 3;
-    let begin = Instant::now();
-    let url = format!("http://{}", server.server_addr());
-    let report = run_load(&load(url, settings)).unwrap();
+    let report = run_load(&load(server.url(), settings)).unwrap();
     let refused: u64 = report.tiers.iter().map(|tier| tier.refused["overloaded"]).sum();
     assert_eq!(refused, report.planned, "{report}");
-    assert!(begin.elapsed().as_secs_f64() > 3.2);
     let top = report.tiers.iter().find(|tier| tier.tier == 0).unwrap();
-    // Within 5 s three resends fit, each 1.6 s after a refusal.
+    // Within 5 s three resends fit, each 1.4 s after a refusal, and a fourth does not.
     assert_eq!(top.resent["overloaded"], 3 * top.sent);
-    assert!(calls.load(Ordering::Acquire) as u64 > 3 * report.planned);
+    assert_eq!(early.load(Ordering::Acquire), 0);
+    let refusals = refusals.lock().unwrap();
+    assert_eq!(refusals.len() as u64, report.planned);
+    assert!(refusals.values().all(|times| times.len() >= 4));
 }
