Put the operator port of entries behind the connection gate

Cause: the port was a plain tiny_http server, which can leave a connection of a burst unserved until another one ends, reads without a time limit and does not bound its connections. Change: callers' and operators' servers of an entry are bound in the same way.

--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -98,12 +98,11 @@
     /// # Errors
     /// Fails if an address is not available or a thread cannot be created.
     pub fn bind(settings: EntrySettings) -> Result<Self, EntryError> {
-        let callers = Server::from_listener(open_inner_listener()?, None)
-            .map_err(|source| EntryError::Listen { address: settings.listen, source })?;
-        let inner = callers.server_addr().to_ip().unwrap_or(settings.listen);
         let limits = GateLimits { connections: settings.max_connections, ..GateLimits::default() };
-        let gate = Arc::new(ConnectionGate::bind(settings.listen, inner, limits)?);
-        let operators = listen(settings.operator_listen)?;
+        let (callers, gate) = bind_gated(settings.listen, limits)?;
+        let gate = Arc::new(gate);
+        let (operators, operator_gate) =
+            bind_gated(settings.operator_listen, GateLimits::default())?;
         let node = NodeId(rand::random());
         let source = settings.listen.ip();
         let session = ControlSession::open(
@@ -114,7 +113,7 @@
             &settings.control,
         )?;
         let caller_addr = gate.address();
-        let operator_addr = operators.server_addr().to_ip().unwrap_or(settings.operator_listen);
+        let operator_addr = operator_gate.address();
         let shared = Arc::new(EntryShared {
             settings,
             node,
@@ -134,7 +133,10 @@
         let worker = shared.clone();
         spawn("operators", move || {
             for request in operators.incoming_requests() {
+                let port = request.remote_addr().map_or(0, SocketAddr::port);
+                operator_gate.mark_received(port);
                 worker.serve_operator(request);
+                operator_gate.mark_finished(port);
             }
         })?;
         log::info!(event = "entry_started", callers:% = caller_addr, operators:% = operator_addr; "serving");
@@ -174,8 +176,17 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<Server, EntryError> {
-    Server::http(address).map_err(|source| EntryError::Listen { address, source })
+/// Binds a server behind a connection gate.
+///
+/// Without the gate, `tiny_http` can leave a connection of a burst unserved for seconds.
+fn bind_gated(
+    address: SocketAddr,
+    limits: GateLimits,
+) -> Result<(Server, ConnectionGate), EntryError> {
+    let server = Server::from_listener(open_inner_listener()?, None)
+        .map_err(|source| EntryError::Listen { address, source })?;
+    let inner = server.server_addr().to_ip().unwrap_or(address);
+    Ok((server, ConnectionGate::bind(address, inner, limits)?))
 }
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), EntryError> {
