--- a/crates/testbed/tests/bad_input.rs
+++ b/crates/testbed/tests/bad_input.rs
@@ -159,6 +159,38 @@
     assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
 }
 
+/// Sends a probe over a connection that stays open, and reads the first bytes of the answer.
+fn probe_on(mut stream: &TcpStream, limit: Duration) -> String {
+    stream.set_read_timeout(Some(limit)).unwrap();
+    stream.write_all(&message(&["GET /readyz HTTP/1.1"], "")).unwrap();
+    let mut buffer = [0; 1_024];
+    let count = stream.read(&mut buffer).unwrap_or_default();
+    String::from_utf8_lossy(&buffer[..count]).into_owned()
+}
+
+/// Guards against operator connections that are left unserved in a burst while others stay open,
+/// so that the balancer's probe fails and takes a healthy entry out of service.
+#[test]
+fn bursts_at_the_operator_port_are_all_served() {
+    // Usual time limit of a balancer's probe.
+    const PROBE_LIMIT: Duration = Duration::from_secs(2);
+    let stage = stage();
+    let url = stage.deployment.entry_operator_url(0);
+    let address = url.trim_start_matches("http://");
+    let mut kept = Vec::new();
+    for _ in 0..10 {
+        let burst: Vec<_> = (0..40).map(|_| TcpStream::connect(address).unwrap()).collect();
+        let answers: Vec<String> = thread::scope(|scope| {
+            let start = |stream| scope.spawn(move || probe_on(stream, PROBE_LIMIT));
+            let probes: Vec<_> = burst.iter().map(start).collect();
+            probes.into_iter().map(|probe| probe.join().unwrap()).collect()
+        });
+        let unserved = answers.iter().filter(|answer| !answer.starts_with("HTTP/1.1 200")).count();
+        assert_eq!(unserved, 0, "of {} connections with {} open", burst.len(), kept.len());
+        kept.extend(burst);
+    }
+}
+
 /// Guards against a workspace that resumes, cancels or learns of another one's request by its id.
 #[test]
 fn a_forged_request_id_reaches_nothing_of_another_workspace() {
