Show status, history and the changes of a version in the console

Cause: the console only edited. Who changed what, and whether it is in force at every entry, needed the command line, although operators drive the system through the console and audits ask for it. Change: three pages that only read, behind the same login, from the operators' interface; one function formats times for the command line and the console.

--- a/crates/burdockcleat/src/cmd/history.rs
+++ b/crates/burdockcleat/src/cmd/history.rs
@@ -2,7 +2,6 @@
 
 use super::{Arguments, CommandError, CommandSpec, write_json};
 use std::io::Write;
-use std::time::{Duration, UNIX_EPOCH};
 
 pub(super) const SPEC: CommandSpec = CommandSpec {
     name: "history",
@@ -32,23 +31,9 @@
         return write_json(out, &reply);
     }
     for entry in &reply.versions {
-        let time = UNIX_EPOCH
-            .checked_add(Duration::from_millis(entry.time_ms))
-            .map_or_else(|| "-".to_owned(), format_time);
-        let (version, changes) = (entry.version, entry.changes);
+        let (version, time, changes) = (entry.version, entry.time_text(), entry.changes);
         let (author, operation) = (&entry.author, &entry.operation_id);
         writeln!(out, "{version:>8}  {time}  {changes:>5} changes  {author}  {operation}")?;
     }
     Ok(())
 }
-
-fn format_time(time: std::time::SystemTime) -> String {
-    /// Last second of the year 9999, the latest time that the formatter accepts.
-    const LATEST_SECONDS: u64 = 253_402_300_799;
-    match time.duration_since(UNIX_EPOCH) {
-        Ok(elapsed) if elapsed.as_secs() <= LATEST_SECONDS => {
-            humantime::format_rfc3339_seconds(time).to_string()
-        }
-        _ => "-".to_owned(),
-    }
-}
--- a/crates/burdockcleat/src/console.rs
+++ b/crates/burdockcleat/src/console.rs
@@ -4,12 +4,14 @@
 //! path in the document, such as `workspaces[2].weight`, so a fault finds its field by path.
 
 mod fields;
+mod overview;
 mod page;
 mod read;
 mod token;
 mod window;
 
 pub use fields::form_fields;
+pub use overview::{render_changes, render_history, render_status};
 pub use page::{render_login, render_notice, render_page, render_refusal};
 pub use read::read_form;
 pub use token::{ConsolePost, FormToken, PostRefusal, check_origin, check_post};
@@ -29,6 +31,8 @@
 pub const PAGE: &str = "page";
 /// Name of the field with the operators' token in the login form.
 pub const LOGIN_TOKEN: &str = "operator-token";
+/// Name of the query parameter with the version whose changes are shown.
+pub const VERSION: &str = "version";
 /// Name of the field with the author.
 pub const AUTHOR: &str = "author";
 
--- a/crates/burdockcleat/src/console/page.rs
+++ b/crates/burdockcleat/src/console/page.rs
@@ -17,7 +17,9 @@
      fieldset{margin:0 0 1em;display:flex;flex-wrap:wrap;gap:.6em 1em}\
      label{display:flex;flex-direction:column;font-size:.85em}\
      textarea{min-width:38em}.fault{color:#a00}.notice{border:1px solid;padding:.5em 1em}\
-     input:not([type=checkbox]),textarea{font:inherit}code{white-space:pre-wrap}";
+     input:not([type=checkbox]),textarea{font:inherit}code{white-space:pre-wrap}\
+     nav{display:flex;gap:1.5em}table{border-collapse:collapse}\
+     th,td{border:1px solid #aaa;padding:.2em .6em;text-align:left}";
 
 /// Renders the form with the outcome of the last post and every fault beside its field.
 pub fn render_page(view: &ConsoleView) -> String {
@@ -62,7 +64,7 @@
             button type="submit" { (submit_text(&view.outcome)) }
         }
     };
-    page(&body)
+    page_with_links(&body)
 }
 
 /// Renders the page for a post that was refused before its document was read.
@@ -74,6 +76,18 @@
     })
 }
 
+/// Renders a page with links to the pages behind the login.
+pub(super) fn page_with_links(body: &Markup) -> String {
+    page(&html! {
+        nav {
+            a href="/console" { "Configuration" }
+            a href="/console/status" { "Status" }
+            a href="/console/history" { "History" }
+        }
+        (body)
+    })
+}
+
 fn page(body: &Markup) -> String {
     html! {
         (DOCTYPE)
@@ -91,7 +105,7 @@
         h1 { "Log in" }
         @if wrong { p.fault role="alert" { "The token is wrong." } }
         form method="post" action="/login" {
-            label { "operator token" input type="password" name=(LOGIN_TOKEN) autofocus; }
+            label { "operator token" input type="password" name=(LOGIN_TOKEN) autocomplete="current-password" autofocus; }
             p { button type="submit" { "Log in" } }
         }
     })
@@ -99,7 +113,7 @@
 
 /// Renders a page that says why there is no form.
 pub fn render_notice(title: &str, text: &str) -> String {
-    page(&html! {
+    page_with_links(&html! {
         h1 { (title) }
         p.notice { (text) }
         p { a href="/console" { "Open the console again" } }
--- a/crates/burdockcleat/src/control/console.rs
+++ b/crates/burdockcleat/src/control/console.rs
@@ -7,8 +7,9 @@
 use super::listen::{HttpCall, HttpReply, RequestClass};
 use crate::console::{
     CONTENT_POLICY, ConsoleOutcome, ConsolePost, ConsoleView, FormFields, FormToken, LOGIN_TOKEN,
-    PAGE, SEARCH, WorkspaceWindow, carried_over, check_origin, check_post, decode_form, read_form,
-    render_login, render_notice, render_page, render_refusal, with_unshown,
+    PAGE, SEARCH, VERSION, WorkspaceWindow, carried_over, check_origin, check_post, decode_form,
+    read_form, render_changes, render_history, render_login, render_notice, render_page,
+    render_refusal, render_status, with_unshown,
 };
 use crate::operator::{ApplyRequest, ClientError, ClientSettings, OperatorClient};
 use burdockcleat_core::document::ConfigDocument;
@@ -67,10 +68,12 @@
         let reply = match (call.method().clone(), path.as_str()) {
             (Method::Get, "/") => redirect(None),
             (Method::Post, "/login") => self.login(&mut call),
-            (Method::Get | Method::Post, "/console") if !self.logged_in(&call) => {
+            (_, "/console" | "/console/status" | "/console/history") if !self.logged_in(&call) => {
                 page_reply(ConsolePage(401, render_login(false)))
             }
-            (Method::Get, "/console") => page_reply(self.show(&call)),
+            (Method::Get, "/console") => page_reply(self.read(&call, Self::show)),
+            (Method::Get, "/console/status") => page_reply(self.read(&call, Self::status)),
+            (Method::Get, "/console/history") => page_reply(self.read(&call, Self::history)),
             (Method::Post, "/console") => page_reply(self.post(&mut call)),
             _ => page_reply(ConsolePage(404, render_notice("Not found", "There is no such page."))),
         };
@@ -117,18 +120,40 @@
         sessions.get(session).is_some_and(|end| *end > Instant::now())
     }
 
-    /// The form with the version in force.
-    fn show(&self, call: &HttpCall) -> ConsolePage {
+    /// Serves a page that only reads, with the fields of its query.
+    fn read(
+        &self,
+        call: &HttpCall,
+        render: fn(&Self, &FormFields) -> Result<ConsolePage, ClientError>,
+    ) -> ConsolePage {
         // A foreign name that was pointed at this address must not read the page either.
         if let Err(refused) = check_origin(call.header("host"), None) {
             return ConsolePage(403, render_refusal(refused));
         }
-        let query = call.query_text();
-        let fields: FormFields = decode_form(query.as_bytes());
-        let search = field(&fields, SEARCH).unwrap_or_default();
-        let page = field(&fields, PAGE).and_then(|text| text.parse().ok()).unwrap_or(1);
-        let outcome = ConsoleOutcome::Editing;
-        self.form_page(200, search, page, "", outcome).unwrap_or_else(|error| unreachable(&error))
+        let fields = decode_form(call.query_text().as_bytes());
+        render(self, &fields).unwrap_or_else(|error| unreachable(&error))
+    }
+
+    /// The form with the version in force.
+    fn show(&self, query: &FormFields) -> Result<ConsolePage, ClientError> {
+        let search = field(query, SEARCH).unwrap_or_default();
+        let page = field(query, PAGE).and_then(|text| text.parse().ok()).unwrap_or(1);
+        self.form_page(200, search, page, "", ConsoleOutcome::Editing)
+    }
+
+    fn status(&self, _query: &FormFields) -> Result<ConsolePage, ClientError> {
+        Ok(ConsolePage(200, render_status(&self.client.status()?)))
+    }
+
+    /// The kept versions, or what one of them changed.
+    fn history(&self, query: &FormFields) -> Result<ConsolePage, ClientError> {
+        let version = field(query, VERSION).and_then(|text| text.parse().ok());
+        let Some(version) = version.filter(|version| *version > 0) else {
+            return Ok(ConsolePage(200, render_history(&self.client.history()?)));
+        };
+        let (_, document) = self.document(Some(version))?;
+        let (_, before) = self.document(Some(version - 1))?;
+        Ok(ConsolePage(200, render_changes(version, &before.changes_to(&document))))
     }
 
     /// A form with the version in force and a new operation id.
--- a/crates/burdockcleat/src/operator.rs
+++ b/crates/burdockcleat/src/operator.rs
@@ -8,6 +8,7 @@
 
 use burdockcleat_core::document::DocumentFault;
 use serde::{Deserialize, Serialize};
+use std::time::{Duration, UNIX_EPOCH};
 
 /// Paths of the interface.
 pub mod paths {
@@ -164,6 +165,19 @@
     pub changes: u32,
 }
 
+impl HistoryEntry {
+    /// Time of the edit in RFC 3339, UTC, or `-` if the formatter does not accept it.
+    pub fn time_text(&self) -> String {
+        /// Last second of the year 9999, the latest time that the formatter accepts.
+        const LATEST_SECONDS: u64 = 253_402_300_799;
+        if self.time_ms / 1_000 > LATEST_SECONDS {
+            return "-".to_owned();
+        }
+        let time = UNIX_EPOCH + Duration::from_millis(self.time_ms);
+        humantime::format_rfc3339_seconds(time).to_string()
+    }
+}
+
 /// Reply to `GET /v1/status`.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/testbed/tests/operators/console.rs
+++ b/crates/testbed/tests/operators/console.rs
@@ -167,6 +167,37 @@
     assert_eq!(elsewhere.edit(&page, "14").status, 401);
 }
 
+/// Guards against pages that show the state or the history without a login, to a foreign name, or
+/// with a version, author or change missing.
+#[test]
+fn status_and_history_are_shown_after_a_login_only() {
+    let stage = stage(1, 1);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let mut browser = Browser::open(stage.deployment.console_url((leader + 1) % 3));
+    for path in ["/console/status", "/console/history", "/console/history?version=1"] {
+        let page = browser.get(path);
+        assert_eq!(page.status, 401, "{path}");
+        assert!(!page.body.contains("<table"), "{path}");
+    }
+    browser.login(OPERATOR_TOKEN);
+    assert_eq!(browser.edit(&browser.get("/console"), "11").status, 200);
+
+    let status = browser.get("/console/status");
+    assert_eq!(status.status, 200);
+    for part in ["Version <strong>2</strong>", "entry-0", "leader</td>", "hinge-model</td>"] {
+        assert!(status.body.contains(part), "{part}: {}", status.body);
+    }
+    let history = browser.get("/console/history");
+    let newest = history.body.find("version=2").unwrap();
+    assert!(newest < history.body.find("version=1").unwrap(), "{}", history.body);
+    assert!(history.body.contains("<td>console</td>"), "{}", history.body);
+    let changes = browser.get("/console/history?version=2");
+    assert!(changes.body.contains("weight: 8 -&gt; 11"), "{}", changes.body);
+    assert!(browser.get("/console/history?version=1").body.contains("+ "), "first version");
+    let missing = browser.get("/console/history?version=900");
+    assert!(missing.status >= 400 && missing.body.contains("900"), "{}", missing.body);
+}
+
 /// Guards against an edit without a majority that looks applied or refused.
 #[test]
 fn an_undecided_edit_is_sent_again_with_its_id() {
