Move the errors of the operators' client to a file of their own

Change: ClientError and its construction from a reply are in operator/error.rs; no behaviour changes.

--- a/crates/burdockcleat/src/operator.rs
+++ b/crates/burdockcleat/src/operator.rs
@@ -3,8 +3,10 @@
 //! `docs/operator-api.md` describes the interface. Field names are `snake_case` in JSON.
 
 mod client;
+mod error;
 
-pub use client::{ClientError, ClientSettings, OperatorClient, fetch};
+pub use client::{ClientSettings, OperatorClient, fetch};
+pub use error::ClientError;
 
 use burdockcleat_core::document::DocumentFault;
 use serde::{Deserialize, Serialize};
--- a/crates/burdockcleat/src/operator/client.rs
+++ b/crates/burdockcleat/src/operator/client.rs
@@ -1,9 +1,8 @@
 //! Client of the operators' HTTP interface.
 
 use super::{
-    ApplyReply, ApplyRequest, ConfigReply, ConflictReply, DrainReply, DrainRequest, ErrorCode,
-    ErrorReply, FaultText, FaultsReply, HistoryReply, LeaderReply, OrderReply, OrderRequest,
-    StatusReply, paths,
+    ApplyReply, ApplyRequest, ClientError, ConfigReply, DrainReply, DrainRequest, HistoryReply,
+    LeaderReply, OrderReply, OrderRequest, StatusReply, paths,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -11,7 +10,6 @@
 use std::io::ErrorKind;
 use std::thread;
 use std::time::Duration;
-use thiserror::Error;
 use ureq::{Agent, RequestBuilder, Timeout};
 
 /// Bound of a reply's body; a document of 7,100 workspaces has about 1.5 MB.
@@ -45,54 +43,6 @@
     }
 }
 
-/// Why a request to the control instances did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Error)]
-pub enum ClientError {
-    /// No control URL is known.
-    #[error("no control URL; use --control or BURDOCKCLEAT_CONTROL")]
-    NoUrl,
-    /// A control URL has another form than `http://host:port`.
-    #[error("{0:?} is not a control URL of the form http://host:port")]
-    BadUrl(String),
-    /// No instance could be asked, or none leads. The request has not taken effect.
-    #[error("no leading control instance is in reach ({0})")]
-    Unreachable(String),
-    /// The request was sent and may have taken effect.
-    #[error(
-        "the outcome is unknown ({detail}); resend the same request with --operation-id {operation_id}"
-    )]
-    OutcomeUnknown {
-        /// Id to resend with.
-        operation_id: String,
-        /// Last failure.
-        detail: String,
-    },
-    /// The base version is no longer in force.
-    #[error("conflict: version {current_version} is in force")]
-    Conflict {
-        /// Version in force.
-        current_version: u64,
-    },
-    /// The operation id was used before with another request.
-    #[error("the operation id was used before with another request")]
-    OperationReused,
-    /// The document has faults.
-    #[error("the document has {} faults", .0.len())]
-    Faults(Vec<FaultText>),
-    /// The instance refused the request.
-    #[error("refused with status {status}: {message}")]
-    Refused {
-        /// HTTP status.
-        status: u16,
-        /// Explanation of the instance.
-        message: String,
-    },
-    /// The reply does not have the documented form.
-    #[error("the reply of {0} cannot be read")]
-    BadReply(String),
-}
-
 /// Client that finds the leader and survives the loss of an instance.
 pub struct OperatorClient {
     agent: Agent,
@@ -203,7 +153,11 @@
     fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
         let reply =
             self.exchange(path, None).map_err(|lost| ClientError::Unreachable(lost.detail))?;
-        if reply.status == 200 { parse(path, &reply.body) } else { Err(refusal(path, &reply)) }
+        if reply.status == 200 {
+            parse(path, &reply.body)
+        } else {
+            Err(ClientError::of_reply(path, reply.status, &reply.body))
+        }
     }
 
     fn write<R: Serialize, T: DeserializeOwned>(
@@ -222,7 +176,7 @@
             if lost.sent { unknown(lost.detail) } else { ClientError::Unreachable(lost.detail) }
         })?;
         if reply.status != 200 {
-            return Err(refusal(path, &reply));
+            return Err(ClientError::of_reply(path, reply.status, &reply.body));
         }
         parse(path, &reply.body).map_err(|error| unknown(error.to_string()))
     }
@@ -330,7 +284,7 @@
         .limit(REPLY_BYTES)
         .read_to_string()
         .map_err(lost)?;
-    if status == 200 { Ok(body) } else { Err(refusal(url, &Reply { status, body })) }
+    if status == 200 { Ok(body) } else { Err(ClientError::of_reply(url, status, &body)) }
 }
 
 fn with_token<B>(request: RequestBuilder<B>, token: Option<&str>) -> RequestBuilder<B> {
@@ -389,31 +343,3 @@
 fn parse<T: DeserializeOwned>(path: &str, body: &str) -> Result<T, ClientError> {
     serde_json::from_str(body).map_err(|_| ClientError::BadReply(path.to_owned()))
 }
-
-/// The error that a reply with another status than 200 stands for.
-fn refusal(path: &str, reply: &Reply) -> ClientError {
-    let (status, body) = (reply.status, reply.body.as_str());
-    let read = match status {
-        409 => serde_json::from_str::<ConflictReply>(body)
-            .ok()
-            .map(|conflict| ClientError::Conflict { current_version: conflict.current_version }),
-        422 => serde_json::from_str::<FaultsReply>(body)
-            .ok()
-            .map(|reply| ClientError::Faults(reply.faults)),
-        _ => None,
-    };
-    if let Some(error) = read {
-        return error;
-    }
-    match serde_json::from_str::<ErrorReply>(body) {
-        Ok(reply) if reply.error == ErrorCode::OperationReused => ClientError::OperationReused,
-        Ok(reply) => {
-            let message = match reply.message.as_str() {
-                "" => format!("{:?}", reply.error),
-                text => text.to_owned(),
-            };
-            ClientError::Refused { status, message }
-        }
-        Err(_) => ClientError::Refused { status, message: format!("no explanation for {path}") },
-    }
-}
