Select routing policy and mechanisms per pool in the document

The table [pools.scheduling] has a default for every key, which is that of the scheduler, so a document without it runs as before. The console shows and keeps the table, and comparisons name the changed field in it.

The engines' journals are read in process, so wasted prefill now counts the engine that crashes.

--- a/crates/burdockcleat/src/console/fields.rs
+++ b/crates/burdockcleat/src/console/fields.rs
@@ -1,10 +1,10 @@
 //! The fields of the form, by section of the document.
 
 use super::FormFields;
-use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::document::ranges::{
-    LIMIT_NUMBERS, NumberField, POOL_NUMBERS, TIER_NUMBERS, WORKSPACE_NUMBERS,
+    LIMIT_NUMBERS, NumberField, POOL_NUMBERS, SCHEDULING_NUMBERS, TIER_NUMBERS, WORKSPACE_NUMBERS,
 };
+use burdockcleat_core::document::{ConfigDocument, RoutingChoice};
 use serde_json::Value;
 use std::sync::LazyLock;
 
@@ -60,6 +60,30 @@
         .map(|number| field(number.key, FieldKind::Number { min: number.min, max: number.max }))
 }
 
+/// Fields of the table of scheduling in a pool; their keys are paths within the pool.
+fn scheduling_fields() -> impl Iterator<Item = FormField> {
+    let switches = [
+        "scheduling.prefix-term",
+        "scheduling.preemption",
+        "scheduling.fair-share",
+        "scheduling.deadline-order",
+        "scheduling.straggler-avoidance",
+        "scheduling.tiered-shedding",
+    ];
+    let keys = [
+        "scheduling.prefill-weight-percent",
+        "scheduling.cache-wait-percent",
+        "scheduling.failure-limit",
+    ];
+    let numbers = keys.into_iter().filter_map(|key| {
+        let number = SCHEDULING_NUMBERS.iter().find(|number| key.ends_with(number.key))?;
+        Some(field(key, FieldKind::Number { min: number.min, max: number.max }))
+    });
+    std::iter::once(field("scheduling.routing", FieldKind::Choice(&RoutingChoice::WORDS)))
+        .chain(switches.map(|key| field(key, FieldKind::Decision)))
+        .chain(numbers)
+}
+
 /// Fields of the limits.
 pub(super) static LIMIT_FIELDS: LazyLock<Vec<FormField>> =
     LazyLock::new(|| numbers(LIMIT_NUMBERS).collect());
@@ -93,6 +117,7 @@
             fields: name()
                 .chain([field("kind", Choice(&["model", "service"])), field("models", Names)])
                 .chain(numbers(POOL_NUMBERS))
+                .chain(scheduling_fields())
                 .collect(),
         },
         FormSection {
@@ -123,7 +148,7 @@
             for field in &section.fields {
                 let text = match field.key {
                     PLACE => (index + 1).to_string(),
-                    key => field_text(&row[key], field.kind),
+                    key => field_text(value_at(row, key), field.kind),
                 };
                 fields.push((field_name(section.name, index, field.key), text));
             }
@@ -132,6 +157,11 @@
     fields
 }
 
+/// Value at a path of keys within a row.
+fn value_at<'a>(row: &'a Value, path: &str) -> &'a Value {
+    path.split('.').fold(row, |value, key| &value[key])
+}
+
 /// Name of a field in a row.
 pub(super) fn field_name(section: &str, index: usize, key: &str) -> String {
     format!("{section}[{index}].{key}")
--- a/crates/burdockcleat/src/console/read.rs
+++ b/crates/burdockcleat/src/console/read.rs
@@ -162,5 +162,16 @@
         FieldKind::Names | FieldKind::Lines => Some(Value::Array(words(text))),
         FieldKind::Text | FieldKind::Choice(_) => None,
     };
-    table.insert(field.key.to_owned(), value.unwrap_or_else(|| Value::String(text.to_owned())));
+    let value = value.unwrap_or_else(|| Value::String(text.to_owned()));
+    match field.key.split_once('.') {
+        Some((outer, key)) => {
+            let nested = table.entry(outer).or_insert_with(|| Value::Table(Table::new()));
+            if let Value::Table(nested) = nested {
+                nested.insert(key.to_owned(), value);
+            }
+        }
+        None => {
+            table.insert(field.key.to_owned(), value);
+        }
+    }
 }
--- a/crates/core/src/admission/settings.rs
+++ b/crates/core/src/admission/settings.rs
@@ -44,7 +44,8 @@
     settings.rates.half_life_ms = f64::from(rule.rate_half_life_ms);
     settings.rates.straggler_fraction = f64::from(rule.straggler_percent) / 100.0;
     settings.rates.straggler_after_ms = u64::from(rule.straggler_after_ms);
-    settings.switches.straggler_avoidance = rule.straggler_percent > 0;
+    rule.scheduling.apply_to(&rule.name, &mut settings);
+    settings.switches.straggler_avoidance &= rule.straggler_percent > 0;
     settings.prefix.block_tokens = BLOCK_TOKENS;
     settings.prefix.unconfirmed_weight = f64::from(rule.unconfirmed_cache_percent) / 100.0;
     settings
--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -14,6 +14,7 @@
 pub mod ranges;
 mod read;
 mod route;
+mod scheduling;
 mod tables;
 
 pub use change::DocumentChange;
@@ -22,6 +23,7 @@
 pub use fault::{DocumentFault, FaultKind};
 pub use item::ItemMap;
 pub use route::{RouteChoice, RouteQuery, RouteRefusal};
+pub use scheduling::{RoutingChoice, SchedulingRule};
 pub use tables::{
     DocumentTables, LimitSettings, PoolKind, PoolRule, RouteRule, TierRule, WorkspaceRule,
 };
--- a/crates/core/src/document/change.rs
+++ b/crates/core/src/document/change.rs
@@ -113,6 +113,9 @@
 }
 
 fn compare_values(changes: &mut Vec<DocumentChange>, path: &str, old: &Value, new: &Value) {
+    if let (Value::Object(old), Value::Object(new)) = (old, new) {
+        return compare_fields(changes, path, old, new);
+    }
     if old != new {
         let (path, old, new) = (path.to_owned(), old.to_string(), new.to_string());
         changes.push(DocumentChange::Changed { path, old, new });
--- a/crates/core/src/document/check.rs
+++ b/crates/core/src/document/check.rs
@@ -2,7 +2,8 @@
 
 use super::fault::{DocumentFault, FaultKind};
 use super::ranges::{
-    LIMIT_NUMBERS, NumberField, POOL_NUMBERS, TIER_NUMBERS, TIERS_MAX, WORKSPACE_NUMBERS,
+    LIMIT_NUMBERS, NumberField, POOL_NUMBERS, SCHEDULING_NUMBERS, TIER_NUMBERS, TIERS_MAX,
+    WORKSPACE_NUMBERS,
 };
 use super::tables::{DocumentTables, PoolKind, PoolRule, RouteRule, WorkspaceRule};
 use std::collections::{HashMap, HashSet};
@@ -112,6 +113,8 @@
             let path = format!("pools[{index}]");
             self.check_name(&path, &pool.name, &mut seen);
             self.check_numbers(&path, pool, POOL_NUMBERS);
+            let scheduling = format!("{path}.scheduling");
+            self.check_numbers(&scheduling, &pool.scheduling, SCHEDULING_NUMBERS);
             self.check_models(&format!("{path}.models"), pool);
         }
     }
--- a/crates/core/src/document/item.rs
+++ b/crates/core/src/document/item.rs
@@ -131,10 +131,19 @@
 /// The fields of a table that differ from their defaults.
 fn compact<T: Serialize>(item: &T, defaults: &Map<String, Value>) -> Map<String, Value> {
     let mut fields = fields(item);
-    fields.retain(|key, value| defaults.get(key) != Some(value));
+    retain_changed(&mut fields, defaults);
     fields
 }
 
+fn retain_changed(fields: &mut Map<String, Value>, defaults: &Map<String, Value>) {
+    fields.retain(|key, value| defaults.get(key) != Some(value));
+    for (key, value) in fields {
+        if let (Value::Object(nested), Some(Value::Object(defaults))) = (value, defaults.get(key)) {
+            retain_changed(nested, defaults);
+        }
+    }
+}
+
 /// The document as TOML without fields that have their default.
 pub(super) fn document_text(tables: &DocumentTables) -> String {
     let mut text = String::new();
@@ -167,9 +176,17 @@
     text.push('\n');
     // The name leads, since readers look for it first.
     let name = fields.iter().filter(|(key, _)| *key == "name");
-    for (key, value) in name.chain(fields.iter().filter(|(key, _)| *key != "name")) {
+    let (tables, plain): (Vec<_>, Vec<_>) =
+        fields.iter().filter(|(key, _)| *key != "name").partition(|(_, value)| value.is_object());
+    for (key, value) in name.chain(plain) {
         write_field(text, key, value);
     }
+    // In TOML, the keys after the head of a nested table belong to that table.
+    for (key, value) in tables {
+        if let Value::Object(fields) = value {
+            write_table(text, &format!("[{}.{key}]", head.trim_matches(['[', ']'])), fields);
+        }
+    }
 }
 
 fn write_field(text: &mut String, key: &str, value: &Value) {
--- a/crates/core/src/document/ranges.rs
+++ b/crates/core/src/document/ranges.rs
@@ -1,5 +1,6 @@
 //! Allowed ranges of the numeric fields, used by validation, messages and the console.
 
+use super::scheduling::SchedulingRule;
 use super::tables::{LimitSettings, PoolRule, TierRule, WorkspaceRule};
 
 /// A numeric field of a table with its allowed range.
@@ -50,6 +51,13 @@
     field("straggler-after-ms", 100, 600_000, |pool| pool.straggler_after_ms),
 ];
 
+/// Numeric fields of the scheduling of a pool.
+pub const SCHEDULING_NUMBERS: &[NumberField<SchedulingRule>] = &[
+    field("prefill-weight-percent", 0, 100_000, |rule| rule.prefill_weight_percent),
+    field("cache-wait-percent", 0, 100_000, |rule| rule.cache_wait_percent),
+    field("failure-limit", 1, 1_000_000, |rule| rule.failure_limit),
+];
+
 /// Numeric fields of the limits.
 pub const LIMIT_NUMBERS: &[NumberField<LimitSettings>] = &[
     field("body-bytes", 1_024, 268_435_456, |limits| limits.body_bytes),
--- a/crates/core/src/document/read.rs
+++ b/crates/core/src/document/read.rs
@@ -4,8 +4,10 @@
 //! on its own, so that one fault does not hide the others.
 
 use super::fault::{DocumentFault, FaultKind};
-use super::ranges::{LIMIT_NUMBERS, NumberField, POOL_NUMBERS, TIER_NUMBERS, WORKSPACE_NUMBERS};
-use super::tables::DocumentTables;
+use super::ranges::{
+    LIMIT_NUMBERS, NumberField, POOL_NUMBERS, SCHEDULING_NUMBERS, TIER_NUMBERS, WORKSPACE_NUMBERS,
+};
+use super::tables::{DocumentTables, PoolRule};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
@@ -37,7 +39,7 @@
     let tables = DocumentTables {
         tiers: reader.read_list(&mut table, "tiers", &ranges(TIER_NUMBERS)),
         workspaces: reader.read_list(&mut table, "workspaces", &ranges(WORKSPACE_NUMBERS)),
-        pools: reader.read_list(&mut table, "pools", &ranges(POOL_NUMBERS)),
+        pools: reader.read_pools(&mut table),
         rules: reader.read_list(&mut table, "rules", &[]),
         limits: table.remove("limits").map_or_else(Default::default, |value| {
             reader.read_item(value, "limits", &ranges(LIMIT_NUMBERS))
@@ -77,6 +79,26 @@
         }
     }
 
+    /// Reads the table of scheduling of each pool on its own, so that each of its faults has the
+    /// path of its field.
+    fn read_pools(&mut self, table: &mut Table) -> Vec<PoolRule> {
+        let mut tables = Vec::new();
+        if let Some(Value::Array(pools)) = table.get_mut("pools") {
+            tables = pools
+                .iter_mut()
+                .map(|pool| pool.as_table_mut().and_then(|pool| pool.remove("scheduling")))
+                .collect();
+        }
+        let mut pools: Vec<PoolRule> = self.read_list(table, "pools", &ranges(POOL_NUMBERS));
+        for (index, (pool, value)) in pools.iter_mut().zip(tables).enumerate() {
+            if let Some(value) = value {
+                let path = format!("pools[{index}].scheduling");
+                pool.scheduling = self.read_item(value, &path, &ranges(SCHEDULING_NUMBERS));
+            }
+        }
+        pools
+    }
+
     fn read_item<T>(&mut self, value: Value, path: &str, ranges: &[KeyRange]) -> T
     where
         T: DeserializeOwned + Serialize + Default,
--- a/crates/core/src/document/tables.rs
+++ b/crates/core/src/document/tables.rs
@@ -5,6 +5,7 @@
 //! by the validation.
 
 use super::credential::CredentialDigest;
+use super::scheduling::SchedulingRule;
 use serde::{Deserialize, Serialize};
 
 /// All tables of a document, not validated. [`super::ConfigDocument::build`] validates them.
@@ -128,6 +129,8 @@
     pub straggler_percent: u32,
     /// Time below that share after which a target counts as a straggler.
     pub straggler_after_ms: u32,
+    /// Routing policy and switches of single mechanisms.
+    pub scheduling: SchedulingRule,
 }
 
 impl Default for PoolRule {
@@ -146,6 +149,7 @@
             unconfirmed_cache_percent: 50,
             straggler_percent: 50,
             straggler_after_ms: 2_000,
+            scheduling: SchedulingRule::default(),
         }
     }
 }
--- a/crates/core/tests/support/documents.rs
+++ b/crates/core/tests/support/documents.rs
@@ -2,7 +2,7 @@
 
 use burdockcleat_core::document::{
     ConfigDocument, CredentialDigest, DocumentTables, LimitSettings, PoolKind, PoolRule, RouteRule,
-    TierRule, WorkspaceRule,
+    RoutingChoice, SchedulingRule, TierRule, WorkspaceRule,
 };
 use proptest::collection::{btree_set, vec};
 use proptest::prelude::*;
@@ -68,18 +68,44 @@
     let sizes = (1_u32..=10_000, 1_u32..=1_000_000, 1_u32..=1_000_000, 1_u32..=3);
     let times = (0_u32..=600_000, 100_u32..=600_000, 100_u32..=600_000);
     let percents = (0_u32..=100, 0_u32..=100, 0_u32..=100);
-    (sizes, times, percents).prop_map(|(sizes, times, percents)| PoolRule {
-        targets_max: sizes.0,
-        queue_limit: sizes.1,
-        default_output_tokens: sizes.2,
-        attempts_max: sizes.3,
-        preempt_slack_ms: times.0,
-        rate_half_life_ms: times.1,
-        straggler_after_ms: times.2,
-        retry_budget_percent: percents.0,
-        unconfirmed_cache_percent: percents.1,
-        straggler_percent: percents.2,
-        ..PoolRule::default()
+    (sizes, times, percents, scheduling()).prop_map(|(sizes, times, percents, scheduling)| {
+        PoolRule {
+            targets_max: sizes.0,
+            queue_limit: sizes.1,
+            default_output_tokens: sizes.2,
+            attempts_max: sizes.3,
+            preempt_slack_ms: times.0,
+            rate_half_life_ms: times.1,
+            straggler_after_ms: times.2,
+            retry_budget_percent: percents.0,
+            unconfirmed_cache_percent: percents.1,
+            straggler_percent: percents.2,
+            scheduling,
+            ..PoolRule::default()
+        }
+    })
+}
+
+fn scheduling() -> impl Strategy<Value = SchedulingRule> {
+    let routing = prop_oneof![
+        Just(RoutingChoice::EstimatedCompletion),
+        Just(RoutingChoice::Random),
+        Just(RoutingChoice::RoundRobin),
+        Just(RoutingChoice::LeastReported),
+        Just(RoutingChoice::LeastInFlight),
+    ];
+    let numbers = (0_u32..=100_000, 0_u32..=100_000, 1_u32..=1_000_000);
+    (routing, any::<[bool; 6]>(), numbers).prop_map(|(routing, switches, numbers)| SchedulingRule {
+        routing,
+        prefix_term: switches[0],
+        preemption: switches[1],
+        fair_share: switches[2],
+        deadline_order: switches[3],
+        straggler_avoidance: switches[4],
+        tiered_shedding: switches[5],
+        prefill_weight_percent: numbers.0,
+        cache_wait_percent: numbers.1,
+        failure_limit: numbers.2,
     })
 }
 
--- a/crates/testbed/src/flags.rs
+++ b/crates/testbed/src/flags.rs
@@ -129,6 +129,7 @@
         tier_credentials: BTreeMap::new(),
         targets: Vec::new(),
         max_open: 512,
+        deadline_ms: None,
     };
     while let Some(flag) = next_flag(&mut parser)? {
         match flag.as_str() {
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -8,6 +8,6 @@
 mod waste;
 
 pub use plan::{LoadPlan, LoadProfile, PlanSettings, PlannedCall, PlannedRequest};
-pub use report::{LoadReport, TierReport, TimingReport};
+pub use report::{EndedRequest, LoadReport, TierReport, TimingReport};
 pub use run::{LoadSettings, run_load};
 pub use waste::{PrefillReport, measure_prefill};
--- a/crates/testbed/src/load/caller.rs
+++ b/crates/testbed/src/load/caller.rs
@@ -2,6 +2,7 @@
 
 use super::check::{StreamCheck, StreamItem, is_own_answer};
 use super::plan::{PlannedCall, PlannedRequest};
+use super::report::EndedRequest;
 use super::run::LoadSettings;
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
@@ -17,6 +18,9 @@
 /// Time beyond the deadline for which a caller still reads, so that late answers are seen.
 const LATE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Reason of a refusal of a request that ended in an earlier attempt.
+const ALREADY_ENDED: &str = "already_ended";
+
 /// How a request ended for its caller.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) enum CallEnd {
@@ -37,6 +41,7 @@
 /// Result of one request with all its resends.
 #[derive(Clone, Debug)]
 pub(super) struct CallResult {
+    pub(super) id: String,
     pub(super) tier: u8,
     pub(super) end: CallEnd,
     pub(super) in_time: bool,
@@ -46,6 +51,27 @@
     pub(super) gaps: Vec<Duration>,
 }
 
+impl CallResult {
+    /// The attempts before, if the last one was told that the request had ended already.
+    pub(super) fn already_ended(&self) -> Option<EndedRequest> {
+        let ended = CallEnd::Refused(ALREADY_ENDED.to_owned());
+        (self.end == ended).then(|| EndedRequest {
+            id: self.id.clone(),
+            tier: self.tier,
+            earlier: self.earlier.iter().filter(|end| **end != ended).map(reason_text).collect(),
+        })
+    }
+}
+
+/// Reason of an attempt that did not complete.
+pub(super) fn reason_text(end: &CallEnd) -> String {
+    match end {
+        CallEnd::Refused(reason) => reason.clone(),
+        CallEnd::Cut => "cut".to_owned(),
+        _ => "unreachable".to_owned(),
+    }
+}
+
 /// End of one attempt.
 struct AttemptEnd {
     end: CallEnd,
@@ -72,6 +98,7 @@
     pub(super) fn run(&self, number: usize) -> CallResult {
         let deadline = self.arrival + Duration::from_millis(u64::from(self.request.deadline_ms));
         let mut result = CallResult {
+            id: self.request.id.clone(),
             tier: self.request.tier,
             end: CallEnd::Unreachable,
             in_time: false,
--- a/crates/testbed/src/load/report.rs
+++ b/crates/testbed/src/load/report.rs
@@ -1,6 +1,6 @@
 //! Report of a load run.
 
-use super::caller::{CallEnd, CallResult};
+use super::caller::{CallEnd, CallResult, reason_text};
 use super::waste::PrefillReport;
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
@@ -54,6 +54,18 @@
     pub between_tokens: TimingReport,
 }
 
+/// A request that ended in an earlier attempt, as its caller saw it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EndedRequest {
+    /// Request id.
+    pub id: String,
+    /// Rank of the tier.
+    pub tier: u8,
+    /// Reasons of the attempts before, in order.
+    pub earlier: Vec<String>,
+}
+
 /// Figures of one run.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -68,6 +80,9 @@
     pub seed: u64,
     /// Figures by tier.
     pub tiers: Vec<TierReport>,
+    /// Requests whose last attempt was told that the request had ended already.
+    #[serde(default)]
+    pub already_ended: Vec<EndedRequest>,
     /// Prompt tokens, if journals were read.
     pub prefill: Option<PrefillReport>,
 }
@@ -94,12 +109,7 @@
         let report = &mut self.report;
         report.sent += 1;
         for earlier in &result.earlier {
-            let reason = match earlier {
-                CallEnd::Refused(reason) => reason.clone(),
-                CallEnd::Cut => "cut".to_owned(),
-                _ => "unreachable".to_owned(),
-            };
-            *report.resent.entry(reason).or_default() += 1;
+            *report.resent.entry(reason_text(earlier)).or_default() += 1;
         }
         match &result.end {
             CallEnd::Completed if result.in_time => report.in_time += 1,
--- a/crates/testbed/src/load/run.rs
+++ b/crates/testbed/src/load/run.rs
@@ -36,6 +36,8 @@
     pub targets: Vec<String>,
     /// Requests open at a time; further ones are counted as unsent.
     pub max_open: usize,
+    /// Deadline of every request instead of the profile's.
+    pub deadline_ms: Option<u32>,
 }
 
 impl LoadSettings {
@@ -75,7 +77,10 @@
 /// Fails on settings out of bounds.
 pub fn run_load(settings: &LoadSettings) -> Result<LoadReport, TestbedError> {
     settings.validate()?;
-    let plan = LoadPlan::draw(&settings.plan)?;
+    let mut plan = LoadPlan::draw(&settings.plan)?;
+    for request in &mut plan.requests {
+        request.deadline_ms = settings.deadline_ms.unwrap_or(request.deadline_ms);
+    }
     let started = ClockTime::wall().as_ms();
     let (results, unsent) = send_plan(settings, &plan);
     let mut tallies: BTreeMap<u8, TierTally> = BTreeMap::new();
@@ -93,6 +98,7 @@
         seconds,
         seed: settings.plan.seed,
         tiers: tallies.into_values().map(|tally| tally.finish(seconds)).collect(),
+        already_ended: results.iter().filter_map(CallResult::already_ended).collect(),
         prefill: (!settings.targets.is_empty()).then(|| measure_prefill(&journals)),
     })
 }
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,10 +1,12 @@
 //! Measurements of whole deployments of real processes.
 
+mod compare;
 mod overhead;
 mod path;
 
+pub use compare::{Variant, VariantError, compare_row, variants};
 pub use overhead::{OverheadReport, measure_overhead};
-pub use path::{PathPlan, PathReport, measure_path};
+pub use path::{EndedTrace, PathPlan, PathReport, measure_capacity, measure_path};
 
 use crate::deployment::{Deployment, DeploymentError};
 use crate::error::TestbedError;
@@ -16,6 +18,9 @@
 /// Pool of the engines.
 pub const MODEL_POOL: &str = "models";
 
+/// Deadline of the requests of a backlog, beyond the end of the run.
+const BACKLOG_DEADLINE_MS: u32 = 300_000;
+
 /// A measurement that could not be made.
 #[derive(Debug)]
 #[derive(Error)]
@@ -31,8 +36,8 @@
     Refused(u16),
 }
 
-/// Starts control instances and entries with a document for the profile.
-fn start(profile: LoadProfile, entries: usize) -> Result<Deployment, MeasureError> {
+/// Starts control instances and entries with a document.
+fn start(document: &str, entries: usize) -> Result<Deployment, MeasureError> {
     let mut deployment = Deployment::open(3)?;
     for index in 0..3 {
         deployment.start_control(index)?;
@@ -41,7 +46,7 @@
         deployment.start_entry(index)?;
     }
     let leader = deployment.wait_leader()?;
-    let answer = deployment.apply(leader, 0, "measure", &document(profile))?;
+    let answer = deployment.apply(leader, 0, "measure", document)?;
     if answer.status != 200 {
         return Err(MeasureError::Refused(answer.status));
     }
@@ -65,26 +70,32 @@
 }
 
 /// A document with a workspace for each tier, and limits that do not bind.
-fn document(profile: LoadProfile) -> String {
+///
+/// `scheduling` holds the lines of the table of scheduling of the engines' pool. With `one_tier`,
+/// all completions are in tier 0 and no deadline binds.
+fn document(profile: LoadProfile, scheduling: &str, one_tier: bool) -> String {
+    let top_deadline = if one_tier { BACKLOG_DEADLINE_MS } else { 5_000 };
     let service = service_pool(profile);
     let mut text = format!(
         "credential-salt = \"\"\n\
-         [[tiers]]\nname = \"tier-0\"\nrank = 0\ndefault-deadline-ms = 5000\nmax-queue-ms = 300\n\
+         [[tiers]]\nname = \"tier-0\"\nrank = 0\ndefault-deadline-ms = {top_deadline}\nmax-queue-ms = 300\n\
          [[tiers]]\nname = \"tier-1\"\nrank = 1\ndefault-deadline-ms = 10000\nmax-queue-ms = 3000\n\
          [[tiers]]\nname = \"tier-2\"\nrank = 2\ndefault-deadline-ms = 30000\nmax-queue-ms = 15000\n\
          [[pools]]\nname = \"{MODEL_POOL}\"\nkind = \"model\"\nmodels = [\"{MODEL}\"]\n\
+         [pools.scheduling]\n{scheduling}\n\
          [[pools]]\nname = \"{service}\"\nkind = \"service\"\nstraggler-percent = 0\n\
          [[rules]]\nname = \"orders\"\npath-prefix = \"/svc/{service}\"\npool = \"{service}\"\n\
          tier = \"tier-0\"\nidempotent = false\n",
     );
     for tier in 0..3 {
         let digest = burdockcleat_core::document::CredentialDigest::compute("", &credential(tier));
+        let chosen = if one_tier { 0 } else { tier };
         text.push_str(&format!(
             "[[workspaces]]\nname = \"workspace-{tier}\"\ncredentials = [\"{digest}\"]\n\
              in-flight-limit = 10000\ntokens-per-second-limit = 1000000\n\
              pools = [\"{MODEL_POOL}\", \"{service}\"]\ntiers = [\"tier-0\", \"tier-1\", \"tier-2\"]\n\
              [[rules]]\nname = \"completions-{tier}\"\nworkspace = \"workspace-{tier}\"\n\
-             path-prefix = \"/v1/completions\"\npool = \"{MODEL_POOL}\"\ntier = \"tier-{tier}\"\n",
+             path-prefix = \"/v1/completions\"\npool = \"{MODEL_POOL}\"\ntier = \"tier-{chosen}\"\n",
         ));
     }
     text
--- a/crates/testbed/src/measure/overhead.rs
+++ b/crates/testbed/src/measure/overhead.rs
@@ -1,6 +1,6 @@
 //! Time that an entry adds to a request, claim included, and what the entry uses.
 
-use super::{MODEL, MODEL_POOL, MeasureError, credential, start};
+use super::{MODEL, MODEL_POOL, MeasureError, credential, document, start};
 use crate::deployment::{Deployment, wait_until};
 use crate::engine::{EngineSettings, FakeEngine};
 use crate::load::LoadProfile;
@@ -42,7 +42,7 @@
 /// # Errors
 /// Fails if the deployment does not start.
 pub fn measure_overhead(rate: f64, seconds: u64) -> Result<OverheadReport, MeasureError> {
-    let deployment = start(LoadProfile::Bureau, 1)?;
+    let deployment = start(&document(LoadProfile::Bureau, "", false), 1)?;
     let mut settings = EngineSettings::named("engine-0", MODEL_POOL);
     settings.target.models = vec![MODEL.into()];
     settings.target.control_urls = deployment.control_urls();
--- a/crates/testbed/src/measure/path.rs
+++ b/crates/testbed/src/measure/path.rs
@@ -1,10 +1,15 @@
 //! Goodput by tier and wasted prefill of a whole deployment under load.
 
-use super::{MODEL, MODEL_POOL, MeasureError, credential, service_pool, start};
+use super::{
+    BACKLOG_DEADLINE_MS, MODEL, MODEL_POOL, MeasureError, credential, document, service_pool, start,
+};
 use crate::deployment::wait_until;
 use crate::engine::{EngineSettings, FakeEngine};
 use crate::fault::FaultSet;
-use crate::load::{LoadProfile, LoadReport, LoadSettings, PlanSettings, run_load};
+use crate::journal::{DispatchEnd, DispatchRecord, TargetJournal};
+use crate::load::{
+    EndedRequest, LoadProfile, LoadReport, LoadSettings, PlanSettings, measure_prefill, run_load,
+};
 use crate::service::{FakeService, ServiceSettings};
 use std::thread;
 use std::time::Duration;
@@ -19,6 +24,21 @@
 /// Slowdown of the straggler.
 const STRAGGLER_FACTOR: f64 = 4.0;
 
+impl EndedTrace {
+    /// Reason that the caller saw first, and the end of the dispatch at the engine.
+    pub fn cause(&self) -> String {
+        let reason = self.request.earlier.last().map_or("no earlier answer", String::as_str);
+        match &self.dispatch {
+            Some((_, DispatchEnd::Cancelled)) => format!("{reason}: cancelled at the engine"),
+            Some((_, DispatchEnd::Completed)) => format!("{reason}: completed at the engine"),
+            Some((engine, DispatchEnd::Open | DispatchEnd::Error)) => {
+                format!("{reason}: broken off at {engine}")
+            }
+            None => format!("{reason}: not dispatched to an engine"),
+        }
+    }
+}
+
 /// What is run.
 #[derive(Clone, Copy, Debug)]
 pub struct PathPlan {
@@ -32,6 +52,8 @@
     pub seed: u64,
     /// Whether one engine becomes a straggler and another is killed after a third of the time.
     pub faults: bool,
+    /// Lines of the table of scheduling of the engines' pool.
+    pub scheduling: &'static str,
 }
 
 /// What came out.
@@ -41,6 +63,17 @@
     pub load: LoadReport,
     /// Largest number of dispatches of one request.
     pub most_dispatches: usize,
+    /// Requests that ended as `already_ended`, with their dispatch.
+    pub ended: Vec<EndedTrace>,
+}
+
+/// Why a request ended before its last attempt.
+#[derive(Clone, Debug)]
+pub struct EndedTrace {
+    /// What the caller saw.
+    pub request: EndedRequest,
+    /// Name of the engine and end of the dispatch there, if an engine received it.
+    pub dispatch: Option<(String, DispatchEnd)>,
 }
 
 /// Runs a load against three control instances, ten entries and the targets of the profile.
@@ -48,7 +81,50 @@
 /// # Errors
 /// Fails if the deployment does not start.
 pub fn measure_path(plan: PathPlan) -> Result<PathReport, MeasureError> {
-    let deployment = start(plan.profile, ENTRIES)?;
+    let document = document(plan.profile, plan.scheduling, false);
+    let (load, engines, services) = run(plan, &document, None)?;
+    let ended = load.already_ended.iter().map(|request| trace(request, &engines)).collect();
+    let most_dispatches = most_dispatches(engines.iter().chain(&services));
+    Ok(PathReport { load, most_dispatches, ended })
+}
+
+/// Requests per second that the engines complete while the queue is never empty, routed by own
+/// in-flight count, in order of arrival and without faults.
+///
+/// All requests arrive within the first second. While they wait, each dispatch follows a
+/// completion, so the rate of the dispatches between the first fifth and the last tenth is that of
+/// the completions.
+///
+/// # Errors
+/// Fails if the deployment does not start.
+pub fn measure_capacity(profile: LoadProfile, seed: u64) -> Result<f64, MeasureError> {
+    let rate = match profile {
+        LoadProfile::Bureau => 200.0,
+        LoadProfile::Kerlouan => 90.0,
+    };
+    let scheduling = "routing = \"least-in-flight\"\npreemption = false\nfair-share = false\n\
+                      deadline-order = false";
+    let plan = PathPlan { profile, rate, seconds: 1.0, seed, faults: false, scheduling };
+    let document = document(profile, scheduling, true);
+    let (load, engines, _) = run(plan, &document, Some(BACKLOG_DEADLINE_MS))?;
+    let mut times: Vec<u64> = dispatches(&engines).map(|record| record.at_ms).collect();
+    times.sort_unstable();
+    let (first, last) = (times.len() / 5, times.len() * 9 / 10);
+    let milliseconds = times[last].saturating_sub(times[first]).max(1);
+    let per_second = (last - first) as f64 * 1_000.0 / milliseconds as f64;
+    // Calls of the services are part of the load, but not among the dispatches of the engines.
+    Ok(per_second * load.planned as f64 / times.len() as f64)
+}
+
+type RunResult = (LoadReport, Vec<TargetJournal>, Vec<TargetJournal>);
+
+/// Runs a load and returns the journals of the engines and of the services.
+fn run(
+    plan: PathPlan,
+    document: &str,
+    deadline_ms: Option<u32>,
+) -> Result<RunResult, MeasureError> {
+    let deployment = start(document, ENTRIES)?;
     let (engine_count, service_count) = match plan.profile {
         LoadProfile::Bureau => (20, 3),
         LoadProfile::Kerlouan => (10, 4),
@@ -84,17 +160,20 @@
         entries: (0..ENTRIES).map(|index| deployment.entry_url(index)).collect(),
         default_credential: credential(0),
         tier_credentials: (0..3).map(|tier| (tier, credential(tier))).collect(),
-        targets: engines.iter().map(|engine| format!("http://{}", engine.address())).collect(),
+        // The crashed engine no longer answers, so the journals are read here and not by the load.
+        targets: Vec::new(),
         max_open: MAX_OPEN,
+        deadline_ms,
     };
-    let load = thread::scope(|scope| {
+    let mut load = thread::scope(|scope| {
         if plan.faults {
             scope.spawn(|| disturb(&engines, plan.seconds));
         }
         run_load(&settings)
     })?;
-    let most_dispatches = most_dispatches(&engines, &services);
-    Ok(PathReport { load, most_dispatches })
+    let engines: Vec<_> = engines.iter().map(FakeEngine::journal).collect();
+    load.prefill = Some(measure_prefill(&engines));
+    Ok((load, engines, services.iter().map(FakeService::journal).collect()))
 }
 
 fn engine(number: usize, control_urls: &[String]) -> EngineSettings {
@@ -123,13 +202,25 @@
     engines[1].set_fault(crash);
 }
 
-fn most_dispatches(engines: &[FakeEngine], services: &[FakeService]) -> usize {
+fn most_dispatches<'a>(journals: impl Iterator<Item = &'a TargetJournal>) -> usize {
     let mut counts = std::collections::HashMap::new();
-    let journals = engines.iter().map(FakeEngine::journal);
-    for journal in journals.chain(services.iter().map(FakeService::journal)) {
-        for record in journal.dispatches {
-            *counts.entry(record.request_id).or_insert(0) += 1;
-        }
+    for record in dispatches(journals) {
+        *counts.entry(&record.request_id).or_insert(0) += 1;
     }
     counts.into_values().max().unwrap_or(0)
 }
+
+fn dispatches<'a>(
+    journals: impl IntoIterator<Item = &'a TargetJournal>,
+) -> impl Iterator<Item = &'a DispatchRecord> {
+    journals.into_iter().flat_map(|journal| &journal.dispatches)
+}
+
+/// The dispatch of a request that ended before its last attempt.
+fn trace(request: &EndedRequest, engines: &[TargetJournal]) -> EndedTrace {
+    let dispatch = engines.iter().find_map(|journal| {
+        let record = journal.dispatches.iter().find(|record| record.request_id == request.id)?;
+        Some((journal.name.clone(), record.end))
+    });
+    EndedTrace { request: request.clone(), dispatch }
+}
--- a/crates/testbed/tests/load.rs
+++ b/crates/testbed/tests/load.rs
@@ -37,6 +37,7 @@
         default_credential: "c".to_owned(),
         tier_credentials: BTreeMap::new(),
         max_open: 256,
+        deadline_ms: None,
     }
 }
 
