--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -38,8 +38,9 @@
 const MEMBER_TICK_MS: u64 = 200;
 /// Events that are handled before their output is synced and sent, so that a burst shares syncs.
 const MAX_EVENTS_PER_FLUSH: usize = 2_000;
-/// Smallest length of the log at which it is replaced by a snapshot.
-const COMPACT_AFTER: u64 = 20_000;
+/// Part of `compact-after` that a snapshot keeps at most for followers that are slightly behind, as
+/// a divisor. Without it, a low bound would keep 4,096 records and take none away.
+const KEPT_SHARE: u64 = 4;
 /// Log records per claim in the table before a snapshot is worth its cost: a snapshot of 1,000,000
 /// claims takes 164 ms to encode, and a claim has two records.
 const RECORDS_PER_CLAIM: u64 = 2;
@@ -123,7 +124,7 @@
         let operator_url = settings.operator_url.clone();
         let me = PeerIntroduction { record, operator_url, empty };
         let members = MemberController::open(me, &settings.peers, settings.form_group);
-        let config = ReplicaConfig::of_node(storage.node(), rand::random());
+        let config = replica_config(&settings, storage.node());
         let mut node = Self {
             replica: LogReplica::open(config, stored, now),
             link,
@@ -391,7 +392,7 @@
     /// Starts a snapshot once the log is long. It is encoded on a thread of its own, since that
     /// takes a large part of the lease at a million claims.
     fn compact(&mut self) {
-        if self.encoding || self.replica.log_length() < COMPACT_AFTER {
+        if self.encoding || self.replica.log_length() < self.settings.compact_after.get() {
             return;
         }
         if self.replica.log_length() < RECORDS_PER_CLAIM * self.state.summary().claims as u64 {
@@ -418,6 +419,13 @@
     }
 }
 
+/// Settings of the replicated log.
+pub(super) fn replica_config(settings: &ControlSettings, node: NodeId) -> ReplicaConfig {
+    let mut config = ReplicaConfig::of_node(node, rand::random());
+    config.keep_entries = config.keep_entries.min(settings.compact_after.get() / KEPT_SHARE);
+    config
+}
+
 /// Both clocks now.
 pub(super) fn step_time() -> StepTime {
     StepTime { now: ClockTime::monotonic(), wall: ClockTime::wall() }
--- a/crates/burdockcleat/src/control/receive.rs
+++ b/crates/burdockcleat/src/control/receive.rs
@@ -1,12 +1,12 @@
 //! Messages of entries and of other control instances.
 
-use super::node::{ControlNode, NodeError, step_time};
+use super::node::{ControlNode, NodeError, replica_config, step_time};
 use super::peer::PeerMessage;
 use crate::link::{LinkEvent, LinkKey, PeerRole};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::keys::NodeId;
 use burdockcleat_core::message::{ControlMessage, EntryMessage, decode_frame, encode_frame};
-use burdockcleat_core::replica::{LogReplica, ReplicaConfig, ReplicaInput, StoredState};
+use burdockcleat_core::replica::{LogReplica, ReplicaInput, StoredState};
 
 impl ControlNode {
     pub(super) fn handle_link(&mut self, event: LinkEvent) -> Result<(), NodeError> {
@@ -76,7 +76,7 @@
         log::info!(event = "group_formed", voters = members.voters.len(); "forming a new group");
         let stored = StoredState::initial(members);
         self.storage.initialize(&stored)?;
-        let config = ReplicaConfig::of_node(self.storage.node(), rand::random());
+        let config = replica_config(&self.settings, self.storage.node());
         self.replica = LogReplica::open(config, stored, ClockTime::monotonic());
         self.members.note_log();
         Ok(())
--- a/crates/burdockcleat/src/settings/control.rs
+++ b/crates/burdockcleat/src/settings/control.rs
@@ -3,6 +3,7 @@
 use super::{SettingSpec, SettingsError, SettingsReader};
 use std::ffi::OsString;
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::path::PathBuf;
 
 const SPECS: &[SettingSpec] = &[
@@ -52,6 +53,11 @@
         default: Some(""),
     },
     SettingSpec { name: "target-token", help: "bearer token that targets present", default: None },
+    SettingSpec {
+        name: "compact-after",
+        help: "log records after which a snapshot replaces them",
+        default: Some("20000"),
+    },
     SettingSpec { name: "log-level", help: "error, warn, info, debug", default: Some("info") },
 ];
 
@@ -86,6 +92,8 @@
     pub order_issuer: String,
     /// Address of the console of forms, if it is served.
     pub console_listen: Option<SocketAddr>,
+    /// Smallest length of the log at which a snapshot replaces it.
+    pub compact_after: NonZeroU64,
     /// Least severe level that is logged.
     pub log_level: log::LevelFilter,
 }
@@ -127,6 +135,7 @@
             true => None,
             false => reader.parsed("console-listen", "an address such as 10.0.0.1:7002"),
         };
+        let compact_after = reader.parsed("compact-after", "a whole number from 1");
         let log_level = reader.parsed("log-level", "error, warn, info or debug");
         let operator_listen: SocketAddr = operator_listen?;
         Some(Self {
@@ -147,6 +156,7 @@
             target_token,
             order_issuer,
             console_listen,
+            compact_after: compact_after?,
             log_level: log_level?,
         })
     }
--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -67,6 +67,8 @@
     folder: TempDir,
     network: LoopbackNetwork,
     controls: usize,
+    form_group: bool,
+    control_flags: Vec<String>,
     cuts: CutSet,
     processes: BTreeMap<String, ProcessRecord>,
 }
@@ -80,7 +82,15 @@
         let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
         let network = LoopbackNetwork::open()?;
         let (cuts, processes) = (CutSet::default(), BTreeMap::new());
-        let deployment = Self { folder, network, controls, cuts, processes };
+        let deployment = Self {
+            folder,
+            network,
+            controls,
+            form_group: true,
+            control_flags: Vec::new(),
+            cuts,
+            processes,
+        };
         for index in 0..controls {
             let (relay, target) = (deployment.control_link(index), deployment.control_own(index));
             PartitionRelay::spawn(relay, target, deployment.cuts.clone())
@@ -89,6 +99,16 @@
         Ok(deployment)
     }
 
+    /// Sets `form-group` of the control instances that are started from now on.
+    pub fn set_form_group(&mut self, form_group: bool) {
+        self.form_group = form_group;
+    }
+
+    /// Adds a flag to the control instances that are started from now on.
+    pub fn add_control_flag(&mut self, flag: &str) {
+        self.control_flags.push(flag.to_owned());
+    }
+
     /// Cuts the links between two processes silently.
     pub fn cut(&self, left: &str, right: &str) {
         self.cuts.cut(self.host(left), self.host(right));
@@ -203,7 +223,7 @@
             .map(|peer| self.control_link(peer).to_string())
             .collect();
         let name = Self::control_name(index);
-        let command = vec![
+        let mut command = vec![
             "burdockcleat-control".into(),
             format!("--name={name}"),
             format!("--failure-domain=domain-{}", index % 3),
@@ -213,11 +233,12 @@
             format!("--console-listen={}", self.address(Self::control_host(index), CONSOLE_PORT)),
             format!("--peers={}", peers.join(",")),
             format!("--data-folder={}", self.data_folder(index).display()),
-            "--form-group=true".into(),
+            format!("--form-group={}", self.form_group),
             format!("--secret={SECRET}"),
             format!("--operator-token={OPERATOR_TOKEN}"),
             format!("--target-token={TARGET_TOKEN}"),
         ];
+        command.extend(self.control_flags.iter().cloned());
         self.start(name, command)
     }
 
