--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -64,6 +64,11 @@
     }
 }
 
+/// Name of the workspace whose completions are in a tier.
+fn workspace(tier: u8) -> String {
+    format!("workspace-{tier}")
+}
+
 /// Credential of the workspace whose completions are in a tier.
 fn credential(tier: u8) -> String {
     format!("measure-{tier}")
@@ -89,12 +94,13 @@
     );
     for tier in 0..3 {
         let digest = burdockcleat_core::document::CredentialDigest::compute("", &credential(tier));
+        let workspace = workspace(tier);
         let chosen = if one_tier { 0 } else { tier };
         text.push_str(&format!(
-            "[[workspaces]]\nname = \"workspace-{tier}\"\ncredentials = [\"{digest}\"]\n\
+            "[[workspaces]]\nname = \"{workspace}\"\ncredentials = [\"{digest}\"]\n\
              in-flight-limit = 10000\ntokens-per-second-limit = 1000000\n\
              pools = [\"{MODEL_POOL}\", \"{service}\"]\ntiers = [\"tier-0\", \"tier-1\", \"tier-2\"]\n\
-             [[rules]]\nname = \"completions-{tier}\"\nworkspace = \"workspace-{tier}\"\n\
+             [[rules]]\nname = \"completions-{tier}\"\nworkspace = \"{workspace}\"\n\
              path-prefix = \"/v1/completions\"\npool = \"{MODEL_POOL}\"\ntier = \"tier-{chosen}\"\n",
         ));
     }
--- a/crates/testbed/src/measure/path.rs
+++ b/crates/testbed/src/measure/path.rs
@@ -1,7 +1,8 @@
 //! Goodput by tier and wasted prefill of a whole deployment under load.
 
 use super::{
-    BACKLOG_DEADLINE_MS, MODEL, MODEL_POOL, MeasureError, credential, document, service_pool, start,
+    BACKLOG_DEADLINE_MS, MODEL, MODEL_POOL, MeasureError, credential, document, service_pool,
+    start, workspace,
 };
 use crate::deployment::wait_until;
 use crate::engine::{EngineSettings, FakeEngine};
@@ -11,6 +12,7 @@
     EndedRequest, LoadProfile, LoadReport, LoadSettings, PlanSettings, measure_prefill, run_load,
 };
 use crate::service::{FakeService, ServiceSettings};
+use burdockcleat_core::keys::RequestKey;
 use std::thread;
 use std::time::Duration;
 
@@ -218,8 +220,9 @@
 
 /// The dispatch of a request that ended before its last attempt.
 fn trace(request: &EndedRequest, engines: &[TargetJournal]) -> EndedTrace {
+    let key = RequestKey::derive(&workspace(request.tier), &request.id).to_string();
     let dispatch = engines.iter().find_map(|journal| {
-        let record = journal.dispatches.iter().find(|record| record.request_id == request.id)?;
+        let record = journal.dispatches.iter().find(|record| record.request_id == key)?;
         Some((journal.name.clone(), record.end))
     });
     EndedTrace { request: request.clone(), dispatch }
--- /dev/null
+++ b/crates/testbed/tests/scheduling.rs
@@ -0,0 +1,63 @@
+//! Changes of the scheduling of a pool with real processes.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_testbed::command::OperatorCommand;
+use burdockcleat_testbed::stage::{DOCUMENT, StagePlan, TestStage};
+use std::thread;
+use std::time::Duration;
+
+/// Requests of one round.
+const ROUND: usize = 6;
+
+/// Sends requests with one long prompt after each other and returns how many each engine got.
+fn round(stage: &TestStage, name: &str) -> Vec<usize> {
+    let count = |stage: &TestStage| -> Vec<usize> {
+        stage.engines.iter().map(|engine| engine.journal().dispatches.len()).collect()
+    };
+    let before = count(stage);
+    for number in 0..ROUND {
+        let mut call = stage.completion(0, &format!("{name}-{number}"), 3);
+        call.prompt = "A hinge for the clinic door. ".repeat(100);
+        assert_eq!(call.send().outcome(), "completed");
+        // Cache events travel with the announcements, which are 500 ms apart.
+        thread::sleep(Duration::from_millis(600));
+    }
+    count(stage).iter().zip(before).map(|(after, before)| after - before).collect()
+}
+
+/// Guards against a routing policy that comes into force only after a restart, or is not shown.
+#[test]
+fn a_routing_policy_changes_without_a_restart() {
+    let stage = TestStage::open(StagePlan { engines: 2, ..StagePlan::default() }).unwrap();
+    let commands = OperatorCommand::new(&stage.deployment.control_urls());
+    let leader = stage.deployment.wait_leader().unwrap();
+    let mut own = round(&stage, "own");
+    own.sort_unstable();
+    assert_eq!(own, [0, ROUND], "one engine holds the cached prompt");
+    let default = "routing = \"estimated-completion\"";
+    let text = DOCUMENT.replacen(default, "routing = \"round-robin\"", 1);
+    let applied = stage.deployment.apply(leader, 1, "round-robin", &text).unwrap();
+    assert_eq!(applied.status, 200, "{applied:?}");
+    let shown = commands.run(&["show"]).unwrap();
+    assert!(shown.out.contains("routing = \"round-robin\""), "{}", shown.out);
+    assert_eq!(round(&stage, "turns"), [ROUND / 2, ROUND / 2]);
+    assert_eq!(stage.deployment.apply(leader, 2, "own", DOCUMENT).unwrap().status, 200);
+    let mut own = round(&stage, "again");
+    own.sort_unstable();
+    assert_eq!(own, [0, ROUND]);
+    assert_eq!(stage.deployment.wait_leader().unwrap(), leader);
+}
+
+/// Guards against a misspelt policy that is taken for the default.
+#[test]
+fn an_unknown_policy_is_refused_with_its_path() {
+    let stage = TestStage::open(StagePlan::default()).unwrap();
+    let leader = stage.deployment.wait_leader().unwrap();
+    let text = DOCUMENT.replacen("routing = \"estimated-completion\"", "routing = \"fastest\"", 1);
+    let refused = stage.deployment.apply(leader, 1, "bad", &text).unwrap();
+    assert_eq!(refused.status, 422, "{refused:?}");
+    assert_eq!(refused.body["faults"][0]["path"], "pools[0].scheduling.routing");
+    let accepted = stage.deployment.apply(leader, 1, "good", DOCUMENT).unwrap();
+    assert_eq!(accepted.status, 200, "{accepted:?}");
+}
