Give grants that are sent after the leave of their target no valid age

The leader repeats a grant that was lost with a link, with the newest reading of the entry's clock. If the target had left meanwhile, the repeated grant counted as fresh and the entry dispatched to the target later than 3 s after the leave. Such a grant now carries the clock's origin, so that the entry gives the claim back and the request is granted again at another target.

--- a/crates/core/src/admission/claim.rs
+++ b/crates/core/src/admission/claim.rs
@@ -5,7 +5,7 @@
     UNKNOWN_RETRY_MS,
 };
 use crate::clock::ClockTime;
-use crate::keys::{ClaimNumber, NodeId, RequestKey};
+use crate::keys::{ClaimNumber, NodeId, RequestKey, TargetIdentity};
 use crate::message::{ControlMessage, GrantTicket};
 use crate::outcome::{ReasonCode, RequestOutcome};
 use crate::pool::PoolInput;
@@ -104,7 +104,7 @@
             claim,
             target: request.target.clone(),
             address: request.address.clone(),
-            entry_time: self.entry_time(request.entry),
+            entry_time: self.grant_time(request.entry, &request.target),
         };
         self.output.messages.push((request.entry, ControlMessage::Grant(ticket)));
         for duplicate in duplicates {
@@ -150,11 +150,24 @@
             claim: record.claim,
             target: record.target.clone(),
             address: record.address.clone(),
-            entry_time: self.entry_time(record.entry),
+            entry_time: self.grant_time(record.entry, &record.target),
         };
         self.output.messages.push((record.entry, ControlMessage::Grant(ticket)));
     }
 
+    /// Reading of the entry's clock from which the age of a grant counts.
+    ///
+    /// A claim can outlast its target's leave, for example while the link to the entry is cut. A
+    /// grant that is sent after the leave has no valid age, so that the entry gives the claim back
+    /// instead of using it.
+    fn grant_time(&self, entry: NodeId, target: &TargetIdentity) -> ClockTime {
+        let target = self.registry.find(target);
+        match target.is_some_and(|target| self.registry.eligible(target)) {
+            true => self.entry_time(entry),
+            false => ClockTime::default(),
+        }
+    }
+
     /// A claim that another leader had recorded came first.
     fn claim_refused(&mut self, time: StepTime, record: &ClaimRecord) {
         let Some(tracked) = self.requests.remove(&record.key) else { return };
--- a/crates/core/tests/admission.rs
+++ b/crates/core/tests/admission.rs
@@ -5,6 +5,8 @@
 #[path = "admission/harness.rs"]
 mod harness;
 
+use burdockcleat_core::admission::ENTRY_LOST_MS;
+use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::keys::ClaimNumber;
 use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, GrantTicket};
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
@@ -98,6 +100,65 @@
     assert_eq!(grant(&sent[0].1).map(|ticket| ticket.claim), Some(claim));
 }
 
+/// Guards against new work for a target that left: a claim outlasts the leave when its grant is
+/// lost with a link, and the repeated grant must not count as fresh.
+#[test]
+fn a_grant_repeated_after_its_target_left_cannot_be_used() {
+    let mut harness = AdmissionHarness::open();
+    harness.hello(ENTRY_A, &[]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let lost = grant(&harness.take_messages()[0].1).unwrap().clone();
+    assert!(lost.entry_time > ClockTime::default());
+    harness.leave("engine-1", 1);
+    harness.announce("engine-2", 1);
+    harness.hello(ENTRY_A, &[]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.commit();
+    let submitted = grant(&harness.take_messages()[0].1).unwrap().clone();
+    harness.pass(1_100);
+    let rechecked = grant(&harness.take_messages()[0].1).unwrap().clone();
+    for repeated in [submitted, rechecked] {
+        assert_eq!((repeated.claim, repeated.entry_time), (lost.claim, ClockTime::default()));
+    }
+    let release = EntryMessage::Release { key: lost.key, claim: lost.claim, retry: true };
+    harness.receive(ENTRY_A, release);
+    harness.commit();
+    let next = grant(&harness.take_messages()[0].1).unwrap().clone();
+    assert_eq!(next.target.name, "engine-2");
+    assert!(next.entry_time > ClockTime::default());
+}
+
+/// Guards against a grant that leaves after its target: the leave can come between the proposal
+/// of the claim and its commit.
+#[test]
+fn a_claim_committed_after_its_target_left_cannot_be_used() {
+    let mut harness = AdmissionHarness::open();
+    harness.hello(ENTRY_A, &[]);
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.leave("engine-1", 1);
+    harness.commit();
+    let ticket = grant(&harness.take_messages()[0].1).unwrap().clone();
+    assert_eq!(ticket.entry_time, ClockTime::default());
+}
+
+/// Guards against claims that stay open for ever because their entry died together with the
+/// leader: it never introduces itself to the next one, which must count it as lost all the same.
+#[test]
+fn an_entry_that_died_with_the_leader_is_lost_at_the_next_one() {
+    let mut harness = AdmissionHarness::open();
+    harness.receive(ENTRY_A, EntryMessage::Submit(submit(1, 1)));
+    harness.receive(ENTRY_B, EntryMessage::Submit(submit(2, 1)));
+    harness.commit();
+    harness.replace_leader();
+    harness.hello(ENTRY_B, &[]);
+    harness.pass(ENTRY_LOST_MS - 1);
+    assert_eq!(harness.state.summary().claims_ownerless, 0);
+    harness.pass(1);
+    let summary = harness.state.summary();
+    assert_eq!((summary.claims_open, summary.claims_ownerless), (2, 1));
+}
+
 /// Guards against a second grant after a failover for a request that already runs.
 #[test]
 fn a_new_leader_does_not_grant_a_running_request_to_a_resend() {
--- a/crates/core/tests/admission/harness.rs
+++ b/crates/core/tests/admission/harness.rs
@@ -141,6 +141,21 @@
         }
     }
 
+    /// An engine leaves.
+    pub fn leave(&mut self, name: &str, incarnation: u64) {
+        let identity = TargetIdentity { name: name.into(), incarnation };
+        self.admission.leave(time(self.now), &identity);
+        self.collect();
+    }
+
+    /// Time passes.
+    pub fn pass(&mut self, ms: u64) {
+        self.now += ms;
+        self.admission.tick(time(self.now), &self.state);
+        self.collect();
+        self.commit();
+    }
+
     /// Runs requests on all slots of the engine.
     pub fn fill_slots(&mut self) {
         for number in 100..100 + u64::from(SLOTS) {
