Count entries that died together with the leader as lost

A new leader knew only the entries that had introduced themselves to it. The claims of an entry that died at the same moment as the last leader never became ownerless, stayed open for ever, and their slots could not be preempted. The owners of the open claims are now known as unlinked from the start of the term and are lost 2 s later unless they report.

--- a/crates/core/src/admission.rs
+++ b/crates/core/src/admission.rs
@@ -209,6 +209,12 @@
         let mut claims: BTreeMap<String, Vec<OpenClaim>> = BTreeMap::new();
         for record in state.open_claims() {
             controller.track_claim(time, &record);
+            // An entry that died together with the last leader never says `Hello` to this one, and
+            // must count as lost all the same.
+            controller.entries.entry(record.entry).or_insert(EntryRecord {
+                entry_time: ClockTime::default(),
+                unlinked: Some(time.now),
+            });
             let pool = record.pool.to_string();
             claims.entry(pool).or_default().extend(open_claim(time, &record));
         }
