Refuse announcements at control instances that follow no leader

An instance that was cut off from its peers accepted announcements and leaves with status 200 and passed them on over links that were cut. Its targets did not turn to another instance, and the leader counted them as silent for as long as the cut lasted. The announcement is still entered and passed on, and the answer is now 503.

--- a/crates/burdockcleat/src/control/report.rs
+++ b/crates/burdockcleat/src/control/report.rs
@@ -123,14 +123,17 @@
     }
 
     /// Whether this instance takes part in the group: it votes and follows or is the leader.
-    pub(super) fn ready_reply(&self) -> CallReply {
+    pub(super) fn takes_part(&self) -> bool {
         let now = ClockTime::monotonic();
-        let node = self.replica.node();
-        let ready = self.replica.members().is_voter(node)
+        self.replica.members().is_voter(self.replica.node())
             && match self.replica.is_leader() {
                 true => self.admission.is_some() && self.replica.lease_valid(now),
                 false => self.replica.leader().is_some(),
-            };
+            }
+    }
+
+    pub(super) fn ready_reply(&self) -> CallReply {
+        let ready = self.takes_part();
         CallReply::json(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
     }
 
--- a/crates/burdockcleat/src/control/targets.rs
+++ b/crates/burdockcleat/src/control/targets.rs
@@ -6,6 +6,7 @@
 use super::event::CallReply;
 use super::node::{ControlNode, step_time};
 use super::peer::PeerMessage;
+use super::replies::refusal;
 use crate::operator::{ErrorCode, ErrorReply};
 use burdockcleat_core::keys::TargetIdentity;
 use burdockcleat_core::message::encode_frame;
@@ -17,7 +18,7 @@
         match self.enter_announcement(announcement.clone()) {
             Ok(()) => {
                 self.tell_peers(&PeerMessage::Announce(Box::new(announcement.clone())));
-                CallReply { status: 200, body: "{}".into() }
+                self.entered()
             }
             Err(error) => {
                 let message = error.to_string();
@@ -30,7 +31,19 @@
     pub(super) fn leave(&mut self, identity: &TargetIdentity) -> CallReply {
         self.enter_leave(identity);
         self.tell_peers(&PeerMessage::Leave(identity.clone()));
-        CallReply { status: 200, body: "{}".into() }
+        self.entered()
+    }
+
+    /// Answer to an announcement or a leave that was entered. The leader hears nothing of what is
+    /// entered at an instance that is cut off, so the target must turn to another one.
+    fn entered(&self) -> CallReply {
+        match self.takes_part() {
+            true => CallReply { status: 200, body: "{}".into() },
+            false => {
+                let message = "this instance follows no leader; announce to another one";
+                refusal(503, ErrorCode::Unconfirmed, message)
+            }
+        }
     }
 
     pub(super) fn enter_announcement(
--- a/crates/testbed/tests/failover.rs
+++ b/crates/testbed/tests/failover.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
 
+use burdockcleat_core::registry::TARGET_SILENT_MS;
 use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, wait_until};
 use burdockcleat_testbed::stage::{StagePlan, TestStage};
 use std::thread;
@@ -101,6 +102,21 @@
     deployment.control_dump(index).is_ok_and(|dump| dump["status"]["leading"] == true)
 }
 
+/// Guards against targets that announce themselves to an instance that is cut off: it must send
+/// them to another one, or the leader counts them as silent for as long as the cut lasts.
+#[test]
+fn targets_leave_an_instance_that_is_cut_off() {
+    let stage = stage(1);
+    // The fake targets announce themselves to the first instance until it fails.
+    stage.deployment.isolate(&Deployment::control_name(0));
+    thread::sleep(Duration::from_millis(2 * TARGET_SILENT_MS));
+    let mut call = stage.completion(0, "during", 10);
+    call.deadline_ms = 8_000;
+    let during = call.send_timed();
+    assert!(during.answer.done, "{during:?}");
+    assert_eq!(stage.contradictions(&[during]), Vec::<String>::new());
+}
+
 /// Guards against a lost data folder that takes accepted state with it, and against the loss of a
 /// second instance right after the repair.
 #[test]
