Wait for a frozen process and for an accepted document in deployments

SIGSTOP takes effect only when a thread of the process handles it. On a busy machine (load 60), an edit that was sent after the signal was still appended by the leader that the test had frozen. The document of a stage is sent again when a leader loses its lease before it answers; this failed one setup with status 503.

--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -23,6 +23,8 @@
 const CONSOLE_PORT: u16 = 7302;
 /// Distance between the host number of a control instance and that of its relay.
 const RELAY_HOSTS: usize = 50;
+/// Time for a process to freeze after its signal.
+const FREEZE_LIMIT_MS: u64 = 5_000;
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(25);
 
@@ -272,10 +274,11 @@
         Ok(())
     }
 
-    /// Sends a signal to a process of this deployment.
+    /// Sends a signal to a process of this deployment, and waits until it is dead or frozen if the
+    /// signal demands that.
     ///
     /// # Errors
-    /// Fails if the signal cannot be sent.
+    /// Fails if the signal cannot be sent, or does not freeze the process in time.
     pub fn signal(&mut self, name: &str, signal: ProcessSignal) -> Result<(), DeploymentError> {
         let Some(record) = self.processes.get_mut(name) else { return Ok(()) };
         let status = Command::new("kill")
@@ -285,6 +288,12 @@
         if signal == ProcessSignal::Kill && status.success() {
             let _ = record.child.wait();
         }
+        if signal == ProcessSignal::Stop {
+            // One thread takes the signal and stops the others. On a busy machine, the process
+            // goes on for a while after the signal was sent.
+            let process = record.child.id();
+            wait_until(&format!("{name} to freeze"), FREEZE_LIMIT_MS, || is_frozen(process))?;
+        }
         Ok(())
     }
 
@@ -347,6 +356,16 @@
     }
 }
 
+/// Whether all threads of a process are stopped.
+fn is_frozen(process: u32) -> bool {
+    let Ok(threads) = std::fs::read_dir(format!("/proc/{process}/task")) else { return false };
+    threads.flatten().all(|thread| {
+        let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name of the thread, which is in parentheses.
+        stat.rsplit_once(") ").is_some_and(|(_, fields)| fields.starts_with('T'))
+    })
+}
+
 /// Path of a built program of this workspace.
 pub fn daemon(name: &str) -> PathBuf {
     daemon_folder().join(name)
--- a/crates/testbed/src/stage.rs
+++ b/crates/testbed/src/stage.rs
@@ -28,6 +28,8 @@
 /// Credential of a workspace whose completions with `BATCH_MODEL` are in the tier `batch`.
 pub const BATCH_CREDENTIAL: &str = "test-catalogue-office";
 
+/// Time for a leader to accept the document.
+const DOCUMENT_LIMIT_MS: u64 = 20_000;
 /// Time for the targets to be announced.
 const TARGETS_LIMIT_MS: u64 = 10_000;
 
@@ -94,11 +96,7 @@
         for index in 0..plan.entries {
             deployment.start_entry(index)?;
         }
-        let leader = deployment.wait_leader()?;
-        let status = deployment.apply(leader, 0, "stage", DOCUMENT)?.status;
-        if status != 200 {
-            return Err(StageError::Refused { status });
-        }
+        apply_document(&deployment)?;
         let engines = (0..plan.engines)
             .map(|number| spawn_engine(&deployment, plan, number))
             .collect::<Result<_, _>>()?;
@@ -253,6 +251,19 @@
     }
 }
 
+/// Applies the document of the stage. On a busy machine, a leader can lose its lease before it has
+/// answered; a resend with the same operation id gets the first result.
+fn apply_document(deployment: &Deployment) -> Result<(), StageError> {
+    let mut status = 0;
+    wait_until("the document to be accepted", DOCUMENT_LIMIT_MS, || {
+        let Some(leader) = deployment.leader() else { return false };
+        let Ok(answer) = deployment.apply(leader, 0, "stage", DOCUMENT) else { return false };
+        status = answer.status;
+        ![421, 503].contains(&status)
+    })?;
+    if status == 200 { Ok(()) } else { Err(StageError::Refused { status }) }
+}
+
 fn spawn_engine(
     deployment: &Deployment,
     plan: StagePlan,
