Test combined failures of real processes

Six tests: leader and entry killed together; the claims of a lost entry at the next leader; a cut-off entry and a frozen entry while a target leaves; a killed target while the leader is cut off; an edit at a frozen leader against one at its successor. Each compares the answers with the journals and follows the configuration versions of all processes.

--- /dev/null
+++ b/crates/testbed/tests/combined_failures.rs
@@ -0,0 +1,385 @@
+//! Failures of different processes at the same time.
+
+#![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, wait_until};
+use burdockcleat_testbed::probe::{JsonAnswer, SentCall, get, post};
+use burdockcleat_testbed::stage::{DOCUMENT, StagePlan, TestStage, request_key};
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// Time after a leave from which the target gets nothing new (P6).
+const LEAVE_BOUND_MS: u64 = 3_000;
+
+fn stage(entries: usize, engines: usize, slots: u32) -> TestStage {
+    TestStage::open(StagePlan { entries, engines, slots, ..StagePlan::default() }).unwrap()
+}
+
+fn join(workers: Vec<JoinHandle<SentCall>>) -> Vec<SentCall> {
+    workers.into_iter().map(|worker| worker.join().unwrap()).collect()
+}
+
+fn leader_name(stage: &TestStage) -> String {
+    Deployment::control_name(stage.deployment.wait_leader().unwrap())
+}
+
+fn signal(stage: &mut TestStage, name: &str, signal: ProcessSignal) {
+    stage.deployment.signal(name, signal).unwrap();
+}
+
+/// Follows the configuration versions of all processes until it is stopped, and returns each
+/// version of a process that is older than one that the same process showed before.
+struct VersionWatch {
+    stop: Arc<AtomicBool>,
+    workers: Vec<JoinHandle<Vec<String>>>,
+}
+
+impl VersionWatch {
+    fn spawn(stage: &TestStage, entries: usize) -> Self {
+        let controls = stage.deployment.control_urls().into_iter();
+        let entries = (0..entries).map(|entry| stage.deployment.entry_operator_url(entry));
+        let urls = controls.map(|url| format!("{url}/v1/dump"));
+        let urls = urls.chain(entries.map(|url| format!("{url}/dump")));
+        let stop = Arc::new(AtomicBool::new(false));
+        let workers = urls
+            .map(|url| {
+                let stop = Arc::clone(&stop);
+                thread::spawn(move || follow_version(&url, &stop))
+            })
+            .collect();
+        Self { stop, workers }
+    }
+
+    fn finish(self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.workers.into_iter().flat_map(|worker| worker.join().unwrap()).collect()
+    }
+}
+
+fn follow_version(url: &str, stop: &AtomicBool) -> Vec<String> {
+    let (mut seen, mut older) = (0, Vec::new());
+    while !stop.load(Ordering::SeqCst) {
+        // A process that is dead or frozen shows nothing.
+        let dump = get(url).map(|answer| answer.body).unwrap_or_default();
+        let version = dump["session"]["config-version"]
+            .as_u64()
+            .or_else(|| dump["status"]["config_version"].as_u64());
+        if let Some(version) = version {
+            if version < seen {
+                older.push(format!("{url}: version {version} after {seen}"));
+            }
+            seen = seen.max(version);
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    older
+}
+
+/// Dispatches at an engine later than the bound after its leave.
+fn late_dispatches(stage: &TestStage, engine: usize, left_at: u64) -> usize {
+    let journal = stage.engines[engine].journal();
+    journal.dispatches.iter().filter(|record| record.at_ms > left_at + LEAVE_BOUND_MS).count()
+}
+
+/// Sends calls again through another entry.
+fn resend(stage: &TestStage, calls: &[SentCall], entry: usize) -> Vec<SentCall> {
+    let resends = calls.iter().map(|sent| {
+        let mut call = sent.call.clone();
+        call.entry_url = stage.deployment.entry_url(entry);
+        call.spawn()
+    });
+    join(resends.collect())
+}
+
+/// Guards against a second dispatch, a lost request or a false `not_run` when the leader and an
+/// entry die at the same moment while requests run and wait.
+#[test]
+fn a_leader_and_an_entry_killed_together_lose_no_claim() {
+    let mut stage = stage(2, 2, 2);
+    let start = |entry, name: &str| -> Vec<_> {
+        let call = |number| stage.completion(entry, &format!("{name}-{number}"), 240).spawn();
+        (0..2).map(call).collect()
+    };
+    let mut lost = start(0, "lost-run");
+    let mut others = start(1, "other-run");
+    wait_until("the streams to run", 10_000, || stage.dispatch_count() == 4).unwrap();
+    lost.extend(start(0, "lost-wait"));
+    others.extend(start(1, "other-wait"));
+    wait_until("requests to wait", 10_000, || {
+        (0..2).all(|entry| {
+            let dump = stage.deployment.entry_dump(entry).unwrap_or_default();
+            dump["session"]["waiting"] == 2
+        })
+    })
+    .unwrap();
+    let watch = VersionWatch::spawn(&stage, 2);
+    let leader = leader_name(&stage);
+    signal(&mut stage, &leader, ProcessSignal::Kill);
+    signal(&mut stage, "entry-0", ProcessSignal::Kill);
+    let lost = join(lost);
+    assert!(lost.iter().all(|sent| sent.answer.outcome() == "none"), "{lost:?}");
+    wait_open_claims(&stage, 2);
+    let resends = resend(&stage, &lost, 1);
+    for sent in &resends {
+        let outcome = sent.answer.outcome();
+        let ran = stage.dispatches().contains_key(&request_key(&sent.call));
+        // A request that waited runs now, or is refused as long as the lost claims hold slots.
+        let typed = outcome == "completed" || (outcome == "not_run" && !ran);
+        assert!(typed, "{sent:?}");
+    }
+    let others = join(others);
+    assert!(others.iter().all(|sent| sent.answer.outcome() == "completed"), "{others:?}");
+    let calls = [lost, resends, others].concat();
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(watch.finish(), Vec::<String>::new());
+}
+
+/// Waits until a leader has counted the killed entry as lost, with that many claims of it open.
+fn wait_open_claims(stage: &TestStage, expected: u64) {
+    wait_until("the entry to be lost", 15_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        let dump = stage.deployment.control_dump(leader).unwrap_or_default();
+        let state = &dump["state"];
+        // Without the rule that keeps the claims, none of them is left.
+        state["claims_ownerless"] == expected || state["claims_open"] == 0
+    })
+    .unwrap();
+}
+
+/// Guards against a new leader that does not know the claims of an entry that was lost before:
+/// their requests must resume and not run again.
+#[test]
+fn claims_of_a_lost_entry_hold_at_the_next_leader() {
+    let mut stage = stage(2, 1, 4);
+    let first = (0..2).map(|number| stage.completion(0, &format!("r-{number}"), 60).spawn());
+    let first: Vec<_> = first.collect();
+    wait_until("the streams to run", 10_000, || stage.dispatch_count() == 2).unwrap();
+    signal(&mut stage, "entry-0", ProcessSignal::Kill);
+    let mut calls = join(first);
+    wait_open_claims(&stage, 2);
+    let leader = leader_name(&stage);
+    signal(&mut stage, &leader, ProcessSignal::Kill);
+    stage.deployment.wait_leader().unwrap();
+    stage.deployment.wait_ready(1).unwrap();
+    let resends = resend(&stage, &calls, 1);
+    assert!(resends.iter().all(|sent| sent.answer.outcome() == "completed"), "{resends:?}");
+    calls.extend(resends);
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 2, "a request of the lost entry ran again");
+}
+
+/// Starts a stream on the only slot of the only engine and a request that waits for it at entry
+/// 0, with its submit at the leader.
+fn start_blocked(stage: &TestStage) -> (JoinHandle<SentCall>, JoinHandle<SentCall>) {
+    let blocker = stage.completion(1, "blocker", 60).spawn();
+    wait_until("the blocker to run", 10_000, || stage.dispatch_count() == 1).unwrap();
+    let waiting = stage.completion(0, "waiting", 20).spawn();
+    wait_until("the leader to hold both requests", 10_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        stage.deployment.control_dump(leader).is_ok_and(|dump| dump["requests"] == 2)
+    })
+    .unwrap();
+    (blocker, waiting)
+}
+
+/// Waits until the leader has committed the claim of the request that waited.
+fn wait_granted(stage: &TestStage) {
+    wait_until("the claim of the waiting request", 10_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        let dump = stage.deployment.control_dump(leader).unwrap_or_default();
+        dump["state"]["claims"] == 2
+    })
+    .unwrap();
+}
+
+/// Guards against a grant that reaches its entry after a silent cut and is used for a target that
+/// left meanwhile.
+#[test]
+fn an_entry_cut_off_from_control_sends_nothing_to_a_target_that_left() {
+    let mut stage = stage(2, 1, 1);
+    let watch = VersionWatch::spawn(&stage, 2);
+    let (blocker, waiting) = start_blocked(&stage);
+    stage.deployment.isolate("entry-0");
+    let blocker = blocker.join().unwrap();
+    // The link still counts as up, so the leader grants the free slot to the entry.
+    wait_granted(&stage);
+    assert!(stage.engines[0].leave());
+    let left_at = ClockTime::wall().as_ms();
+    stage.add_engine().unwrap();
+    let during = stage.completion(0, "during", 10).spawn();
+    thread::sleep(Duration::from_millis(LEAVE_BOUND_MS + 200));
+    stage.deployment.heal();
+    stage.deployment.wait_ready(0).unwrap();
+    let calls = [blocker, waiting.join().unwrap(), during.join().unwrap()];
+    assert!(calls[..2].iter().all(|sent| sent.answer.done), "{calls:?}");
+    let during = calls[2].answer.outcome();
+    assert!(["completed", "unknown", "not_run"].contains(&during), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(late_dispatches(&stage, 0, left_at), 0, "dispatched after the leave");
+    assert_eq!(watch.finish(), Vec::<String>::new());
+}
+
+/// Guards against a woken entry that uses a grant for a target that left during the freeze, that
+/// cuts its streams at that target, or serves what arrived during the freeze with old grants.
+#[test]
+fn an_entry_frozen_while_a_target_leaves_sends_it_nothing() {
+    let mut stage = stage(2, 1, 2);
+    let running = stage.completion(0, "running", 330).spawn();
+    let watch = VersionWatch::spawn(&stage, 2);
+    wait_until("the stream to run", 10_000, || stage.dispatch_count() == 1).unwrap();
+    let blocker = stage.completion(1, "blocker", 60).spawn();
+    wait_until("the blocker to run", 10_000, || stage.dispatch_count() == 2).unwrap();
+    let waiting = stage.completion(0, "waiting", 20).spawn();
+    wait_until("the leader to hold the requests", 10_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        stage.deployment.control_dump(leader).is_ok_and(|dump| dump["requests"] == 3)
+    })
+    .unwrap();
+    signal(&mut stage, "entry-0", ProcessSignal::Stop);
+    let blocker = blocker.join().unwrap();
+    wait_until("the claim of the waiting request", 10_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        let dump = stage.deployment.control_dump(leader).unwrap_or_default();
+        dump["state"]["claims"] == 3
+    })
+    .unwrap();
+    assert!(stage.engines[0].leave());
+    let left_at = ClockTime::wall().as_ms();
+    stage.add_engine().unwrap();
+    let during: Vec<_> =
+        (0..3).map(|number| stage.completion(0, &format!("during-{number}"), 10).spawn()).collect();
+    thread::sleep(Duration::from_millis(LEAVE_BOUND_MS + 200));
+    signal(&mut stage, "entry-0", ProcessSignal::Continue);
+    let mut calls = vec![blocker, running.join().unwrap(), waiting.join().unwrap()];
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    let during = join(during);
+    for sent in &during {
+        let outcome = sent.answer.outcome();
+        assert!(["completed", "unknown", "not_run"].contains(&outcome), "{sent:?}");
+    }
+    calls.extend(during);
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(late_dispatches(&stage, 0, left_at), 0, "dispatched after the leave");
+    assert_eq!(watch.finish(), Vec::<String>::new());
+}
+
+/// Guards against an end of a stream that is told only to a leader that nobody hears any more:
+/// the next leader must know it, and the requests must not run again.
+#[test]
+fn a_target_killed_while_the_leader_is_cut_off_fails_its_streams_once() {
+    let mut stage = stage(2, 2, 4);
+    let watch = VersionWatch::spawn(&stage, 2);
+    let running: Vec<_> = (0..6)
+        .map(|number| stage.completion(number % 2, &format!("r-{number}"), 400).spawn())
+        .collect();
+    wait_until("the streams to run", 10_000, || stage.dispatch_count() == 6).unwrap();
+    let old = stage.deployment.wait_leader().unwrap();
+    let name = Deployment::control_name(old);
+    stage.deployment.isolate(&name);
+    stage.deployment.isolate_from_entries(&name, 2);
+    stage.engines[0].stop();
+    let killed = stage.engines[0].journal().dispatch_count();
+    assert!(killed > 0, "the killed target had no stream");
+    wait_until("another leader", 10_000, || {
+        let mut others = (0..3).filter(|index| *index != old);
+        others.any(|index| {
+            let dump = stage.deployment.control_dump(index).unwrap_or_default();
+            dump["status"]["leading"] == true
+        })
+    })
+    .unwrap();
+    let waiting = stage.completion(0, "waiting", 10).send_timed();
+    assert!(waiting.answer.done, "{waiting:?}");
+    let mut calls = join(running);
+    let failed: Vec<_> = calls.iter().filter(|sent| !sent.answer.done).cloned().collect();
+    assert_eq!(failed.len() as u64, killed, "{calls:?}");
+    for sent in &failed {
+        assert_eq!(sent.answer.outcome(), "failed", "{sent:?}");
+    }
+    // The reports of the ends went to the old leader; the new one must have them, too.
+    let resends = resend(&stage, &failed, 1);
+    assert!(resends.iter().all(|sent| sent.answer.outcome() == "failed"), "{resends:?}");
+    stage.deployment.heal();
+    calls.extend(resends);
+    calls.push(waiting);
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 7);
+    assert_eq!(watch.finish(), Vec::<String>::new());
+}
+
+fn edit(url: &str, base: u64, id: &str, weight: u64) -> Option<JsonAnswer> {
+    let document = DOCUMENT.replacen("weight = 8", &format!("weight = {weight}"), 1);
+    let body = json!({
+        "base_version": base, "operation_id": id, "author": "oyun", "document": document,
+    });
+    post(&format!("{url}/v1/config"), &body).ok()
+}
+
+/// Sends an edit until a leader decides on it.
+fn decide(stage: &TestStage, base: u64, id: &str, weight: u64) -> JsonAnswer {
+    let mut decided = None;
+    wait_until("a decision on the edit", 15_000, || {
+        let Some(leader) = stage.deployment.leader() else { return false };
+        decided = edit(&stage.deployment.control_url(leader), base, id, weight)
+            .filter(|answer| [200, 409].contains(&answer.status));
+        decided.is_some()
+    })
+    .unwrap();
+    decided.unwrap()
+}
+
+/// Guards against a leader that wakes up and accepts an edit although another one was accepted
+/// during its freeze, and against a version that goes back.
+#[test]
+fn an_edit_at_a_frozen_leader_loses_against_one_at_its_successor() {
+    let mut stage = stage(1, 1, 4);
+    let watch = VersionWatch::spawn(&stage, 1);
+    let old = leader_name(&stage);
+    let url = stage.deployment.control_url(stage.deployment.wait_leader().unwrap());
+    let stream = stage.completion(0, "stream", 200).spawn();
+    signal(&mut stage, &old, ProcessSignal::Stop);
+    // The edit waits in the connection of the frozen leader and is read when it wakes up.
+    let early = thread::spawn(move || edit(&url, 1, "early", 31));
+    thread::sleep(Duration::from_millis(200));
+    let successor = other_leader(&stage, &old);
+    let accepted = edit(&stage.deployment.control_url(successor), 1, "late", 32).unwrap();
+    assert_eq!((accepted.status, &accepted.body["version"]), (200, &2.into()), "{accepted:?}");
+    signal(&mut stage, &old, ProcessSignal::Continue);
+    let early = early.join().unwrap();
+    assert!(early.is_none_or(|answer| answer.status != 200), "the frozen leader accepted");
+    let resent = decide(&stage, 1, "early", 31);
+    let current: Value = 2.into();
+    assert_eq!((resent.status, &resent.body["current_version"]), (409, &current), "{resent:?}");
+    let first = decide(&stage, 1, "late", 32);
+    assert_eq!((first.status, &first.body["version"]), (200, &current), "{first:?}");
+    wait_until("all instances to hold version 2", 9_000, || {
+        (0..3).all(|index| {
+            let dump = stage.deployment.control_dump(index).unwrap_or_default();
+            dump["status"]["config_version"] == 2
+        }) && stage.deployment.entry_dump(0).unwrap_or_default()["session"]["config-version"] == 2
+    })
+    .unwrap();
+    let calls = [stream.join().unwrap(), stage.completion(0, "after", 5).send_timed()];
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(watch.finish(), Vec::<String>::new());
+}
+
+/// Waits for a leader other than this one, which is frozen and must not be asked.
+fn other_leader(stage: &TestStage, old: &str) -> usize {
+    let mut leader = None;
+    wait_until("another leader", 10_000, || {
+        leader = (0..3).find(|index| {
+            Deployment::control_name(*index) != old
+                && get(&format!("{}/v1/status", stage.deployment.control_url(*index)))
+                    .is_ok_and(|answer| answer.body["leading"] == true)
+        });
+        leader.is_some()
+    })
+    .unwrap();
+    leader.unwrap()
+}
