--- a/crates/testbed/tests/target_failures.rs
+++ b/crates/testbed/tests/target_failures.rs
@@ -4,7 +4,7 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_testbed::announce::{LoadReport, TargetAnnouncement, TargetKind};
-use burdockcleat_testbed::deployment::{TARGET_TOKEN, wait_until};
+use burdockcleat_testbed::deployment::{Deployment, ProcessSignal, TARGET_TOKEN, wait_until};
 use burdockcleat_testbed::fault::FaultSet;
 use burdockcleat_testbed::probe::SentCall;
 use burdockcleat_testbed::stage::{MODEL, MODEL_POOL, StagePlan, TestStage};
@@ -66,6 +66,61 @@
     assert!(linked.clone().any(|sent| sent.sent_ms > left_at + 3_000));
 }
 
+/// Guards against new work for a target that left when an announcement of the same incarnation
+/// arrives late, at the leader that took the leave or at the next one.
+#[test]
+fn a_late_announcement_does_not_bring_back_a_target_that_left() {
+    let mut stage = stage(1, 2);
+    let leader = stage.deployment.wait_leader().unwrap();
+    let dump = stage.deployment.control_dump(leader).unwrap();
+    let targets = dump["status"]["targets"].as_array().unwrap();
+    let left = targets.iter().find(|target| target["name"] == "engine-0").unwrap();
+    let announcement = TargetAnnouncement {
+        name: "engine-0".into(),
+        incarnation: left["incarnation"].as_u64().unwrap(),
+        address: stage.engines[0].address().to_string(),
+        pool: MODEL_POOL.into(),
+        kind: TargetKind::Model,
+        models: vec![MODEL.into()],
+        slots: 8,
+        ..TargetAnnouncement::default()
+    };
+    assert!(stage.engines[0].leave());
+    let left_at = ClockTime::wall().as_ms();
+    let mut calls = Vec::new();
+    // Announces late and sends short requests until this time after the leave. Returns the status
+    // of the last announcement.
+    let mut announce_until = |stage: &TestStage, control: usize, end_ms: u64| {
+        let url = format!("{}/v1/targets/announce", stage.deployment.control_url(control));
+        let mut status = 0;
+        while ClockTime::wall().as_ms() < left_at + end_ms {
+            let token = format!("Bearer {TARGET_TOKEN}");
+            let answer = ureq::post(&url).header("authorization", token).send_json(&announcement);
+            status = match answer {
+                Err(ureq::Error::StatusCode(status)) => status,
+                other => other.map_or(0, |answer| answer.status().as_u16()),
+            };
+            let first = calls.len();
+            let call = |number| stage.completion(0, &format!("late-{number}"), 4).spawn();
+            calls.extend(join((first..first + 4).map(call).collect()));
+        }
+        status
+    };
+    let at_first = announce_until(&stage, leader, 4_500);
+    let name = Deployment::control_name(leader);
+    stage.deployment.signal(&name, ProcessSignal::Kill).unwrap();
+    let next = stage.deployment.wait_leader().unwrap();
+    let end_ms = ClockTime::wall().as_ms() - left_at + 2_000;
+    let at_next = announce_until(&stage, next, end_ms);
+    let journal = stage.engines[0].journal();
+    let late = journal.dispatches.iter().filter(|record| record.at_ms > left_at + 3_000).count();
+    assert_eq!(late, 0, "dispatches later than 3 s after the leave");
+    assert_eq!((at_first, at_next), (409, 409), "the incarnation was taken back");
+    assert!(calls.iter().any(|sent| sent.sent_ms > left_at + 3_000));
+    assert!(calls.iter().all(|sent| sent.answer.done), "{calls:?}");
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+}
+
 /// Guards against a truncated stream that looks whole, against a second run of a request whose
 /// target died, and against a returned target that gets no work.
 #[test]
