Let new requests wait for a configuration that the leader confirmed lately

An entry that was frozen for less than 1 s, or that got no answer for less than 3 s, judged new requests by the version from before. A new request is now judged only if the leader answered a question that is younger than two heartbeats (1 s) and that followed the last gap of 200 ms between the entry's own ticks. Otherwise it waits for the answer, at most until its deadline or 3 s; after a gap, the question is sent at once. The check reads the entry's own clock and sends nothing in normal operation.

A freeze shorter than 200 ms and a version younger than the last answer remain possible.

--- a/crates/burdockcleat/src/entry/chain.rs
+++ b/crates/burdockcleat/src/entry/chain.rs
@@ -9,6 +9,7 @@
 use super::resume::resume;
 use super::session::ControlSession;
 use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::entry_agent::STALE_AFTER_MS;
 use burdockcleat_core::message::GrantTicket;
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use tiny_http::Request;
@@ -67,7 +68,9 @@
                 FilterRefusal::early(ReasonCode::Draining, message).retry_after(ELSEWHERE_RETRY_MS)
             );
         }
-        let Some(config) = self.session.config().filter(|_| self.session.is_ready()) else {
+        let wait_ms = request::deadline_hint(request).map_or(STALE_AFTER_MS, u64::from);
+        let limit = self.arrived.plus(wait_ms.min(STALE_AFTER_MS));
+        let Some(config) = self.session.current_config(limit) else {
             let message = "this entry has no control leader; send the request to another one";
             return Err(
                 FilterRefusal::early(ReasonCode::NoLeader, message).retry_after(ELSEWHERE_RETRY_MS)
--- a/crates/burdockcleat/src/entry/request.rs
+++ b/crates/burdockcleat/src/entry/request.rs
@@ -93,6 +93,11 @@
     Ok(RequestId { text: text.to_owned(), generated: false })
 }
 
+/// The deadline that the caller set, if it is valid. The route filter refuses an invalid one.
+pub fn deadline_hint(request: &Request) -> Option<u32> {
+    header(request, "x-deadline-ms").and_then(|text| parse_deadline(text).ok())
+}
+
 /// Reads the body within the limit.
 ///
 /// # Errors
--- a/crates/burdockcleat/src/entry/session.rs
+++ b/crates/burdockcleat/src/entry/session.rs
@@ -26,6 +26,9 @@
 /// Interval of ticks of the agent; a deadline is noticed at most this much later.
 const TICK_MS: u64 = 50;
 
+/// Interval at which a request that waits for a confirmed configuration looks for it.
+const CONFIRM_POLL: Duration = Duration::from_millis(5);
+
 /// A session that could not be opened.
 #[derive(Debug)]
 #[derive(Error)]
@@ -172,9 +175,22 @@
         inbox
     }
 
-    /// The configuration in force, once one was received.
-    pub fn config(&self) -> Option<Arc<ActiveConfig>> {
-        self.lock().config.clone()
+    /// The configuration by which a new request is judged. Waits while the leader has not confirmed
+    /// it recently or since the last pause of this process, at most until `limit`; none if no
+    /// leader answers.
+    pub fn current_config(&self, limit: ClockTime) -> Option<Arc<ActiveConfig>> {
+        loop {
+            let state = self.lock();
+            let now = ClockTime::monotonic();
+            if state.agent.is_current(now) {
+                return state.config.clone();
+            }
+            if now >= limit || !state.agent.expects_leader(now) {
+                return None;
+            }
+            drop(state);
+            thread::sleep(CONFIRM_POLL);
+        }
     }
 
     /// Whether a leader answered recently and the configuration it confirmed is in force here.
--- a/crates/core/src/entry_agent.rs
+++ b/crates/core/src/entry_agent.rs
@@ -30,6 +30,12 @@
 /// Gap between two ticks from which the process counts as frozen, in milliseconds. Ticks come at
 /// least with each progress batch, so a gap of four of them is not a matter of scheduling.
 pub const FREEZE_MS: u64 = 4 * PROGRESS_MS;
+/// Gap between two ticks from which the process counts as paused, in milliseconds: twice the longest
+/// interval of ticks. A false alarm costs new requests one exchange with the leader.
+pub const PAUSE_MS: u64 = 200;
+/// New requests wait while the newest question that the leader answered is older than this. Two
+/// heartbeats, so that a single slow answer holds nothing.
+pub const CURRENT_MS: u64 = 2 * HEARTBEAT_MS;
 /// A grant older than this is not used, so that a frozen entry does not dispatch to a target
 /// that has left meanwhile.
 pub const GRANT_TTL_MS: u64 = 2_000;
@@ -113,6 +119,8 @@
     last_tick: ClockTime,
     /// Time of the first tick after the last freeze. Answers to earlier questions do not count.
     awake_since: ClockTime,
+    /// Time of the first tick after the last pause, which may be shorter than a freeze.
+    resumed_since: ClockTime,
     config_version: Option<u64>,
     /// Version that a majority confirmed, from the `Welcome` messages of leaders.
     confirmed_version: Option<u64>,
@@ -144,6 +152,7 @@
             last_leader: None,
             last_tick: now,
             awake_since: now,
+            resumed_since: now,
             config_version: None,
             confirmed_version: None,
             next_attempt: 0,
@@ -237,6 +246,11 @@
         if now.since(self.last_tick) > FREEZE_MS {
             self.awake_since = now;
         }
+        if now.since(self.last_tick) > PAUSE_MS {
+            self.resumed_since = now;
+            // New requests wait for the answer.
+            self.next_heartbeat = now;
+        }
         self.last_tick = now;
         if now >= self.next_heartbeat {
             self.next_heartbeat = now.plus(HEARTBEAT_MS);
@@ -262,6 +276,23 @@
         (fresh && current) || !self.rules.check_ready
     }
 
+    /// Whether new requests may be judged by the configuration that is in force here: the leader
+    /// confirmed its version less than [`CURRENT_MS`] ago and after the last pause of this process.
+    ///
+    /// All times are readings of the entry's own clock, which goes on during a freeze.
+    pub fn is_current(&self, now: ClockTime) -> bool {
+        let confirmed = self
+            .last_leader
+            .is_some_and(|time| time >= self.resumed_since && now.since(time) < CURRENT_MS);
+        let running = now.since(self.last_tick) <= PAUSE_MS;
+        self.is_ready(now) && ((confirmed && running) || !self.rules.check_current)
+    }
+
+    /// Whether a new request may wait for the leader to confirm the configuration.
+    pub fn expects_leader(&self, now: ClockTime) -> bool {
+        self.last_leader.is_some_and(|time| now.since(time) < STALE_AFTER_MS)
+    }
+
     /// Whether a granted request may be sent now. To be asked after the connection to the target
     /// is established and before anything is written to it.
     pub fn may_dispatch(&self, now: ClockTime, key: RequestKey, claim: ClaimNumber) -> bool {
--- a/crates/core/src/entry_agent/rules.rs
+++ b/crates/core/src/entry_agent/rules.rs
@@ -8,6 +8,8 @@
     pub check_grant_age: bool,
     /// An entry that is not ready uses no grant.
     pub check_ready: bool,
+    /// New requests wait until the leader has confirmed the configuration after a pause.
+    pub check_current: bool,
     /// A report is kept until the leader answered a question that followed it.
     pub confirm_reports: bool,
     /// `Hello` names granted requests, too, before they start to dispatch.
@@ -27,6 +29,7 @@
         Self {
             check_grant_age: true,
             check_ready: true,
+            check_current: true,
             confirm_reports: true,
             report_grants: true,
             one_attempt_per_claim: true,
--- a/crates/core/tests/entry_agent.rs
+++ b/crates/core/tests/entry_agent.rs
@@ -4,7 +4,8 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::entry_agent::{
-    AttemptAnswer, EntryAgent, EntryInput, EntryOutput, FREEZE_MS, GRANT_TTL_MS, STALE_AFTER_MS,
+    AttemptAnswer, CURRENT_MS, EntryAgent, EntryInput, EntryOutput, FREEZE_MS, GRANT_TTL_MS,
+    PAUSE_MS, STALE_AFTER_MS,
 };
 use burdockcleat_core::keys::{
     ClaimNumber, LinkKey, RequestFingerprint, RequestKey, TargetIdentity,
@@ -222,6 +223,42 @@
     assert!(agent.is_ready(at(woken + 10)));
 }
 
+/// Guards against an entry that wakes from a pause shorter than a freeze and judges new requests by
+/// the configuration from before, on its own or by an answer that was on its way.
+#[test]
+fn new_requests_wait_for_an_answer_after_a_short_pause() {
+    let mut agent = following();
+    tick_until(&mut agent, 300);
+    assert!(agent.is_current(at(300 + PAUSE_MS)));
+    let woken = 300 + PAUSE_MS + 1;
+    // A request may be read before the first tick.
+    assert!(!agent.is_current(at(woken)));
+    let outputs = agent.step(at(woken), EntryInput::Tick);
+    let asked = |output: &EntryOutput| {
+        matches!(output, EntryOutput::Send { message: EntryMessage::Heartbeat { entry_time, .. }, .. }
+            if *entry_time == at(woken))
+    };
+    assert!(outputs.iter().any(asked), "{outputs:?}");
+    let _ = agent.step(at(woken), welcome(LINK, 1, 300));
+    assert!(!agent.is_current(at(woken)) && agent.is_ready(at(woken)));
+    let _ = agent.step(at(woken + 10), welcome(LINK, 1, woken));
+    assert!(agent.is_current(at(woken + 10)));
+}
+
+/// Guards against new requests that are judged by a configuration which the leader has not
+/// confirmed for longer than two heartbeats, although the entry runs.
+#[test]
+fn new_requests_wait_if_the_leader_is_silent() {
+    let mut agent = following();
+    tick_until(&mut agent, CURRENT_MS);
+    assert!(agent.is_current(at(CURRENT_MS - 1)));
+    assert!(!agent.is_current(at(CURRENT_MS)) && agent.is_ready(at(CURRENT_MS)));
+    assert!(agent.expects_leader(at(STALE_AFTER_MS - 1)));
+    assert!(!agent.expects_leader(at(STALE_AFTER_MS)));
+    let _ = agent.step(at(CURRENT_MS), welcome(LINK, 1, CURRENT_MS - 10));
+    assert!(agent.is_current(at(CURRENT_MS)));
+}
+
 /// Guards against an attempt that waits for ever because no leader answers its withdrawal.
 #[test]
 fn a_withdrawn_attempt_ends_without_a_leader() {
--- a/crates/testbed/tests/entry_failures.rs
+++ b/crates/testbed/tests/entry_failures.rs
@@ -2,11 +2,12 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step of a test should panic")]
 
+use burdockcleat_core::entry_agent::CURRENT_MS;
 use burdockcleat_testbed::deployment::{ProcessSignal, wait_until};
 use burdockcleat_testbed::probe::{SentCall, get};
-use burdockcleat_testbed::stage::{StagePlan, TestStage, request_key};
+use burdockcleat_testbed::stage::{DOCUMENT, StagePlan, TestStage, request_key};
 use std::thread::{self, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 fn stage(entries: usize, engines: usize, slots: u32) -> TestStage {
     TestStage::open(StagePlan { entries, engines, slots, ..StagePlan::default() }).unwrap()
@@ -118,6 +119,46 @@
     assert_eq!(stage.dispatch_count(), 3);
 }
 
+/// Guards against an entry that judges a new request by a configuration that the leader has not
+/// confirmed for longer than a second: a credential that was revoked meanwhile must not be served,
+/// although the entry still counts as ready.
+#[test]
+fn an_entry_without_recent_answers_waits_for_the_current_version() {
+    let stage = stage(2, 1, 4);
+    let deployment = &stage.deployment;
+    let before = stage.completion(0, "before", 3).send_timed();
+    deployment.isolate("entry-0");
+    let cut_at = Instant::now();
+    let credential = DOCUMENT.lines().find(|line| line.starts_with("credentials")).unwrap();
+    let other = format!("credentials = [\"sha256:{}\"]", "ab".repeat(32));
+    let revoked = DOCUMENT.replacen(credential, &other, 1);
+    wait_until("the revocation to be accepted", 10_000, || {
+        let Some(leader) = deployment.leader() else { return false };
+        deployment.apply(leader, 1, "revoke", &revoked).is_ok_and(|answer| answer.status == 200)
+    })
+    .unwrap();
+    wait_until("the other entry to hold the revocation", 9_000, || {
+        deployment.entry_dump(1).is_ok_and(|dump| dump["session"]["config-version"] == 2)
+    })
+    .unwrap();
+    assert_eq!(stage.completion(1, "other", 3).send().status, 401);
+    // Longer than the entry may go on without an answer, and shorter than it stays ready.
+    thread::sleep(Duration::from_millis(CURRENT_MS + 300).saturating_sub(cut_at.elapsed()));
+    let call = |number| stage.completion(0, &format!("late-{number}"), 3).spawn();
+    let late: Vec<_> = (0..4).map(call).collect();
+    thread::sleep(Duration::from_millis(400));
+    deployment.heal();
+    let mut calls = join(late);
+    assert!(calls.iter().all(|sent| [401, 503].contains(&sent.answer.status)), "{calls:?}");
+    wait_until("the revocation at the entry that was cut off", 9_000, || {
+        stage.completion(0, "healed", 3).send().status == 401
+    })
+    .unwrap();
+    calls.push(before);
+    assert_eq!(stage.contradictions(&calls), Vec::<String>::new());
+    assert_eq!(stage.dispatch_count(), 1, "only the request before the cut ran");
+}
+
 /// Guards against requests of a burst that the entry takes only when other streams end.
 #[test]
 fn streams_of_a_burst_start_while_the_others_run() {
--- a/crates/testbed/tests/operators/config.rs
+++ b/crates/testbed/tests/operators/config.rs
@@ -148,9 +148,13 @@
 /// An entry without a leader for this long is not ready. A shorter freeze is like a slow push.
 const STALE_AFTER: Duration = Duration::from_secs(3);
 
-/// Freezes an entry over 300 changes, the first of which revokes a credential, and sends requests
+/// Freezes an entry over changes, the first of which revokes a credential, and sends requests
 /// with that credential during the freeze. Returns their answers.
-fn freeze_over_changes(stage: &mut TestStage, freeze: Duration) -> Vec<CompletionAnswer> {
+fn freeze_over_changes(
+    stage: &mut TestStage,
+    changes: u64,
+    freeze: Duration,
+) -> Vec<CompletionAnswer> {
     let leader = stage.deployment.wait_leader().unwrap();
     assert_eq!(stage.completion(0, "before", 3).send().outcome(), "completed");
     stage.deployment.signal("entry-0", ProcessSignal::Stop).unwrap();
@@ -158,12 +162,17 @@
     let credential = DOCUMENT.lines().find(|line| line.starts_with("credentials")).unwrap();
     let other = format!("credentials = [\"sha256:{}\"]", "ab".repeat(32));
     let revoked = DOCUMENT.replacen(credential, &other, 1);
-    for version in 1..=300_u64 {
+    for version in 1..=changes {
         let weight = format!("weight = {}", 1 + version % 900);
         let text = revoked.replacen("weight = 8", &weight, 1);
         let id = format!("change-{version}");
         assert_eq!(stage.deployment.apply(leader, version, &id, &text).unwrap().status, 200);
     }
+    wait_until("the other entry to hold the changes", 9_000, || {
+        let dump = stage.deployment.entry_dump(1).unwrap_or_default();
+        dump["session"]["config-version"] == changes + 1
+    })
+    .unwrap();
     assert_eq!(stage.completion(1, "revoked", 3).send().status, 401, "the credential is revoked");
     let calls: Vec<_> =
         (0..4).map(|number| stage.completion(0, &format!("early-{number}"), 3)).collect();
@@ -176,8 +185,11 @@
         let dump = stage.deployment.entry_dump(0).unwrap_or_default();
         let version = &dump["session"]["config-version"];
         let ready = dump["ready"] == true;
-        assert!(!ready || *version == 301 || freeze < STALE_AFTER, "ready with version {version}");
-        ready && *version == 301
+        assert!(
+            !ready || *version == changes + 1 || freeze < STALE_AFTER,
+            "ready with version {version}"
+        );
+        ready && *version == changes + 1
     })
     .unwrap();
     println!("current {} ms after it woke", woken.elapsed().as_millis());
@@ -189,7 +201,7 @@
 #[test]
 fn a_frozen_entry_never_serves_an_older_version() {
     let mut stage = stage(2, 1);
-    let answers = freeze_over_changes(&mut stage, Duration::from_millis(3_500));
+    let answers = freeze_over_changes(&mut stage, 300, Duration::from_millis(3_500));
     assert!(answers.iter().all(|answer| answer.status != 200), "{answers:?}");
     assert_eq!(stage.dispatch_count(), 1, "only the request before the freeze ran");
     assert_eq!(stage.completion(0, "late", 3).send().status, 401);
@@ -200,7 +212,17 @@
 #[test]
 fn a_briefly_frozen_entry_never_serves_an_older_version() {
     let mut stage = stage(2, 1);
-    let answers = freeze_over_changes(&mut stage, Duration::ZERO);
+    let answers = freeze_over_changes(&mut stage, 300, Duration::ZERO);
+    assert!(answers.iter().all(|answer| answer.status != 200), "{answers:?}");
+    assert_eq!(stage.dispatch_count(), 1, "only the request before the freeze ran");
+}
+
+/// Guards against the same after a freeze of about half a second, after which the entry still counts
+/// as ready.
+#[test]
+fn an_entry_frozen_for_half_a_second_never_serves_an_older_version() {
+    let mut stage = stage(2, 1);
+    let answers = freeze_over_changes(&mut stage, 1, Duration::from_millis(500));
     assert!(answers.iter().all(|answer| answer.status != 200), "{answers:?}");
     assert_eq!(stage.dispatch_count(), 1, "only the request before the freeze ran");
 }
