--- a/crates/core/tests/replica/specification.rs
+++ b/crates/core/tests/replica/specification.rs
@@ -117,6 +117,22 @@
     assert!(result.complete);
 }
 
+// Guards against the same faults of member changes beyond the bounds of a debug build. Covers every
+// state within the budgets.
+#[test]
+#[ignore = "takes half a minute in release mode"]
+fn member_changes_are_covered() {
+    let budget = Budget { campaigns: 1, changes: 2, lost_disks: 1, ..Budget::default() };
+    let world = World::open(Setup::untimed(RuleSet::default()), true);
+    let world = world.with_exchange(Action::Tick(0));
+    let added = search(world, budget, 100_000, whole);
+    added.expect("member added", None);
+    let budget = Budget { changes: 1, crashes: 1, ..elections() };
+    let removed = search(with_four_voters(), budget, 100_000, whole);
+    removed.expect("member removed", None);
+    assert!(added.complete && removed.complete);
+}
+
 fn lease_budget() -> Budget {
     Budget { campaigns: 1, heartbeats: 1, advances: 4, crashes: 1, ..Budget::default() }
 }
