--- a/crates/burdockcleat/src/control/metrics.rs
+++ b/crates/burdockcleat/src/control/metrics.rs
@@ -4,14 +4,15 @@
 
 use super::event::CallReply;
 use super::node::ControlNode;
-use crate::telemetry::metrics::{MetricSet, label};
+use crate::telemetry::metrics::{MetricSet, TIME_BOUNDS_US, label};
 use burdockcleat_core::admission::{AdmissionEvent, AdmissionEventKind};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::pool::TierCounts;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge};
-use std::collections::BTreeSet;
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use std::collections::{BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
 
 /// Instruments of the control daemon.
 pub struct ControlMetrics {
@@ -24,6 +25,10 @@
     waiting: Gauge<u64>,
     running: Gauge<u64>,
     oldest: Gauge<u64>,
+    sync_time: Histogram<u64>,
+    commit_time: Histogram<u64>,
+    /// Log index and time of proposals that are not committed, oldest first.
+    proposed: VecDeque<(u64, Instant)>,
     values: ValueGauges,
     /// Pools and tiers that have a value. They are set to zero when they have no requests.
     tiers: BTreeSet<(String, u8)>,
@@ -52,6 +57,10 @@
         let set = MetricSet::open();
         let meter = set.meter();
         let counter = |name| meter.u64_counter(name).with_unit("1").build();
+        let time = |name| {
+            let histogram = meter.u64_histogram(name).with_unit("us");
+            histogram.with_boundaries(TIME_BOUNDS_US.to_vec()).build()
+        };
         let gauge = |name, unit| meter.u64_gauge(name).with_unit(unit).build();
         let values = ValueGauges {
             claims_open: gauge("claims_open", "1"),
@@ -77,6 +86,9 @@
             waiting: gauge("waiting", "1"),
             running: gauge("running", "1"),
             oldest: gauge("oldest_wait", "ms"),
+            sync_time: time("log_sync_time"),
+            commit_time: time("log_commit_time"),
+            proposed: VecDeque::new(),
             values,
             tiers: BTreeSet::new(),
             set,
@@ -102,6 +114,25 @@
         }
     }
 
+    /// Records the time of a write and sync of the log.
+    pub fn record_sync(&self, time: Duration) {
+        self.sync_time.record(as_us(time), &[]);
+    }
+
+    /// Notes a record that this instance has appended as the leader.
+    pub fn note_proposal(&mut self, index: u64) {
+        // A leader that lost its term proposes the same indexes again later.
+        while self.proposed.pop_back_if(|(known, _)| *known >= index).is_some() {}
+        self.proposed.push_back((index, Instant::now()));
+    }
+
+    /// Records the time from proposal to commit of all records up to an index.
+    pub fn note_commit(&mut self, index: u64) {
+        while let Some((_, at)) = self.proposed.pop_front_if(|(known, _)| *known <= index) {
+            self.commit_time.record(as_us(at.elapsed()), &[]);
+        }
+    }
+
     fn record_tier(&self, pool: &str, tier: u8, counts: TierCounts) {
         let labels = tier_labels(pool, tier);
         self.waiting.record(counts.waiting as u64, &labels);
@@ -110,6 +141,10 @@
     }
 }
 
+fn as_us(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn tier_labels(pool: &str, tier: u8) -> Vec<KeyValue> {
     vec![KeyValue::new("pool", pool.to_owned()), KeyValue::new("tier", i64::from(tier))]
 }
--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -27,7 +27,7 @@
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Interval of the log's timer.
@@ -228,7 +228,11 @@
     fn try_propose(&mut self, command: StateCommand) -> Result<Option<LogPosition>, ReplicaError> {
         let stamped = StampedCommand { at: ClockTime::wall(), command };
         let payload = EntryPayload::Command(encode_frame(&stamped));
-        self.replica.step(ClockTime::monotonic(), ReplicaInput::Propose(payload))
+        let position = self.replica.step(ClockTime::monotonic(), ReplicaInput::Propose(payload))?;
+        if let Some(position) = position {
+            self.metrics.note_proposal(position.index);
+        }
+        Ok(position)
     }
 
     /// Sends messages after a record that is appended now is committed.
@@ -296,7 +300,9 @@
                 return Ok(());
             }
             if output.needs_sync() {
+                let started = Instant::now();
                 self.storage.persist(&output)?;
+                self.metrics.record_sync(started.elapsed());
                 self.members.note_log();
             }
             if let Some(persisted) = output.persisted() {
@@ -352,6 +358,7 @@
     }
 
     fn apply(&mut self, entry: &LogEntry) -> Result<(), NodeError> {
+        self.metrics.note_commit(entry.index);
         let position = LogPosition { index: entry.index, term: entry.term };
         match &entry.payload {
             EntryPayload::Command(bytes) => {
--- a/crates/burdockcleat/src/entry/caller.rs
+++ b/crates/burdockcleat/src/entry/caller.rs
@@ -2,6 +2,7 @@
 
 use super::gate::ConnectionGate;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// One connection of the gate.
 #[derive(Clone)]
@@ -21,6 +22,11 @@
         self.gate.mark_received(self.port)
     }
 
+    /// When the first byte of the request arrived.
+    pub fn request_started(&self) -> Option<Instant> {
+        self.gate.request_started(self.port)
+    }
+
     /// Notes that the answer was sent.
     pub fn mark_finished(&self) {
         self.gate.mark_finished(self.port);
--- a/crates/burdockcleat/src/entry/chain.rs
+++ b/crates/burdockcleat/src/entry/chain.rs
@@ -4,6 +4,7 @@
 use super::caller::CallerConnection;
 use super::claim::{ClaimAnswer, PendingClaim};
 use super::dispatch::{DispatchEnd, ModelRun, RunRecord, run_service};
+use super::metrics::{EntryMetrics, RequestStage};
 use super::refusal::FilterRefusal;
 use super::request::{self, AnswerForm, RequestId, RoutedRequest};
 use super::resume::resume;
@@ -11,6 +12,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::message::GrantTicket;
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
+use std::time::Instant;
 use tiny_http::Request;
 
 /// When to come back to an entry that is shutting down or has no leader.
@@ -20,6 +22,8 @@
 pub struct FilterChain<'a> {
     /// Links to the control instances.
     pub session: &'a ControlSession,
+    /// Where the times of the stages are recorded.
+    pub metrics: &'a EntryMetrics,
     /// Connection of the caller.
     pub caller: CallerConnection,
     /// Whether this entry is past its drain grace and refuses new requests.
@@ -54,7 +58,10 @@
                 return CallerAnswer::new(request, &self.caller, id).refuse(refusal);
             }
         };
-        match self.admit(&mut request, id.clone()) {
+        let started = Instant::now();
+        let admitted = self.admit(&mut request, id.clone());
+        self.metrics.record_stage(RequestStage::Admit, started.elapsed());
+        match admitted {
             Ok(routed) => self.run(CallerAnswer::new(request, &self.caller, id), &routed),
             Err(refusal) => CallerAnswer::new(request, &self.caller, id).refuse(refusal),
         }
@@ -84,7 +91,10 @@
     fn run(&self, mut answer: CallerAnswer, routed: &RoutedRequest) -> ChainRecord {
         let mut claim = PendingClaim::submit(self.session, &self.caller, routed);
         let record = loop {
-            match claim.wait() {
+            let submitted = Instant::now();
+            let answered = claim.wait();
+            self.metrics.record_stage(RequestStage::Claim, submitted.elapsed());
+            match answered {
                 Ok(ClaimAnswer::Granted(ticket)) => {
                     match self.dispatch(&mut answer, routed, &ticket) {
                         DispatchEnd::NotSent(error) => {
@@ -124,7 +134,7 @@
             }
             return end;
         }
-        ModelRun::prepare(self.session, &self.caller, routed, ticket)
+        ModelRun::prepare(self.session, self.metrics, &self.caller, routed, ticket)
             .run(|event| answer.deliver(routed.form, event))
     }
 }
--- a/crates/burdockcleat/src/entry/dispatch.rs
+++ b/crates/burdockcleat/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! The dispatch and record filters: runs a granted request and reports how it ended.
 
 use super::caller::CallerConnection;
+use super::metrics::{EntryMetrics, RequestStage};
 use super::refusal::FilterRefusal;
 use super::request::{AnswerForm, RoutedRequest};
 use super::session::{CancelOrder, ControlSession};
@@ -13,7 +14,7 @@
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use ureq::http::Method;
 
 /// Interval at which a silent stream is checked for its deadline and its caller.
@@ -140,22 +141,27 @@
 /// A model stream that is being read.
 pub struct ModelRun<'a> {
     session: &'a ControlSession,
+    metrics: &'a EntryMetrics,
     caller: &'a CallerConnection,
     routed: &'a RoutedRequest,
     ticket: &'a GrantTicket,
     record: RunRecord,
     tokens: u32,
+    /// End of the last stage that was recorded.
+    stage_end: Instant,
 }
 
 impl<'a> ModelRun<'a> {
     /// Prepares a dispatch.
     pub fn prepare(
         session: &'a ControlSession,
+        metrics: &'a EntryMetrics,
         caller: &'a CallerConnection,
         routed: &'a RoutedRequest,
         ticket: &'a GrantTicket,
     ) -> Self {
-        Self { session, caller, routed, ticket, record: RunRecord::start(), tokens: 0 }
+        let (record, stage_end) = (RunRecord::start(), Instant::now());
+        Self { session, metrics, caller, routed, ticket, record, tokens: 0, stage_end }
     }
 
     /// Dispatches and passes each token to `deliver`, which fails once the caller has gone.
@@ -173,14 +179,24 @@
             }
             match items.recv_timeout(POLL) {
                 Ok(StreamItem::NotSent(error)) => return DispatchEnd::NotSent(error),
-                Ok(StreamItem::Head(200)) | Err(RecvTimeoutError::Timeout) => {}
+                Ok(StreamItem::Connected) => self.end_stage(RequestStage::Connect),
+                Ok(StreamItem::Head(200)) => self.end_stage(RequestStage::Head),
+                Err(RecvTimeoutError::Timeout) => {}
                 Ok(StreamItem::Head(_)) => {
                     let reason = Some(ReasonCode::UpstreamError);
                     return DispatchEnd::Ended(self.record.end(RequestOutcome::Failed, reason));
                 }
                 Ok(StreamItem::Token(event)) => {
                     self.count_token();
-                    if deliver(event).is_err() && self.routed.submit.idempotent {
+                    let first = self.tokens == 1;
+                    if first {
+                        self.end_stage(RequestStage::FirstToken);
+                    }
+                    let delivered = deliver(event);
+                    if first {
+                        self.end_stage(RequestStage::Deliver);
+                    }
+                    if delivered.is_err() && self.routed.submit.idempotent {
                         return DispatchEnd::Ended(self.stop(ReasonCode::CallerGone, &items));
                     }
                 }
@@ -202,6 +218,12 @@
         }
     }
 
+    fn end_stage(&mut self, stage: RequestStage) {
+        let now = Instant::now();
+        self.metrics.record_stage(stage, now.saturating_duration_since(self.stage_end));
+        self.stage_end = now;
+    }
+
     fn count_token(&mut self) {
         self.tokens += 1;
         self.record.usage.completion_tokens = self.tokens;
--- a/crates/burdockcleat/src/entry/gate.rs
+++ b/crates/burdockcleat/src/entry/gate.rs
@@ -216,6 +216,11 @@
         self.table.find(port).is_some_and(|link| link.mark_received())
     }
 
+    /// When the first byte of the last request on a connection arrived.
+    pub fn request_started(&self, port: u16) -> Option<Instant> {
+        self.table.find(port).and_then(|link| link.state().started)
+    }
+
     /// Starts the idle time of a connection after its response was sent.
     pub fn mark_finished(&self, port: u16) {
         if let Some(link) = self.table.find(port) {
--- a/crates/burdockcleat/src/entry/gate/link.rs
+++ b/crates/burdockcleat/src/entry/gate/link.rs
@@ -50,6 +50,8 @@
     /// Requests that were marked as received and not as finished.
     open_requests: usize,
     request_bytes: u64,
+    /// When the first byte of the last request arrived.
+    pub(super) started: Option<Instant>,
     head: HeadScanner,
     callbacks: Vec<GoneCallback>,
 }
@@ -111,6 +113,7 @@
             writing: false,
             open_requests: 0,
             request_bytes: 0,
+            started: None,
             head: HeadScanner::default(),
             callbacks: Vec::new(),
         });
@@ -139,6 +142,7 @@
             state.phase = LinkPhase::Receiving;
             state.deadline = Some(Instant::now() + Duration::from_millis(limits.receive_ms));
             state.request_bytes = 0;
+            state.started = Some(Instant::now());
             state.head = HeadScanner::default();
             state.nudge_at = (!state.taken_up).then(|| Instant::now() + FIRST_NUDGE);
             drop(state);
--- a/crates/burdockcleat/src/entry/metrics.rs
+++ b/crates/burdockcleat/src/entry/metrics.rs
@@ -1,11 +1,48 @@
 //! Metrics of the entry.
 
 use super::chain::ChainRecord;
-use crate::telemetry::metrics::{MetricSet, label};
+use crate::telemetry::metrics::{MetricSet, TIME_BOUNDS_US, label};
 use burdockcleat_core::outcome::RequestOutcome;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram};
 use serde_json::Value;
+use std::time::Duration;
+
+/// Part of the way of a request through the entry up to its first token.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestStage {
+    /// From the first byte at the gate until the HTTP server hands the request over.
+    Accept,
+    /// Start of the thread that serves the request.
+    Start,
+    /// Body, authentication and route.
+    Admit,
+    /// From the submit to the leader's answer.
+    Claim,
+    /// From the grant until the connection to the target is established.
+    Connect,
+    /// From the connection until the head of the target's answer.
+    Head,
+    /// From the head until the first token of the target.
+    FirstToken,
+    /// Write of the first token to the caller.
+    Deliver,
+}
+
+impl RequestStage {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Accept => "accept",
+            Self::Start => "start",
+            Self::Admit => "admit",
+            Self::Claim => "claim",
+            Self::Connect => "connect",
+            Self::Head => "head",
+            Self::FirstToken => "first_token",
+            Self::Deliver => "deliver",
+        }
+    }
+}
 
 /// Instruments of the entry.
 pub struct EntryMetrics {
@@ -16,6 +53,7 @@
     cached: Counter<u64>,
     wasted: Counter<u64>,
     first_token: Histogram<u64>,
+    stage: Histogram<u64>,
 }
 
 impl EntryMetrics {
@@ -30,6 +68,11 @@
             cached: meter.u64_counter("prefill_tokens_cached").with_unit("token").build(),
             wasted: meter.u64_counter("prefill_tokens_wasted").with_unit("token").build(),
             first_token: meter.u64_histogram("first_token_time").with_unit("ms").build(),
+            stage: meter
+                .u64_histogram("stage_time")
+                .with_unit("us")
+                .with_boundaries(TIME_BOUNDS_US.to_vec())
+                .build(),
             set,
         }
     }
@@ -56,6 +99,12 @@
         }
     }
 
+    /// Records how long a stage of a request took.
+    pub fn record_stage(&self, stage: RequestStage, time: Duration) {
+        let time_us = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        self.stage.record(time_us, &[KeyValue::new("stage", stage.name())]);
+    }
+
     /// All instruments as JSON.
     pub fn collect(&self) -> Value {
         self.set.collect()
--- a/crates/burdockcleat/src/entry/resume.rs
+++ b/crates/burdockcleat/src/entry/resume.rs
@@ -103,7 +103,7 @@
         let wait = Duration::from_millis(routed.deadline.since(ClockTime::monotonic()));
         match items.recv_timeout(wait) {
             Ok(StreamItem::NotSent(_) | StreamItem::Head(404)) => return StreamFound::Missing,
-            Ok(StreamItem::Head(200)) => {}
+            Ok(StreamItem::Connected | StreamItem::Head(200)) => {}
             Ok(StreamItem::Head(_)) => return StreamFound::Ended(Err(ReasonCode::UpstreamError)),
             Ok(StreamItem::Token(event)) => {
                 usage.completion_tokens += 1;
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -3,7 +3,7 @@
 use super::caller::CallerConnection;
 use super::chain::FilterChain;
 use super::gate::{ConnectionGate, GateError, GateLimits, open_inner_listener};
-use super::metrics::EntryMetrics;
+use super::metrics::{EntryMetrics, RequestStage};
 use super::session::{ControlSession, SessionError};
 use crate::settings::EntrySettings;
 use burdockcleat_core::clock::ClockTime;
@@ -14,7 +14,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use thiserror::Error;
 use tiny_http::{Request, Response, Server, StatusCode};
 
@@ -206,9 +206,16 @@
         let arrived = ClockTime::monotonic();
         let port = request.remote_addr().map_or(0, SocketAddr::port);
         let caller = CallerConnection::new(self.gate.clone(), port);
+        let handed_over = Instant::now();
+        if let Some(first_byte) = caller.request_started() {
+            let accepting = handed_over.saturating_duration_since(first_byte);
+            self.metrics.record_stage(RequestStage::Accept, accepting);
+        }
         let started = spawn("caller", move || {
+            worker.metrics.record_stage(RequestStage::Start, handed_over.elapsed());
             let chain = FilterChain {
                 session: &worker.session,
+                metrics: &worker.metrics,
                 caller: caller.clone(),
                 closing: worker.closing.load(Ordering::SeqCst),
                 arrived,
--- a/crates/burdockcleat/src/entry/stream.rs
+++ b/crates/burdockcleat/src/entry/stream.rs
@@ -15,6 +15,8 @@
 pub enum StreamItem {
     /// The request certainly did not reach the target.
     NotSent(UpstreamError),
+    /// The connection to the target is established and the request may be written.
+    Connected,
     /// The target answered with this status; events follow if it is 200.
     Head(u16),
     /// One token of the answer.
@@ -52,8 +54,17 @@
     still_allowed: impl Fn() -> bool + Send + Sync + 'static,
 ) -> std::io::Result<Receiver<StreamItem>> {
     let (items, inbox) = channel();
+    let connected = items.clone();
+    let checked = move || {
+        let allowed = still_allowed();
+        if allowed {
+            // Nobody waits for the item if the handler has ended.
+            let _ = connected.send(StreamItem::Connected);
+        }
+        allowed
+    };
     thread::Builder::new().name("upstream".into()).stack_size(256 << 10).spawn(
-        move || match call.send(still_allowed) {
+        move || match call.send(checked) {
             Ok(response) => forward(response, &stream, &items),
             Err(error) if error.never_sent() => {
                 let _ = items.send(StreamItem::NotSent(error));
--- a/crates/burdockcleat/src/telemetry/metrics.rs
+++ b/crates/burdockcleat/src/telemetry/metrics.rs
@@ -88,6 +88,34 @@
     attributes.map(|label| (label.key.to_string(), label.value.as_str().into())).collect()
 }
 
+/// Upper bounds of the buckets of short times, in microseconds.
+///
+/// The steps are fine around 5 ms, the goal for what an entry adds to a request.
+pub const TIME_BOUNDS_US: [f64; 22] = [
+    50.0,
+    100.0,
+    200.0,
+    300.0,
+    400.0,
+    500.0,
+    700.0,
+    1_000.0,
+    1_500.0,
+    2_000.0,
+    2_500.0,
+    3_000.0,
+    4_000.0,
+    5_000.0,
+    7_000.0,
+    10_000.0,
+    15_000.0,
+    20_000.0,
+    30_000.0,
+    50_000.0,
+    100_000.0,
+    1_000_000.0,
+];
+
 /// Name of an outcome or reason as it is written in answers.
 pub fn label<T: Serialize>(value: &T) -> String {
     match serde_json::to_value(value) {
