--- a/crates/testbed/src/bin/measure.rs
+++ b/crates/testbed/src/bin/measure.rs
@@ -1,16 +1,29 @@
 //! Measures whole deployments and prints Markdown tables.
 //!
-//! `measure overhead RATE SECONDS` or `measure path PROFILE RATE SECONDS FAULTS SEED...`, where
-//! FAULTS is `calm` or `faults`.
+//! - `measure overhead RATE SECONDS ROUNDS`: what an entry adds to a request and what it uses.
+//! - `measure memory WORKSPACES STREAMS`: memory of an entry.
+//! - `measure sync COUNT`: time of a synced write on the disk of the temporary folder.
+//! - `measure path PROFILE RATE SECONDS FAULTS SEED...`, where FAULTS is `calm` or `faults`.
 
-use burdockcleat_testbed::measure::{PathPlan, PathReport, measure_overhead, measure_path};
+use burdockcleat_testbed::measure::{
+    OverheadRound, PathPlan, PathReport, StageTime, measure_memory, measure_overhead, measure_path,
+    measure_sync,
+};
 use eyre::{Result, bail, eyre};
+use std::collections::BTreeSet;
 
 fn main() -> Result<()> {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     match words.as_slice() {
-        ["overhead", rate, seconds] => overhead(rate.parse()?, seconds.parse()?),
+        ["overhead", rate, seconds, rounds] => {
+            overhead(rate.parse()?, seconds.parse()?, rounds.parse()?)
+        }
+        ["memory", workspaces, streams] => memory(workspaces.parse()?, streams.parse()?),
+        ["sync", count] => {
+            println!("synced write, ms: {}", spread(&measure_sync(count.parse()?)?));
+            Ok(())
+        }
         ["path", profile, rate, seconds, faults, seeds @ ..] => {
             println!(
                 "| seed | tier | sent | in time | late | refused | cut | goodput/s | first token \
@@ -30,26 +43,90 @@
             Ok(())
         }
         _ => bail!(
-            "usage: measure overhead RATE SECONDS | measure path PROFILE RATE SECONDS calm|faults SEED..."
+            "usage: measure overhead RATE SECONDS ROUNDS | measure memory WORKSPACES STREAMS | \
+             measure sync COUNT | measure path PROFILE RATE SECONDS calm|faults SEED..."
         ),
     }
 }
 
-fn overhead(rate: f64, seconds: u64) -> Result<()> {
-    let report = measure_overhead(rate, seconds)?;
-    println!("| way | first token p50/p99 ms | whole answer p50/p99 ms |\n|---|---|---|");
-    let row = |name: &str, first: (f64, f64), total: (f64, f64)| {
-        println!("| {name} | {:.2} / {:.2} | {:.1} / {:.1} |", first.0, first.1, total.0, total.1);
+fn overhead(rate: f64, seconds: u64, rounds: usize) -> Result<()> {
+    let report = measure_overhead(rate, seconds, rounds)?;
+    println!(
+        "| round | direct first token p50/p99 ms | through the entry | added | direct whole answer \
+         p50/p99 ms | through the entry | entry CPU % | control CPU % | MiB | failed |\n\
+         |---|---|---|---|---|---|---|---|---|---|"
+    );
+    for (number, round) in (1..).zip(&report.rounds) {
+        let (direct, entry) = (round.direct_first_ms, round.entry_first_ms);
+        println!(
+            "| {number} | {:.2} / {:.2} | {:.2} / {:.2} | {:.2} / {:.2} | {:.1} / {:.1} | {:.1} / {:.1} | {:.1} | {:.1} | {:.1} | {} |",
+            direct.0,
+            direct.1,
+            entry.0,
+            entry.1,
+            entry.0 - direct.0,
+            entry.1 - direct.1,
+            round.direct_total_ms.0,
+            round.direct_total_ms.1,
+            round.entry_total_ms.0,
+            round.entry_total_ms.1,
+            round.entry_cpu_percent,
+            round.control_cpu_percent,
+            round.entry_mib,
+            round.failed,
+        );
+    }
+    let all = |value: fn(&OverheadRound) -> f64| {
+        spread(&report.rounds.iter().map(value).collect::<Vec<_>>())
     };
-    row("direct", report.direct_first_ms, report.direct_total_ms);
-    row("entry", report.entry_first_ms, report.entry_total_ms);
+    println!("\nat {} requests/s, median (range) of the rounds", report.rate);
+    println!("added at p50, ms: {}", all(|round| round.entry_first_ms.0 - round.direct_first_ms.0));
+    println!("added at p99, ms: {}", all(|round| round.entry_first_ms.1 - round.direct_first_ms.1));
+    println!("entry, % of a core: {}", all(|round| round.entry_cpu_percent));
+    println!("control in it, % of a core: {}", all(|round| round.control_cpu_percent));
+    let names: BTreeSet<&String> =
+        report.rounds.iter().flat_map(|round| round.thread_cpu_percent.keys()).collect();
+    for name in names {
+        let share = |round: &OverheadRound| round.thread_cpu_percent.get(name).copied();
+        let shares: Vec<f64> = report.rounds.iter().filter_map(share).collect();
+        println!("thread {name}, % of a core: {}", spread(&shares));
+    }
+    println!("\n| stage | count | mean ms | p50 ms below | p99 ms below |\n|---|---|---|---|---|");
+    for StageTime { name, count, mean_ms, p50_ms, p99_ms } in
+        report.stages.iter().chain(&report.log_times)
+    {
+        println!("| {name} | {count} | {mean_ms:.2} | {p50_ms:.1} | {p99_ms:.1} |");
+    }
+    Ok(())
+}
+
+fn memory(workspaces: usize, streams: usize) -> Result<()> {
+    let report = measure_memory(workspaces, streams)?;
     println!(
-        "\nentry at {} requests/s: {:.1} % of a core, {:.1} MiB resident, {} requests failed",
-        report.rate, report.entry_cpu_percent, report.entry_mib, report.failed
+        "| workspaces | streams | small document MiB | large document | with streams | after a \
+         change | peak | threads | failed |\n|---|---|---|---|---|---|---|---|---|\n\
+         | {workspaces} | {streams} | {:.1} | {:.1} | {:.1} | {:.1} | {:.1} | {} | {} |",
+        report.idle_mib,
+        report.document_mib,
+        report.streams_mib,
+        report.changed_mib,
+        report.peak_mib,
+        report.threads,
+        report.failed,
     );
     Ok(())
 }
 
+/// Median with the range of the values.
+fn spread(values: &[f64]) -> String {
+    let mut sorted = values.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let (Some(first), Some(last)) = (sorted.first(), sorted.last()) else { return "-".into() };
+    let position = |share: f64| sorted[(sorted.len() as f64 * share) as usize];
+    let (median, high) = (position(0.5), position(0.99));
+    format!("{median:.2} ({first:.2} to {last:.2}, p99 {high:.2})")
+}
+
 fn print_path(report: &PathReport) {
     let wasted = report.load.prefill.as_ref().map_or(0.0, |prefill| prefill.wasted_share);
     for tier in &report.load.tiers {
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -1,10 +1,14 @@
 //! Measurements of whole deployments of real processes.
 
+mod memory;
 mod overhead;
 mod path;
+mod stages;
 
-pub use overhead::{OverheadReport, measure_overhead};
+pub use memory::{MemoryReport, measure_memory};
+pub use overhead::{OverheadReport, OverheadRound, measure_overhead};
 pub use path::{PathPlan, PathReport, measure_path};
+pub use stages::{StageTime, measure_sync};
 
 use crate::deployment::{Deployment, DeploymentError};
 use crate::error::TestbedError;
@@ -41,16 +45,27 @@
         deployment.start_entry(index)?;
     }
     let leader = deployment.wait_leader()?;
-    let answer = deployment.apply(leader, 0, "measure", &document(profile))?;
-    if answer.status != 200 {
-        return Err(MeasureError::Refused(answer.status));
-    }
+    apply(&deployment, leader, 0, &document(profile))?;
     for index in 0..entries {
         deployment.wait_ready(index)?;
     }
     Ok(deployment)
 }
 
+/// Applies a document on top of a version.
+fn apply(
+    deployment: &Deployment,
+    leader: usize,
+    base: u64,
+    document: &str,
+) -> Result<(), MeasureError> {
+    let answer = deployment.apply(leader, base, &format!("measure-{base}"), document)?;
+    match answer.status {
+        200 => Ok(()),
+        status => Err(MeasureError::Refused(status)),
+    }
+}
+
 /// Pool of the plain services of a profile.
 fn service_pool(profile: LoadProfile) -> &'static str {
     match profile {
--- a/crates/testbed/src/measure/overhead.rs
+++ b/crates/testbed/src/measure/overhead.rs
@@ -1,5 +1,6 @@
 //! Time that an entry adds to a request, claim included, and what the entry uses.
 
+use super::stages::{StageTime, read_stages};
 use super::{MODEL, MODEL_POOL, MeasureError, credential, start};
 use crate::deployment::{Deployment, wait_until};
 use crate::engine::{EngineSettings, FakeEngine};
@@ -7,6 +8,7 @@
 use crate::probe::CompletionCall;
 use crate::usage::ProcessUsage;
 use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,11 +18,9 @@
 const DECODE_RATE: f64 = 400.0;
 const TARGETS_LIMIT_MS: u64 = 10_000;
 
-/// Times of requests that went to the engine directly and through an entry.
+/// Times of requests that went to the engine directly and through an entry, in one round.
 #[derive(Clone, Debug, Default)]
-pub struct OverheadReport {
-    /// Requests per second.
-    pub rate: f64,
+pub struct OverheadRound {
     /// First token of direct requests: median and 99th percentile, in ms.
     pub direct_first_ms: (f64, f64),
     /// First token through the entry.
@@ -31,23 +31,85 @@
     pub entry_total_ms: (f64, f64),
     /// Share of a core that the entry used, in percent.
     pub entry_cpu_percent: f64,
+    /// Share of a core of the entry's link and session threads, in percent: links, claims,
+    /// progress reports and configuration.
+    pub control_cpu_percent: f64,
+    /// Share of a core by name of the threads that lived through the round, in percent.
+    pub thread_cpu_percent: BTreeMap<String, f64>,
     /// Resident memory of the entry, in MiB.
     pub entry_mib: f64,
     /// Requests that did not complete.
     pub failed: usize,
 }
 
+/// Rounds and the times of the stages over all of them.
+#[derive(Clone, Debug, Default)]
+pub struct OverheadReport {
+    /// Requests per second.
+    pub rate: f64,
+    /// The rounds.
+    pub rounds: Vec<OverheadRound>,
+    /// Stages at the entry.
+    pub stages: Vec<StageTime>,
+    /// Times of commits and syncs at the leader and of syncs at the followers.
+    pub log_times: Vec<StageTime>,
+}
+
+/// Threads of an entry that serve control only.
+const CONTROL_THREADS: [&str; 2] = ["link", "session"];
+
 /// Sends the same load directly and through an entry, in turns.
 ///
 /// # Errors
 /// Fails if the deployment does not start.
-pub fn measure_overhead(rate: f64, seconds: u64) -> Result<OverheadReport, MeasureError> {
+pub fn measure_overhead(
+    rate: f64,
+    seconds: u64,
+    rounds: usize,
+) -> Result<OverheadReport, MeasureError> {
     let deployment = start(LoadProfile::Bureau, 1)?;
+    let engine = announced_engine(&deployment, DECODE_RATE)?;
+    let direct_url = format!("http://{}", engine.address());
+    let mut report = OverheadReport { rate, ..OverheadReport::default() };
+    for round in 0..rounds {
+        let direct = send_all(&direct_url, &format!("direct-{round}"), rate, seconds);
+        let process = deployment.process(&Deployment::entry_name(0)).unwrap_or_default();
+        let before = ProcessUsage::read(process).unwrap_or_default();
+        let started = ClockTime::monotonic();
+        let through = send_all(&deployment.entry_url(0), &format!("entry-{round}"), rate, seconds);
+        let elapsed_ms = ClockTime::monotonic().since(started);
+        let after = ProcessUsage::read(process).unwrap_or_default();
+        let percent = |ms: u64| ms as f64 * 100.0 / elapsed_ms as f64;
+        let thread_percent = |name: &str| percent(after.thread_ms_since(&before, name));
+        let names = after.thread_cpu_ms.keys();
+        report.rounds.push(OverheadRound {
+            direct_first_ms: percentiles(&direct.first),
+            entry_first_ms: percentiles(&through.first),
+            direct_total_ms: percentiles(&direct.total),
+            entry_total_ms: percentiles(&through.total),
+            entry_cpu_percent: percent(after.cpu_ms.saturating_sub(before.cpu_ms)),
+            control_cpu_percent: CONTROL_THREADS.map(thread_percent).iter().sum(),
+            thread_cpu_percent: names.map(|name| (name.clone(), thread_percent(name))).collect(),
+            entry_mib: after.resident_kib as f64 / 1_024.0,
+            failed: direct.failed + through.failed,
+        });
+    }
+    let url = format!("{}/metrics", deployment.entry_operator_url(0));
+    report.stages = read_stages(&url, "stage_time");
+    report.log_times = log_times(&deployment);
+    Ok(report)
+}
+
+/// Starts an engine and waits until the leader knows it.
+pub(super) fn announced_engine(
+    deployment: &Deployment,
+    decode_rate: f64,
+) -> Result<FakeEngine, MeasureError> {
     let mut settings = EngineSettings::named("engine-0", MODEL_POOL);
     settings.target.models = vec![MODEL.into()];
     settings.target.control_urls = deployment.control_urls();
     settings.target.slots = 64;
-    settings.decode_rate = DECODE_RATE;
+    settings.decode_rate = decode_rate;
     settings.batch_slowdown = 0.0;
     let engine = FakeEngine::spawn(settings)?;
     wait_until("the engine to be announced", TARGETS_LIMIT_MS, || {
@@ -55,24 +117,23 @@
         let dump = deployment.control_dump(leader).unwrap_or_default();
         dump["status"]["targets"].as_array().is_some_and(|targets| targets.len() == 1)
     })?;
-    let direct_url = format!("http://{}", engine.address());
-    let direct = send_all(&direct_url, "direct", rate, seconds);
-    let process = deployment.process(&Deployment::entry_name(0)).unwrap_or_default();
-    let before = ProcessUsage::read(process).unwrap_or_default();
-    let started = ClockTime::monotonic();
-    let through = send_all(&deployment.entry_url(0), "entry", rate, seconds);
-    let elapsed_ms = ClockTime::monotonic().since(started);
-    let after = ProcessUsage::read(process).unwrap_or_default();
-    Ok(OverheadReport {
-        rate,
-        direct_first_ms: percentiles(&direct.first),
-        entry_first_ms: percentiles(&through.first),
-        direct_total_ms: percentiles(&direct.total),
-        entry_total_ms: percentiles(&through.total),
-        entry_cpu_percent: (after.cpu_ms - before.cpu_ms) as f64 * 100.0 / elapsed_ms as f64,
-        entry_mib: after.resident_kib as f64 / 1_024.0,
-        failed: direct.failed + through.failed,
-    })
+    Ok(engine)
+}
+
+/// Times of commits and syncs since the start of the control instances.
+fn log_times(deployment: &Deployment) -> Vec<StageTime> {
+    let leader = deployment.leader();
+    let mut times = Vec::new();
+    for (index, url) in deployment.control_urls().iter().enumerate() {
+        let role = if Some(index) == leader { "leader" } else { "follower" };
+        for metric in ["log_commit_time", "log_sync_time"] {
+            for mut time in read_stages(&format!("{url}/v1/metrics"), metric) {
+                time.name = format!("{metric} {role}");
+                times.push(time);
+            }
+        }
+    }
+    times
 }
 
 #[derive(Default)]
@@ -108,7 +169,8 @@
     samples.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
-fn call(url: &str, id: &str) -> CompletionCall {
+/// A request of the overhead load.
+pub(super) fn call(url: &str, id: &str) -> CompletionCall {
     CompletionCall {
         entry_url: url.into(),
         credential: credential(0),
@@ -122,7 +184,7 @@
 }
 
 /// Median and 99th percentile.
-fn percentiles(samples: &[f64]) -> (f64, f64) {
+pub(super) fn percentiles(samples: &[f64]) -> (f64, f64) {
     let mut sorted = samples.to_vec();
     sorted.sort_by(f64::total_cmp);
     let at = |share: f64| {
