Send appends to followers before the leader's own sync

A commit waited for the sync at the leader and then for one at a follower.

The specification search and the random schedules get a crash between the early send and the sync.

--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -293,13 +293,16 @@
     fn flush(&mut self) -> Result<(), NodeError> {
         loop {
             self.drain_admission();
-            let output = self.replica.take_output();
+            let mut output = self.replica.take_output();
             let idle =
                 !output.needs_sync() && output.messages.is_empty() && output.committed.is_empty();
             if idle {
                 return Ok(());
             }
             if output.needs_sync() {
+                for (node, message) in output.take_early_messages() {
+                    self.send_peer(node, message);
+                }
                 let started = Instant::now();
                 self.storage.persist(&output)?;
                 self.metrics.record_sync(started.elapsed());
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -150,7 +150,7 @@
     pub truncate_from: Option<u64>,
     /// Entries to append.
     pub append: Vec<LogEntry>,
-    /// Messages to send after all of the above is synced.
+    /// Messages to send after all of the above is synced, unless they were taken early.
     pub messages: Vec<(NodeId, ReplicaMessage)>,
     /// Entries to apply to the state machine, after a `restore`.
     pub committed: Vec<LogEntry>,
@@ -165,6 +165,20 @@
             || !self.append.is_empty()
     }
 
+    /// Takes the messages that may leave before the sync: the appends of a leader.
+    ///
+    /// The followers then write while the leader writes. The leader counts its own copy only after
+    /// [`ReplicaInput::Persisted`]. After a crash it appends in a later term only, so that no other
+    /// entry ever takes the position of one that was sent. This needs its vote on the disk, hence
+    /// nothing leaves early together with a vote.
+    pub fn take_early_messages(&mut self) -> Vec<(NodeId, ReplicaMessage)> {
+        if self.vote.is_some() || self.truncate_from.is_some() || self.restore {
+            return Vec::new();
+        }
+        let is_append = |message: &ReplicaMessage| matches!(message, ReplicaMessage::Append(_));
+        self.messages.extract_if(.., |(_, message)| is_append(message)).collect()
+    }
+
     /// The input to give after the append is synced.
     pub fn persisted(&self) -> Option<ReplicaInput> {
         let entry = self.append.last()?;
--- a/crates/core/tests/replica/behaviour.rs
+++ b/crates/core/tests/replica/behaviour.rs
@@ -101,6 +101,37 @@
     assert_eq!(replica.take_output().committed.len(), 2);
 }
 
+// Guards against replies and votes that leave before what they promise is synced, and against
+// followers that wait for the leader's sync.
+#[test]
+fn only_appends_of_a_leader_leave_before_the_sync() {
+    let mut cluster = Cluster::open(&[1, 2, 3]);
+    let leader = cluster.elect();
+    cluster.run(200);
+    let now = cluster.now;
+    let mut replica = cluster.replica(leader).clone();
+    replica.step(now, ReplicaInput::Propose(EntryPayload::Command(vec![1]))).unwrap();
+    let mut output = replica.take_output();
+    let early = output.take_early_messages();
+    assert_eq!(early.len(), 2);
+    assert!(output.needs_sync() && output.messages.is_empty() && output.committed.is_empty());
+
+    let follower = if leader == 1 { 2 } else { 1 };
+    let mut replica = cluster.replica(follower).clone();
+    let message = early.into_iter().find(|(to, _)| *to == NodeId(follower)).unwrap().1;
+    replica.step(now, ReplicaInput::Receive { from: NodeId(leader), message }).unwrap();
+    let mut output = replica.take_output();
+    assert!(output.needs_sync() && output.take_early_messages().is_empty());
+    assert_eq!(output.messages.len(), 1);
+
+    let mut replica = cluster.replica(follower).clone();
+    let message = ReplicaMessage::StartElection { term: replica.term() };
+    replica.step(now, ReplicaInput::Receive { from: NodeId(leader), message }).unwrap();
+    let mut output = replica.take_output();
+    assert!(output.vote.is_some() && output.take_early_messages().is_empty());
+    assert_eq!(output.messages.len(), 2);
+}
+
 // Guards against a follower that never catches up once its entries have left the leader's log.
 #[test]
 fn lagging_member_catches_up_by_snapshot_in_parts() {
--- a/crates/core/tests/replica/model.rs
+++ b/crates/core/tests/replica/model.rs
@@ -38,6 +38,8 @@
     Compact(usize),
     /// Restart from the disk.
     Crash(usize),
+    /// A leader appends, sends what may leave before the sync, and restarts without the entry.
+    CrashInSync(usize),
     /// Start with an empty disk.
     LoseDisk(usize),
     /// Delivers a message; it stays in flight as a duplicate if `keep`.
@@ -228,6 +230,7 @@
                 self.replace(*at, id, disk);
                 true
             }
+            Action::CrashInSync(at) => self.crash_in_sync(*at),
             Action::LoseDisk(at) => {
                 let id = if self.setup.keep_identity { self.nodes[*at].id } else { self.next_id };
                 self.next_id += 1;
@@ -296,6 +299,29 @@
         node.replica.step(now, input).is_ok() && self.flush(at)
     }
 
+    fn crash_in_sync(&mut self, at: usize) -> bool {
+        let now = self.clock(at);
+        self.commands += 1;
+        let payload = EntryPayload::Command(vec![self.commands]);
+        let node = Rc::make_mut(&mut self.nodes[at]);
+        node.key = 0;
+        if node.replica.step(now, ReplicaInput::Propose(payload)).is_err() {
+            return false;
+        }
+        let early = node.replica.take_output().take_early_messages();
+        let (id, disk) = (node.id, node.disk.clone());
+        for (to, message) in early {
+            self.send(id, to.0, message);
+        }
+        self.replace(at, id, disk);
+        true
+    }
+
+    fn send(&mut self, from: u64, to: u64, message: ReplicaMessage) {
+        let key = key_of(&(from, to, &message));
+        self.network.push(Packet { from, to, message: Rc::new(message), key });
+    }
+
     fn compact(&mut self, at: usize) -> bool {
         let node = Rc::make_mut(&mut self.nodes[at]);
         node.key = 0;
@@ -304,7 +330,8 @@
     }
 
     /// Writes, confirms and sends all outputs. A crash in between equals a crash before the step
-    /// or the loss of messages, so it needs no action of its own.
+    /// or the loss of messages, so it needs no action of its own, except between the early messages
+    /// and the write.
     fn flush(&mut self, at: usize) -> bool {
         let now = self.clock(at);
         let mut written = false;
@@ -324,8 +351,7 @@
                 self.commit(entry, term);
             }
             for (to, message) in output.messages {
-                let key = key_of(&(id, to, &message));
-                self.network.push(Packet { from: id, to: to.0, message: Rc::new(message), key });
+                self.send(id, to.0, message);
             }
         }
         self.check(at, written);
--- a/crates/core/tests/replica/search.rs
+++ b/crates/core/tests/replica/search.rs
@@ -34,7 +34,7 @@
             Action::Change(..) => &mut self.changes,
             Action::Transfer(_) => &mut self.transfers,
             Action::Compact(_) => &mut self.compactions,
-            Action::Crash(_) => &mut self.crashes,
+            Action::Crash(_) | Action::CrashInSync(_) => &mut self.crashes,
             Action::LoseDisk(_) => &mut self.lost_disks,
             Action::Deliver { keep: true, .. } => &mut self.duplicates,
             Action::Lose(_) => &mut self.losses,
@@ -159,7 +159,7 @@
 fn starts(world: &World, at: usize) -> Vec<Action> {
     let mut actions = vec![Action::Tick(at)];
     if world.nodes[at].replica.is_leader() {
-        actions.extend([Action::Propose(at), Action::Transfer(at)]);
+        actions.extend([Action::Propose(at), Action::Transfer(at), Action::CrashInSync(at)]);
         actions.extend(changes(world, at));
     }
     actions
@@ -191,7 +191,8 @@
     let mut actions = Vec::new();
     for at in 0..count {
         for start in starts(world, at) {
-            let alone = matches!(start, Action::Propose(_) | Action::Change(..));
+            let alone =
+                matches!(start, Action::Propose(_) | Action::Change(..) | Action::CrashInSync(_));
             for reach in (0..1_u8 << count).filter(|reach| reach >> at & 1 == 1) {
                 if reach.count_ones() > 1 {
                     let exchange = |limit: &u8| Action::Exchange {
