Take target addresses as they are instead of looking them up on a thread

With a timeout, the default resolver of ureq starts a thread for each call even if the target is given by its IP address.

--- a/crates/burdockcleat/src/entry/upstream.rs
+++ b/crates/burdockcleat/src/entry/upstream.rs
@@ -3,13 +3,17 @@
 use burdockcleat_core::outcome::ReasonCode;
 use std::fmt;
 use std::io::{BufRead, BufReader, Read};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 use thiserror::Error;
-use ureq::http::{Method, Request};
-use ureq::unversioned::resolver::DefaultResolver;
-use ureq::unversioned::transport::{ConnectionDetails, Connector, Either, TcpConnector, Transport};
+use ureq::config::Config;
+use ureq::http::{Method, Request, Uri};
+use ureq::unversioned::resolver::{DefaultResolver, ResolvedSocketAddrs, Resolver};
+use ureq::unversioned::transport::{
+    ConnectionDetails, Connector, Either, NextTimeout, TcpConnector, Transport,
+};
 
 /// Time to establish a connection to a target in the same region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -97,6 +101,32 @@
     }
 }
 
+/// Takes IP addresses as they are and looks other names up.
+///
+/// With a timeout, [`DefaultResolver`] starts a thread for each call even if there is nothing to
+/// look up.
+#[derive(Debug, Default)]
+struct AddressResolver {
+    names: DefaultResolver,
+}
+
+impl Resolver for AddressResolver {
+    fn resolve(
+        &self,
+        uri: &Uri,
+        config: &Config,
+        timeout: NextTimeout,
+    ) -> Result<ResolvedSocketAddrs, ureq::Error> {
+        let address = uri.authority().and_then(|authority| authority.as_str().parse().ok());
+        let Some(address): Option<SocketAddr> = address else {
+            return self.names.resolve(uri, config, timeout);
+        };
+        let mut addresses = self.empty();
+        addresses.push(address);
+        Ok(addresses)
+    }
+}
+
 /// A request to a target.
 #[derive(Clone, Debug)]
 pub struct TargetCall {
@@ -143,7 +173,7 @@
             .proxy(None)
             .build();
         let connector = TcpConnector::default().chain(witness);
-        let agent = ureq::Agent::with_parts(config, connector, DefaultResolver::default());
+        let agent = ureq::Agent::with_parts(config, connector, AddressResolver::default());
         let uri = format!("http://{}{}", self.address, self.path);
         let mut request = Request::builder().method(self.method.clone()).uri(uri);
         for (name, value) in &self.headers {
