--- a/crates/burdockcleat/src/entry.rs
+++ b/crates/burdockcleat/src/entry.rs
@@ -19,3 +19,4 @@
 pub mod session;
 pub mod stream;
 pub mod upstream;
+pub mod workers;
--- a/crates/burdockcleat/src/entry/chain.rs
+++ b/crates/burdockcleat/src/entry/chain.rs
@@ -9,6 +9,7 @@
 use super::request::{self, AnswerForm, RequestId, RoutedRequest};
 use super::resume::resume;
 use super::session::ControlSession;
+use super::workers::WorkerPool;
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::message::GrantTicket;
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
@@ -24,6 +25,8 @@
     pub session: &'a ControlSession,
     /// Where the times of the stages are recorded.
     pub metrics: &'a EntryMetrics,
+    /// Threads that read the streams of targets.
+    pub readers: &'a WorkerPool,
     /// Connection of the caller.
     pub caller: CallerConnection,
     /// Whether this entry is past its drain grace and refuses new requests.
@@ -112,7 +115,7 @@
                     }
                 }
                 Ok(ClaimAnswer::Resume { address, recorded, .. }) => {
-                    break resume(answer, routed, &address, recorded);
+                    break resume(self.readers, answer, routed, &address, recorded);
                 }
                 Err(refusal) => break answer.refuse(refusal),
             }
@@ -134,7 +137,6 @@
             }
             return end;
         }
-        ModelRun::prepare(self.session, self.metrics, &self.caller, routed, ticket)
-            .run(|event| answer.deliver(routed.form, event))
+        ModelRun::prepare(self, routed, ticket).run(|event| answer.deliver(routed.form, event))
     }
 }
--- a/crates/burdockcleat/src/entry/dispatch.rs
+++ b/crates/burdockcleat/src/entry/dispatch.rs
@@ -1,7 +1,7 @@
 //! The dispatch and record filters: runs a granted request and reports how it ended.
 
-use super::caller::CallerConnection;
-use super::metrics::{EntryMetrics, RequestStage};
+use super::chain::FilterChain;
+use super::metrics::RequestStage;
 use super::refusal::FilterRefusal;
 use super::request::{AnswerForm, RoutedRequest};
 use super::session::{CancelOrder, ControlSession};
@@ -140,9 +140,7 @@
 
 /// A model stream that is being read.
 pub struct ModelRun<'a> {
-    session: &'a ControlSession,
-    metrics: &'a EntryMetrics,
-    caller: &'a CallerConnection,
+    chain: &'a FilterChain<'a>,
     routed: &'a RoutedRequest,
     ticket: &'a GrantTicket,
     record: RunRecord,
@@ -154,22 +152,21 @@
 impl<'a> ModelRun<'a> {
     /// Prepares a dispatch.
     pub fn prepare(
-        session: &'a ControlSession,
-        metrics: &'a EntryMetrics,
-        caller: &'a CallerConnection,
+        chain: &'a FilterChain<'a>,
         routed: &'a RoutedRequest,
         ticket: &'a GrantTicket,
     ) -> Self {
         let (record, stage_end) = (RunRecord::start(), Instant::now());
-        Self { session, metrics, caller, routed, ticket, record, tokens: 0, stage_end }
+        Self { chain, routed, ticket, record, tokens: 0, stage_end }
     }
 
     /// Dispatches and passes each token to `deliver`, which fails once the caller has gone.
     pub fn run(mut self, mut deliver: impl FnMut(Value) -> std::io::Result<()>) -> DispatchEnd {
-        let cancel = self.session.start_running(self.ticket.key, self.ticket.claim);
+        let cancel = self.chain.session.start_running(self.ticket.key, self.ticket.claim);
         let call = target_call(self.routed, &self.ticket.address);
         let stream = self.ticket.key.to_string();
-        let items = match spawn_reader(call, stream, self.session.dispatch_check(self.ticket)) {
+        let allowed = self.chain.session.dispatch_check(self.ticket);
+        let items = match spawn_reader(self.chain.readers, call, stream, allowed) {
             Ok(items) => items,
             Err(error) => return DispatchEnd::NotSent(UpstreamError::Thread(error)),
         };
@@ -220,7 +217,7 @@
 
     fn end_stage(&mut self, stage: RequestStage) {
         let now = Instant::now();
-        self.metrics.record_stage(stage, now.saturating_duration_since(self.stage_end));
+        self.chain.metrics.record_stage(stage, now.saturating_duration_since(self.stage_end));
         self.stage_end = now;
     }
 
@@ -229,7 +226,7 @@
         self.record.usage.completion_tokens = self.tokens;
         let now = ClockTime::monotonic();
         let first = *self.record.first_token.get_or_insert(now);
-        self.session.note_progress(StreamProgress {
+        self.chain.session.note_progress(StreamProgress {
             key: self.ticket.key,
             tokens: self.tokens,
             first_token_ms: Some(saturate(first.since(self.record.started))),
@@ -246,7 +243,7 @@
             return Some(ReasonCode::DeadlinePassed);
         }
         // A non-idempotent request runs to its end, so that its outcome is known.
-        let gone = self.routed.submit.idempotent && self.caller.is_gone();
+        let gone = self.routed.submit.idempotent && self.chain.caller.is_gone();
         gone.then_some(ReasonCode::CallerGone)
     }
 
--- a/crates/burdockcleat/src/entry/resume.rs
+++ b/crates/burdockcleat/src/entry/resume.rs
@@ -6,6 +6,7 @@
 use super::request::{AnswerForm, RoutedRequest};
 use super::stream::{StreamItem, UsageCounts, spawn_reader};
 use super::upstream::TargetCall;
+use super::workers::WorkerPool;
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use std::sync::Arc;
@@ -29,6 +30,7 @@
 
 /// Answers from the recorded target, or says what is recorded.
 pub fn resume(
+    readers: &WorkerPool,
     mut answer: CallerAnswer,
     routed: &RoutedRequest,
     address: &str,
@@ -38,7 +40,7 @@
     if routed.form != AnswerForm::Service && !address.is_empty() && may_hold {
         let tries = if recorded.is_none() { MAX_TRIES } else { 1 };
         for _ in 0..tries {
-            match read_stream(&mut answer, routed, address) {
+            match read_stream(readers, &mut answer, routed, address) {
                 StreamFound::Ended(Ok(usage)) => return finish(answer, usage),
                 StreamFound::Ended(Err(reason)) => return answer.refuse(broken(reason)),
                 StreamFound::Missing => thread::sleep(RETRY_INTERVAL),
@@ -77,7 +79,12 @@
     }
 }
 
-fn read_stream(answer: &mut CallerAnswer, routed: &RoutedRequest, address: &str) -> StreamFound {
+fn read_stream(
+    readers: &WorkerPool,
+    answer: &mut CallerAnswer,
+    routed: &RoutedRequest,
+    address: &str,
+) -> StreamFound {
     let stream = routed.submit.key.to_string();
     let call = TargetCall {
         address: address.to_owned(),
@@ -87,7 +94,7 @@
         body: Arc::from([]),
         timeout: Duration::from_millis(routed.deadline.since(ClockTime::monotonic()).max(1)),
     };
-    match spawn_reader(call, stream, || true) {
+    match spawn_reader(readers, call, stream, || true) {
         Ok(items) => forward(answer, routed, &items),
         Err(_) => StreamFound::Missing,
     }
--- a/crates/burdockcleat/src/entry/server.rs
+++ b/crates/burdockcleat/src/entry/server.rs
@@ -5,6 +5,7 @@
 use super::gate::{ConnectionGate, GateError, GateLimits, open_inner_listener};
 use super::metrics::{EntryMetrics, RequestStage};
 use super::session::{ControlSession, SessionError};
+use super::workers::WorkerPool;
 use crate::settings::EntrySettings;
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::entry_agent::EntrySummary;
@@ -22,8 +23,8 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// Time for the last reports to reach the leader before the process exits.
 const REPORT_GRACE: Duration = Duration::from_millis(300);
-/// Stack of a handler thread, which only moves buffers.
-const HANDLER_STACK_BYTES: usize = 256 << 10;
+/// Stack of the threads that take requests, which only move buffers.
+const LOOP_STACK_BYTES: usize = 256 << 10;
 
 /// An entry that could not be started.
 #[derive(Debug)]
@@ -79,6 +80,10 @@
     gate: Arc<ConnectionGate>,
     session: ControlSession,
     metrics: EntryMetrics,
+    /// Threads that serve callers.
+    handlers: WorkerPool,
+    /// Threads that read the streams of targets.
+    readers: WorkerPool,
     draining: AtomicBool,
     closing: AtomicBool,
     in_flight: AtomicUsize,
@@ -120,6 +125,8 @@
             gate,
             session,
             metrics: EntryMetrics::open(),
+            handlers: WorkerPool::open("caller"),
+            readers: WorkerPool::open("upstream"),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             in_flight: AtomicUsize::new(0),
@@ -190,7 +197,7 @@
 }
 
 fn spawn(name: &str, work: impl FnOnce() + Send + 'static) -> Result<(), EntryError> {
-    let builder = thread::Builder::new().name(name.into()).stack_size(HANDLER_STACK_BYTES);
+    let builder = thread::Builder::new().name(name.into()).stack_size(LOOP_STACK_BYTES);
     builder.spawn(work).map(|_| ()).map_err(EntryError::Thread)
 }
 
@@ -211,11 +218,12 @@
             let accepting = handed_over.saturating_duration_since(first_byte);
             self.metrics.record_stage(RequestStage::Accept, accepting);
         }
-        let started = spawn("caller", move || {
+        let started = self.handlers.start(move || {
             worker.metrics.record_stage(RequestStage::Start, handed_over.elapsed());
             let chain = FilterChain {
                 session: &worker.session,
                 metrics: &worker.metrics,
+                readers: &worker.readers,
                 caller: caller.clone(),
                 closing: worker.closing.load(Ordering::SeqCst),
                 arrived,
--- a/crates/burdockcleat/src/entry/stream.rs
+++ b/crates/burdockcleat/src/entry/stream.rs
@@ -4,11 +4,11 @@
 //! the target is silent, and a blocking read cannot be interrupted.
 
 use super::upstream::{EventReader, TargetCall, TargetResponse, UpstreamError};
+use super::workers::WorkerPool;
 use burdockcleat_core::outcome::ReasonCode;
 use serde::Deserialize;
 use serde_json::Value;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
 
 /// What the reader saw.
 #[derive(Debug)]
@@ -49,6 +49,7 @@
 /// # Errors
 /// Fails if the thread cannot be created; then the request was not sent.
 pub fn spawn_reader(
+    readers: &WorkerPool,
     call: TargetCall,
     stream: String,
     still_allowed: impl Fn() -> bool + Send + Sync + 'static,
@@ -63,17 +64,15 @@
         }
         allowed
     };
-    thread::Builder::new().name("upstream".into()).stack_size(256 << 10).spawn(
-        move || match call.send(checked) {
-            Ok(response) => forward(response, &stream, &items),
-            Err(error) if error.never_sent() => {
-                let _ = items.send(StreamItem::NotSent(error));
-            }
-            Err(error) => {
-                let _ = items.send(StreamItem::Broken(error.reason()));
-            }
-        },
-    )?;
+    readers.start(move || match call.send(checked) {
+        Ok(response) => forward(response, &stream, &items),
+        Err(error) if error.never_sent() => {
+            let _ = items.send(StreamItem::NotSent(error));
+        }
+        Err(error) => {
+            let _ = items.send(StreamItem::Broken(error.reason()));
+        }
+    })?;
     Ok(inbox)
 }
 
--- /dev/null
+++ b/crates/burdockcleat/tests/workers.rs
@@ -0,0 +1,68 @@
+//! The threads that are kept for the next request.
+
+use burdockcleat::entry::workers::WorkerPool;
+use std::collections::HashSet;
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Barrier};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const LIMIT: Duration = Duration::from_secs(10);
+
+fn wait_idle(pool: &WorkerPool, count: usize) {
+    let started = Instant::now();
+    while pool.idle_count() != count {
+        assert!(started.elapsed() < LIMIT, "{} threads are idle", pool.idle_count());
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+// Guards against a thread per request after all.
+#[test]
+fn an_idle_thread_takes_the_next_work() {
+    let pool = WorkerPool::open("test");
+    let mut threads = HashSet::new();
+    for _ in 0..20 {
+        let (done, ended) = channel();
+        pool.start(move || done.send(thread::current().id()).unwrap()).unwrap();
+        threads.insert(ended.recv_timeout(LIMIT).unwrap());
+        wait_idle(&pool, 1);
+    }
+    assert_eq!(threads.len(), 1);
+}
+
+// Guards against work that waits behind other work, and against idle threads without a bound.
+#[test]
+fn all_work_runs_at_once_and_few_threads_stay() {
+    const COUNT: usize = 60;
+    let pool = WorkerPool::open("test");
+    for _ in 0..3 {
+        let barrier = Arc::new(Barrier::new(COUNT + 1));
+        let (done, ended) = channel();
+        for _ in 0..COUNT {
+            let (barrier, done) = (barrier.clone(), done.clone());
+            pool.start(move || {
+                barrier.wait();
+                done.send(()).unwrap();
+            })
+            .unwrap();
+        }
+        barrier.wait();
+        for _ in 0..COUNT {
+            ended.recv_timeout(LIMIT).unwrap();
+        }
+        wait_idle(&pool, 16);
+    }
+}
+
+// Guards against work that is given to a thread that has ended by a panic.
+#[test]
+fn work_runs_after_a_panic() {
+    let pool = WorkerPool::open("test");
+    for _ in 0..5 {
+        pool.start(|| panic!("expected by the test")).unwrap();
+        let (done, ended) = channel();
+        pool.start(move || done.send(()).unwrap()).unwrap();
+        ended.recv_timeout(LIMIT).unwrap();
+    }
+}
