--- a/crates/burdockcleat/src/entry/dispatch.rs
+++ b/crates/burdockcleat/src/entry/dispatch.rs
@@ -1,6 +1,7 @@
 //! The dispatch and record filters: runs a granted request and reports how it ended.
 
-use super::caller::CallerConnection;
+use super::chain::FilterChain;
+use super::metrics::RequestStage;
 use super::refusal::FilterRefusal;
 use super::request::{AnswerForm, RoutedRequest};
 use super::session::{CancelOrder, ControlSession};
@@ -13,7 +14,7 @@
 use std::io::Read;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use ureq::http::Method;
 
 /// Interval at which a silent stream is checked for its deadline and its caller.
@@ -139,31 +140,33 @@
 
 /// A model stream that is being read.
 pub struct ModelRun<'a> {
-    session: &'a ControlSession,
-    caller: &'a CallerConnection,
+    chain: &'a FilterChain<'a>,
     routed: &'a RoutedRequest,
     ticket: &'a GrantTicket,
     record: RunRecord,
     tokens: u32,
+    /// End of the last stage that was recorded.
+    stage_end: Instant,
 }
 
 impl<'a> ModelRun<'a> {
     /// Prepares a dispatch.
     pub fn prepare(
-        session: &'a ControlSession,
-        caller: &'a CallerConnection,
+        chain: &'a FilterChain<'a>,
         routed: &'a RoutedRequest,
         ticket: &'a GrantTicket,
     ) -> Self {
-        Self { session, caller, routed, ticket, record: RunRecord::start(), tokens: 0 }
+        let (record, stage_end) = (RunRecord::start(), Instant::now());
+        Self { chain, routed, ticket, record, tokens: 0, stage_end }
     }
 
     /// Dispatches and passes each token to `deliver`, which fails once the caller has gone.
     pub fn run(mut self, mut deliver: impl FnMut(Value) -> std::io::Result<()>) -> DispatchEnd {
-        let cancel = self.session.start_running(self.ticket.key, self.ticket.claim);
+        let cancel = self.chain.session.start_running(self.ticket.key, self.ticket.claim);
         let call = target_call(self.routed, &self.ticket.address);
         let stream = self.ticket.key.to_string();
-        let items = match spawn_reader(call, stream, self.session.dispatch_check(self.ticket)) {
+        let allowed = self.chain.session.dispatch_check(self.ticket);
+        let items = match spawn_reader(self.chain.readers, call, stream, allowed) {
             Ok(items) => items,
             Err(error) => return DispatchEnd::NotSent(UpstreamError::Thread(error)),
         };
@@ -173,14 +176,24 @@
             }
             match items.recv_timeout(POLL) {
                 Ok(StreamItem::NotSent(error)) => return DispatchEnd::NotSent(error),
-                Ok(StreamItem::Head(200)) | Err(RecvTimeoutError::Timeout) => {}
+                Ok(StreamItem::Connected) => self.end_stage(RequestStage::Connect),
+                Ok(StreamItem::Head(200)) => self.end_stage(RequestStage::Head),
+                Err(RecvTimeoutError::Timeout) => {}
                 Ok(StreamItem::Head(_)) => {
                     let reason = Some(ReasonCode::UpstreamError);
                     return DispatchEnd::Ended(self.record.end(RequestOutcome::Failed, reason));
                 }
                 Ok(StreamItem::Token(event)) => {
                     self.count_token();
-                    if deliver(event).is_err() && self.routed.submit.idempotent {
+                    let first = self.tokens == 1;
+                    if first {
+                        self.end_stage(RequestStage::FirstToken);
+                    }
+                    let delivered = deliver(event);
+                    if first {
+                        self.end_stage(RequestStage::Deliver);
+                    }
+                    if delivered.is_err() && self.routed.submit.idempotent {
                         return DispatchEnd::Ended(self.stop(ReasonCode::CallerGone, &items));
                     }
                 }
@@ -202,12 +215,18 @@
         }
     }
 
+    fn end_stage(&mut self, stage: RequestStage) {
+        let now = Instant::now();
+        self.chain.metrics.record_stage(stage, now.saturating_duration_since(self.stage_end));
+        self.stage_end = now;
+    }
+
     fn count_token(&mut self) {
         self.tokens += 1;
         self.record.usage.completion_tokens = self.tokens;
         let now = ClockTime::monotonic();
         let first = *self.record.first_token.get_or_insert(now);
-        self.session.note_progress(StreamProgress {
+        self.chain.session.note_progress(StreamProgress {
             key: self.ticket.key,
             tokens: self.tokens,
             first_token_ms: Some(saturate(first.since(self.record.started))),
@@ -224,7 +243,7 @@
             return Some(ReasonCode::DeadlinePassed);
         }
         // A non-idempotent request runs to its end, so that its outcome is known.
-        let gone = self.routed.submit.idempotent && self.caller.is_gone();
+        let gone = self.routed.submit.idempotent && self.chain.caller.is_gone();
         gone.then_some(ReasonCode::CallerGone)
     }
 
--- a/crates/burdockcleat/src/entry/stream.rs
+++ b/crates/burdockcleat/src/entry/stream.rs
@@ -4,17 +4,19 @@
 //! the target is silent, and a blocking read cannot be interrupted.
 
 use super::upstream::{EventReader, TargetCall, TargetResponse, UpstreamError};
+use super::workers::WorkerPool;
 use burdockcleat_core::outcome::ReasonCode;
 use serde::Deserialize;
 use serde_json::Value;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::thread;
 
 /// What the reader saw.
 #[derive(Debug)]
 pub enum StreamItem {
     /// The request certainly did not reach the target.
     NotSent(UpstreamError),
+    /// The connection to the target is established and the request may be written.
+    Connected,
     /// The target answered with this status; events follow if it is 200.
     Head(u16),
     /// One token of the answer.
@@ -47,22 +49,30 @@
 /// # Errors
 /// Fails if the thread cannot be created; then the request was not sent.
 pub fn spawn_reader(
+    readers: &WorkerPool,
     call: TargetCall,
     stream: String,
     still_allowed: impl Fn() -> bool + Send + Sync + 'static,
 ) -> std::io::Result<Receiver<StreamItem>> {
     let (items, inbox) = channel();
-    thread::Builder::new().name("upstream".into()).stack_size(256 << 10).spawn(
-        move || match call.send(still_allowed) {
-            Ok(response) => forward(response, &stream, &items),
-            Err(error) if error.never_sent() => {
-                let _ = items.send(StreamItem::NotSent(error));
-            }
-            Err(error) => {
-                let _ = items.send(StreamItem::Broken(error.reason()));
-            }
-        },
-    )?;
+    let connected = items.clone();
+    let checked = move || {
+        let allowed = still_allowed();
+        if allowed {
+            // Nobody waits for the item if the handler has ended.
+            let _ = connected.send(StreamItem::Connected);
+        }
+        allowed
+    };
+    readers.start(move || match call.send(checked) {
+        Ok(response) => forward(response, &stream, &items),
+        Err(error) if error.never_sent() => {
+            let _ = items.send(StreamItem::NotSent(error));
+        }
+        Err(error) => {
+            let _ = items.send(StreamItem::Broken(error.reason()));
+        }
+    })?;
     Ok(inbox)
 }
 
