Stop the search for a target at the first one that cannot win

Each placement looked up every prompt block at every target and computed each target's prefill rate three times. Targets are now visited in the order of the cost with the whole prompt cached, and the rate is computed once.

The example now reports first tokens and runs until every target has seen every family.

--- a/crates/core/examples/admission_scale.rs
+++ b/crates/core/examples/admission_scale.rs
@@ -7,7 +7,9 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::{NodeId, RequestFingerprint, RequestKey};
-use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, SubmitRequest};
+use burdockcleat_core::message::{
+    ControlMessage, EntryMessage, FinishReport, StreamProgress, SubmitRequest,
+};
 use burdockcleat_core::outcome::RequestOutcome;
 use burdockcleat_core::registry::{TargetAnnouncement, TargetRegistry};
 use burdockcleat_core::state::{ReplicatedState, StampedCommand};
@@ -16,7 +18,8 @@
 
 const SIZES: [u32; 4] = [95, 190, 380, 760];
 const SLOTS: u32 = 16;
-const REQUESTS: u64 = 20_000;
+/// Enough for every target to have seen every family.
+const REQUESTS: u64 = 60_000;
 const ENTRY: NodeId = NodeId(1);
 const PREFIX_BLOCKS: u64 = 20;
 const FAMILIES: u64 = 50;
@@ -38,6 +41,9 @@
             let started = Instant::now();
             running.extend(stage.submit(number));
             submit_us += started.elapsed().as_secs_f64() * 1e6;
+            if let Some(report) = running.back() {
+                stage.report_first_token(report.key);
+            }
             if running.len() > (targets * SLOTS / 2) as usize
                 && let Some(report) = running.pop_front()
             {
@@ -108,6 +114,13 @@
         self.commit()
     }
 
+    /// Takes the prompt out of the work ahead at the target.
+    fn report_first_token(&mut self, key: RequestKey) {
+        let progress = StreamProgress { key, tokens: 1, first_token_ms: Some(40) };
+        let message = EntryMessage::Progress(vec![progress]);
+        self.admission.receive(time(self.now), ENTRY, message, &self.state);
+    }
+
     fn finish(&mut self, report: FinishReport) {
         let message = EntryMessage::Finish(report);
         self.admission.receive(time(self.now), ENTRY, message, &self.state);
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -5,8 +5,9 @@
 //! lookahead, the costs are:
 //!
 //! - submit, withdraw, finish, release and cancel: O(log n + B log B);
-//! - each placement: O(K + T·B), since a request that waits for a busy target is only compared
-//!   with that target until its wait ends;
+//! - each placement: O(K + T log T) and up to T·B prefix lookups, which stop at the first target
+//!   that could not win with the whole prompt cached; a request that waits for a busy target is
+//!   only compared with that target until its wait ends;
 //! - each choice of a victim: O(R), once per cancel and at most 32 times per step without success;
 //! - tick: O(T log T) for the straggler comparison, O(R) for stalled streams;
 //! - each timer that is due: O(log n).
@@ -14,6 +15,7 @@
 //! A step in which nothing can be placed and nobody seeks a slot costs O(T + K).
 
 mod check;
+mod cost;
 mod digest;
 mod event;
 mod intake;
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -1,6 +1,7 @@
 //! Placement: the next request and the target for it.
 
 use super::PoolScheduler;
+use super::cost::UsableTarget;
 use super::event::PoolOutput;
 use super::request::{ParkReason, PoolTarget, RequestPhase, RequestRecord, RequestSlot, RunState};
 use super::settings::RoutingPolicy;
@@ -90,16 +91,21 @@
         if self.suspects.quarantine(now, record.fingerprint).is_some() {
             return None;
         }
-        let usable: Vec<TargetKey> = self
+        let usable: Vec<UsableTarget<'_>> = self
             .targets
             .iter()
             .filter(|(key, target)| self.free(target) && self.usable(now, record, **key, target))
-            .map(|(key, _)| *key)
+            .map(|(key, target)| (*key, target))
             .collect();
-        let fast: Vec<TargetKey> =
-            usable.iter().copied().filter(|key| !self.avoided(*key)).collect();
+        let fast: Vec<_> = usable.iter().copied().filter(|(key, _)| !self.avoided(*key)).collect();
         let usable = if fast.is_empty() { usable } else { fast };
-        let target = self.pick(now, slot, &usable)?;
+        let target = match self.settings.routing {
+            RoutingPolicy::EstimatedCompletion => self.least_cost(now, record, &usable)?,
+            _ => {
+                let keys: Vec<TargetKey> = usable.iter().map(|(key, _)| *key).collect();
+                self.pick(&keys)?
+            }
+        };
         let cost_ms = self.routing_cost(now, &self.requests[slot], target);
         Some(Choice { slot, target, cost_ms })
     }
@@ -119,25 +125,13 @@
             && !isolated
     }
 
-    fn pick(
-        &mut self,
-        now: ClockTime,
-        slot: RequestSlot,
-        usable: &[TargetKey],
-    ) -> Option<TargetKey> {
+    /// The target that a policy without estimates chooses.
+    fn pick(&mut self, usable: &[TargetKey]) -> Option<TargetKey> {
         if usable.is_empty() {
             return None;
         }
         let in_flight = |key: &TargetKey| self.targets[key].running.len();
         match self.settings.routing {
-            RoutingPolicy::EstimatedCompletion => {
-                let record = &self.requests[slot];
-                usable
-                    .iter()
-                    .map(|key| (self.routing_cost(now, record, *key), in_flight(key), *key))
-                    .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)))
-                    .map(|(_, _, key)| key)
-            }
             RoutingPolicy::Random { .. } => {
                 self.random_state = self.random_state.wrapping_add(0x9e37_79b9_7f4a_7c15);
                 // The remainder is below the length, so the casts are exact.
@@ -153,43 +147,10 @@
                 // Equal reports are common; without rotation one target would get them all.
                 (load.running + load.waiting, target.last_placed)
             }),
-            RoutingPolicy::LeastInFlight => usable.iter().copied().min_by_key(in_flight),
-        }
-    }
-
-    /// Estimated completion time at a target, with the weight of uncached prompt tokens.
-    pub(super) fn routing_cost(
-        &self,
-        now: ClockTime,
-        record: &RequestRecord,
-        key: TargetKey,
-    ) -> f64 {
-        if self.is_service(record.item.class) {
-            return 0.0;
-        }
-        let extra = (self.settings.prefill_weight - 1.0) * self.prefill_ms(now, record, key);
-        self.completion_ms(now, record, key) + extra
-    }
-
-    /// Time that a target needs for the uncached prompt tokens.
-    pub(super) fn prefill_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
-        let uncached = f64::from(record.prompt_tokens) - self.cached(record, key);
-        uncached / self.rates.prefill_rate(now, key).max(1e-6)
-    }
-
-    /// Estimated time until the request would complete at a target.
-    fn completion_ms(&self, now: ClockTime, record: &RequestRecord, key: TargetKey) -> f64 {
-        let ahead_ms =
-            self.targets[&key].prefill_ahead / self.rates.prefill_rate(now, key).max(1e-6);
-        let prefill_ms = self.prefill_ms(now, record, key);
-        ahead_ms + prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
-    }
-
-    fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
-        if !self.settings.switches.prefix_term {
-            return 0.0;
+            RoutingPolicy::LeastInFlight | RoutingPolicy::EstimatedCompletion => {
+                usable.iter().copied().min_by_key(in_flight)
+            }
         }
-        self.targets[&key].prefix.cached_tokens(&record.prefix_hashes, record.prompt_tokens)
     }
 
     /// Gives the slot of a target to a waiting request.
@@ -203,7 +164,7 @@
         let record = &self.requests[slot];
         let cost = self.cost_tokens(record);
         let weight = self.workspaces.state(record.workspace).settings.weight;
-        let cached = self.cached(record, key);
+        let cached = self.cached(record, &self.targets[&key]);
         let marked = self.suspects.marked(now, record.fingerprint);
         self.queue.charge(&record.item, cost, weight);
         self.leave_queue(slot);
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -7,6 +7,7 @@
 mod placement;
 mod preemption;
 mod registry;
+mod routing;
 mod support;
 mod suspects;
 mod tier_rule;
