--- a/crates/burdockcleat/src/control.rs
+++ b/crates/burdockcleat/src/control.rs
@@ -20,4 +20,5 @@
 pub mod replies;
 pub mod report;
 pub mod server;
+mod snapshot;
 mod targets;
--- a/crates/burdockcleat/src/control/event.rs
+++ b/crates/burdockcleat/src/control/event.rs
@@ -2,9 +2,11 @@
 
 use crate::link::LinkEvent;
 use crate::operator::{ApplyRequest, DrainRequest, FaultText, OrderRequest};
+use crate::storage::{StagedSnapshot, StorageError};
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::TargetIdentity;
 use burdockcleat_core::registry::TargetAnnouncement;
+use burdockcleat_core::replica::SnapshotImage;
 use serde::Serialize;
 use std::sync::mpsc::Sender;
 
@@ -19,13 +21,8 @@
         /// Where the answer goes.
         reply: Sender<CallReply>,
     },
-    /// A snapshot of the state after a log index is ready.
-    SnapshotEncoded {
-        /// Last log index that the snapshot contains.
-        index: u64,
-        /// Encoded state.
-        image: Vec<u8>,
-    },
+    /// A snapshot of the state is written and synced, or could not be.
+    SnapshotStaged(Result<(SnapshotImage, StagedSnapshot), StorageError>),
     /// An order to an engine has been answered.
     OrderAnswered(super::orders::OrderAnswer),
     /// The process must stop after handing over its leadership.
--- a/crates/burdockcleat/src/control/node.rs
+++ b/crates/burdockcleat/src/control/node.rs
@@ -26,7 +26,6 @@
 };
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
-use std::thread;
 use std::time::Duration;
 use thiserror::Error;
 
@@ -38,11 +37,6 @@
 const MEMBER_TICK_MS: u64 = 200;
 /// Events that are handled before their output is synced and sent, so that a burst shares syncs.
 const MAX_EVENTS_PER_FLUSH: usize = 2_000;
-/// Smallest length of the log at which it is replaced by a snapshot.
-const COMPACT_AFTER: u64 = 20_000;
-/// Log records per claim in the table before a snapshot is worth its cost: a snapshot of 1,000,000
-/// claims takes 164 ms to encode, and a claim has two records.
-const RECORDS_PER_CLAIM: u64 = 2;
 
 /// A fault that stops the control thread.
 #[derive(Debug)]
@@ -88,9 +82,9 @@
     /// Commands of the admission that the log does not take during a transfer of leadership.
     pub(super) backlog: VecDeque<StateCommand>,
     stopping: Option<Sender<()>>,
-    events: Sender<ControlEvent>,
-    /// Whether a snapshot is being encoded.
-    encoding: bool,
+    pub(super) events: Sender<ControlEvent>,
+    /// Whether a snapshot is being encoded and written.
+    pub(super) encoding: bool,
     next_log_tick: ClockTime,
     next_controller_tick: ClockTime,
     next_member_tick: ClockTime,
@@ -189,7 +183,10 @@
         match event {
             ControlEvent::Link(event) => self.handle_link(event)?,
             ControlEvent::Call { call, reply } => self.handle_call(call, reply),
-            ControlEvent::SnapshotEncoded { index, image } => self.install_snapshot(index, image),
+            ControlEvent::SnapshotStaged(result) => {
+                let (image, staged) = result?;
+                self.switch_snapshot(image, staged);
+            }
             ControlEvent::OrderAnswered(answer) => {
                 if let Some(command) = self.orders.answered(answer) {
                     self.propose(command);
@@ -387,35 +384,6 @@
             admission.committed(step_time(), command, reply, &self.state);
         }
     }
-
-    /// Starts a snapshot once the log is long. It is encoded on a thread of its own, since that
-    /// takes a large part of the lease at a million claims.
-    fn compact(&mut self) {
-        if self.encoding || self.replica.log_length() < COMPACT_AFTER {
-            return;
-        }
-        if self.replica.log_length() < RECORDS_PER_CLAIM * self.state.summary().claims as u64 {
-            return;
-        }
-        let (state, events) = (self.state.clone(), self.events.clone());
-        let spawned = thread::Builder::new().name("snapshot".into()).spawn(move || {
-            let (index, image) = (state.applied(), state.snapshot());
-            // The control thread may have stopped; then nobody needs the snapshot.
-            let _ = events.send(ControlEvent::SnapshotEncoded { index, image });
-        });
-        match spawned {
-            Ok(_) => self.encoding = true,
-            Err(error) => log::error!(event = "thread_failed"; "starting a snapshot: {error}"),
-        }
-    }
-
-    fn install_snapshot(&mut self, index: u64, image: Vec<u8>) {
-        self.encoding = false;
-        match self.replica.compact(index, image.into()) {
-            Ok(()) => log::info!(event = "log_compacted", index = index; "snapshot taken"),
-            Err(error) => log::warn!(event = "compact_refused"; "{error}"),
-        }
-    }
 }
 
 /// Both clocks now.
--- a/crates/burdockcleat/src/storage.rs
+++ b/crates/burdockcleat/src/storage.rs
@@ -11,12 +11,18 @@
 //! Identity, vote and snapshot are replaced as a whole: a temporary file is written and synced,
 //! then renamed, then the folder is synced. The log is only appended to. A truncation is a record
 //! in the log as well, so one write and one sync cover a batch.
+//!
+//! A snapshot of this instance's own state is staged by a [`SnapshotStager`] on another thread.
+//! The switch to it is the rename, after which the segments that it replaces are removed, oldest
+//! first. Until the rename, a crash leaves the old snapshot with its whole log.
 
 mod error;
 mod record;
 mod segment;
+mod stage;
 
 pub use error::{StorageError, StorageStep};
+pub use stage::{SnapshotStager, StagedSnapshot};
 
 use burdockcleat_core::keys::NodeId;
 use burdockcleat_core::replica::{LogEntry, ReplicaOutput, SnapshotImage, StoredState, VoteRecord};
@@ -26,6 +32,7 @@
 use std::fs::{self, File, OpenOptions, TryLockError};
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 /// Files of one replica. The folder stays locked while this value lives.
 #[derive(Debug)]
@@ -33,9 +40,11 @@
     folder: PathBuf,
     node: NodeId,
     log: SegmentLog,
+    /// A snapshot that is written and synced under its temporary name.
+    staged: Option<StagedSnapshot>,
     /// A write failed, so the end of the log is unknown until the folder is opened again.
     failed: bool,
-    _lock: File,
+    lock: Arc<File>,
 }
 
 impl LogStorage {
@@ -66,7 +75,8 @@
         let mut stored = StoredState { vote: vote.unwrap_or_default(), snapshot, entries };
         let count = stored.entries.len();
         stored.reconcile();
-        let mut storage = Self { folder, node, log, failed: false, _lock: lock };
+        let mut storage =
+            Self { folder, node, log, staged: None, failed: false, lock: Arc::new(lock) };
         if stored.entries.len() < count {
             storage.log.append(&LogRecord { truncate_from: Some(1), entries: Vec::new() })?;
         }
@@ -88,6 +98,16 @@
         self.log.sync_count()
     }
 
+    /// Writes snapshots of this folder on another thread.
+    pub fn stager(&self) -> SnapshotStager {
+        SnapshotStager::of_folder(&self.folder, &self.lock)
+    }
+
+    /// Keeps a staged snapshot for the output that contains its image.
+    pub fn keep_staged(&mut self, staged: StagedSnapshot) {
+        self.staged = Some(staged);
+    }
+
     /// Writes the state of the first replica of a new deployment.
     ///
     /// # Errors
@@ -123,7 +143,10 @@
             replace_file(&self.folder, "vote", vote)?;
         }
         if let Some(image) = &output.snapshot {
-            replace_file(&self.folder, "snapshot", image)?;
+            match self.staged.take().filter(|staged| staged.holds(image)) {
+                Some(staged) => staged.switch(&self.folder)?,
+                None => replace_file(&self.folder, "snapshot", image)?,
+            }
         }
         if output.truncate_from.is_some() || !output.append.is_empty() {
             let (truncate_from, entries) = (output.truncate_from, output.append.clone());
@@ -159,7 +182,7 @@
             attempt(fs::remove_file(&path), StorageStep::Remove, &path)?;
         }
     }
-    Ok(())
+    stage::remove_staged(folder)
 }
 
 fn temporary(folder: &Path, name: &str) -> PathBuf {
@@ -190,13 +213,22 @@
     name: &str,
     value: &T,
 ) -> Result<(), StorageError> {
-    let path = folder.join(name);
     let new = temporary(folder, name);
-    let frame = record::frame_of(value, &path)?;
-    let mut file = attempt(File::create(&new), StorageStep::Create, &new)?;
-    attempt(file.write_all(&frame), StorageStep::Write, &new)?;
-    attempt(file.sync_all(), StorageStep::Sync, &new)?;
-    attempt(fs::rename(&new, &path), StorageStep::Rename, &new)?;
+    write_synced(&new, value)?;
+    rename_synced(folder, &new, name)
+}
+
+/// Writes a file as a whole and syncs it.
+fn write_synced<T: serde::Serialize>(path: &Path, value: &T) -> Result<(), StorageError> {
+    let frame = record::frame_of(value, path)?;
+    let mut file = attempt(File::create(path), StorageStep::Create, path)?;
+    attempt(file.write_all(&frame), StorageStep::Write, path)?;
+    attempt(file.sync_all(), StorageStep::Sync, path)
+}
+
+/// Gives a synced file its final name.
+fn rename_synced(folder: &Path, new: &Path, name: &str) -> Result<(), StorageError> {
+    attempt(fs::rename(new, folder.join(name)), StorageStep::Rename, new)?;
     sync_folder(folder)
 }
 
--- a/crates/burdockcleat/tests/storage.rs
+++ b/crates/burdockcleat/tests/storage.rs
@@ -4,6 +4,8 @@
 
 #[path = "storage/folder.rs"]
 mod folder;
+#[path = "storage/stage.rs"]
+mod stage;
 
 use burdockcleat::storage::{LogStorage, StorageError};
 use burdockcleat_core::replica::{MemberRecord, MemberSet, ReplicaOutput, StoredState, VoteRecord};
--- a/crates/core/src/replica.rs
+++ b/crates/core/src/replica.rs
@@ -286,6 +286,13 @@
         std::mem::take(&mut self.output)
     }
 
+    /// The image of the state machine after the entry at `index`, for [`LogReplica::compact`], or
+    /// `None` if the log does not hold that entry or it was not handed out as committed.
+    pub fn image_of(&self, index: u64, data: Arc<[u8]>) -> Option<SnapshotImage> {
+        let members = self.log.members_at(index).filter(|_| index <= self.applied_index)?.clone();
+        Some(SnapshotImage { index, term: self.log.term_at(index)?, members, data })
+    }
+
     /// Replaces the log up to `index` by an image of the state machine after that entry.
     ///
     /// # Errors
@@ -297,11 +304,7 @@
         if index < first || index > last {
             return Err(out_of_range);
         }
-        let (Some(term), Some(members)) = (self.log.term_at(index), self.log.members_at(index))
-        else {
-            return Err(out_of_range);
-        };
-        let image = SnapshotImage { index, term, members: members.clone(), data: image };
+        let Some(image) = self.image_of(index, image) else { return Err(out_of_range) };
         self.log.compact(image.clone(), self.config.keep_entries);
         self.output.snapshot = Some(image);
         Ok(())
