Allocate the queue of a link as it grows

The bounded channel allocated 20,000 places at once, 625 KiB for each link. The bound is now checked when a frame is queued.

--- a/crates/burdockcleat/src/link/session.rs
+++ b/crates/burdockcleat/src/link/session.rs
@@ -88,7 +88,7 @@
 impl LinkTable {
     fn enqueue(&self, link: LinkKey, frame: Vec<u8>) {
         let refused = match self.queues.borrow().get(&link) {
-            Some(queue) => queue.try_send(frame).is_err(),
+            Some(queue) => queue.len() >= MAX_QUEUED_FRAMES || queue.try_send(frame).is_err(),
             None => false,
         };
         if refused {
@@ -212,7 +212,9 @@
 impl PendingLink {
     fn prepare(table: &Rc<LinkTable>) -> Self {
         let key = table.next_key();
-        let (queue, frames) = async_channel::bounded(MAX_QUEUED_FRAMES);
+        // `enqueue` bounds the length. A bounded channel allocates all its places at once, which is
+        // 625 KiB for each link of a leader.
+        let (queue, frames) = async_channel::unbounded();
         table.queues.borrow_mut().insert(key, queue);
         let (ready, ready_rx) = async_channel::bounded(1);
         let sink = new_client(FrameSink { table: table.clone(), key, ready: ready_rx });
