--- a/crates/core/examples/policy_experiment/engine.rs
+++ b/crates/core/examples/policy_experiment/engine.rs
@@ -1,7 +1,8 @@
 //! A fake engine: continuous batching, and a prefix cache with least-recently-used removal.
 
+use crate::waste::BlockOrigin;
 use burdockcleat_core::registry::{CacheChange, CacheEvent, LoadReport, TargetAnnouncement};
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Prompt tokens per cache block.
 pub const BLOCK_TOKENS: u32 = 64;
@@ -44,8 +45,8 @@
 
 /// What happened in a step.
 pub enum EngineEvent {
-    /// The prompt is computed; `hashes` are the blocks that were not cached.
-    Prefilled { hashes: Vec<u64> },
+    /// The prompt is computed; `blocks` are those from position `cached` on, which were not cached.
+    Prefilled { request: usize, cached: usize, blocks: Vec<(u64, BlockOrigin)> },
     /// The response is complete.
     Completed(EngineStream),
 }
@@ -85,6 +86,9 @@
     pub incarnation: u64,
     pub streams: Vec<EngineStream>,
     cache: BlockCache,
+    /// Blocks that this incarnation has held, and those of earlier ones.
+    held: HashSet<u64>,
+    held_before: HashSet<u64>,
     events: Vec<CacheEvent>,
     event_sequence: u64,
     report_sequence: u64,
@@ -100,6 +104,8 @@
             incarnation: 1,
             streams: Vec::new(),
             cache: BlockCache::default(),
+            held: HashSet::new(),
+            held_before: HashSet::new(),
             events: Vec::new(),
             event_sequence: 0,
             report_sequence: 0,
@@ -108,7 +114,7 @@
     }
 
     pub fn admit(&mut self, now: u64, request: usize, prompt: u32, output: u32, hashes: &[u64]) {
-        let cached = hashes.iter().take_while(|hash| self.cache.stamps.contains_key(hash)).count();
+        let cached = self.cached_blocks(hashes);
         for hash in hashes[..cached].iter().rev() {
             self.cache.touch(*hash);
         }
@@ -149,16 +155,18 @@
             if stream.prompt_left <= 0.0 {
                 stream.first_token = Some(now);
                 stream.tokens = 1.0;
-                stored.push((stream.hashes.clone(), stream.cached_blocks));
+                stored.push((stream.request, stream.hashes.clone(), stream.cached_blocks));
             }
         }
-        for (hashes, cached) in stored {
+        for (request, hashes, cached) in stored {
+            let blocks = hashes[cached..].iter().map(|hash| (*hash, self.origin(*hash))).collect();
             for hash in hashes.iter().rev() {
                 self.cache.touch(*hash);
             }
             let fresh = hashes[cached..].to_vec();
-            self.record(CacheChange::Stored(fresh.clone()));
-            events.push(EngineEvent::Prefilled { hashes: fresh });
+            self.held.extend(&fresh);
+            self.record(CacheChange::Stored(fresh));
+            events.push(EngineEvent::Prefilled { request, cached, blocks });
         }
         let removed = self.cache.evict(self.spec.cache_blocks);
         if !removed.is_empty() {
@@ -172,6 +180,23 @@
         events
     }
 
+    /// Blocks of a prompt that the cache holds, from its start.
+    pub fn cached_blocks(&self, hashes: &[u64]) -> usize {
+        hashes.iter().take_while(|hash| self.cache.stamps.contains_key(hash)).count()
+    }
+
+    fn origin(&self, hash: u64) -> BlockOrigin {
+        if self.cache.stamps.contains_key(&hash) {
+            BlockOrigin::AtOnce
+        } else if self.held.contains(&hash) {
+            BlockOrigin::Evicted
+        } else if self.held_before.contains(&hash) {
+            BlockOrigin::Crashed
+        } else {
+            BlockOrigin::Absent
+        }
+    }
+
     pub fn remove(&mut self, request: usize) -> Option<EngineStream> {
         let index = self.streams.iter().position(|stream| stream.request == request)?;
         Some(self.streams.remove(index))
@@ -181,6 +206,7 @@
     pub fn crash(&mut self) -> Vec<EngineStream> {
         self.up = false;
         self.cache = BlockCache::default();
+        self.held_before.extend(self.held.drain());
         self.events.clear();
         self.event_sequence = 0;
         self.report_sequence = 0;
--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -6,6 +6,7 @@
 //! `cargo run --release -p burdockcleat-core --example policy_experiment -- [SEEDS] [FIRST_SEED]`
 
 mod engine;
+mod waste;
 mod workload;
 mod world;
 
@@ -19,6 +20,9 @@
 /// Threads of a run of the experiment; the machine is shared.
 const THREADS: usize = 4;
 
+/// Variants for which the causes of wasted prefill are printed.
+const CAUSES_OF: [&str; 3] = ["estimated completion", "least reported", "- cache wait"];
+
 type Variant = (&'static str, fn(&mut PoolSettings));
 
 const VARIANTS: [Variant; 15] = [
@@ -104,6 +108,17 @@
     format!("{:5.1} ({:5.1}-{:5.1})", values[values.len() / 2], low, high)
 }
 
+/// Shares of the causes in the computed tokens, summed over the seeds, in percent.
+fn print_causes(name: &str, runs: &[RunFigures]) {
+    let computed: f64 = runs.iter().map(|run| run.computed).sum();
+    print!("causes, {name:<22}");
+    for cause in 0..runs[0].causes.rows().len() {
+        let tokens: f64 = runs.iter().map(|run| run.causes.rows()[cause].1).sum();
+        print!("  {} {:.1}", runs[0].causes.rows()[cause].0, tokens / computed.max(1.0) * 100.0);
+    }
+    println!();
+}
+
 fn main() {
     let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse().ok());
     let (count, first): (u64, u64) = (arguments.next().unwrap_or(5), arguments.next().unwrap_or(1));
@@ -138,6 +153,11 @@
                     runs.iter().map(|run| run.violations).sum::<u32>(),
                 );
             }
+            for ((name, _), runs) in VARIANTS.iter().zip(&results) {
+                if CAUSES_OF.contains(name) {
+                    print_causes(name, runs);
+                }
+            }
         }
     }
 }
--- a/crates/core/examples/policy_experiment/world.rs
+++ b/crates/core/examples/policy_experiment/world.rs
@@ -1,13 +1,15 @@
 //! One run: an entry, the scheduler under test and the fake engines.
 
 use crate::engine::{EngineEvent, EngineStream, FakeEngine, STEP_MS};
+use crate::waste::{PlacementNote, WasteCauses};
 use crate::workload::{ARRIVALS_MS, Deployment, PlannedRequest};
 use burdockcleat_core::clock::ClockTime;
+use burdockcleat_core::estimate::{PrefixIndex, PrefixSettings};
 use burdockcleat_core::keys::{ClaimNumber, NodeId, RequestFingerprint, RequestKey};
 use burdockcleat_core::message::{FinishReport, StreamProgress, SubmitRequest};
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::pool::{PoolInput, PoolOutput, PoolScheduler, PoolSettings};
-use burdockcleat_core::registry::{TargetKey, TargetRegistry};
+use burdockcleat_core::registry::{TargetChangeKind, TargetKey, TargetRegistry};
 use std::collections::{BTreeMap, HashMap, HashSet};
 
 const POOL: &str = "pool";
@@ -31,6 +33,7 @@
     pub tiers: [(u32, u32); 3],
     pub computed: f64,
     pub wasted: f64,
+    pub causes: WasteCauses,
     pub violations: u32,
     pub cancels: u32,
     /// Requests by workspace: offered, completed in time.
@@ -68,6 +71,12 @@
     registry: TargetRegistry,
     engines: Vec<FakeEngine>,
     places: HashMap<TargetKey, usize>,
+    /// The scheduler's prefix prediction, rebuilt from the same inputs.
+    predictions: HashMap<TargetKey, PrefixIndex>,
+    prefix: PrefixSettings,
+    notes: HashMap<usize, PlacementNote>,
+    /// Engine of each request that occupies a slot in the scheduler's view.
+    slots: HashMap<usize, TargetKey>,
     /// Engine of each dispatched request.
     dispatched: HashMap<usize, usize>,
     delayed: BTreeMap<(u64, u64), Delayed>,
@@ -78,9 +87,14 @@
 
 impl ExperimentWorld {
     pub fn new(deployment: Deployment, settings: PoolSettings, plan: Vec<PlannedRequest>) -> Self {
+        let prefix = settings.prefix.clone();
         Self {
             now: 0,
             plan,
+            predictions: HashMap::new(),
+            prefix,
+            notes: HashMap::new(),
+            slots: HashMap::new(),
             scheduler: PoolScheduler::new(settings),
             registry: TargetRegistry::default(),
             engines: deployment.engines().into_iter().map(FakeEngine::new).collect(),
@@ -134,6 +148,11 @@
     }
 
     fn step(&mut self, input: PoolInput) {
+        match &input {
+            PoolInput::Finish(report) => self.slots.remove(&index(report.key)),
+            PoolInput::Release { key, .. } => self.slots.remove(&index(*key)),
+            _ => None,
+        };
         let outputs = self.scheduler.step(ClockTime::from_ms(self.now), input);
         for output in outputs {
             if self.scheduler.tier_violation(&output).is_some() {
@@ -143,6 +162,7 @@
                 PoolOutput::Place { key, target, .. } => {
                     let request = index(key);
                     let claim = claim(request);
+                    self.note_placement(request, target);
                     self.later(5, Delayed::Input(PoolInput::ClaimCommitted { key, claim }));
                     self.later(DISPATCH_MS, Delayed::Dispatch { request, target });
                 }
@@ -155,6 +175,27 @@
         }
     }
 
+    /// Compares the prediction for a placement with the caches of all engines.
+    fn note_placement(&mut self, request: usize, target: TargetKey) {
+        let hashes = &self.plan[request].hashes;
+        let mut note = PlacementNote::default();
+        for (key, engine) in &self.places {
+            let engine = &self.engines[*engine];
+            let held = engine.cached_blocks(hashes);
+            note.best = note.best.max(held);
+            let taken = self.slots.values().filter(|place| *place == key).count();
+            if taken < engine.spec.slots as usize {
+                note.best_free = note.best_free.max(held);
+            }
+        }
+        let Some(prediction) = self.predictions.get_mut(&target) else { return };
+        let tokens = prediction.cached_tokens(hashes, u32::MAX);
+        note.predicted = (tokens / f64::from(crate::engine::BLOCK_TOKENS)) as usize;
+        prediction.dispatched(hashes);
+        self.notes.insert(request, note);
+        self.slots.insert(request, target);
+    }
+
     fn deliver(&mut self, delayed: Delayed) {
         match delayed {
             Delayed::Input(input) => self.step(input),
@@ -212,6 +253,7 @@
     fn discard(&mut self, stream: &EngineStream, reason: ReasonCode) {
         self.figures.computed += stream.computed;
         self.figures.wasted += stream.computed;
+        self.figures.causes.discarded += stream.computed;
         self.finish(stream, RequestOutcome::Failed, Some(reason));
     }
 
@@ -242,10 +284,15 @@
         for engine in 0..self.engines.len() {
             for event in self.engines[engine].advance(self.now) {
                 match event {
-                    EngineEvent::Prefilled { hashes } => {
-                        let again = hashes.iter().filter(|hash| !self.seen.insert(**hash)).count();
-                        self.figures.wasted +=
-                            again as f64 * f64::from(crate::engine::BLOCK_TOKENS);
+                    EngineEvent::Prefilled { request, cached, blocks } => {
+                        let note = self.notes.get(&request).copied().unwrap_or_default();
+                        for (offset, (hash, origin)) in blocks.into_iter().enumerate() {
+                            if !self.seen.insert(hash) {
+                                let tokens = f64::from(crate::engine::BLOCK_TOKENS);
+                                self.figures.wasted += tokens;
+                                self.figures.causes.add(origin, cached + offset, &note, tokens);
+                            }
+                        }
                     }
                     EngineEvent::Completed(stream) => {
                         self.figures.computed += stream.computed;
@@ -282,6 +329,13 @@
             let Ok((target, changes)) = announced else { continue };
             self.places.insert(target, engine);
             for change in changes {
+                if let TargetChangeKind::Announced(announcement) = &change.kind {
+                    let prefix = &self.prefix;
+                    self.predictions
+                        .entry(change.target)
+                        .or_insert_with(|| PrefixIndex::new(prefix.clone()))
+                        .apply(&announcement.cache_events);
+                }
                 self.step(PoolInput::Target { target: change.target, change: change.kind });
             }
         }
