Let a request with cached blocks go before one of its tier without them

At a free target, the first waiting request gives way to the next one of its tier whose prompt blocks the target holds, while it has used less than half of the time that it can wait and the other workspace is at most 16,000 tokens ahead of its fair share.

--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -21,19 +21,20 @@
 const THREADS: usize = 4;
 
 /// Variants for which the causes of wasted prefill are printed.
-const CAUSES_OF: [&str; 3] = ["estimated completion", "least reported", "- cache wait"];
+const CAUSES_OF: [&str; 3] = ["estimated completion", "least reported", "- overtaking"];
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 15] = [
+const VARIANTS: [Variant; 16] = [
     ("estimated completion", |_| {}),
-    ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
-    ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
-    ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
-    ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
+    ("random", |s| baseline(s, RoutingPolicy::Random { seed: 7 })),
+    ("round robin", |s| baseline(s, RoutingPolicy::RoundRobin)),
+    ("least reported", |s| baseline(s, RoutingPolicy::LeastReported)),
+    ("least in flight", |s| baseline(s, RoutingPolicy::LeastInFlight)),
     ("- prefix term", |s| s.switches.prefix_term = false),
     ("- prefill weight", |s| s.prefill_weight = 1.0),
     ("- cache wait", |s| s.cache_wait_share = 0.0),
+    ("- overtaking", |s| s.switches.overtaking = false),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
     ("- deadline order", |s| s.switches.deadline_order = false),
@@ -41,7 +42,7 @@
     ("- failure limit", |s| s.failure_limit = u32::MAX),
     ("- tiered shedding", |s| s.switches.tiered_shedding = false),
     ("plain", |s| {
-        s.routing = RoutingPolicy::LeastReported;
+        baseline(s, RoutingPolicy::LeastReported);
         s.switches.preemption = false;
         s.switches.fair_share = false;
         s.switches.deadline_order = false;
@@ -50,11 +51,17 @@
     }),
 ];
 
+/// Chooses the target by the policy alone and the request by the order of the queue.
+fn baseline(settings: &mut PoolSettings, routing: RoutingPolicy) {
+    settings.routing = routing;
+    settings.switches.overtaking = false;
+}
+
 /// Requests per second that the engines complete when the queue is never empty, routed by own
 /// in-flight count and without faults.
 fn capacity(deployment: Deployment) -> f64 {
     let mut settings = deployment.settings();
-    settings.routing = RoutingPolicy::LeastInFlight;
+    baseline(&mut settings, RoutingPolicy::LeastInFlight);
     settings.switches.preemption = false;
     settings.queue_limit = 1_000_000;
     for tier in &mut settings.tiers {
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -17,6 +17,7 @@
 mod digest;
 mod event;
 mod intake;
+mod overtake;
 mod preempt;
 mod queue;
 mod rebuild;
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -76,6 +76,23 @@
         }
     }
 
+    /// The first requests of the flows whose virtual time is not far above that of `flow`.
+    fn near_candidates(
+        &self,
+        flow: usize,
+        distance: u64,
+        limit: usize,
+    ) -> impl Iterator<Item = RequestSlot> {
+        let time = self.flows.get(&flow).map_or(0, |flow| flow.virtual_time);
+        let bound = (time.saturating_add(distance), usize::MAX);
+        let share = limit.div_ceil(self.active.range(..=bound).count().max(1));
+        self.active
+            .range(..=bound)
+            .filter_map(|(_, flow)| self.flows.get(flow))
+            .flat_map(move |flow| flow.requests.iter().take(share).map(|(_, _, slot)| *slot))
+            .take(limit)
+    }
+
     /// The first requests of each flow. The limit is divided among the flows, so that the
     /// requests of one workspace do not fill it.
     fn candidates(&self, limit: usize) -> impl Iterator<Item = RequestSlot> {
@@ -165,6 +182,20 @@
             .collect()
     }
 
+    /// Requests of the model and tier of `item`, in the order in which they are to be placed, of
+    /// the flows that are at most `tokens` of cost ahead of the flow of `item`.
+    pub fn near_candidates(
+        &self,
+        item: &QueueItem,
+        tokens: f64,
+        limit: usize,
+    ) -> impl Iterator<Item = RequestSlot> {
+        // The cast saturates.
+        let distance = (tokens * VIRTUAL_UNITS) as u64;
+        let flows = self.classes.get(item.class).and_then(|tiers| tiers.get(&item.tier));
+        flows.into_iter().flat_map(move |flows| flows.near_candidates(item.flow, distance, limit))
+    }
+
     /// Highest tier of a model with a request that can be placed.
     pub fn first_tier(&self, class: usize) -> Option<u8> {
         let tiers = self.classes.get(class)?;
--- a/crates/core/src/pool/reuse.rs
+++ b/crates/core/src/pool/reuse.rs
@@ -40,7 +40,7 @@
 
     /// Whether a request has no time left to wait for a better target. The margin keeps such
     /// waits from ending in a preemption.
-    fn in_haste(&self, now: ClockTime, slot: RequestSlot) -> bool {
+    pub(super) fn in_haste(&self, now: ClockTime, slot: RequestSlot) -> bool {
         let record = &self.requests[slot];
         let urgent = record.waiting().is_some_and(|state| state.urgent);
         let lowest = self.running.last_key_value().map(|(tier, _)| *tier);
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -66,7 +66,7 @@
                     continue;
                 };
                 if !self.defer(now, &choice) {
-                    return Some(choice);
+                    return Some(self.overtaker(now, &choice).unwrap_or(choice));
                 }
             }
             entitled -= self.start_wait(now, slot, entitled);
@@ -185,7 +185,7 @@
         ahead_ms + prefill_ms + record.output_expected / self.rates.decode_rate(now, key).max(1e-6)
     }
 
-    fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
+    pub(super) fn cached(&self, record: &RequestRecord, key: TargetKey) -> f64 {
         if !self.settings.switches.prefix_term {
             return 0.0;
         }
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -34,6 +34,9 @@
     pub deadline_order: bool,
     /// Whether stragglers get no new work while other targets have capacity.
     pub straggler_avoidance: bool,
+    /// Whether a request that has no prompt blocks at a free target lets one of its tier go first
+    /// that has them.
+    pub overtaking: bool,
     /// Whether the lowest tier is shed first; otherwise the arriving request is shed.
     pub tiered_shedding: bool,
 }
@@ -46,6 +49,7 @@
             fair_share: true,
             deadline_order: true,
             straggler_avoidance: true,
+            overtaking: true,
             tiered_shedding: true,
         }
     }
@@ -142,6 +146,12 @@
     /// Waiting requests that are looked at for a free slot when those before them wait for
     /// another target.
     pub lookahead: usize,
+    /// Share of the time that a request can wait without missing its deadline, after which no
+    /// request with cached blocks goes before it any more.
+    pub overtake_share: f64,
+    /// Cost by which the workspace of an overtaking request may be ahead of its fair share, in
+    /// tokens at weight 1.
+    pub overtake_tokens: f64,
     /// Lower bound of a retry-after time, in milliseconds.
     pub retry_after_min_ms: u32,
     /// Upper bound of a retry-after time, in milliseconds.
@@ -176,6 +186,8 @@
             grant_ttl_ms: 2_000,
             cache_wait_share: 4.0,
             lookahead: 32,
+            overtake_share: 0.5,
+            overtake_tokens: 16_000.0,
             retry_after_min_ms: 100,
             retry_after_max_ms: 60_000,
             rates: RateSettings::default(),
--- a/crates/core/tests/pool/differential.rs
+++ b/crates/core/tests/pool/differential.rs
@@ -12,7 +12,7 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Submit { tier: u8, workspace: u8, idempotent: bool, deadline_ms: u32, size: u32 },
+    Submit { tier: u8, workspace: u8, idempotent: bool, deadline_ms: u32, size: u32, prefix: u64 },
     Commit { index: usize },
     Finish { index: usize },
     ConfirmCancel { index: usize },
@@ -22,9 +22,9 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        12 => (0..3_u8, 0..3_u8, any::<bool>(), 0..9_000_u32, 1..8_u32).prop_map(
-            |(tier, workspace, idempotent, deadline_ms, size)| Event::Submit {
-                tier, workspace, idempotent, deadline_ms, size
+        12 => (0..3_u8, 0..3_u8, any::<bool>(), 0..9_000_u32, 1..8_u32, 0..6_u64).prop_map(
+            |(tier, workspace, idempotent, deadline_ms, size, prefix)| Event::Submit {
+                tier, workspace, idempotent, deadline_ms, size, prefix
             }),
         8 => any::<usize>().prop_map(|index| Event::Commit { index }),
         4 => any::<usize>().prop_map(|index| Event::Finish { index }),
@@ -46,6 +46,8 @@
         let settings = PoolSettings {
             routing: RoutingPolicy::LeastInFlight,
             queue_limit: 14,
+            // About two requests, so that the bound on the distance from the fair share matters.
+            overtake_tokens: 4_000.0,
             tiers: [3_000, 5_000, 8_000]
                 .map(|max_queue_ms| TierSettings { max_queue_ms, patience_ms: max_queue_ms })
                 .to_vec(),
@@ -70,7 +72,7 @@
     fn apply(&mut self, event: &Event) -> Result<(), TestCaseError> {
         let now = self.harness.now.as_ms();
         let input = match *event {
-            Event::Submit { tier, workspace, idempotent, deadline_ms, size } => {
+            Event::Submit { tier, workspace, idempotent, deadline_ms, size, prefix } => {
                 self.next += 1;
                 let request = SubmitRequest {
                     workspace: format!("w{workspace}"),
@@ -78,6 +80,8 @@
                     deadline_in_ms: deadline_ms,
                     prompt_tokens: 400 * size,
                     output_tokens: 10 * size,
+                    // The first block is common to all requests of a pair of prefixes.
+                    prefix_hashes: vec![prefix / 2, 10 + prefix, 20 + prefix],
                     ..request(self.next, tier)
                 };
                 self.naive.submit(now, self.next, &request);
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -4,6 +4,7 @@
 mod estimates;
 mod failover;
 mod naive;
+mod overtaking;
 mod placement;
 mod preemption;
 mod registry;
--- a/crates/core/tests/pool/naive.rs
+++ b/crates/core/tests/pool/naive.rs
@@ -1,12 +1,13 @@
 //! A scheduler that recomputes every decision by a full scan, to compare with.
 //!
-//! It covers one model, routing by own in-flight count, and targets that stay. Service times are
+//! It covers one model, routing by own in-flight count, overtaking by cached blocks, and targets
+//! that stay and remove no blocks. Service times are
 //! constant, since no request completes in the comparison.
 
 use burdockcleat_core::message::SubmitRequest;
 use burdockcleat_core::outcome::ReasonCode;
 use burdockcleat_core::pool::PoolSettings;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 const SEARCH_LIMIT: usize = 32;
 
@@ -28,6 +29,8 @@
     deadline: u64,
     cost: f64,
     service_ms: f64,
+    prompt_tokens: f64,
+    hashes: Vec<u64>,
     /// Target, if it runs.
     target: Option<usize>,
     claimed: bool,
@@ -43,6 +46,8 @@
 pub struct NaiveScheduler {
     settings: PoolSettings,
     slots: Vec<usize>,
+    /// Blocks of the prompts that were dispatched to each target.
+    blocks: Vec<HashSet<u64>>,
     /// In the order of arrival.
     requests: Vec<NaiveRequest>,
     placements: Vec<(u64, u8, f64)>,
@@ -57,6 +62,7 @@
     pub fn new(settings: PoolSettings, slots: Vec<usize>) -> Self {
         Self {
             settings,
+            blocks: vec![HashSet::new(); slots.len()],
             slots,
             requests: Vec::new(),
             placements: Vec::new(),
@@ -90,6 +96,8 @@
             cost: prompt + output,
             service_ms: prompt / (rates.prefill_tokens_per_s / 1_000.0)
                 + output / (rates.decode_tokens_per_s / 1_000.0),
+            prompt_tokens: prompt,
+            hashes: request.prefix_hashes.clone(),
             target: None,
             claimed: false,
             cancelled: None,
@@ -190,14 +198,62 @@
                 })
                 .map(|(_, request)| request.number);
             let (Some(target), Some(number)) = (target, next) else { return };
+            let number = self.overtaker(now, number, target).unwrap_or(number);
             self.unpair(number);
             self.place(now, number, target, false);
         }
     }
 
+    fn cached(&self, request: &NaiveRequest, target: usize) -> f64 {
+        let blocks = &self.blocks[target];
+        let known = request.hashes.iter().take_while(|hash| blocks.contains(hash)).count();
+        (known as f64 * f64::from(self.settings.prefix.block_tokens)).min(request.prompt_tokens)
+    }
+
+    fn in_haste(&self, now: u64, request: &NaiveRequest) -> bool {
+        now + self.settings.preempt_slack_ms >= self.slack_end(request)
+            || (request.urgent && self.runs_below(request.tier))
+    }
+
+    /// The request with cached blocks at the target that goes before the first one.
+    fn overtaker(&self, now: u64, first: u32, target: usize) -> Option<u32> {
+        let first = &self.requests[self.find(first)?];
+        let spare = self.slack_end(first).saturating_sub(first.submitted) as f64;
+        let waited = (now - first.submitted) as f64;
+        if waited >= spare * self.settings.overtake_share || self.in_haste(now, first) {
+            return None;
+        }
+        let time = |flow: usize| self.virtual_times[&(first.tier, flow)];
+        let bound = time(first.flow) + (self.settings.overtake_tokens * 1_000.0) as u64;
+        let queued = |flow: usize| {
+            let requests = self.requests.iter().enumerate();
+            let queued = requests.filter(|(_, r)| r.queued() && r.is_in(first.tier, flow));
+            let mut queued: Vec<(u64, usize)> =
+                queued.map(|(index, r)| (r.deadline, index)).collect();
+            queued.sort_unstable();
+            queued
+        };
+        let mut flows: Vec<(u64, usize)> = (0..self.workspaces.len())
+            .filter(|flow| !queued(*flow).is_empty() && time(*flow) <= bound)
+            .map(|flow| (time(flow), flow))
+            .collect();
+        flows.sort_unstable();
+        let share = self.settings.lookahead.div_ceil(flows.len().max(1));
+        flows
+            .iter()
+            .flat_map(|(_, flow)| queued(*flow).into_iter().take(share))
+            .take(self.settings.lookahead)
+            .map(|(_, index)| &self.requests[index])
+            .filter(|other| other.number != first.number)
+            .take_while(|other| !self.in_haste(now, other))
+            .find(|other| self.cached(other, target) > self.cached(first, target))
+            .map(|other| other.number)
+    }
+
     fn place(&mut self, now: u64, number: u32, target: usize, above: bool) {
         let Some(index) = self.find(number) else { return };
         let request = &mut self.requests[index];
+        self.blocks[target].extend(&request.hashes);
         request.target = Some(target);
         request.above = above;
         let (tier, cost) = (request.tier, request.cost);
