Wait for prompt blocks that another request is computing at the target

The prediction counts the blocks of a dispatch at once, but an engine computes them again for a request that arrives before they are stored. Such a request now waits for the first token, within the limit of the wait for a busy target.

In the differential test, the naive version now also knows first tokens. Its choice of victims takes completed work into account, since a first token makes work differ. The test of a shared prefix reports first tokens and counts the placements, which the wait would otherwise leave out.

--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -21,11 +21,12 @@
 const THREADS: usize = 4;
 
 /// Variants for which the causes of wasted prefill are printed.
-const CAUSES_OF: [&str; 3] = ["estimated completion", "least reported", "- overtaking"];
+const CAUSES_OF: [&str; 4] =
+    ["estimated completion", "least reported", "- computing wait", "- overtaking"];
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 16] = [
+const VARIANTS: [Variant; 17] = [
     ("estimated completion", |_| {}),
     ("random", |s| baseline(s, RoutingPolicy::Random { seed: 7 })),
     ("round robin", |s| baseline(s, RoutingPolicy::RoundRobin)),
@@ -34,6 +35,7 @@
     ("- prefix term", |s| s.switches.prefix_term = false),
     ("- prefill weight", |s| s.prefill_weight = 1.0),
     ("- cache wait", |s| s.cache_wait_share = 0.0),
+    ("- computing wait", |s| s.switches.computing_wait = false),
     ("- overtaking", |s| s.switches.overtaking = false),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
@@ -54,6 +56,7 @@
 /// Chooses the target by the policy alone and the request by the order of the queue.
 fn baseline(settings: &mut PoolSettings, routing: RoutingPolicy) {
     settings.routing = routing;
+    settings.switches.computing_wait = false;
     settings.switches.overtaking = false;
 }
 
--- a/crates/core/src/estimate/prefix.rs
+++ b/crates/core/src/estimate/prefix.rs
@@ -64,6 +64,11 @@
         self.blocks.is_empty()
     }
 
+    /// Whether a block is expected in the target's cache.
+    pub fn contains(&self, hash: u64) -> bool {
+        self.blocks.contains_key(&hash)
+    }
+
     /// Prompt tokens that the target is expected to find in its cache.
     pub fn cached_tokens(&self, hashes: &[u64], prompt_tokens: u32) -> f64 {
         let mut blocks = 0.0;
--- a/crates/core/src/pool/overtake.rs
+++ b/crates/core/src/pool/overtake.rs
@@ -16,7 +16,7 @@
         }
         let target = self.targets.get(&first.target)?;
         let record = &self.requests[first.slot];
-        let reused = self.cached(record, first.target);
+        let reused = self.ready(record, first.target);
         let tier = record.item.tier;
         let limit = self.settings.lookahead;
         self.queue
@@ -26,7 +26,7 @@
             .find(|slot| {
                 let other = &self.requests[*slot];
                 other.item.tier == tier
-                    && self.cached(other, first.target) > reused
+                    && self.ready(other, first.target) > reused
                     && self.usable(now, other, first.target, target)
                     && self.suspects.quarantine(now, other.fingerprint).is_none()
             })
--- a/crates/core/src/pool/reuse.rs
+++ b/crates/core/src/pool/reuse.rs
@@ -4,10 +4,11 @@
 //! the prefill time that it saves, and ends early enough not to cause a preemption.
 
 use super::PoolScheduler;
-use super::request::{HomeWait, RequestSlot};
+use super::request::{HomeWait, PoolTarget, RequestRecord, RequestSlot};
 use super::route::Choice;
 use super::settings::RoutingPolicy;
 use crate::clock::ClockTime;
+use crate::registry::TargetKey;
 
 impl PoolScheduler {
     /// Whether the request still waits for a busy target that has its prompt cached.
@@ -15,7 +16,9 @@
         let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) else {
             return false;
         };
-        let busy = self.targets.get(&wait.target).is_some_and(|target| !self.free(target));
+        let busy = self.targets.get(&wait.target).is_some_and(|target| {
+            !self.free(target) || self.computing(&self.requests[slot], target) > 0.0
+        });
         busy && wait.until.is_none_or(|until| now < until) && !self.in_haste(now, slot)
     }
 
@@ -48,6 +51,34 @@
             || (urgent && lowest.is_some_and(|lowest| lowest > record.item.tier))
     }
 
+    /// Prompt tokens of a request that another one is computing at a target. They are predicted to
+    /// be cached there, but an engine computes them again for a request that arrives now.
+    pub(super) fn computing(&self, record: &RequestRecord, target: &PoolTarget) -> f64 {
+        // The blocks in question are in the prediction, and most targets hold none of the prompt.
+        if !self.settings.switches.computing_wait
+            || !record.prefix_hashes.first().is_some_and(|first| target.prefix.contains(*first))
+        {
+            return 0.0;
+        }
+        let block_tokens = f64::from(self.settings.prefix.block_tokens);
+        let running = target.running.iter().filter_map(|slot| self.requests.get(*slot));
+        running
+            .filter_map(|other| {
+                let state = other.running().filter(|state| !state.first_token)?;
+                let pairs = other.prefix_hashes.iter().zip(&record.prefix_hashes);
+                let shared = pairs.take_while(|(left, right)| left == right).count() as f64;
+                let known = f64::from(other.prompt_tokens) - state.uncached;
+                Some(shared * block_tokens - known)
+            })
+            .fold(0.0, f64::max)
+    }
+
+    /// Prompt tokens that a target can take from its cache at once.
+    pub(super) fn ready(&self, record: &RequestRecord, key: TargetKey) -> f64 {
+        let computing = self.targets.get(&key).map_or(0.0, |target| self.computing(record, target));
+        self.cached(record, key) - computing
+    }
+
     /// Lets a request wait for a busy target that has its prompt cached, if that is expected to
     /// cost less than the prefill at a free target.
     pub(super) fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
@@ -62,21 +93,29 @@
             .targets
             .iter()
             .filter(|(key, target)| {
-                !target.has_free_slot(u32::MAX)
+                (!target.has_free_slot(u32::MAX) || self.computing(record, target) > 0.0)
                     && self.usable(now, record, **key, target)
                     && !self.avoided(**key)
             })
             .map(|(key, target)| {
-                let wait = time / target.running.len().max(1) as f64;
+                let wait = if target.has_free_slot(u32::MAX) {
+                    target.prefill_ahead / self.rates.prefill_rate(now, *key).max(1e-6)
+                } else {
+                    time / target.running.len().max(1) as f64
+                };
                 (self.routing_cost(now, record, *key) + wait, *key)
             })
             .min_by(|left, right| left.0.total_cmp(&right.0));
         let Some((cost_ms, home)) = home else { return false };
-        if cost_ms >= choice.cost_ms || self.in_haste(now, choice.slot) {
+        let again = (self.cached(record, choice.target) - self.ready(record, choice.target))
+            / self.rates.prefill_rate(now, choice.target).max(1e-6);
+        if cost_ms >= choice.cost_ms + again * self.settings.prefill_weight
+            || self.in_haste(now, choice.slot)
+        {
             return false;
         }
-        let saved =
-            self.prefill_ms(now, record, choice.target) - self.prefill_ms(now, record, home);
+        let saved = again + self.prefill_ms(now, record, choice.target)
+            - self.prefill_ms(now, record, home);
         // The cast saturates.
         let limit_ms = (saved * self.settings.cache_wait_share) as u64;
         if limit_ms == 0 {
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -34,6 +34,8 @@
     pub deadline_order: bool,
     /// Whether stragglers get no new work while other targets have capacity.
     pub straggler_avoidance: bool,
+    /// Whether a request waits while another one computes the same prompt blocks at its target.
+    pub computing_wait: bool,
     /// Whether a request that has no prompt blocks at a free target lets one of its tier go first
     /// that has them.
     pub overtaking: bool,
@@ -49,6 +51,7 @@
             fair_share: true,
             deadline_order: true,
             straggler_avoidance: true,
+            computing_wait: true,
             overtaking: true,
             tiered_shedding: true,
         }
--- /dev/null
+++ b/crates/core/tests/pool/computing.rs
@@ -0,0 +1,58 @@
+//! Waits for prompt blocks that another request is computing.
+
+use crate::support::{PoolHarness, key, placed, request, target};
+use burdockcleat_core::message::{StreamProgress, SubmitRequest};
+use burdockcleat_core::pool::{PoolInput, PoolOutput, PoolSettings};
+
+fn with_prefix(number: u32) -> SubmitRequest {
+    SubmitRequest { prompt_tokens: 1_024, prefix_hashes: (0..16).collect(), ..request(number, 0) }
+}
+
+fn first_token(harness: &mut PoolHarness, number: u32) -> Vec<PoolOutput> {
+    let report = StreamProgress { key: key(number), tokens: 1, first_token_ms: Some(100) };
+    harness.step(PoolInput::Progress(vec![report]))
+}
+
+fn harness() -> PoolHarness {
+    PoolHarness::new(PoolSettings::default(), &[target(1, 4), target(2, 4)])
+}
+
+/// Guards against a burst of requests that all compute the same prompt blocks.
+#[test]
+fn second_request_waits_for_the_blocks_of_the_first() {
+    let mut harness = harness();
+    assert_eq!(placed(&harness.submit(with_prefix(1))), [1]);
+    assert!(placed(&harness.submit(with_prefix(2))).is_empty());
+    assert_eq!(placed(&first_token(&mut harness, 1)), [2]);
+    assert_eq!(harness.places[&key(1)], harness.places[&key(2)]);
+}
+
+/// Guards against a wait for a computation whose end is never reported.
+#[test]
+fn wait_for_blocks_is_limited() {
+    let mut harness = harness();
+    harness.submit(with_prefix(1));
+    harness.submit(with_prefix(2));
+    // The prefill takes 256 ms at the assumed rate, and the wait at most four times as long.
+    assert!(placed(&harness.advance(900)).is_empty());
+    assert_eq!(placed(&harness.advance(200)), [2]);
+}
+
+/// Guards against a request that waits for blocks until its deadline is in danger.
+#[test]
+fn request_without_time_does_not_wait_for_blocks() {
+    let mut harness = harness();
+    harness.submit(with_prefix(1));
+    let hasty = SubmitRequest { deadline_in_ms: 2_200, ..with_prefix(2) };
+    assert_eq!(placed(&harness.submit(hasty)), [2]);
+}
+
+/// Guards against a request that waits although the target has the blocks already.
+#[test]
+fn known_blocks_need_no_wait() {
+    let mut harness = harness();
+    harness.submit(with_prefix(1));
+    first_token(&mut harness, 1);
+    assert_eq!(placed(&harness.submit(with_prefix(2))), [2]);
+    assert_eq!(placed(&harness.submit(with_prefix(3))), [3]);
+}
--- a/crates/core/tests/pool/differential.rs
+++ b/crates/core/tests/pool/differential.rs
@@ -2,8 +2,9 @@
 
 use crate::naive::{NaiveOutput, NaiveScheduler, by_deadline};
 use crate::support::{ENTRY, PoolHarness, key, request, target};
+use burdockcleat_core::estimate::RateSettings;
 use burdockcleat_core::keys::ClaimNumber;
-use burdockcleat_core::message::{FinishReport, SubmitRequest};
+use burdockcleat_core::message::{FinishReport, StreamProgress, SubmitRequest};
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::pool::{PoolInput, PoolOutput, PoolSettings, RoutingPolicy, TierSettings};
 use burdockcleat_core::registry::TargetKey;
@@ -14,6 +15,7 @@
 enum Event {
     Submit { tier: u8, workspace: u8, idempotent: bool, deadline_ms: u32, size: u32, prefix: u64 },
     Commit { index: usize },
+    FirstToken { index: usize },
     Finish { index: usize },
     ConfirmCancel { index: usize },
     Withdraw { index: usize },
@@ -27,6 +29,7 @@
                 tier, workspace, idempotent, deadline_ms, size, prefix
             }),
         8 => any::<usize>().prop_map(|index| Event::Commit { index }),
+        6 => any::<usize>().prop_map(|index| Event::FirstToken { index }),
         4 => any::<usize>().prop_map(|index| Event::Finish { index }),
         3 => any::<usize>().prop_map(|index| Event::ConfirmCancel { index }),
         1 => any::<usize>().prop_map(|index| Event::Withdraw { index }),
@@ -46,6 +49,8 @@
         let settings = PoolSettings {
             routing: RoutingPolicy::LeastInFlight,
             queue_limit: 14,
+            // Keeps the estimated service times constant, whatever progress is reported.
+            rates: RateSettings { prior_ms: 1e15, ..RateSettings::default() },
             // About two requests, so that the bound on the distance from the fair share matters.
             overtake_tokens: 4_000.0,
             tiers: [3_000, 5_000, 8_000]
@@ -92,6 +97,15 @@
                 self.naive.commit(number);
                 PoolInput::ClaimCommitted { key: key(number), claim: Self::claim(number) }
             }
+            Event::FirstToken { index } => {
+                let Some(number) = Self::pick(&self.naive.running(), index) else { return Ok(()) };
+                self.naive.first_token(number);
+                PoolInput::Progress(vec![StreamProgress {
+                    key: key(number),
+                    tokens: 0,
+                    first_token_ms: Some(100),
+                }])
+            }
             Event::Finish { index } => {
                 let Some(number) = Self::pick(&self.naive.running(), index) else { return Ok(()) };
                 self.naive.end(number);
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the pool scheduler.
 
+mod computing;
 mod differential;
 mod estimates;
 mod failover;
--- a/crates/core/tests/pool/naive.rs
+++ b/crates/core/tests/pool/naive.rs
@@ -31,6 +31,9 @@
     service_ms: f64,
     prompt_tokens: f64,
     hashes: Vec<u64>,
+    /// Prompt tokens that were predicted to be cached when it was placed.
+    reused: f64,
+    first_token: bool,
     /// Target, if it runs.
     target: Option<usize>,
     claimed: bool,
@@ -98,6 +101,8 @@
                 + output / (rates.decode_tokens_per_s / 1_000.0),
             prompt_tokens: prompt,
             hashes: request.prefix_hashes.clone(),
+            reused: 0.0,
+            first_token: false,
             target: None,
             claimed: false,
             cancelled: None,
@@ -115,6 +120,12 @@
         }
     }
 
+    pub fn first_token(&mut self, number: u32) {
+        if let Some(index) = self.find(number) {
+            self.requests[index].first_token = true;
+        }
+    }
+
     /// A request ended, or a waiting one was withdrawn.
     pub fn end(&mut self, number: u32) {
         let Some(index) = self.find(number) else { return };
@@ -210,6 +221,18 @@
         (known as f64 * f64::from(self.settings.prefix.block_tokens)).min(request.prompt_tokens)
     }
 
+    /// Cached prompt tokens without those that a running request is computing.
+    fn ready(&self, request: &NaiveRequest, target: usize) -> f64 {
+        let block = f64::from(self.settings.prefix.block_tokens);
+        let computing = self.requests.iter().filter(|r| r.target == Some(target) && !r.first_token);
+        let computed_again = computing.map(|other| {
+            let same = |index: &usize| request.hashes.get(*index) == other.hashes.get(*index);
+            let shared = (0..other.hashes.len()).take_while(same).count();
+            shared as f64 * block - other.reused
+        });
+        self.cached(request, target) - computed_again.fold(0.0, f64::max)
+    }
+
     fn in_haste(&self, now: u64, request: &NaiveRequest) -> bool {
         now + self.settings.preempt_slack_ms >= self.slack_end(request)
             || (request.urgent && self.runs_below(request.tier))
@@ -246,13 +269,15 @@
             .map(|(_, index)| &self.requests[index])
             .filter(|other| other.number != first.number)
             .take_while(|other| !self.in_haste(now, other))
-            .find(|other| self.cached(other, target) > self.cached(first, target))
+            .find(|other| self.ready(other, target) > self.ready(first, target))
             .map(|other| other.number)
     }
 
     fn place(&mut self, now: u64, number: u32, target: usize, above: bool) {
         let Some(index) = self.find(number) else { return };
+        let reused = self.cached(&self.requests[index], target);
         let request = &mut self.requests[index];
+        request.reused = reused;
         self.blocks[target].extend(&request.hashes);
         request.target = Some(target);
         request.above = above;
@@ -343,7 +368,11 @@
             free && request.tier > tier && accept(request)
         });
         victims
-            .max_by_key(|(index, request)| (request.tier, request.cancelled.is_some(), *index))
+            .max_by(|(left_index, left), (right_index, right)| {
+                let order = |r: &NaiveRequest| (r.tier, r.cancelled.is_some());
+                let by_work = right.work().total_cmp(&left.work());
+                order(left).cmp(&order(right)).then(by_work).then(left_index.cmp(right_index))
+            })
             .map(|(_, request)| request.number)
     }
 
@@ -428,6 +457,11 @@
         self.target.is_none() && !self.expired
     }
 
+    /// Computed prompt tokens; no request has output in the comparison.
+    fn work(&self) -> f64 {
+        if self.first_token { self.prompt_tokens - self.reused } else { 0.0 }
+    }
+
     fn is_in(&self, tier: u8, flow: usize) -> bool {
         self.tier == tier && self.flow == flow
     }
--- a/crates/core/tests/pool/placement.rs
+++ b/crates/core/tests/pool/placement.rs
@@ -78,7 +78,14 @@
             ..request(number, 0)
         };
         harness.submit(request);
+        // Until the first token, the others wait for the blocks instead of computing them too.
+        harness.step(PoolInput::Progress(vec![StreamProgress {
+            key: key(number),
+            tokens: 1,
+            first_token_ms: Some(100),
+        }]));
     }
+    assert_eq!(harness.places.len(), 4);
     let places: BTreeSet<_> = harness.places.values().collect();
     assert_eq!(places.len(), 1);
 }
