Let requests with much slack wait longer for a target with their prompt blocks

The wait is now limited by 4 % of the slack if that is longer than four times the prefill time that it saves.

--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -26,7 +26,7 @@
 
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 17] = [
+const VARIANTS: [Variant; 18] = [
     ("estimated completion", |_| {}),
     ("random", |s| baseline(s, RoutingPolicy::Random { seed: 7 })),
     ("round robin", |s| baseline(s, RoutingPolicy::RoundRobin)),
@@ -35,6 +35,7 @@
     ("- prefix term", |s| s.switches.prefix_term = false),
     ("- prefill weight", |s| s.prefill_weight = 1.0),
     ("- cache wait", |s| s.cache_wait_share = 0.0),
+    ("- slack wait", |s| s.slack_wait_share = 0.0),
     ("- computing wait", |s| s.switches.computing_wait = false),
     ("- overtaking", |s| s.switches.overtaking = false),
     ("- preemption", |s| s.switches.preemption = false),
--- a/crates/core/src/pool/reuse.rs
+++ b/crates/core/src/pool/reuse.rs
@@ -116,8 +116,7 @@
         }
         let saved = again + self.prefill_ms(now, record, choice.target)
             - self.prefill_ms(now, record, home);
-        // The cast saturates.
-        let limit_ms = (saved * self.settings.cache_wait_share) as u64;
+        let limit_ms = self.wait_limit_ms(now, record, saved);
         if limit_ms == 0 {
             return false;
         }
@@ -127,6 +126,15 @@
         true
     }
 
+    /// Longest wait that saves this prefill time. A request with much slack may wait longer: other
+    /// requests use the slots meanwhile, and the blocks stay at fewer targets.
+    fn wait_limit_ms(&self, now: ClockTime, record: &RequestRecord, saved_ms: f64) -> u64 {
+        let least = saved_ms * self.settings.cache_wait_share;
+        let slack = self.slack_end(record).since(now) as f64 * self.settings.slack_wait_share;
+        // The cast saturates. Less than a millisecond is not worth a wait.
+        if saved_ms < 1.0 { least as u64 } else { least.max(slack) as u64 }
+    }
+
     fn reuses_prefixes(&self) -> bool {
         self.settings.switches.prefix_term
             && self.settings.routing == RoutingPolicy::EstimatedCompletion
--- a/crates/core/src/pool/settings.rs
+++ b/crates/core/src/pool/settings.rs
@@ -146,6 +146,8 @@
     /// target has a free slot, as a share of the prefill time that this saves. Zero places each
     /// request at once.
     pub cache_wait_share: f64,
+    /// Share of a request's slack for which it may wait in the same way, if that is longer.
+    pub slack_wait_share: f64,
     /// Waiting requests that are looked at for a free slot when those before them wait for
     /// another target.
     pub lookahead: usize,
@@ -188,6 +190,7 @@
             failure_limit: 2,
             grant_ttl_ms: 2_000,
             cache_wait_share: 4.0,
+            slack_wait_share: 0.04,
             lookahead: 32,
             overtake_share: 0.5,
             overtake_tokens: 16_000.0,
--- a/crates/core/tests/pool/computing.rs
+++ b/crates/core/tests/pool/computing.rs
@@ -30,7 +30,8 @@
 /// Guards against a wait for a computation whose end is never reported.
 #[test]
 fn wait_for_blocks_is_limited() {
-    let mut harness = harness();
+    let settings = PoolSettings { slack_wait_share: 0.0, ..PoolSettings::default() };
+    let mut harness = PoolHarness::new(settings, &[target(1, 4), target(2, 4)]);
     harness.submit(with_prefix(1));
     harness.submit(with_prefix(2));
     // The prefill takes 256 ms at the assumed rate, and the wait at most four times as long.
@@ -38,6 +39,18 @@
     assert_eq!(placed(&harness.advance(200)), [2]);
 }
 
+/// Guards against a longer wait for blocks than the slack of a request allows.
+#[test]
+fn wait_for_blocks_grows_with_the_slack() {
+    let settings = PoolSettings { slack_wait_share: 0.04, ..PoolSettings::default() };
+    let mut harness = PoolHarness::new(settings, &[target(1, 4), target(2, 4)]);
+    harness.submit(with_prefix(1));
+    // Of 60 s, 500 ms are the margin and 1,256 ms the service time: 4 % of the rest are 2,329 ms.
+    harness.submit(with_prefix(2));
+    assert!(placed(&harness.advance(2_300)).is_empty());
+    assert_eq!(placed(&harness.advance(100)), [2]);
+}
+
 /// Guards against a request that waits for blocks until its deadline is in danger.
 #[test]
 fn request_without_time_does_not_wait_for_blocks() {
