--- a/crates/burdockcleat/src/console/fields.rs
+++ b/crates/burdockcleat/src/console/fields.rs
@@ -68,11 +68,14 @@
         "scheduling.fair-share",
         "scheduling.deadline-order",
         "scheduling.straggler-avoidance",
+        "scheduling.computing-wait",
+        "scheduling.overtaking",
         "scheduling.tiered-shedding",
     ];
     let keys = [
         "scheduling.prefill-weight-percent",
         "scheduling.cache-wait-percent",
+        "scheduling.slack-wait-percent",
         "scheduling.failure-limit",
     ];
     let numbers = keys.into_iter().filter_map(|key| {
--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -6,6 +6,7 @@
 //! `cargo run --release -p burdockcleat-core --example policy_experiment -- [SEEDS] [FIRST_SEED]`
 
 mod engine;
+mod waste;
 mod workload;
 mod world;
 
@@ -19,17 +20,24 @@
 /// Threads of a run of the experiment; the machine is shared.
 const THREADS: usize = 4;
 
+/// Variants for which the causes of wasted prefill are printed.
+const CAUSES_OF: [&str; 4] =
+    ["estimated completion", "least reported", "- computing wait", "- overtaking"];
+
 type Variant = (&'static str, fn(&mut PoolSettings));
 
-const VARIANTS: [Variant; 15] = [
+const VARIANTS: [Variant; 18] = [
     ("estimated completion", |_| {}),
-    ("random", |s| s.routing = RoutingPolicy::Random { seed: 7 }),
-    ("round robin", |s| s.routing = RoutingPolicy::RoundRobin),
-    ("least reported", |s| s.routing = RoutingPolicy::LeastReported),
-    ("least in flight", |s| s.routing = RoutingPolicy::LeastInFlight),
+    ("random", |s| baseline(s, RoutingPolicy::Random { seed: 7 })),
+    ("round robin", |s| baseline(s, RoutingPolicy::RoundRobin)),
+    ("least reported", |s| baseline(s, RoutingPolicy::LeastReported)),
+    ("least in flight", |s| baseline(s, RoutingPolicy::LeastInFlight)),
     ("- prefix term", |s| s.switches.prefix_term = false),
     ("- prefill weight", |s| s.prefill_weight = 1.0),
     ("- cache wait", |s| s.cache_wait_share = 0.0),
+    ("- slack wait", |s| s.slack_wait_share = 0.0),
+    ("- computing wait", |s| s.switches.computing_wait = false),
+    ("- overtaking", |s| s.switches.overtaking = false),
     ("- preemption", |s| s.switches.preemption = false),
     ("- fair share", |s| s.switches.fair_share = false),
     ("- deadline order", |s| s.switches.deadline_order = false),
@@ -37,7 +45,7 @@
     ("- failure limit", |s| s.failure_limit = u32::MAX),
     ("- tiered shedding", |s| s.switches.tiered_shedding = false),
     ("plain", |s| {
-        s.routing = RoutingPolicy::LeastReported;
+        baseline(s, RoutingPolicy::LeastReported);
         s.switches.preemption = false;
         s.switches.fair_share = false;
         s.switches.deadline_order = false;
@@ -46,11 +54,18 @@
     }),
 ];
 
+/// Chooses the target by the policy alone and the request by the order of the queue.
+fn baseline(settings: &mut PoolSettings, routing: RoutingPolicy) {
+    settings.routing = routing;
+    settings.switches.computing_wait = false;
+    settings.switches.overtaking = false;
+}
+
 /// Requests per second that the engines complete when the queue is never empty, routed by own
 /// in-flight count and without faults.
 fn capacity(deployment: Deployment) -> f64 {
     let mut settings = deployment.settings();
-    settings.routing = RoutingPolicy::LeastInFlight;
+    baseline(&mut settings, RoutingPolicy::LeastInFlight);
     settings.switches.preemption = false;
     settings.queue_limit = 1_000_000;
     for tier in &mut settings.tiers {
@@ -104,6 +119,17 @@
     format!("{:5.1} ({:5.1}-{:5.1})", values[values.len() / 2], low, high)
 }
 
+/// Shares of the causes in the computed tokens, summed over the seeds, in percent.
+fn print_causes(name: &str, runs: &[RunFigures]) {
+    let computed: f64 = runs.iter().map(|run| run.computed).sum();
+    print!("causes, {name:<22}");
+    for cause in 0..runs[0].causes.rows().len() {
+        let tokens: f64 = runs.iter().map(|run| run.causes.rows()[cause].1).sum();
+        print!("  {} {:.1}", runs[0].causes.rows()[cause].0, tokens / computed.max(1.0) * 100.0);
+    }
+    println!();
+}
+
 fn main() {
     let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse().ok());
     let (count, first): (u64, u64) = (arguments.next().unwrap_or(5), arguments.next().unwrap_or(1));
@@ -138,6 +164,11 @@
                     runs.iter().map(|run| run.violations).sum::<u32>(),
                 );
             }
+            for ((name, _), runs) in VARIANTS.iter().zip(&results) {
+                if CAUSES_OF.contains(name) {
+                    print_causes(name, runs);
+                }
+            }
         }
     }
 }
--- a/crates/core/src/document/ranges.rs
+++ b/crates/core/src/document/ranges.rs
@@ -55,6 +55,7 @@
 pub const SCHEDULING_NUMBERS: &[NumberField<SchedulingRule>] = &[
     field("prefill-weight-percent", 0, 100_000, |rule| rule.prefill_weight_percent),
     field("cache-wait-percent", 0, 100_000, |rule| rule.cache_wait_percent),
+    field("slack-wait-percent", 0, 100, |rule| rule.slack_wait_percent),
     field("failure-limit", 1, 1_000_000, |rule| rule.failure_limit),
 ];
 
--- a/crates/core/src/document/scheduling.rs
+++ b/crates/core/src/document/scheduling.rs
@@ -45,6 +45,11 @@
     pub deadline_order: bool,
     /// Whether stragglers get no new work while other targets have capacity.
     pub straggler_avoidance: bool,
+    /// Whether a request waits while another one computes the same prompt blocks at its target.
+    pub computing_wait: bool,
+    /// Whether a request without prompt blocks at a free target lets one of its tier go first
+    /// that has them.
+    pub overtaking: bool,
     /// Whether the lowest tier is shed first; otherwise the arriving request is shed.
     pub tiered_shedding: bool,
     /// Factor on the time for uncached prompt tokens in the routing cost.
@@ -52,6 +57,8 @@
     /// Longest wait for a busy target with cached blocks, as a share of the prefill time that
     /// this saves; 0 places each request at once.
     pub cache_wait_percent: u32,
+    /// Share of a request's slack for which it may wait in the same way, if that is longer.
+    pub slack_wait_percent: u32,
     /// Failed connections to a target since its last announcement after which it gets no new
     /// work until the next one.
     pub failure_limit: u32,
@@ -69,9 +76,12 @@
             fair_share: switches.fair_share,
             deadline_order: switches.deadline_order,
             straggler_avoidance: switches.straggler_avoidance,
+            computing_wait: switches.computing_wait,
+            overtaking: switches.overtaking,
             tiered_shedding: switches.tiered_shedding,
             prefill_weight_percent: (settings.prefill_weight * 100.0).round() as u32,
             cache_wait_percent: (settings.cache_wait_share * 100.0).round() as u32,
+            slack_wait_percent: (settings.slack_wait_share * 100.0).round() as u32,
             failure_limit: settings.failure_limit,
         }
     }
@@ -94,10 +104,13 @@
             fair_share: self.fair_share,
             deadline_order: self.deadline_order,
             straggler_avoidance: self.straggler_avoidance,
+            computing_wait: self.computing_wait,
+            overtaking: self.overtaking,
             tiered_shedding: self.tiered_shedding,
         };
         settings.prefill_weight = f64::from(self.prefill_weight_percent) / 100.0;
         settings.cache_wait_share = f64::from(self.cache_wait_percent) / 100.0;
+        settings.slack_wait_share = f64::from(self.slack_wait_percent) / 100.0;
         settings.failure_limit = self.failure_limit;
     }
 }
--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -19,6 +19,7 @@
 mod digest;
 mod event;
 mod intake;
+mod overtake;
 mod preempt;
 mod queue;
 mod rebuild;
--- a/crates/core/src/pool/reuse.rs
+++ b/crates/core/src/pool/reuse.rs
@@ -4,10 +4,11 @@
 //! the prefill time that it saves, and ends early enough not to cause a preemption.
 
 use super::PoolScheduler;
-use super::request::{HomeWait, RequestSlot};
+use super::request::{HomeWait, PoolTarget, RequestRecord, RequestSlot};
 use super::route::Choice;
 use super::settings::RoutingPolicy;
 use crate::clock::ClockTime;
+use crate::registry::TargetKey;
 
 impl PoolScheduler {
     /// Whether the request still waits for a busy target that has its prompt cached.
@@ -15,7 +16,9 @@
         let Some(wait) = self.requests[slot].waiting().and_then(|state| state.home) else {
             return false;
         };
-        let busy = self.targets.get(&wait.target).is_some_and(|target| !self.free(target));
+        let busy = self.targets.get(&wait.target).is_some_and(|target| {
+            !self.free(target) || self.computing(&self.requests[slot], target) > 0.0
+        });
         busy && wait.until.is_none_or(|until| now < until) && !self.in_haste(now, slot)
     }
 
@@ -40,7 +43,7 @@
 
     /// Whether a request has no time left to wait for a better target. The margin keeps such
     /// waits from ending in a preemption.
-    fn in_haste(&self, now: ClockTime, slot: RequestSlot) -> bool {
+    pub(super) fn in_haste(&self, now: ClockTime, slot: RequestSlot) -> bool {
         let record = &self.requests[slot];
         let urgent = record.waiting().is_some_and(|state| state.urgent);
         let lowest = self.running.last_key_value().map(|(tier, _)| *tier);
@@ -48,6 +51,35 @@
             || (urgent && lowest.is_some_and(|lowest| lowest > record.item.tier))
     }
 
+    /// Prompt tokens of a request that another one is computing at a target. They are predicted to
+    /// be cached there, but an engine computes them again for a request that arrives now.
+    pub(super) fn computing(&self, record: &RequestRecord, target: &PoolTarget) -> f64 {
+        // The blocks in question are in the prediction, and most targets hold none of the prompt.
+        if !self.settings.switches.computing_wait
+            || !record.prefix_hashes.first().is_some_and(|first| target.prefix.contains(*first))
+        {
+            return 0.0;
+        }
+        let block_tokens = f64::from(self.settings.prefix.block_tokens);
+        let running = target.running.iter().filter_map(|slot| self.requests.get(*slot));
+        running
+            .filter_map(|other| {
+                let state = other.running().filter(|state| !state.first_token)?;
+                let pairs = other.prefix_hashes.iter().zip(&record.prefix_hashes);
+                let shared = pairs.take_while(|(left, right)| left == right).count() as f64;
+                let known = f64::from(other.prompt_tokens) - state.uncached;
+                Some(shared * block_tokens - known)
+            })
+            .fold(0.0, f64::max)
+    }
+
+    /// Prompt tokens that a target can take from its cache at once.
+    pub(super) fn ready(&self, record: &RequestRecord, key: TargetKey) -> f64 {
+        self.targets
+            .get(&key)
+            .map_or(0.0, |target| self.cached(record, target) - self.computing(record, target))
+    }
+
     /// Lets a request wait for a busy target that has its prompt cached, if that is expected to
     /// cost less than the prefill at a free target.
     pub(super) fn defer(&mut self, now: ClockTime, choice: &Choice) -> bool {
@@ -62,23 +94,30 @@
             .targets
             .iter()
             .filter(|(key, target)| {
-                !target.has_free_slot(u32::MAX)
+                (!target.has_free_slot(u32::MAX) || self.computing(record, target) > 0.0)
                     && self.usable(now, record, **key, target)
                     && !self.avoided(**key)
             })
             .map(|(key, target)| {
-                let wait = time / target.running.len().max(1) as f64;
+                let wait = if target.has_free_slot(u32::MAX) {
+                    target.prefill_ahead / self.rates.prefill_rate(now, *key).max(1e-6)
+                } else {
+                    time / target.running.len().max(1) as f64
+                };
                 (self.routing_cost(now, record, *key) + wait, *key)
             })
             .min_by(|left, right| left.0.total_cmp(&right.0));
         let Some((cost_ms, home)) = home else { return false };
-        if cost_ms >= choice.cost_ms || self.in_haste(now, choice.slot) {
+        let again = self.computing(record, &self.targets[&choice.target])
+            / self.rates.prefill_rate(now, choice.target).max(1e-6);
+        if cost_ms >= choice.cost_ms + again * self.settings.prefill_weight
+            || self.in_haste(now, choice.slot)
+        {
             return false;
         }
-        let saved =
-            self.prefill_ms(now, record, choice.target) - self.prefill_ms(now, record, home);
-        // The cast saturates.
-        let limit_ms = (saved * self.settings.cache_wait_share) as u64;
+        let saved = again + self.prefill_ms(now, record, choice.target)
+            - self.prefill_ms(now, record, home);
+        let limit_ms = self.wait_limit_ms(now, record, saved);
         if limit_ms == 0 {
             return false;
         }
@@ -88,7 +127,17 @@
         true
     }
 
-    fn reuses_prefixes(&self) -> bool {
+    /// Longest wait that saves this prefill time. A request with much slack may wait longer: other
+    /// requests use the slots meanwhile, and the blocks stay at fewer targets.
+    fn wait_limit_ms(&self, now: ClockTime, record: &RequestRecord, saved_ms: f64) -> u64 {
+        let least = saved_ms * self.settings.cache_wait_share;
+        let slack = self.slack_end(record).since(now) as f64 * self.settings.slack_wait_share;
+        // The cast saturates. Less than a millisecond is not worth a wait.
+        if saved_ms < 1.0 { least as u64 } else { least.max(slack) as u64 }
+    }
+
+    /// Whether placement considers the prompt blocks at the targets.
+    pub(super) fn reuses_prefixes(&self) -> bool {
         self.settings.switches.prefix_term
             && self.settings.routing == RoutingPolicy::EstimatedCompletion
             && self.settings.cache_wait_share > 0.0
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -67,7 +67,7 @@
                     continue;
                 };
                 if !self.defer(now, &choice) {
-                    return Some(choice);
+                    return Some(self.overtaker(now, &choice).unwrap_or(choice));
                 }
             }
             entitled -= self.start_wait(now, slot, entitled);
--- a/crates/core/tests/pool/differential.rs
+++ b/crates/core/tests/pool/differential.rs
@@ -2,8 +2,9 @@
 
 use crate::naive::{NaiveOutput, NaiveScheduler, by_deadline};
 use crate::support::{ENTRY, PoolHarness, key, request, target};
+use burdockcleat_core::estimate::RateSettings;
 use burdockcleat_core::keys::ClaimNumber;
-use burdockcleat_core::message::{FinishReport, SubmitRequest};
+use burdockcleat_core::message::{FinishReport, StreamProgress, SubmitRequest};
 use burdockcleat_core::outcome::{ReasonCode, RequestOutcome};
 use burdockcleat_core::pool::{PoolInput, PoolOutput, PoolSettings, RoutingPolicy, TierSettings};
 use burdockcleat_core::registry::TargetKey;
@@ -12,8 +13,9 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Submit { tier: u8, workspace: u8, idempotent: bool, deadline_ms: u32, size: u32 },
+    Submit { tier: u8, workspace: u8, idempotent: bool, deadline_ms: u32, size: u32, prefix: u64 },
     Commit { index: usize },
+    FirstToken { index: usize },
     Finish { index: usize },
     ConfirmCancel { index: usize },
     Withdraw { index: usize },
@@ -22,11 +24,12 @@
 
 fn event() -> impl Strategy<Value = Event> {
     prop_oneof![
-        12 => (0..3_u8, 0..3_u8, any::<bool>(), 0..9_000_u32, 1..8_u32).prop_map(
-            |(tier, workspace, idempotent, deadline_ms, size)| Event::Submit {
-                tier, workspace, idempotent, deadline_ms, size
+        12 => (0..3_u8, 0..3_u8, any::<bool>(), 0..9_000_u32, 1..8_u32, 0..6_u64).prop_map(
+            |(tier, workspace, idempotent, deadline_ms, size, prefix)| Event::Submit {
+                tier, workspace, idempotent, deadline_ms, size, prefix
             }),
         8 => any::<usize>().prop_map(|index| Event::Commit { index }),
+        6 => any::<usize>().prop_map(|index| Event::FirstToken { index }),
         4 => any::<usize>().prop_map(|index| Event::Finish { index }),
         3 => any::<usize>().prop_map(|index| Event::ConfirmCancel { index }),
         1 => any::<usize>().prop_map(|index| Event::Withdraw { index }),
@@ -46,6 +49,10 @@
         let settings = PoolSettings {
             routing: RoutingPolicy::LeastInFlight,
             queue_limit: 14,
+            // Keeps the estimated service times constant, whatever progress is reported.
+            rates: RateSettings { prior_ms: 1e15, ..RateSettings::default() },
+            // About two requests, so that the bound on the distance from the fair share matters.
+            overtake_tokens: 4_000.0,
             tiers: [3_000, 5_000, 8_000]
                 .map(|max_queue_ms| TierSettings { max_queue_ms, patience_ms: max_queue_ms })
                 .to_vec(),
@@ -70,7 +77,7 @@
     fn apply(&mut self, event: &Event) -> Result<(), TestCaseError> {
         let now = self.harness.now.as_ms();
         let input = match *event {
-            Event::Submit { tier, workspace, idempotent, deadline_ms, size } => {
+            Event::Submit { tier, workspace, idempotent, deadline_ms, size, prefix } => {
                 self.next += 1;
                 let request = SubmitRequest {
                     workspace: format!("w{workspace}"),
@@ -78,6 +85,8 @@
                     deadline_in_ms: deadline_ms,
                     prompt_tokens: 400 * size,
                     output_tokens: 10 * size,
+                    // The first block is common to all requests of a pair of prefixes.
+                    prefix_hashes: vec![prefix / 2, 10 + prefix, 20 + prefix],
                     ..request(self.next, tier)
                 };
                 self.naive.submit(now, self.next, &request);
@@ -88,6 +97,15 @@
                 self.naive.commit(number);
                 PoolInput::ClaimCommitted { key: key(number), claim: Self::claim(number) }
             }
+            Event::FirstToken { index } => {
+                let Some(number) = Self::pick(&self.naive.running(), index) else { return Ok(()) };
+                self.naive.first_token(number);
+                PoolInput::Progress(vec![StreamProgress {
+                    key: key(number),
+                    tokens: 0,
+                    first_token_ms: Some(100),
+                }])
+            }
             Event::Finish { index } => {
                 let Some(number) = Self::pick(&self.naive.running(), index) else { return Ok(()) };
                 self.naive.end(number);
--- a/crates/core/tests/pool/main.rs
+++ b/crates/core/tests/pool/main.rs
@@ -1,9 +1,11 @@
 //! Tests of the pool scheduler.
 
+mod computing;
 mod differential;
 mod estimates;
 mod failover;
 mod naive;
+mod overtaking;
 mod placement;
 mod preemption;
 mod registry;
--- a/crates/core/tests/scheduling.rs
+++ b/crates/core/tests/scheduling.rs
@@ -41,6 +41,8 @@
         "fair-share",
         "deadline-order",
         "straggler-avoidance",
+        "computing-wait",
+        "overtaking",
         "tiered-shedding",
     ];
     for (position, key) in keys.iter().enumerate() {
@@ -51,15 +53,18 @@
             switches.fair_share,
             switches.deadline_order,
             switches.straggler_avoidance,
+            switches.computing_wait,
+            switches.overtaking,
             switches.tiered_shedding,
         ];
-        let off: Vec<usize> = (0..6).filter(|index| !values[*index]).collect();
+        let off: Vec<usize> = (0..values.len()).filter(|index| !values[*index]).collect();
         assert_eq!(off, [position], "{key}");
     }
-    let numbers = "prefill-weight-percent = 150\ncache-wait-percent = 25\nfailure-limit = 7";
+    let numbers = "prefill-weight-percent = 150\ncache-wait-percent = 25\n\
+                   slack-wait-percent = 3\nfailure-limit = 7";
     let settings = settings_of(numbers);
     assert_eq!((settings.prefill_weight, settings.cache_wait_share), (1.5, 0.25));
-    assert_eq!(settings.failure_limit, 7);
+    assert_eq!((settings.slack_wait_share, settings.failure_limit), (0.03, 7));
 }
 
 // Guards against defaults of the document that differ from those of the scheduler, and against
@@ -70,6 +75,7 @@
     assert_eq!((settings.routing, settings.switches), (plain.routing, plain.switches));
     assert_eq!(settings.prefill_weight, plain.prefill_weight);
     assert_eq!(settings.cache_wait_share, plain.cache_wait_share);
+    assert_eq!(settings.slack_wait_share, plain.slack_wait_share);
     assert_eq!(settings.failure_limit, plain.failure_limit);
     for text in [BUREAU, KERLOUAN] {
         let document = ConfigDocument::parse(text).expect("a valid example");
--- a/crates/core/tests/support/documents.rs
+++ b/crates/core/tests/support/documents.rs
@@ -94,8 +94,8 @@
         Just(RoutingChoice::LeastReported),
         Just(RoutingChoice::LeastInFlight),
     ];
-    let numbers = (0_u32..=100_000, 0_u32..=100_000, 1_u32..=1_000_000);
-    (routing, any::<[bool; 6]>(), numbers).prop_map(|(routing, switches, numbers)| SchedulingRule {
+    let numbers = (0_u32..=100_000, 0_u32..=100_000, 0_u32..=100, 1_u32..=1_000_000);
+    (routing, any::<[bool; 8]>(), numbers).prop_map(|(routing, switches, numbers)| SchedulingRule {
         routing,
         prefix_term: switches[0],
         preemption: switches[1],
@@ -103,9 +103,12 @@
         deadline_order: switches[3],
         straggler_avoidance: switches[4],
         tiered_shedding: switches[5],
+        computing_wait: switches[6],
+        overtaking: switches[7],
         prefill_weight_percent: numbers.0,
         cache_wait_percent: numbers.1,
-        failure_limit: numbers.2,
+        slack_wait_percent: numbers.2,
+        failure_limit: numbers.3,
     })
 }
 
--- a/crates/testbed/src/measure/compare.rs
+++ b/crates/testbed/src/measure/compare.rs
@@ -17,7 +17,7 @@
 }
 
 /// The scheduler's own policy, the baselines, the policy without one mechanism, and without any.
-const VARIANTS: [Variant; 15] = [
+const VARIANTS: [Variant; 17] = [
     variant("estimated-completion", ""),
     variant("random", "routing = \"random\""),
     variant("round-robin", "routing = \"round-robin\""),
@@ -25,7 +25,9 @@
     variant("least-in-flight", "routing = \"least-in-flight\""),
     variant("no-prefix-term", "prefix-term = false"),
     variant("no-prefill-weight", "prefill-weight-percent = 100"),
-    variant("no-cache-wait", "cache-wait-percent = 0"),
+    variant("no-cache-wait", "cache-wait-percent = 0\nslack-wait-percent = 0"),
+    variant("no-computing-wait", "computing-wait = false"),
+    variant("no-overtaking", "overtaking = false"),
     variant("no-preemption", "preemption = false"),
     variant("no-fair-share", "fair-share = false"),
     variant("no-deadline-order", "deadline-order = false"),
@@ -35,7 +37,8 @@
     variant(
         "plain",
         "routing = \"least-reported\"\npreemption = false\nfair-share = false\n\
-         deadline-order = false\nstraggler-avoidance = false\ntiered-shedding = false",
+         deadline-order = false\nstraggler-avoidance = false\ncomputing-wait = false\n\
+         overtaking = false\ntiered-shedding = false",
     ),
 ];
 
