--- a/crates/core/src/document/scheduling.rs
+++ b/crates/core/src/document/scheduling.rs
@@ -98,14 +98,16 @@
             RoutingChoice::LeastReported => RoutingPolicy::LeastReported,
             RoutingChoice::LeastInFlight => RoutingPolicy::LeastInFlight,
         };
+        // The other policies keep the order of the queue, so that they can serve as baselines.
+        let considers_blocks = self.routing == RoutingChoice::EstimatedCompletion;
         settings.switches = MechanismSwitches {
             prefix_term: self.prefix_term,
             preemption: self.preemption,
             fair_share: self.fair_share,
             deadline_order: self.deadline_order,
             straggler_avoidance: self.straggler_avoidance,
-            computing_wait: self.computing_wait,
-            overtaking: self.overtaking,
+            computing_wait: self.computing_wait && considers_blocks,
+            overtaking: self.overtaking && considers_blocks,
             tiered_shedding: self.tiered_shedding,
         };
         settings.prefill_weight = f64::from(self.prefill_weight_percent) / 100.0;
--- a/crates/core/src/pool/overtake.rs
+++ b/crates/core/src/pool/overtake.rs
@@ -11,8 +11,7 @@
 impl PoolScheduler {
     /// The request that goes before the one of `first` at the same target, if there is one.
     pub(super) fn overtaker(&self, now: ClockTime, first: &Choice) -> Option<Choice> {
-        let enabled = self.settings.switches.overtaking && self.reuses_prefixes();
-        if !enabled || !self.may_be_overtaken(now, first.slot) {
+        if !self.settings.switches.overtaking || !self.may_be_overtaken(now, first.slot) {
             return None;
         }
         let target = self.targets.get(&first.target)?;
--- a/crates/core/src/pool/reuse.rs
+++ b/crates/core/src/pool/reuse.rs
@@ -136,8 +136,7 @@
         if saved_ms < 1.0 { least as u64 } else { least.max(slack) as u64 }
     }
 
-    /// Whether placement considers the prompt blocks at the targets.
-    pub(super) fn reuses_prefixes(&self) -> bool {
+    fn reuses_prefixes(&self) -> bool {
         self.settings.switches.prefix_term
             && self.settings.routing == RoutingPolicy::EstimatedCompletion
             && self.settings.cache_wait_share > 0.0
