--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -67,6 +67,8 @@
     folder: TempDir,
     network: LoopbackNetwork,
     controls: usize,
+    /// Whether links pass relays that can cut them.
+    relayed: bool,
     cuts: CutSet,
     processes: BTreeMap<String, ProcessRecord>,
 }
@@ -77,10 +79,8 @@
     /// # Errors
     /// Fails if no temporary folder can be created.
     pub fn open(controls: usize) -> Result<Self, DeploymentError> {
-        let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
-        let network = LoopbackNetwork::open()?;
-        let (cuts, processes) = (CutSet::default(), BTreeMap::new());
-        let deployment = Self { folder, network, controls, cuts, processes };
+        let mut deployment = Self::open_direct(controls)?;
+        deployment.relayed = true;
         for index in 0..controls {
             let (relay, target) = (deployment.control_link(index), deployment.control_own(index));
             PartitionRelay::spawn(relay, target, deployment.cuts.clone())
@@ -89,6 +89,18 @@
         Ok(deployment)
     }
 
+    /// Prepares a deployment whose links cannot be cut, for measurements of time: a relay adds two
+    /// thread hand-offs to each message.
+    ///
+    /// # Errors
+    /// Fails if no temporary folder can be created.
+    pub fn open_direct(controls: usize) -> Result<Self, DeploymentError> {
+        let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
+        let network = LoopbackNetwork::open()?;
+        let (cuts, processes) = (CutSet::default(), BTreeMap::new());
+        Ok(Self { folder, network, controls, relayed: false, cuts, processes })
+    }
+
     /// Cuts the links between two processes silently.
     pub fn cut(&self, left: &str, right: &str) {
         self.cuts.cut(self.host(left), self.host(right));
@@ -138,9 +150,10 @@
         index + 101
     }
 
-    /// Address of the relay under which a control instance is reached by links.
+    /// Address under which a control instance is reached by links: that of its relay, if it has one.
     pub fn control_link(&self, index: usize) -> SocketAddr {
-        self.address(Self::control_host(index) + RELAY_HOSTS, SECOND_PORT)
+        let relay = if self.relayed { RELAY_HOSTS } else { 0 };
+        self.address(Self::control_host(index) + relay, SECOND_PORT)
     }
 
     /// Address on which a control instance listens for links.
--- a/crates/testbed/src/measure.rs
+++ b/crates/testbed/src/measure.rs
@@ -37,7 +37,7 @@
 
 /// Starts control instances and entries with a document for the profile.
 fn start(profile: LoadProfile, entries: usize) -> Result<Deployment, MeasureError> {
-    let mut deployment = Deployment::open(3)?;
+    let mut deployment = Deployment::open_direct(3)?;
     for index in 0..3 {
         deployment.start_control(index)?;
     }
