--- a/crates/testbed/src/deployment.rs
+++ b/crates/testbed/src/deployment.rs
@@ -71,6 +71,8 @@
     controls: usize,
     form_group: bool,
     control_flags: Vec<String>,
+    /// Whether links pass relays that can cut them.
+    relayed: bool,
     cuts: CutSet,
     processes: BTreeMap<String, ProcessRecord>,
 }
@@ -81,24 +83,35 @@
     /// # Errors
     /// Fails if no temporary folder can be created.
     pub fn open(controls: usize) -> Result<Self, DeploymentError> {
+        let mut deployment = Self::open_direct(controls)?;
+        deployment.relayed = true;
+        for index in 0..controls {
+            let (relay, target) = (deployment.control_link(index), deployment.control_own(index));
+            PartitionRelay::spawn(relay, target, deployment.cuts.clone())
+                .map_err(DeploymentError::Relay)?;
+        }
+        Ok(deployment)
+    }
+
+    /// Prepares a deployment whose links cannot be cut, for measurements of time: a relay adds two
+    /// thread hand-offs to each message.
+    ///
+    /// # Errors
+    /// Fails if no temporary folder can be created.
+    pub fn open_direct(controls: usize) -> Result<Self, DeploymentError> {
         let folder = tempfile::tempdir().map_err(DeploymentError::Folder)?;
         let network = LoopbackNetwork::open()?;
         let (cuts, processes) = (CutSet::default(), BTreeMap::new());
-        let deployment = Self {
+        Ok(Self {
             folder,
             network,
             controls,
             form_group: true,
             control_flags: Vec::new(),
+            relayed: false,
             cuts,
             processes,
-        };
-        for index in 0..controls {
-            let (relay, target) = (deployment.control_link(index), deployment.control_own(index));
-            PartitionRelay::spawn(relay, target, deployment.cuts.clone())
-                .map_err(DeploymentError::Relay)?;
-        }
-        Ok(deployment)
+        })
     }
 
     /// Sets `form-group` of the control instances that are started from now on.
@@ -160,9 +173,10 @@
         index + 101
     }
 
-    /// Address of the relay under which a control instance is reached by links.
+    /// Address under which a control instance is reached by links: that of its relay, if it has one.
     pub fn control_link(&self, index: usize) -> SocketAddr {
-        self.address(Self::control_host(index) + RELAY_HOSTS, SECOND_PORT)
+        let relay = if self.relayed { RELAY_HOSTS } else { 0 };
+        self.address(Self::control_host(index) + relay, SECOND_PORT)
     }
 
     /// Address on which a control instance listens for links.
