--- a/crates/core/src/pool.rs
+++ b/crates/core/src/pool.rs
@@ -5,13 +5,13 @@
 //! lookahead, the costs are:
 //!
 //! - submit, withdraw, finish, release and cancel: O(log n + B log B);
-//! - each placement: O(K + T·B), since a request that waits for a busy target is only compared
-//!   with that target until its wait ends;
+//! - each placement: O(T·B + K·S·B) with `S` the slots of a target, since a request that waits for
+//!   a target is only compared with that target and what it computes until its wait ends;
 //! - each choice of a victim: O(R), once per cancel and at most 32 times per step without success;
 //! - tick: O(T log T) for the straggler comparison, O(R) for stalled streams;
 //! - each timer that is due: O(log n).
 //!
-//! A step in which nothing can be placed and nobody seeks a slot costs O(T + K).
+//! A step in which nothing can be placed and nobody seeks a slot costs O(T + K·S·B).
 
 mod check;
 mod digest;
--- a/crates/core/src/pool/queue.rs
+++ b/crates/core/src/pool/queue.rs
@@ -196,6 +196,20 @@
         flows.into_iter().flat_map(move |flows| flows.near_candidates(item.flow, distance, limit))
     }
 
+    /// Whether more than `count` requests of a model can be placed.
+    pub fn exceeds(&self, class: usize, count: usize) -> bool {
+        let flows = self.classes.get(class).into_iter().flat_map(BTreeMap::values);
+        let mut sizes = flows.flat_map(|flows| {
+            let active = flows.active.iter().filter_map(|(_, flow)| flows.flows.get(flow));
+            active.map(|flow| flow.requests.len())
+        });
+        let sum = sizes.try_fold(0, |sum: usize, size| {
+            let sum = sum + size;
+            if sum > count { Err(sum) } else { Ok(sum) }
+        });
+        sum.is_err()
+    }
+
     /// Highest tier of a model with a request that can be placed.
     pub fn first_tier(&self, class: usize) -> Option<u8> {
         let tiers = self.classes.get(class)?;
--- a/crates/core/src/pool/route.rs
+++ b/crates/core/src/pool/route.rs
@@ -53,7 +53,8 @@
     fn choose(&mut self, now: ClockTime, class: usize) -> Option<Choice> {
         let mut entitled = self.free_slots();
         let mut waiting_tier = None;
-        for slot in self.queue.candidates(class, self.settings.lookahead.max(1)) {
+        let candidates = self.queue.candidates(class, self.settings.lookahead.max(1));
+        for slot in candidates.iter().copied() {
             let tier = self.requests[slot].item.tier;
             // A lower tier gets a slot only if each waiting request of a higher tier could have
             // one.
@@ -72,6 +73,11 @@
             entitled -= self.start_wait(now, slot, entitled);
             waiting_tier.get_or_insert(tier);
         }
+        // Without this end of a wait, the requests behind the lookahead could not use the slots
+        // that are left, and a large pool would place only a few requests per wait.
+        if entitled > 0 && self.queue.exceeds(class, candidates.len()) {
+            return candidates.into_iter().find_map(|slot| self.route(now, slot));
+        }
         None
     }
 
--- a/crates/core/tests/pool/computing.rs
+++ b/crates/core/tests/pool/computing.rs
@@ -69,3 +69,14 @@
     assert_eq!(placed(&harness.submit(with_prefix(2))), [2]);
     assert_eq!(placed(&harness.submit(with_prefix(3))), [3]);
 }
+
+/// Guards against a lookahead full of waiting requests that keeps those behind it from free slots.
+#[test]
+fn full_lookahead_ends_the_first_wait() {
+    let settings = PoolSettings { lookahead: 2, ..PoolSettings::default() };
+    let mut harness = PoolHarness::new(settings, &[target(1, 4), target(2, 4)]);
+    assert_eq!(placed(&harness.submit(with_prefix(1))), [1]);
+    assert!(placed(&harness.submit(with_prefix(2))).is_empty());
+    assert!(placed(&harness.submit(with_prefix(3))).is_empty());
+    assert_eq!(placed(&harness.submit(with_prefix(4))), [2]);
+}
