Report first tokens and count grants in admission_scale

Without first tokens, every request with a shared prefix waits for the one that computes it until its wait ends. Grants of earlier requests in a step were dropped, so their finishes were never measured.

--- a/crates/core/examples/admission_scale.rs
+++ b/crates/core/examples/admission_scale.rs
@@ -1,13 +1,15 @@
 //! Processor time of admission per request, by number of targets.
 //!
 //! Run with `cargo run --release -p burdockcleat-core --example admission_scale`. One thread feeds
-//! submits, commits and finishes; half of the slots are in use.
+//! submits, commits, first tokens and finishes; half of the slots are in use.
 
 use burdockcleat_core::admission::{AdmissionController, StepTime};
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_core::document::ConfigDocument;
 use burdockcleat_core::keys::{NodeId, RequestFingerprint, RequestKey};
-use burdockcleat_core::message::{ControlMessage, EntryMessage, FinishReport, SubmitRequest};
+use burdockcleat_core::message::{
+    ControlMessage, EntryMessage, FinishReport, StreamProgress, SubmitRequest,
+};
 use burdockcleat_core::outcome::RequestOutcome;
 use burdockcleat_core::registry::{TargetAnnouncement, TargetRegistry};
 use burdockcleat_core::state::{ReplicatedState, StampedCommand};
@@ -20,29 +22,43 @@
 const ENTRY: NodeId = NodeId(1);
 const PREFIX_BLOCKS: u64 = 20;
 const FAMILIES: u64 = 50;
+/// Time from the grant to the report of the first token.
+const FIRST_TOKEN_MS: u64 = 40;
 
 struct Stage {
     state: ReplicatedState,
     admission: AdmissionController,
     index: u64,
     now: u64,
+    /// Requests granted since they were last taken.
+    granted: VecDeque<FinishReport>,
+    /// First tokens to report, with their times.
+    first_tokens: VecDeque<(u64, RequestKey)>,
 }
 
 fn main() {
-    println!("| targets | submit to grant, µs | finish, µs | tick, µs |\n|---|---|---|---|");
+    println!(
+        "| targets | submit to grant, µs | first token, µs | finish, µs | tick, µs | granted |\n\
+        |---|---|---|---|---|---|"
+    );
     for targets in SIZES {
         let mut stage = Stage::open(targets);
-        let (mut submit_us, mut finish_us, mut tick_us) = (0.0, 0.0, 0.0);
-        let mut running = VecDeque::new();
+        let (mut submit_us, mut token_us, mut finish_us, mut tick_us) = (0.0, 0.0, 0.0, 0.0);
+        let (mut running, mut finished) = (VecDeque::new(), 0_u64);
         for number in 0..REQUESTS {
             let started = Instant::now();
-            running.extend(stage.submit(number));
+            stage.submit(number);
             submit_us += started.elapsed().as_secs_f64() * 1e6;
+            let started = Instant::now();
+            stage.report_first_tokens();
+            token_us += started.elapsed().as_secs_f64() * 1e6;
+            running.append(&mut stage.granted);
             if running.len() > (targets * SLOTS / 2) as usize
                 && let Some(report) = running.pop_front()
             {
                 let started = Instant::now();
                 stage.finish(report);
+                finished += 1;
                 finish_us += started.elapsed().as_secs_f64() * 1e6;
             }
             if number % 100 == 0 {
@@ -53,10 +69,12 @@
         }
         let count = REQUESTS as f64;
         println!(
-            "| {targets} | {:.1} | {:.1} | {:.1} |",
+            "| {targets} | {:.1} | {:.1} | {:.1} | {:.1} | {} |",
             submit_us / count,
-            finish_us / (count - f64::from(targets * SLOTS / 2)).max(1.0),
-            tick_us / (count / 100.0)
+            token_us / count,
+            finish_us / (finished as f64).max(1.0),
+            tick_us / (count / 100.0),
+            finished + running.len() as u64,
         );
     }
 }
@@ -73,7 +91,14 @@
         let state = ReplicatedState::open();
         let registry = TargetRegistry::default();
         let admission = AdmissionController::open(time(0), &document, &state, registry);
-        let mut stage = Self { state, admission, index: 0, now: 2_000 };
+        let mut stage = Self {
+            state,
+            admission,
+            index: 0,
+            now: 2_000,
+            granted: VecDeque::new(),
+            first_tokens: VecDeque::new(),
+        };
         let hello = EntryMessage::Hello {
             name: "entry".into(),
             entry_time: ClockTime::from_ms(0),
@@ -85,7 +110,7 @@
         stage
     }
 
-    fn submit(&mut self, number: u64) -> Option<FinishReport> {
+    fn submit(&mut self, number: u64) {
         // 2,100 requests a second are one each 0.48 ms.
         self.now += u64::from(number.is_multiple_of(2));
         let family = (number % FAMILIES) << 32;
@@ -105,7 +130,20 @@
         };
         let message = EntryMessage::Submit(request);
         self.admission.receive(time(self.now), ENTRY, message, &self.state);
-        self.commit()
+        self.commit();
+    }
+
+    fn report_first_tokens(&mut self) {
+        while let Some((at, key)) = self.first_tokens.front().copied()
+            && at <= self.now
+        {
+            self.first_tokens.pop_front();
+            let first_token_ms = Some(FIRST_TOKEN_MS as u32);
+            let report = StreamProgress { key, tokens: 1, first_token_ms };
+            let message = EntryMessage::Progress(vec![report]);
+            self.admission.receive(time(self.now), ENTRY, message, &self.state);
+            self.commit();
+        }
     }
 
     fn finish(&mut self, report: FinishReport) {
@@ -114,14 +152,14 @@
         self.commit();
     }
 
-    /// Applies what was proposed; returns the end of a request that was granted.
-    fn commit(&mut self) -> Option<FinishReport> {
-        let mut granted = None;
+    /// Applies what was proposed and notes the requests that were granted.
+    fn commit(&mut self) {
         loop {
             let output = self.admission.take_output();
             for (_, message) in output.messages {
                 if let ControlMessage::Grant(ticket) = message {
-                    granted = Some(FinishReport {
+                    self.first_tokens.push_back((self.now + FIRST_TOKEN_MS, ticket.key));
+                    self.granted.push_back(FinishReport {
                         key: ticket.key,
                         claim: ticket.claim,
                         outcome: RequestOutcome::Completed,
@@ -134,7 +172,7 @@
                 }
             }
             if output.commands.is_empty() {
-                return granted;
+                return;
             }
             for command in output.commands {
                 self.index += 1;
