--- a/crates/core/examples/policy_experiment/main.rs
+++ b/crates/core/examples/policy_experiment/main.rs
@@ -5,11 +5,13 @@
 //!
 //! `cargo run --release -p burdockcleat-core --example policy_experiment -- [SEEDS] [FIRST_SEED]`
 
+mod bound;
 mod engine;
 mod waste;
 mod workload;
 mod world;
 
+use bound::WasteBounds;
 use burdockcleat_core::pool::{PoolSettings, RoutingPolicy};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -130,6 +132,24 @@
     println!();
 }
 
+/// Lower bounds as shares of the useful tokens and the bound itself, summed over the seeds.
+fn print_bounds(deployment: Deployment, rate: f64, seeds: &[u64]) {
+    let engines = deployment.engines();
+    let mut total = WasteBounds::default();
+    for seed in seeds {
+        let bounds = WasteBounds::of(&deployment.requests(rate, *seed), &engines);
+        total.joint_cache += bounds.joint_cache;
+        total.copies += bounds.copies;
+        total.useful += bounds.useful;
+    }
+    let share = |wasted: f64| wasted / (total.useful + wasted).max(1.0) * 100.0;
+    println!(
+        "bounds: one joint cache {:.1}, copies for peaks of single prefixes {:.1}",
+        share(total.joint_cache),
+        share(total.copies)
+    );
+}
+
 fn main() {
     let mut arguments = std::env::args().skip(1).filter_map(|text| text.parse().ok());
     let (count, first): (u64, u64) = (arguments.next().unwrap_or(5), arguments.next().unwrap_or(1));
@@ -164,6 +184,7 @@
                     runs.iter().map(|run| run.violations).sum::<u32>(),
                 );
             }
+            print_bounds(deployment, capacity * load, &seeds);
             for ((name, _), runs) in VARIANTS.iter().zip(&results) {
                 if CAUSES_OF.contains(name) {
                     print_causes(name, runs);
