--- a/crates/testbed/tests/measure.rs
+++ b/crates/testbed/tests/measure.rs
@@ -22,7 +22,7 @@
         assert!(!rules.contains(&rule), "{} equals another variant", variant.name);
         rules.push(rule);
     }
-    assert_eq!(rules.len(), 15);
+    assert_eq!(rules.len(), 17);
     let two = variants("estimated-completion,random").unwrap();
     assert_eq!(
         two.iter().map(|variant| variant.name).collect::<Vec<_>>(),
