--- /dev/null
+++ b/crates/edge/src/control.rs
@@ -0,0 +1,234 @@
+//! Calls of targets, operators and the load balancer.
+
+use crate::metrics::MetricSet;
+use crate::node::NodeState;
+use crate::register::RegisterChange;
+use crate::reply::{ReplyBody, json_reply, refusal_reply, text_reply};
+use crate::shutdown::ShutdownStage;
+use crate::targets::TargetNotice;
+use burdockcleat_core::clock::ClockTime;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Largest document, in bytes.
+const MAX_DOCUMENT_BYTES: usize = 12 << 20;
+/// Longest time for a change or a read of the document, in ms: operators move on to another node
+/// after a second.
+const CHANGE_MS: u64 = 900;
+/// Longest time that a connection may stay idle, in ms.
+const IDLE_MS: u64 = 60_000;
+/// Time to come back to a node that cannot serve a call now, in ms.
+const RETRY_MS: u64 = 300;
+/// Time after the start for which a node waits for targets before it is ready, in ms: two
+/// announcements.
+const READY_WAIT_MS: u64 = 3_000;
+/// Part of the nodes that must be heard for an announcement to be acknowledged.
+const HEARD_PART: f64 = 0.5;
+
+/// Serves readiness checks.
+pub(crate) async fn accept_readiness(node: Rc<NodeState>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let node = node.clone();
+        async move { answer_readiness(&node, &request) }
+    })
+    .await;
+}
+
+/// Serves metrics and the state dump.
+pub(crate) async fn accept_metrics(node: Rc<NodeState>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let node = node.clone();
+        async move { answer_metrics(&node.metrics, &node, request.uri().path()) }
+    })
+    .await;
+}
+
+/// Serves targets and operators.
+pub(crate) async fn accept_control(node: Rc<NodeState>, listener: TcpListener) {
+    serve(listener, move |request| {
+        let node = node.clone();
+        async move { answer_control(node, request).await }
+    })
+    .await;
+}
+
+async fn serve<H, F>(listener: TcpListener, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<ReplyBody>> + 'static,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!(target: "burdockcleat", "event=control.accept_failed cause=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(RETRY_MS)).await;
+                continue;
+            }
+        };
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!(target: "burdockcleat", "event=control.socket_failed cause=\"{error}\"");
+            continue;
+        }
+        let handle = handle.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |request| {
+                let reply = handle(request);
+                async move { Ok::<_, Infallible>(reply.await) }
+            });
+            let connection = Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_millis(IDLE_MS))
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!(target: "burdockcleat", "event=control.connection_ended cause=\"{error}\"");
+            }
+        });
+    }
+}
+
+fn answer_readiness(node: &NodeState, request: &Request<Incoming>) -> Response<ReplyBody> {
+    if request.uri().path() != node.dialect.paths.ready {
+        return text_reply(StatusCode::NOT_FOUND, "no such call");
+    }
+    if is_ready(node) {
+        text_reply(StatusCode::OK, "ready")
+    } else {
+        text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+    }
+}
+
+/// A node is ready while it has a document, knows targets, and is not leaving.
+fn is_ready(node: &NodeState) -> bool {
+    let now = ClockTime::monotonic();
+    let targets_known = !node.targets.borrow().is_empty();
+    *node.stage.borrow() == ShutdownStage::Running
+        && node.config().is_some()
+        && (targets_known || now.since(node.started) > READY_WAIT_MS)
+}
+
+fn answer_metrics(
+    metrics: &RefCell<MetricSet>,
+    node: &NodeState,
+    path: &str,
+) -> Response<ReplyBody> {
+    if path == "/state" {
+        let now = ClockTime::monotonic();
+        let lines = node.board.borrow().describe(now).join("\n");
+        return text_reply(StatusCode::OK, lines);
+    }
+    text_reply(StatusCode::OK, metrics.borrow().render())
+}
+
+async fn answer_control(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let body = match Limited::new(body, MAX_DOCUMENT_BYTES).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+    };
+    let paths = &node.dialect.paths;
+    if path == paths.config {
+        return match parts.method {
+            Method::PUT => put_config(&node, body).await,
+            Method::GET => get_config(&node).await,
+            _ => text_reply(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
+        };
+    }
+    let Some(id) = path.strip_prefix(&paths.targets).filter(|id| !id.is_empty()) else {
+        return text_reply(StatusCode::NOT_FOUND, "no such call");
+    };
+    match parts.method {
+        Method::PUT => announce(&node, id, &body),
+        Method::DELETE => leave(&node, id),
+        _ => text_reply(StatusCode::METHOD_NOT_ALLOWED, "use PUT or DELETE"),
+    }
+}
+
+/// Whether this node's acknowledgement may be relied on: most other nodes hear of it.
+fn hears_others(node: &NodeState) -> bool {
+    node.heard_part(ClockTime::monotonic()) > HEARD_PART
+}
+
+fn isolated_reply() -> Response<ReplyBody> {
+    let reason = "this node does not hear the others";
+    refusal_reply(StatusCode::SERVICE_UNAVAILABLE, reason, Some(RETRY_MS))
+}
+
+fn announce(node: &Rc<NodeState>, id: &str, body: &[u8]) -> Response<ReplyBody> {
+    let announcement = match (node.dialect.decode_announcement)(id, body) {
+        Ok(announcement) => announcement,
+        Err(fault) => {
+            log::info!(target: "burdockcleat", "event=target.unreadable target={id} cause=\"{fault}\"");
+            return text_reply(StatusCode::BAD_REQUEST, fault.to_string());
+        }
+    };
+    if !hears_others(node) {
+        return isolated_reply();
+    }
+    node.apply_notice(&TargetNotice::Announced(announcement), true);
+    let address = node.settings.control_address.to_string();
+    json_reply(StatusCode::OK, (node.dialect.encode_announce_reply)(&address))
+}
+
+fn leave(node: &Rc<NodeState>, id: &str) -> Response<ReplyBody> {
+    if !hears_others(node) {
+        return isolated_reply();
+    }
+    let incarnation = node.targets.borrow().leaving_incarnation(id, ClockTime::wall());
+    node.apply_notice(&TargetNotice::Left { id: id.to_owned(), incarnation }, true);
+    json_reply(StatusCode::OK, "{}")
+}
+
+async fn put_config(node: &Rc<NodeState>, body: Bytes) -> Response<ReplyBody> {
+    let config = match (node.dialect.decode_config)(&body) {
+        Ok(config) => config,
+        Err(fault) => {
+            log::info!(target: "burdockcleat", "event=config.rejected cause=\"{fault}\"");
+            return text_reply(StatusCode::BAD_REQUEST, fault.to_string());
+        }
+    };
+    let version = config.version;
+    let change = RegisterChange::Document { version, body: Arc::new(body.to_vec()) };
+    let started = ClockTime::monotonic();
+    let result = node.change_register(&change, CHANGE_MS).await;
+    let took_ms = ClockTime::monotonic().since(started);
+    match result {
+        Ok(value) => {
+            log::info!(
+                target: "burdockcleat",
+                "event=config.acknowledged version={version} held={} took_ms={took_ms}", value.version
+            );
+            json_reply(StatusCode::OK, "{}")
+        }
+        Err(error) => {
+            log::info!(
+                target: "burdockcleat",
+                "event=config.not_acknowledged version={version} cause=\"{error}\" took_ms={took_ms}"
+            );
+            refusal_reply(StatusCode::SERVICE_UNAVAILABLE, "no majority answered", Some(RETRY_MS))
+        }
+    }
+}
+
+async fn get_config(node: &Rc<NodeState>) -> Response<ReplyBody> {
+    match node.read_register(CHANGE_MS).await {
+        Ok(value) if value.version > 0 => json_reply(StatusCode::OK, value.body.to_vec()),
+        Ok(_) => refusal_reply(StatusCode::SERVICE_UNAVAILABLE, "no document yet", Some(RETRY_MS)),
+        Err(error) => {
+            log::info!(target: "burdockcleat", "event=config.read_failed cause=\"{error}\"");
+            refusal_reply(StatusCode::SERVICE_UNAVAILABLE, "no majority answered", Some(RETRY_MS))
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/dispatch.rs
@@ -0,0 +1,246 @@
+//! The way of a request: read, route, authenticate, contain, charge, place, send, answer.
+
+mod attempt;
+mod stream;
+
+use crate::config::{RequestKind, RouteRule};
+use crate::node::NodeState;
+use crate::reply::{ReplyBody, refusal_reply, text_reply};
+use crate::request::{CallerRequest, RequestFault};
+use attempt::{Attempts, OpenAnswer};
+use burdockcleat_core::clock::ClockTime;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use std::rc::Rc;
+
+/// Time to come back while no configuration is known, in ms: a restarted node learns it within two
+/// statuses of the others.
+const NO_CONFIG_RETRY_MS: u64 = 500;
+/// Output tokens expected of a request that states none.
+const DEFAULT_OUTPUT_TOKENS: u64 = 64;
+/// Ranks of routes within one rank of workspaces.
+const ROUTE_RANKS: u32 = 16;
+
+/// Why a request is not served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// The request did not run and never will. The time to come back, in ms.
+    NotRun { reason: &'static str, retry_after_ms: Option<u64> },
+    /// The workspace has used its allowance. The time to come back, in ms.
+    OverAllowance { retry_after_ms: u64 },
+    /// The request itself is wrong.
+    Rejected { status: StatusCode, reason: &'static str },
+    /// The request was sent, and its outcome is not known.
+    Failed { status: StatusCode, reason: &'static str },
+}
+
+impl Refusal {
+    pub(crate) const fn reason(&self) -> &'static str {
+        match self {
+            Self::NotRun { reason, .. }
+            | Self::Rejected { reason, .. }
+            | Self::Failed { reason, .. } => reason,
+            Self::OverAllowance { .. } => "over the allowance of the workspace",
+        }
+    }
+
+    pub(crate) const fn status(&self) -> StatusCode {
+        match self {
+            Self::NotRun { .. } => StatusCode::SERVICE_UNAVAILABLE,
+            Self::OverAllowance { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Self::Rejected { status, .. } | Self::Failed { status, .. } => *status,
+        }
+    }
+
+    fn reply(&self) -> Response<ReplyBody> {
+        match self {
+            Self::NotRun { reason, retry_after_ms } => {
+                refusal_reply(self.status(), reason, *retry_after_ms)
+            }
+            Self::OverAllowance { retry_after_ms } => {
+                refusal_reply(self.status(), self.reason(), Some(*retry_after_ms))
+            }
+            Self::Rejected { .. } | Self::Failed { .. } => text_reply(self.status(), self.reason()),
+        }
+    }
+}
+
+/// A request with everything that was decided before it is placed.
+pub(crate) struct RequestContext {
+    pub(crate) node: Rc<NodeState>,
+    pub(crate) request: CallerRequest,
+    pub(crate) route: RouteRule,
+    pub(crate) service: String,
+    pub(crate) workspace: Option<String>,
+    pub(crate) rank: u32,
+    pub(crate) fingerprint: u64,
+    pub(crate) charge: Option<AllowanceCharge>,
+}
+
+/// What a request took from an allowance.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AllowanceCharge {
+    key: u32,
+    amount: u64,
+}
+
+impl RequestContext {
+    /// Time left until the caller's deadline and the route's timeout, in ms.
+    pub(crate) fn left_ms(&self, now: ClockTime) -> u64 {
+        let deadline = self.request.deadline_ms.unwrap_or(self.route.timeout_ms);
+        deadline.min(self.route.timeout_ms).saturating_sub(now.since(self.request.received))
+    }
+
+    pub(crate) fn prompt_tokens(&self) -> u32 {
+        u32::try_from(self.request.prompt_tokens.unwrap_or(0)).unwrap_or(u32::MAX)
+    }
+
+    pub(crate) fn output_tokens(&self) -> u32 {
+        let request = &self.request;
+        let limit = request.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+        let expected = request.output_hint.map_or(limit, |hint| hint.min(limit));
+        u32::try_from(expected).unwrap_or(u32::MAX)
+    }
+
+    /// Gives the charge back: the request did not run.
+    fn give_back(&self) {
+        if let Some(AllowanceCharge { key, amount }) = self.charge {
+            self.node.ledger.borrow_mut().give_back(key, amount);
+        }
+    }
+}
+
+/// Serves a caller's request.
+pub(crate) async fn serve(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
+    let received = ClockTime::monotonic();
+    let limits = node.limits();
+    let request = match CallerRequest::read(request, &node.dialect, limits, received).await {
+        Ok(request) => request,
+        Err(fault) => return reject_unreadable(&node, &fault),
+    };
+    let _running = node.count_running();
+    let attempt = request.attempt.clone();
+    let context = match admit(&node, request) {
+        Ok(context) => Rc::new(context),
+        Err(refusal) => return refuse(&node, &attempt, "-", received, &refusal),
+    };
+    let mut attempts = Attempts::default();
+    let last_event = context.request.last_event;
+    match attempt::open_answer(&context, &mut attempts, last_event).await {
+        Ok(OpenAnswer::Whole(answer)) => {
+            log_answer(&context, &attempts, answer.parts.status, "whole");
+            answer.into_response(&context)
+        }
+        Ok(OpenAnswer::Stream(source)) => stream::respond(context, attempts, source),
+        Err(refusal) => {
+            if matches!(refusal, Refusal::NotRun { .. }) {
+                context.give_back();
+            }
+            refuse(&node, &attempt, &context.route.name, received, &refusal)
+        }
+    }
+}
+
+/// Everything before the placement: none of it waits.
+fn admit(node: &Rc<NodeState>, request: CallerRequest) -> Result<RequestContext, Refusal> {
+    let now = ClockTime::monotonic();
+    let reason = "no configuration is known yet";
+    let no_config = Refusal::NotRun { reason, retry_after_ms: Some(NO_CONFIG_RETRY_MS) };
+    let config = node.config().ok_or(no_config)?;
+    let route = config
+        .find_route(&request.host, &request.path)
+        .ok_or(Refusal::Rejected { status: StatusCode::NOT_FOUND, reason: "no route matches" })?
+        .clone();
+    let workspace = if route.open || config.workspaces.is_none() {
+        None
+    } else {
+        let unknown =
+            Refusal::Rejected { status: StatusCode::UNAUTHORIZED, reason: "unknown credential" };
+        let key = request.credential.as_deref().ok_or(unknown)?;
+        Some(config.find_workspace(key).ok_or(unknown)?)
+    };
+    let fingerprint = request.fingerprint();
+    if node.suspects.borrow().refused(fingerprint, now) {
+        let reason = "the request broke several targets";
+        return Err(Refusal::NotRun { reason, retry_after_ms: None });
+    }
+    let service = route.pick_service(rand::random()).unwrap_or_default().to_owned();
+    let route_rank = route.priority.min(ROUTE_RANKS - 1);
+    let rank = workspace.and_then(|w| w.priority).unwrap_or(0) * ROUTE_RANKS + route_rank;
+    let charge = match workspace {
+        Some(workspace) if workspace.rate_per_s > 0.0 => {
+            let tokens = request.charged_tokens().unwrap_or(workspace.default_tokens);
+            let amount = if workspace.counts_tokens { tokens } else { 1 };
+            let key = workspace_key(&workspace.name);
+            let part = node.heard_part(now);
+            let taken = node.ledger.borrow_mut().take(key, amount, part, now);
+            taken.map_err(|retry_after_ms| Refusal::OverAllowance { retry_after_ms })?;
+            Some(AllowanceCharge { key, amount })
+        }
+        _ => None,
+    };
+    let workspace = workspace.map(|workspace| workspace.name.clone());
+    node.budget.borrow_mut().count_request(&service, node.node_count(now), now);
+    let node = node.clone();
+    Ok(RequestContext { node, request, route, service, workspace, rank, fingerprint, charge })
+}
+
+/// Key of a workspace in the reports between nodes.
+pub(crate) fn workspace_key(name: &str) -> u32 {
+    (xxhash_rust::xxh3::xxh3_64(name.as_bytes()) >> 32) as u32
+}
+
+fn reject_unreadable(node: &NodeState, fault: &RequestFault) -> Response<ReplyBody> {
+    let status = match fault {
+        RequestFault::NoHost | RequestFault::NoAttempt | RequestFault::Broken(_) => {
+            StatusCode::BAD_REQUEST
+        }
+        RequestFault::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
+        RequestFault::Slow => StatusCode::REQUEST_TIMEOUT,
+    };
+    let status_text = status.as_u16();
+    log::info!(target: "burdockcleat", "event=request.rejected status={status_text} reason=\"{fault}\"");
+    node.metrics.borrow_mut().count("requests_refused", "unreadable", 1);
+    text_reply(status, fault.to_string())
+}
+
+fn refuse(
+    node: &NodeState,
+    attempt: &str,
+    route: &str,
+    received: ClockTime,
+    refusal: &Refusal,
+) -> Response<ReplyBody> {
+    let status = refusal.status().as_u16();
+    let reason = refusal.reason();
+    let after_ms = ClockTime::monotonic().since(received);
+    let version = node.config().map_or(0, |config| config.version);
+    log::info!(
+        target: "burdockcleat",
+        "event=request.refused id={attempt} route={route} status={status} reason=\"{reason}\" after_ms={after_ms} config={version}"
+    );
+    node.metrics.borrow_mut().count("requests_refused", reason, 1);
+    refusal.reply()
+}
+
+fn log_answer(context: &RequestContext, attempts: &Attempts, status: StatusCode, how: &str) {
+    let id = &context.request.attempt;
+    let route = &context.route.name;
+    let after_ms = ClockTime::monotonic().since(context.request.received);
+    let (status, sends) = (status.as_u16(), attempts.sends);
+    let target = attempts.last_target.as_deref().unwrap_or("-");
+    log::info!(
+        target: "burdockcleat",
+        "event=request.answered id={id} route={route} status={status} how={how} target={target} sends={sends} after_ms={after_ms}"
+    );
+    let mut metrics = context.node.metrics.borrow_mut();
+    let on_time = status < 300 && after_ms <= context.route.objective_ms;
+    let label = format!("rank{}", context.rank);
+    metrics.record("answer_latency", &label, after_ms);
+    metrics.count(if on_time { "requests_on_time" } else { "requests_late" }, &label, 1);
+}
+
+/// Whether the answer of a route is passed on in parts as it arrives.
+pub(crate) fn streamed(route: &RouteRule) -> bool {
+    route.kind == RequestKind::Stream
+}
--- /dev/null
+++ b/crates/edge/src/dispatch/stream.rs
@@ -0,0 +1,159 @@
+//! Passes an event stream on as it arrives, and continues it at another target after a break.
+
+use super::attempt::{Attempts, OpenAnswer, StreamSource, open_answer, strip_headers};
+use super::{RequestContext, log_answer};
+use crate::placement::TicketOutcome;
+use crate::reply::{ReplyBody, StreamBroken};
+use burdockcleat_core::clock::ClockTime;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+
+/// Parts that wait for a slow caller before the target is held up.
+const PARTS_AHEAD: usize = 8;
+
+/// How the stream of one target ended.
+enum StreamEnd {
+    Complete,
+    /// The target broke off.
+    Broken,
+    /// The caller left.
+    CallerLeft,
+    /// The route's timeout or the deadline has passed.
+    OutOfTime,
+}
+
+/// Answers with a stream whose first event has arrived.
+pub(crate) fn respond(
+    context: Rc<RequestContext>,
+    attempts: Attempts,
+    source: Box<StreamSource>,
+) -> Response<ReplyBody> {
+    let (sender, receiver): (_, Receiver<Result<Bytes, StreamBroken>>) = channel(PARTS_AHEAD);
+    let mut head = source.parts.clone();
+    strip_headers(&mut head.headers, false);
+    tokio::task::spawn_local(pump(context, attempts, source, sender));
+    Response::from_parts(head, ReplyBody::Stream(receiver))
+}
+
+/// Passes on one target's stream after the other until the answer is complete.
+async fn pump(
+    context: Rc<RequestContext>,
+    mut attempts: Attempts,
+    mut source: Box<StreamSource>,
+    sender: Sender<Result<Bytes, StreamBroken>>,
+) {
+    let _running = context.node.count_running();
+    let mut last_event = context.request.last_event;
+    let status = source.parts.status;
+    loop {
+        let (end, last_id) = pass_on(&context, source, &sender).await;
+        last_event = last_id.or(last_event);
+        match end {
+            StreamEnd::Complete => return log_answer(&context, &attempts, status, "stream"),
+            StreamEnd::CallerLeft => return log_end(&context, &attempts, "the caller left"),
+            StreamEnd::OutOfTime => {
+                log_end(&context, &attempts, "out of time");
+                break;
+            }
+            StreamEnd::Broken => {}
+        }
+        log_end(&context, &attempts, "the target broke off");
+        if !context.route.resumable {
+            break;
+        }
+        let resumed = tokio::select! {
+            resumed = resume(&context, &mut attempts, last_event) => resumed,
+            () = sender.closed() => return log_end(&context, &attempts, "the caller left"),
+        };
+        let Some(next) = resumed else { break };
+        source = next;
+    }
+    // The receiver is gone if the caller left meanwhile; then there is nobody to tell.
+    let _ = sender.send(Err(StreamBroken)).await;
+}
+
+/// Continues a stream at another target after its last whole event.
+async fn resume(
+    context: &Rc<RequestContext>,
+    attempts: &mut Attempts,
+    last_event: Option<u64>,
+) -> Option<Box<StreamSource>> {
+    if !attempts.may_repeat(context) {
+        return None;
+    }
+    match open_answer(context, attempts, last_event).await {
+        Ok(OpenAnswer::Stream(source)) => Some(source),
+        Ok(OpenAnswer::Whole(_)) => None,
+        Err(refusal) => {
+            log_end(context, attempts, refusal.reason());
+            None
+        }
+    }
+}
+
+/// Passes on one target's stream. Returns how it ended and the last event passed on.
+async fn pass_on(
+    context: &RequestContext,
+    source: Box<StreamSource>,
+    sender: &Sender<Result<Bytes, StreamBroken>>,
+) -> (StreamEnd, Option<u64>) {
+    let StreamSource { mut body, link, ticket, mut splitter, first, ended, .. } = *source;
+    if !first.is_empty() && sender.send(Ok(first)).await.is_err() {
+        return (StreamEnd::CallerLeft, splitter.last_id());
+    }
+    let mut ended = ended;
+    while !ended {
+        let left = Duration::from_millis(context.left_ms(ClockTime::monotonic()));
+        let frame = tokio::select! {
+            frame = body.frame() => frame,
+            () = sender.closed() => return (StreamEnd::CallerLeft, splitter.last_id()),
+            () = tokio::time::sleep(left) => return (StreamEnd::OutOfTime, splitter.last_id()),
+        };
+        let data = match frame {
+            None => {
+                ended = true;
+                continue;
+            }
+            Some(Err(_)) => {
+                ticket.finish(TicketOutcome::Broken);
+                return (StreamEnd::Broken, splitter.last_id());
+            }
+            Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+        };
+        match splitter.push(&data) {
+            Ok(None) => {}
+            Ok(Some(events)) => {
+                if sender.send(Ok(events)).await.is_err() {
+                    return (StreamEnd::CallerLeft, splitter.last_id());
+                }
+            }
+            Err(error) => {
+                log::warn!(target: "burdockcleat", "event=stream.broken cause=\"{error}\"");
+                ticket.finish(TicketOutcome::Broken);
+                return (StreamEnd::Broken, splitter.last_id());
+            }
+        }
+    }
+    if splitter.torn() {
+        ticket.finish(TicketOutcome::Broken);
+        return (StreamEnd::Broken, splitter.last_id());
+    }
+    link.release();
+    ticket.finish(TicketOutcome::Answered);
+    (StreamEnd::Complete, splitter.last_id())
+}
+
+fn log_end(context: &RequestContext, attempts: &Attempts, cause: &str) {
+    let id = &context.request.attempt;
+    let target = attempts.last_target.as_deref().unwrap_or("-");
+    let after_ms = ClockTime::monotonic().since(context.request.received);
+    log::info!(
+        target: "burdockcleat",
+        "event=stream.ended id={id} target={target} cause=\"{cause}\" after_ms={after_ms}"
+    );
+    context.node.metrics.borrow_mut().count("streams_ended", cause, 1);
+}
--- /dev/null
+++ b/crates/edge/src/frontend.rs
@@ -0,0 +1,73 @@
+//! Connections of callers.
+
+use crate::dispatch;
+use crate::node::NodeState;
+use crate::shutdown::ShutdownStage;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+
+/// Margin after the idle time that callers are told, in ms: a request may be on its way.
+const IDLE_MARGIN_MS: u64 = 2_000;
+/// Largest request head and read buffer, in bytes: the limit of the documents with a margin.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Pause after a failure to accept, in ms: descriptors are freed by requests that end.
+const ACCEPT_PAUSE_MS: u64 = 20;
+
+/// Accepts connections until the process ends.
+pub(crate) async fn accept_callers(node: Rc<NodeState>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve_caller(node.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(target: "burdockcleat", "event=caller.accept_failed cause=\"{error}\"");
+                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(node: Rc<NodeState>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(target: "burdockcleat", "event=caller.socket_failed cause=\"{error}\"");
+        return;
+    }
+    let idle_ms = node.limits().idle_ms + IDLE_MARGIN_MS;
+    let service = service_fn(|request| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(dispatch::serve(node, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut stage = node.stage.subscribe();
+    let mut closing = *stage.borrow() == ShutdownStage::Closing;
+    if closing {
+        connection.as_mut().graceful_shutdown();
+    }
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    log::debug!(target: "burdockcleat", "event=caller.connection_ended cause=\"{error}\"");
+                }
+                return;
+            }
+            changed = stage.changed(), if !closing => {
+                if changed.is_err() || *stage.borrow() == ShutdownStage::Closing {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,35 @@
+//! Node of burdockcleat for deployments in which every instance serves callers, targets and
+//! operators.
+//!
+//! Requests are placed by the node that read them, over views that all nodes share in datagrams,
+//! so that service continues while the replicated configuration register has no quorum. The pure
+//! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`],
+//! [`suspects`], [`events`]) contain no socket, clock or thread.
+
+pub mod allowance;
+pub mod budget;
+pub mod config;
+mod control;
+mod datagram;
+pub mod dialect;
+mod dispatch;
+pub mod events;
+mod frontend;
+pub mod logs;
+mod membership;
+pub mod metrics;
+mod node;
+mod peers;
+pub mod placement;
+pub mod register;
+mod reply;
+mod request;
+mod rpc;
+pub mod settings;
+mod shutdown;
+pub mod slots;
+pub mod suspects;
+pub mod targets;
+mod upstream;
+
+pub use node::{NodeError, NodeServer};
--- /dev/null
+++ b/crates/edge/src/membership/rounds.rs
@@ -0,0 +1,349 @@
+//! Rounds of the register over calls to its replicas.
+
+use super::store::StoreCall;
+use super::{AppliedValue, FOUNDING_COUNTER, RegisterService};
+use crate::node::NodeState;
+use crate::register::{
+    AcceptedValue, BallotNumber, PhaseReply, ProposerRound, RegisterChange, RegisterValue,
+    ReplicaKey, RoundPhase,
+};
+use crate::rpc::{self, PeerCall, PeerReply};
+use burdockcleat_core::clock::ClockTime;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// Longest time for one round, in ms: two phases with slow syncs.
+const ROUND_MS: u64 = 1_200;
+/// Longest pause before a round is tried again after another one won, in ms, for each try.
+const BACKOFF_MS: u64 = 25;
+/// Pause after a round without a quorum, in ms.
+const NO_QUORUM_PAUSE_MS: u64 = 100;
+/// Longest time for the replicas to report what they hold, in ms.
+const READ_MS: u64 = 500;
+
+/// A change that was not made, as far as this node knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub(crate) enum RoundError {
+    #[error("the replicas of the register are not known yet")]
+    NoRegister,
+    #[error("no majority of the replicas answered in time")]
+    NoQuorum,
+}
+
+impl NodeState {
+    /// Changes the register and waits until the result is chosen.
+    pub(crate) async fn change_register(
+        self: &Rc<Self>,
+        change: &RegisterChange,
+        limit_ms: u64,
+    ) -> Result<RegisterValue, RoundError> {
+        let deadline = ClockTime::monotonic().plus(limit_ms);
+        let mut tries = 0_u64;
+        loop {
+            let left_ms = deadline.since(ClockTime::monotonic());
+            if left_ms == 0 {
+                return Err(RoundError::NoQuorum);
+            }
+            tries += 1;
+            let round = self.run_round(change);
+            let limit = Duration::from_millis(left_ms.min(ROUND_MS));
+            let pause_ms = match tokio::time::timeout(limit, round).await {
+                Ok(Ok(Some(value))) => return Ok(value),
+                Ok(Ok(None)) => rand::random_range(1..=BACKOFF_MS * tries.min(8)),
+                Ok(Err(error)) => return Err(error),
+                Err(_) => NO_QUORUM_PAUSE_MS,
+            };
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// One round. None if another round with a higher ballot was met.
+    async fn run_round(
+        self: &Rc<Self>,
+        change: &RegisterChange,
+    ) -> Result<Option<RegisterValue>, RoundError> {
+        let known = self.known_voters();
+        if known.is_empty() {
+            return Err(RoundError::NoRegister);
+        }
+        let ballot = self.register.next_ballot();
+        let mut round = ProposerRound::new(ballot, change.clone(), known);
+        let mut calls: JoinSet<(ReplicaKey, Option<PhaseReply>)> = JoinSet::new();
+        let mut called = BTreeSet::new();
+        let mut phase_is_accept = false;
+        loop {
+            match round.phase() {
+                RoundPhase::Chosen(value) => {
+                    let value = value.clone();
+                    calls.detach_all();
+                    self.apply_value(ballot, &value);
+                    self.send_status();
+                    return Ok(Some(value));
+                }
+                RoundPhase::Lost(higher) => {
+                    self.register.see_counter(higher.counter);
+                    return Ok(None);
+                }
+                RoundPhase::Accept(_) if !phase_is_accept => {
+                    phase_is_accept = true;
+                    called.clear();
+                    calls = JoinSet::new();
+                }
+                RoundPhase::Accept(_) | RoundPhase::Prepare => {}
+            }
+            for key in round.pending() {
+                if called.insert(key) {
+                    let (node, phase) = (self.clone(), round.phase().clone());
+                    calls.spawn_local(
+                        async move { (key, node.call_replica(key, ballot, phase).await) },
+                    );
+                }
+            }
+            match calls.join_next().await {
+                Some(Ok((key, Some(reply)))) => round.step(key, reply),
+                Some(Ok((_, None)) | Err(_)) => {}
+                // All have answered and there is no quorum: the caller's time limit ends the round.
+                None => std::future::pending().await,
+            }
+        }
+    }
+
+    async fn call_replica(
+        &self,
+        key: ReplicaKey,
+        ballot: BallotNumber,
+        phase: RoundPhase,
+    ) -> Option<PhaseReply> {
+        let disk = key.disk;
+        let (job, call) = match phase {
+            RoundPhase::Prepare => (StoreCall::Prepare(ballot), PeerCall::Prepare { disk, ballot }),
+            RoundPhase::Accept(value) => {
+                (StoreCall::Accept(ballot, value.clone()), PeerCall::Accept { disk, ballot, value })
+            }
+            RoundPhase::Chosen(_) | RoundPhase::Lost(_) => return None,
+        };
+        if self.register.own_key() == Some(key) {
+            return self.register.store.as_ref()?.call(job).await;
+        }
+        match rpc::call(key.address, &call).await {
+            Ok(PeerReply::Phase(reply)) => Some(reply),
+            Ok(other) => {
+                log::debug!(target: "burdockcleat", "event=register.no_vote replica={} reply={other:?}", key.address);
+                None
+            }
+            Err(error) => {
+                log::debug!(target: "burdockcleat", "event=register.call_failed replica={} cause=\"{error}\"", key.address);
+                None
+            }
+        }
+    }
+
+    /// Replicas that a round starts with: of the newest value known here, or else all disks heard.
+    fn known_voters(&self) -> BTreeSet<ReplicaKey> {
+        let accepted = self.register.accepted().map(|accepted| (accepted.ballot, accepted.value));
+        let applied = self.register.applied().map(|applied| (applied.ballot, applied.value));
+        let newest = accepted.into_iter().chain(applied).max_by_key(|(ballot, _)| *ballot);
+        if let Some((_, value)) = newest {
+            return value.voters();
+        }
+        let now = ClockTime::monotonic();
+        let peers = self.peers.borrow();
+        let holders = peers.alive(now).filter(|record| record.status.accepted.is_some());
+        holders
+            .filter_map(|record| {
+                let address = record.status.address;
+                record.status.disk.map(|disk| ReplicaKey { address, disk })
+            })
+            .collect()
+    }
+
+    /// Reads the newest chosen value: without a write if a quorum holds the same ballot.
+    pub(crate) async fn read_register(
+        self: &Rc<Self>,
+        limit_ms: u64,
+    ) -> Result<RegisterValue, RoundError> {
+        if let Some(value) = self.read_quorum().await {
+            return Ok(value);
+        }
+        self.change_register(&RegisterChange::Confirm, limit_ms).await
+    }
+
+    /// The applied value, if a quorum of replicas holds just its ballot.
+    async fn read_quorum(self: &Rc<Self>) -> Option<RegisterValue> {
+        let applied = self.register.applied()?;
+        let mut calls = JoinSet::new();
+        for key in applied.value.voters() {
+            let node = self.clone();
+            calls.spawn_local(async move { (key, node.read_ballot(key).await) });
+        }
+        let collect = async {
+            let mut holders = BTreeSet::new();
+            while let Some(joined) = calls.join_next().await {
+                let Ok((key, Some(ballot))) = joined else { continue };
+                if ballot == applied.ballot {
+                    holders.insert(key);
+                }
+                if applied.value.has_quorum(&holders) {
+                    return true;
+                }
+            }
+            false
+        };
+        let found = tokio::time::timeout(Duration::from_millis(READ_MS), collect).await;
+        (found == Ok(true)).then_some(applied.value)
+    }
+
+    async fn read_ballot(&self, key: ReplicaKey) -> Option<BallotNumber> {
+        if self.register.own_key() == Some(key) {
+            return self.register.accepted_mark().map(|mark| mark.ballot);
+        }
+        match rpc::call(key.address, &PeerCall::ReadBallot { disk: key.disk }).await {
+            Ok(PeerReply::Ballot(ballot)) => ballot,
+            Ok(_) | Err(_) => None,
+        }
+    }
+
+    /// Takes a chosen value into force, unless a newer one is.
+    pub(crate) fn apply_value(&self, ballot: BallotNumber, value: &RegisterValue) {
+        let known = self.register.applied_mark();
+        if known.is_some_and(|mark| mark.ballot >= ballot) {
+            return;
+        }
+        self.register.see_counter(ballot.counter);
+        let same_document = known.is_some_and(|mark| mark.version == value.version);
+        let config = if same_document {
+            self.register.config()
+        } else if value.version == 0 {
+            None
+        } else {
+            match (self.dialect.decode_config)(&value.body) {
+                Ok(config) => Some(Rc::new(config)),
+                Err(fault) => {
+                    // Checked before it was proposed: only another build can disagree.
+                    log::error!(target: "burdockcleat", "event=config.unreadable version={} cause=\"{fault}\"", value.version);
+                    return;
+                }
+            }
+        };
+        let applied = AppliedValue { ballot, value: value.clone(), config };
+        *self.register.applied.borrow_mut() = Some(applied);
+        log::info!(
+            target: "burdockcleat",
+            "event=config.applied version={} ballot={}.{:x} replicas={} settled={}",
+            value.version, ballot.counter, ballot.proposer, value.replicas.len(), value.settled()
+        );
+        if !same_document {
+            self.config_changed();
+        }
+    }
+
+    /// Founds the register with all replicas that are heard, at the first start of the deployment.
+    /// Returns whether a majority holds the founding value.
+    pub(super) async fn found_register(self: &Rc<Self>, replicas: &BTreeSet<ReplicaKey>) -> bool {
+        let ballot = BallotNumber { counter: FOUNDING_COUNTER, proposer: self.register.process };
+        let value = RegisterValue {
+            replicas: replicas.clone(),
+            previous: replicas.clone(),
+            ..RegisterValue::default()
+        };
+        let mut holders = BTreeSet::new();
+        for key in replicas {
+            let phase = RoundPhase::Accept(value.clone());
+            if self.call_replica(*key, ballot, phase).await == Some(PhaseReply::Accepted) {
+                holders.insert(*key);
+            }
+        }
+        log::info!(target: "burdockcleat", "event=register.founded replicas={} holders={}", replicas.len(), holders.len());
+        value.has_quorum(&holders)
+    }
+
+    /// Fetches the applied value of another node.
+    pub(super) async fn fetch_applied(self: Rc<Self>, from: std::net::SocketAddrV4) {
+        match rpc::call(from, &PeerCall::ReadApplied).await {
+            Ok(PeerReply::Applied(Some(AcceptedValue { ballot, value }))) => {
+                self.apply_value(ballot, &value);
+            }
+            Ok(other) => {
+                log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
+            }
+            Err(error) => {
+                log::info!(target: "burdockcleat", "event=config.fetch_failed peer={from} cause=\"{error}\"");
+            }
+        }
+        self.register.fetching.set(false);
+    }
+
+    /// Answers calls of other nodes.
+    pub(crate) async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::task::spawn_local(self.clone().serve_peer(stream));
+                }
+                Err(error) => {
+                    log::warn!(target: "burdockcleat", "event=peer.accept_failed cause=\"{error}\"");
+                    tokio::time::sleep(Duration::from_millis(NO_QUORUM_PAUSE_MS)).await;
+                }
+            }
+        }
+    }
+
+    async fn serve_peer(self: Rc<Self>, mut stream: TcpStream) {
+        let exchange = async {
+            stream.set_nodelay(true)?;
+            let call: PeerCall = rpc::read_message(&mut stream).await?;
+            let reply = self.answer(call).await;
+            rpc::write_message(&mut stream, &reply).await
+        };
+        if let Err(error) = exchange.await {
+            log::debug!(target: "burdockcleat", "event=peer.call_failed cause=\"{error}\"");
+        }
+    }
+
+    async fn answer(&self, call: PeerCall) -> PeerReply {
+        let store = |disk| self.register.store.as_ref().filter(|store| store.disk() == disk);
+        let (store, job) = match call {
+            PeerCall::ReadApplied => {
+                let applied = self.register.applied();
+                return PeerReply::Applied(
+                    applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
+                );
+            }
+            PeerCall::ReadBallot { disk } => {
+                let Some(store) = store(disk) else { return PeerReply::WrongDisk };
+                return PeerReply::Ballot(store.accepted_mark().map(|mark| mark.ballot));
+            }
+            PeerCall::Prepare { disk, ballot } => (store(disk), StoreCall::Prepare(ballot)),
+            PeerCall::Accept { disk, ballot, value } => {
+                (store(disk), StoreCall::Accept(ballot, value))
+            }
+        };
+        let Some(store) = store else { return PeerReply::WrongDisk };
+        store.call(job).await.map_or_else(
+            || PeerReply::Failed("the state could not be made durable".into()),
+            PeerReply::Phase,
+        )
+    }
+
+    /// Ballots that the replicas report to hold, the own one included.
+    pub(super) fn reported_ballots(&self, now: ClockTime) -> BTreeMap<ReplicaKey, BallotNumber> {
+        let peers = self.peers.borrow();
+        let reports = peers.alive(now).filter_map(|record| {
+            let (address, disk) = (record.status.address, record.status.disk?);
+            Some((ReplicaKey { address, disk }, record.status.accepted?.ballot))
+        });
+        let own = self.register.own_key().zip(self.register.accepted_mark().map(|m| m.ballot));
+        reports.chain(own).collect()
+    }
+}
+
+impl RegisterService {
+    pub(super) fn start_fetch(&self) -> bool {
+        !self.fetching.replace(true)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/node/placing.rs
@@ -0,0 +1,327 @@
+//! Placement of requests: by the placing node where it answers, else by this one.
+
+use super::{NodeState, target_key};
+use crate::datagram::{PeerDatagram, PlacementDecision};
+use crate::placement::{
+    ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetInfo,
+    TargetKey, TicketKey, TicketOutcome,
+};
+use crate::shutdown::ShutdownStage;
+use crate::targets::TargetAnnouncement;
+use burdockcleat_core::clock::ClockTime;
+use std::cell::Cell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+
+/// Pause before a submission is sent again, in ms: several round trips.
+const RESEND_MS: u64 = 30;
+/// Silence of the placing node after which this node places by itself, in ms: three submissions.
+const SILENCE_MS: u64 = 100;
+/// Time after its start for which a node does not place for others, in ms: it has not heard all of
+/// them yet.
+const WARM_MS: u64 = 1_500;
+
+/// How a request was placed.
+pub(crate) enum Placement {
+    Granted(TicketGuard),
+    Refused { reason: RefusalReason, retry_after_ms: u64 },
+}
+
+/// A request of this node that waits for a placement.
+pub(super) struct Waiter {
+    sender: oneshot::Sender<PlacementDecision>,
+    heard: Rc<Cell<ClockTime>>,
+}
+
+/// A request at a target. Dropping it reports that the request was dropped.
+pub(crate) struct TicketGuard {
+    node: Rc<NodeState>,
+    key: TicketKey,
+    target: TargetKey,
+    outcome: Option<TicketOutcome>,
+}
+
+impl TicketGuard {
+    /// The target that the request was granted.
+    pub(crate) const fn target(&self) -> TargetKey {
+        self.target
+    }
+
+    /// Reports that the target began to answer.
+    pub(crate) fn started(&self) {
+        if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
+            active.started = true;
+        }
+        let now = ClockTime::monotonic();
+        self.node.board.borrow_mut().started(self.target, self.key, now);
+        let (key, target) = (self.key, self.target);
+        self.node.tell_holder(&PeerDatagram::Started { key, target });
+    }
+
+    /// Reports how the request ended at the target.
+    pub(crate) fn finish(mut self, outcome: TicketOutcome) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for TicketGuard {
+    fn drop(&mut self) {
+        let outcome = self.outcome.unwrap_or(TicketOutcome::Dropped);
+        let (key, target) = (self.key, self.target);
+        self.node.active.borrow_mut().remove(&key);
+        let now = ClockTime::monotonic();
+        self.node.board.borrow_mut().finished(target, key, outcome, now);
+        self.node.tell_holder(&PeerDatagram::Finished { key, target, outcome });
+        self.node.flush_board();
+    }
+}
+
+/// Withdraws a request that is no longer waited for.
+struct WaitGuard {
+    node: Rc<NodeState>,
+    key: TicketKey,
+    placed: bool,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.node.waiters.borrow_mut().remove(&self.key);
+        if !self.placed {
+            self.node.board.borrow_mut().withdraw(self.key);
+            self.node.tell_holder(&PeerDatagram::Withdraw(self.key));
+        }
+    }
+}
+
+impl NodeState {
+    /// Has a request placed. Dropping the future withdraws the request.
+    pub(crate) async fn place(self: &Rc<Self>, ticket: PlacementTicket) -> Placement {
+        let key = ticket.key;
+        let (sender, mut receiver) = oneshot::channel();
+        let submitted = ClockTime::monotonic();
+        let heard = Rc::new(Cell::new(submitted));
+        self.waiters.borrow_mut().insert(key, Waiter { sender, heard: heard.clone() });
+        let mut guard = WaitGuard { node: self.clone(), key, placed: false };
+        let decision = loop {
+            let now = ClockTime::monotonic();
+            let holder = self.holder(now);
+            let silent = now.since(heard.get()) >= SILENCE_MS;
+            let Some(holder) = holder.filter(|_| !silent) else {
+                if silent {
+                    self.metrics.borrow_mut().count("placements", "holder silent", 1);
+                }
+                break self.place_here(ticket.aged(now.since(submitted)), receiver).await;
+            };
+            let aged = ticket.aged(now.since(submitted));
+            self.send_to(holder, &PeerDatagram::Submit(aged));
+            let wait = tokio::time::timeout(Duration::from_millis(RESEND_MS), &mut receiver).await;
+            match wait {
+                Ok(Ok(decision)) => break decision,
+                // The sender is kept by the waiter, which the guard owns until here.
+                Ok(Err(_)) => {
+                    break PlacementDecision::Refuse {
+                        reason: RefusalReason::NoTarget,
+                        retry_after_ms: RESEND_MS,
+                    };
+                }
+                Err(_) => {}
+            }
+        };
+        guard.placed = true;
+        self.open_placement(&ticket, decision)
+    }
+
+    async fn place_here(
+        self: &Rc<Self>,
+        ticket: PlacementTicket,
+        receiver: oneshot::Receiver<PlacementDecision>,
+    ) -> PlacementDecision {
+        self.board.borrow_mut().submit(ticket, ClockTime::monotonic());
+        self.flush_board();
+        let lost = PlacementDecision::Refuse {
+            reason: RefusalReason::NoTarget,
+            retry_after_ms: RESEND_MS,
+        };
+        receiver.await.unwrap_or(lost)
+    }
+
+    fn open_placement(
+        self: &Rc<Self>,
+        ticket: &PlacementTicket,
+        decision: PlacementDecision,
+    ) -> Placement {
+        match decision {
+            PlacementDecision::Grant { target, .. } => {
+                let key = ticket.key;
+                let prompt_tokens = ticket.prompt_tokens;
+                let active = ActiveTicket { key, target, prompt_tokens, started: false };
+                self.active.borrow_mut().insert(key, active);
+                self.board.borrow_mut().adopt(target, ticket, ClockTime::monotonic());
+                let node = self.clone();
+                Placement::Granted(TicketGuard { node, key, target, outcome: None })
+            }
+            PlacementDecision::Refuse { reason, retry_after_ms } => {
+                Placement::Refused { reason, retry_after_ms }
+            }
+            PlacementDecision::Queued => {
+                Placement::Refused { reason: RefusalReason::NoTarget, retry_after_ms: RESEND_MS }
+            }
+        }
+    }
+
+    /// Address of the node that places for all: the lowest one with a disk, since these have more
+    /// processor time, that is heard and knows the others. None if it is this node.
+    fn holder(&self, now: ClockTime) -> Option<SocketAddrV4> {
+        let own = self.settings.peer_address;
+        let leaving = *self.stage.borrow() != ShutdownStage::Running;
+        let own_rank = (!self.is_warm(now) || leaving, self.register.disk().is_none(), own);
+        let peers = self.peers.borrow();
+        let ranks = peers
+            .alive(now)
+            .map(|record| &record.status)
+            .map(|status| (!status.warm || status.leaving, status.disk.is_none(), status.address));
+        let (_, _, first) = ranks.min().map_or(own_rank, |rank| rank.min(own_rank));
+        (first != own).then_some(first)
+    }
+
+    pub(super) fn is_warm(&self, now: ClockTime) -> bool {
+        now.since(self.started) >= WARM_MS
+    }
+
+    fn tell_holder(&self, datagram: &PeerDatagram) {
+        if let Some(holder) = self.holder(ClockTime::monotonic()) {
+            self.send_to(holder, datagram);
+        }
+    }
+
+    /// Acts on the decisions of the board.
+    pub(super) fn flush_board(&self) {
+        let outputs = self.board.borrow_mut().take_outputs();
+        for output in outputs {
+            let (key, process, decision) = match output {
+                PlacementOutput::Grant { key, process, target, waited_ms } => {
+                    (key, process, PlacementDecision::Grant { target, waited_ms })
+                }
+                PlacementOutput::Refuse { key, process, reason, retry_after_ms } => {
+                    (key, process, PlacementDecision::Refuse { reason, retry_after_ms })
+                }
+            };
+            self.metrics.borrow_mut().count("placements", decision_label(decision), 1);
+            if process == self.process {
+                self.settle(key, decision);
+            } else {
+                let address = self.peers.borrow().address_of(process, ClockTime::monotonic());
+                if let Some(address) = address {
+                    self.send_to(address, &PeerDatagram::Decision { key, decision });
+                }
+            }
+        }
+    }
+
+    /// Hands a decision to the request that waits for it.
+    fn settle(&self, key: TicketKey, decision: PlacementDecision) -> bool {
+        let waiter = self.waiters.borrow_mut().remove(&key);
+        waiter.is_some_and(|waiter| waiter.sender.send(decision).is_ok())
+    }
+
+    /// Places a request of another node.
+    pub(super) fn hear_submit(&self, from: SocketAddrV4, ticket: PlacementTicket, now: ClockTime) {
+        let key = ticket.key;
+        let mut board = self.board.borrow_mut();
+        let decision = if let Some(target) = board.granted_target(key) {
+            Some(PlacementDecision::Grant { target, waited_ms: 0 })
+        } else if board.is_waiting(key) {
+            Some(PlacementDecision::Queued)
+        } else {
+            board.submit(ticket, now);
+            board.is_waiting(key).then_some(PlacementDecision::Queued)
+        };
+        drop(board);
+        if let Some(decision) = decision {
+            self.send_to(from, &PeerDatagram::Decision { key, decision });
+        }
+        self.flush_board();
+    }
+
+    /// Takes in a decision of the placing node.
+    pub(super) fn hear_decision(
+        &self,
+        from: SocketAddrV4,
+        key: TicketKey,
+        decision: PlacementDecision,
+    ) {
+        if decision == PlacementDecision::Queued {
+            if let Some(waiter) = self.waiters.borrow().get(&key) {
+                waiter.heard.set(ClockTime::monotonic());
+            }
+            return;
+        }
+        let settled = self.settle(key, decision);
+        if let PlacementDecision::Grant { target, .. } = decision
+            && !settled
+            && !self.active.borrow().contains_key(&key)
+        {
+            let outcome = TicketOutcome::Dropped;
+            self.send_to(from, &PeerDatagram::Finished { key, target, outcome });
+        }
+    }
+
+    /// Brings the board in line with the targets that may be used.
+    pub(crate) fn refresh_targets(&self) {
+        let Some(config) = self.config() else { return };
+        let now = ClockTime::monotonic();
+        let interval_ms = self.settings.bounds.announce_interval_ms;
+        let targets = self.targets.borrow();
+        let mut keys = self.target_keys.borrow_mut();
+        let mut board = self.board.borrow_mut();
+        for service in config.services.keys() {
+            let usable = targets.usable(service, interval_ms, now);
+            let infos: Vec<_> =
+                usable.iter().map(|announcement| target_info(announcement)).collect();
+            for (info, announcement) in infos.iter().zip(usable) {
+                keys.insert(info.key, announcement.clone());
+            }
+            board.set_targets(service, &infos);
+        }
+    }
+
+    /// What a target announced, if it may still be used.
+    pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
+        let announcement = self.target_keys.borrow().get(&target).cloned()?;
+        let targets = self.targets.borrow();
+        let record = targets.get(&announcement.id)?;
+        let same = record.announcement.incarnation == announcement.incarnation;
+        (same && !record.left && !record.announcement.draining).then_some(announcement)
+    }
+
+    /// Requests of this node at targets.
+    pub(super) fn active_tickets(&self) -> Vec<ActiveTicket> {
+        self.active.borrow().values().copied().collect()
+    }
+
+    /// Brings the requests of another node in line with its report.
+    pub(super) fn reconcile(&self, process: ProcessKey, active: &[ActiveTicket], now: ClockTime) {
+        self.board.borrow_mut().reconcile(process, active, now);
+        self.flush_board();
+    }
+}
+
+fn target_info(announcement: &TargetAnnouncement) -> TargetInfo {
+    TargetInfo {
+        key: target_key(announcement),
+        service: announcement.service.clone(),
+        domain: announcement.domain.clone(),
+        slots: announcement.slots,
+    }
+}
+
+const fn decision_label(decision: PlacementDecision) -> &'static str {
+    match decision {
+        PlacementDecision::Grant { .. } => "granted",
+        PlacementDecision::Refuse { reason: RefusalReason::WaitTooLong, .. } => "wait too long",
+        PlacementDecision::Refuse { reason: RefusalReason::NoTarget, .. } => "no target",
+        PlacementDecision::Queued => "queued",
+    }
+}
--- /dev/null
+++ b/crates/edge/src/peers.rs
@@ -0,0 +1,102 @@
+//! Other nodes: found from seeds, kept by their status datagrams.
+
+use crate::datagram::NodeStatus;
+use crate::placement::ProcessKey;
+use burdockcleat_core::clock::ClockTime;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddrV4;
+
+/// Time without a status after which a node counts as down, in ms: five statuses.
+const ALIVE_MS: u64 = 1_000;
+/// Time for which a silent node counts among those that should be there, in ms.
+const EXPECTED_MS: u64 = 20_000;
+/// Time after which a silent node is forgotten, in ms.
+const FORGET_MS: u64 = 120_000;
+/// Addresses of other nodes in a status.
+const SHARED_PEERS: usize = 40;
+
+/// What is known of another node.
+#[derive(Debug)]
+pub(crate) struct PeerRecord {
+    pub(crate) status: NodeStatus,
+    pub(crate) heard: ClockTime,
+    /// Since when the process has been heard.
+    pub(crate) since: ClockTime,
+}
+
+/// All known nodes.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTable {
+    records: BTreeMap<SocketAddrV4, PeerRecord>,
+    /// Addresses heard of, with the time of the last mention.
+    contacts: BTreeMap<SocketAddrV4, ClockTime>,
+    seeds: BTreeSet<SocketAddrV4>,
+}
+
+impl PeerTable {
+    /// Replaces the seeds.
+    pub(crate) fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddrV4>) {
+        self.seeds = seeds.into_iter().collect();
+    }
+
+    /// Takes in a status. Returns whether the process is new here, or none if the status is older
+    /// than what is known.
+    pub(crate) fn hear(&mut self, status: NodeStatus, now: ClockTime) -> Option<bool> {
+        for peer in &status.peers {
+            self.contacts.entry(*peer).or_insert(now);
+        }
+        let address = status.address;
+        self.contacts.insert(address, now);
+        let known = self.records.get(&address).filter(|r| r.status.process == status.process);
+        if known.is_some_and(|record| record.status.sequence >= status.sequence) {
+            return None;
+        }
+        let since = known.map(|record| record.since);
+        let record = PeerRecord { status, heard: now, since: since.unwrap_or(now) };
+        self.records.insert(address, record);
+        Some(since.is_none())
+    }
+
+    /// Nodes heard lately.
+    pub(crate) fn alive(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
+        self.records.values().filter(move |record| now.since(record.heard) <= ALIVE_MS)
+    }
+
+    /// The record of an address.
+    pub(crate) fn get(&self, address: SocketAddrV4) -> Option<&PeerRecord> {
+        self.records.get(&address)
+    }
+
+    /// Address of a process, if it is alive.
+    pub(crate) fn address_of(&self, process: ProcessKey, now: ClockTime) -> Option<SocketAddrV4> {
+        self.alive(now).find(|r| r.status.process == process).map(|r| r.status.address)
+    }
+
+    /// Numbers of nodes that are heard and that should be, each with the own one.
+    pub(crate) fn census(&self, now: ClockTime) -> (usize, usize) {
+        let expected = self.records.values().filter(|record| {
+            now.since(record.heard) <= EXPECTED_MS
+                && (!record.status.leaving || now.since(record.heard) <= ALIVE_MS)
+        });
+        (self.alive(now).count() + 1, expected.count() + 1)
+    }
+
+    /// Addresses that a status goes to.
+    pub(crate) fn contacts(&self, own: SocketAddrV4) -> Vec<SocketAddrV4> {
+        let all: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
+        all.into_iter().filter(|address| *address != own).collect()
+    }
+
+    /// Addresses to tell others of, a different part each time.
+    pub(crate) fn shared(&self, offset: u64, now: ClockTime) -> Vec<SocketAddrV4> {
+        let alive: Vec<_> = self.alive(now).map(|record| record.status.address).collect();
+        let start = usize::try_from(offset).unwrap_or(0) % alive.len().max(1);
+        alive.iter().cycle().skip(start).take(alive.len().min(SHARED_PEERS)).copied().collect()
+    }
+
+    /// Forgets nodes that have been silent for long, and addresses that never answered.
+    pub(crate) fn prune(&mut self, now: ClockTime) {
+        self.records.retain(|_, record| now.since(record.heard) <= FORGET_MS);
+        self.contacts.retain(|_, mentioned| now.since(*mentioned) <= FORGET_MS);
+    }
+}
--- /dev/null
+++ b/crates/edge/src/placement/target.rs
@@ -0,0 +1,192 @@
+//! What is known of one target: requests in flight, speed, failures.
+
+use super::{PlacementTicket, ProcessKey, TargetKey, TicketKey};
+use burdockcleat_core::clock::ClockTime;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Prompt tokens that a target of pace 1 reads in a ms; the pace of each target corrects it.
+const PREFILL_TOKENS_PER_MS: f64 = 40.0;
+/// Time to the first event beside the prompt, in ms, at pace 1.
+const FIRST_EVENT_MS: f64 = 30.0;
+/// Time for a token of output, in ms, at pace 1.
+const TOKEN_MS: f64 = 6.0;
+/// Expected time of a request without tokens, in ms, at pace 1.
+const PLAIN_MS: f64 = 20.0;
+/// Weight of a new observation in the pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Bounds of the pace.
+const PACE_RANGE: (f64, f64) = (0.1, 20.0);
+/// Cost of each request that runs at the target, in ms at pace 1: it slows the others down.
+const SHARE_COST_MS: f64 = 4.0;
+/// Cost of a target in another failure domain, in ms: a round trip and priced traffic.
+const FAR_COST_MS: f64 = 4.0;
+/// Cost of a target whose every request failed lately, in ms.
+const FAILURE_COST_MS: f64 = 2_000.0;
+/// Weight of a new outcome in the failure share.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// First pause after a failure to reach a target, in ms; doubled with each further one.
+const FIRST_PAUSE_MS: u64 = 250;
+/// Longest pause, in ms: a target is back some seconds after a crash.
+const MAX_PAUSE_MS: u64 = 4_000;
+
+/// Static facts of a target.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetInfo {
+    /// Key of the incarnation.
+    pub key: TargetKey,
+    /// Service.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+/// How a request ended at a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum TicketOutcome {
+    /// Answered.
+    Answered,
+    /// The target answered that it did not run the request, since it is full.
+    Full,
+    /// The target did not answer, broke off, or answered with something else.
+    Broken,
+    /// The target could not be reached.
+    Unreachable,
+    /// The caller left, or the node gave up for reasons of its own.
+    Dropped,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct RunningTicket {
+    pub(super) process: ProcessKey,
+    pub(super) prompt_tokens: u32,
+    pub(super) granted: ClockTime,
+    pub(super) expected_first_ms: f64,
+    pub(super) first: Option<ClockTime>,
+    pub(super) seen: ClockTime,
+}
+
+#[derive(Debug)]
+pub(super) struct TargetState {
+    pub(super) info: TargetInfo,
+    pub(super) running: BTreeMap<TicketKey, RunningTicket>,
+    /// Time that the target needs, as a multiple of the assumed one.
+    pub(super) pace: f64,
+    failure_share: f64,
+    failures_in_row: u32,
+    paused_until: ClockTime,
+}
+
+/// Time that a request takes at one slot of pace 1, in ms.
+pub(super) fn work_ms(ticket: &PlacementTicket) -> f64 {
+    if ticket.prompt_tokens == 0 {
+        return PLAIN_MS;
+    }
+    f64::from(ticket.prompt_tokens) / PREFILL_TOKENS_PER_MS
+        + FIRST_EVENT_MS
+        + f64::from(ticket.output_tokens) * TOKEN_MS
+}
+
+impl TargetState {
+    pub(super) const fn new(info: TargetInfo, pace: f64) -> Self {
+        Self {
+            info,
+            running: BTreeMap::new(),
+            pace,
+            failure_share: 0.0,
+            failures_in_row: 0,
+            paused_until: ClockTime::from_ms(0),
+        }
+    }
+
+    /// Whether the target may get another request. After failures, one at a time.
+    pub(super) fn free(&self, now: ClockTime) -> bool {
+        let limit = if self.failures_in_row > 0 { 1 } else { self.info.slots as usize };
+        self.running.len() < limit.max(1) && self.paused_until <= now
+    }
+
+    /// Cost of sending a request here, in ms.
+    pub(super) fn cost(&self, ticket: &PlacementTicket, now: ClockTime) -> f64 {
+        let far = if self.info.domain == ticket.domain { 0.0 } else { FAR_COST_MS };
+        self.expected_first_ms(ticket.prompt_tokens, now)
+            + self.running.len() as f64 * SHARE_COST_MS * self.pace
+            + far
+            + self.failure_share * FAILURE_COST_MS
+    }
+
+    /// Expected time to the first event: the prompts ahead that are not read yet, and this one.
+    fn expected_first_ms(&self, prompt_tokens: u32, now: ClockTime) -> f64 {
+        if prompt_tokens == 0 {
+            return PLAIN_MS * self.pace;
+        }
+        let ahead = self.running.values().filter(|running| running.first.is_none());
+        let ahead: f64 = ahead.map(|running| running.prompt_left_ms(self.pace, now)).sum();
+        ahead + (f64::from(prompt_tokens) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS) * self.pace
+    }
+
+    pub(super) fn grant(&mut self, ticket: &PlacementTicket, now: ClockTime) {
+        let expected_first_ms = self.expected_first_ms(ticket.prompt_tokens, now);
+        let running = RunningTicket {
+            process: ticket.process,
+            prompt_tokens: ticket.prompt_tokens,
+            granted: now,
+            expected_first_ms,
+            first: None,
+            seen: now,
+        };
+        self.running.insert(ticket.key, running);
+    }
+
+    pub(super) fn started(&mut self, key: TicketKey, now: ClockTime) {
+        let Some(running) = self.running.get_mut(&key) else { return };
+        if running.first.replace(now).is_some() || running.expected_first_ms <= 0.0 {
+            return;
+        }
+        let ratio = (now.since(running.granted) as f64 + 1.0) / running.expected_first_ms;
+        let (low, high) = PACE_RANGE;
+        self.pace = (self.pace * ratio.clamp(low, high).powf(PACE_WEIGHT)).clamp(low, high);
+        self.failures_in_row = 0;
+    }
+
+    pub(super) fn finished(&mut self, key: TicketKey, outcome: TicketOutcome, now: ClockTime) {
+        self.running.remove(&key);
+        match outcome {
+            TicketOutcome::Answered => {
+                self.failure_share *= 1.0 - FAILURE_WEIGHT;
+                self.failures_in_row = 0;
+            }
+            TicketOutcome::Broken => {
+                self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+            }
+            TicketOutcome::Unreachable => {
+                let pause = FIRST_PAUSE_MS << self.failures_in_row.min(4);
+                self.paused_until = now.plus(pause.min(MAX_PAUSE_MS));
+                self.failures_in_row += 1;
+            }
+            TicketOutcome::Full | TicketOutcome::Dropped => {}
+        }
+    }
+
+    pub(super) fn describe(&self, now: ClockTime) -> String {
+        format!(
+            "target={:x} service={} running={} slots={} pace={:.2} failures={:.2} paused_ms={}",
+            self.info.key.0,
+            self.info.service,
+            self.running.len(),
+            self.info.slots,
+            self.pace,
+            self.failure_share,
+            self.paused_until.since(now)
+        )
+    }
+}
+
+impl RunningTicket {
+    fn prompt_left_ms(&self, pace: f64, now: ClockTime) -> f64 {
+        let full = f64::from(self.prompt_tokens) / PREFILL_TOKENS_PER_MS * pace;
+        (full - now.since(self.granted) as f64).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/edge/src/reply.rs
@@ -0,0 +1,87 @@
+//! Answers to callers.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use thiserror::Error;
+use tokio::sync::mpsc;
+
+/// A stream that cannot be completed: its connection ends without the final chunk.
+#[derive(Clone, Copy, Debug)]
+#[derive(Error)]
+#[error("the stream broke before its end")]
+pub(crate) struct StreamBroken;
+
+/// Body of an answer.
+pub(crate) enum ReplyBody {
+    /// All of it at once.
+    Whole(Option<Bytes>),
+    /// Parts as they arrive.
+    Stream(mpsc::Receiver<Result<Bytes, StreamBroken>>),
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(parts) => {
+                parts.poll_recv(context).map(|part| part.map(|part| part.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// An answer with a short text.
+pub(crate) fn text_reply(status: StatusCode, text: impl Into<Bytes>) -> Response<ReplyBody> {
+    let text = text.into();
+    let body = if text.is_empty() { None } else { Some(text) };
+    let mut response = Response::new(ReplyBody::Whole(body));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    response
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json_reply(status: StatusCode, json: impl Into<Bytes>) -> Response<ReplyBody> {
+    let mut response = text_reply(status, json);
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
+
+/// An answer that the request did not run, with the time to come back in ms.
+pub(crate) fn refusal_reply(
+    status: StatusCode,
+    text: &'static str,
+    retry_after_ms: Option<u64>,
+) -> Response<ReplyBody> {
+    let mut response = text_reply(status, text);
+    if let Some(ms) = retry_after_ms {
+        let seconds = format!("{}.{:03}", ms / 1_000, ms % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
--- /dev/null
+++ b/crates/edge/src/slots.rs
@@ -0,0 +1,159 @@
+//! Durable state of a replica: two files that are written in turn, so that one of them is whole
+//! after a crash or a loss of power.
+
+use crate::register::ReplicaState;
+use serde::{Deserialize, Serialize};
+use std::fs::{self, File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// Names of the two files.
+const SLOT_NAMES: [&str; 2] = ["register-a", "register-b"];
+/// Name of the file with the number of the disk.
+const IDENTITY_NAME: &str = "identity";
+/// Length and checksum before the content of a slot, in bytes.
+const HEAD_BYTES: usize = 12;
+
+/// Storage that could not be read or written.
+#[derive(Debug)]
+#[derive(Error)]
+pub enum SlotError {
+    /// A file operation failed.
+    #[error("{action} {path}")]
+    File {
+        /// What was attempted.
+        action: &'static str,
+        /// The file.
+        path: PathBuf,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// The state could not be encoded.
+    #[error("encoding the state of the replica")]
+    Encode(#[from] postcard::Error),
+}
+
+/// Content of a slot.
+#[derive(Serialize, Deserialize)]
+struct SlotRecord {
+    sequence: u64,
+    state: ReplicaState,
+}
+
+/// The open files of a replica.
+#[derive(Debug)]
+pub struct SlotStore {
+    files: [(PathBuf, File); 2],
+    sequence: u64,
+    disk: u64,
+}
+
+impl SlotStore {
+    /// Opens the folder and reads the newest whole state. An empty folder gets the number
+    /// `new_disk`.
+    ///
+    /// # Errors
+    /// Fails if a file cannot be created, read or synced.
+    pub fn open(folder: &Path, new_disk: u64) -> Result<(Self, ReplicaState), SlotError> {
+        fs::create_dir_all(folder).map_err(failed("creating the folder", folder))?;
+        let disk = open_identity(&folder.join(IDENTITY_NAME), new_disk)?;
+        let mut newest: Option<SlotRecord> = None;
+        let mut open = |name: &str| -> Result<(PathBuf, File), SlotError> {
+            let path = folder.join(name);
+            let mut file = open_file(&path)?;
+            if let Some(record) = read_slot(&path, &mut file)?
+                && newest.as_ref().is_none_or(|known| record.sequence > known.sequence)
+            {
+                newest = Some(record);
+            }
+            Ok((path, file))
+        };
+        let files = [open(SLOT_NAMES[0])?, open(SLOT_NAMES[1])?];
+        let (sequence, state) =
+            newest.map_or_else(Default::default, |record| (record.sequence, record.state));
+        Ok((Self { files, sequence, disk }, state))
+    }
+
+    /// Number of the disk, drawn when it was empty.
+    pub const fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// Writes and syncs a state. After an error the state on disk is the one before.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written or synced.
+    pub fn save(&mut self, state: &ReplicaState) -> Result<(), SlotError> {
+        let sequence = self.sequence + 1;
+        let record = SlotRecord { sequence, state: state.clone() };
+        let content = postcard::to_stdvec(&record)?;
+        let mut bytes = Vec::with_capacity(HEAD_BYTES + content.len());
+        bytes.extend((content.len() as u64).to_le_bytes());
+        bytes.extend(crc32fast::hash(&content).to_le_bytes());
+        bytes.extend(&content);
+        let (path, file) = &mut self.files[usize::from(sequence % 2 == 1)];
+        file.seek(SeekFrom::Start(0)).map_err(failed("seeking in", path))?;
+        file.write_all(&bytes).map_err(failed("writing", path))?;
+        file.sync_data().map_err(failed("syncing", path))?;
+        self.sequence = sequence;
+        Ok(())
+    }
+}
+
+fn failed<'a>(
+    action: &'static str,
+    path: &'a Path,
+) -> impl FnOnce(std::io::Error) -> SlotError + use<'a> {
+    move |source| SlotError::File { action, path: path.to_owned(), source }
+}
+
+fn open_file(path: &Path) -> Result<File, SlotError> {
+    OpenOptions::new()
+        .read(true)
+        .write(true)
+        .create(true)
+        .truncate(false)
+        .open(path)
+        .map_err(failed("opening", path))
+}
+
+/// Reads the number of the disk, or writes a new one where there is none or only a torn one.
+fn open_identity(path: &Path, new_disk: u64) -> Result<u64, SlotError> {
+    let mut file = open_file(path)?;
+    let mut bytes = Vec::new();
+    file.read_to_end(&mut bytes).map_err(failed("reading", path))?;
+    if let Ok(bytes) = <[u8; 12]>::try_from(bytes.as_slice()) {
+        let (number, sum) = bytes.split_at(8);
+        if crc32fast::hash(number).to_le_bytes() == sum
+            && let Ok(number) = number.try_into()
+        {
+            return Ok(u64::from_le_bytes(number));
+        }
+    }
+    let number = new_disk.to_le_bytes();
+    let sum = crc32fast::hash(&number).to_le_bytes();
+    file.set_len(0).map_err(failed("truncating", path))?;
+    file.seek(SeekFrom::Start(0)).map_err(failed("seeking in", path))?;
+    file.write_all(&[number.as_slice(), sum.as_slice()].concat())
+        .map_err(failed("writing", path))?;
+    file.sync_all().map_err(failed("syncing", path))?;
+    Ok(new_disk)
+}
+
+/// Reads a slot; none if it is empty or torn.
+fn read_slot(path: &Path, file: &mut File) -> Result<Option<SlotRecord>, SlotError> {
+    let mut bytes = Vec::new();
+    file.read_to_end(&mut bytes).map_err(failed("reading", path))?;
+    let Some((head, content)) = bytes.split_at_checked(HEAD_BYTES) else { return Ok(None) };
+    let (length, sum) = head.split_at(8);
+    let Ok(length) = length.try_into().map(u64::from_le_bytes) else { return Ok(None) };
+    let Some(content) = usize::try_from(length).ok().and_then(|length| content.get(..length))
+    else {
+        return Ok(None);
+    };
+    if crc32fast::hash(content).to_le_bytes() != sum {
+        return Ok(None);
+    }
+    Ok(postcard::from_bytes(content).ok())
+}
--- /dev/null
+++ b/crates/edge/src/upstream.rs
@@ -0,0 +1,196 @@
+//! Connections to targets: kept while idle, one request at a time, closed when a request is dropped.
+
+use burdockcleat_core::clock::ClockTime;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper::header::{CONNECTION, HeaderMap};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// Longest time to connect, in ms: a target in the same region accepts within a few.
+const CONNECT_MS: u64 = 400;
+/// Time that an idle connection is kept where the target states none, in ms.
+const DEFAULT_IDLE_MS: u64 = 2_000;
+/// Longest time that an idle connection is kept, in ms.
+const MAX_IDLE_MS: u64 = 10_000;
+/// Margin before the stated end of an idle connection, in ms: the target may close it while a
+/// request is on its way.
+const IDLE_MARGIN_MS: u64 = 1_000;
+/// Idle connections kept for a target.
+const MAX_IDLE_LINKS: usize = 8;
+
+/// A request that got no answer from its target.
+#[derive(Debug)]
+#[derive(Error)]
+pub(crate) enum SendFault {
+    /// No byte of the request reached the target.
+    #[error("connecting to the target: {0}")]
+    NotSent(String),
+    /// The request was sent, and may have run.
+    #[error("the connection to the target broke: {0}")]
+    Lost(String),
+}
+
+/// Connections to targets by address.
+#[derive(Clone, Default)]
+pub(crate) struct UpstreamPool {
+    idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleLink>>>>,
+}
+
+struct IdleLink {
+    link: UpstreamLink,
+    until: ClockTime,
+}
+
+struct UpstreamLink {
+    sender: SendRequest<Full<Bytes>>,
+    connection: AbortHandle,
+}
+
+impl Drop for UpstreamLink {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+/// The connection of an answer. Dropping it closes the connection, which ends the target's work.
+pub(crate) struct LinkGuard {
+    link: UpstreamLink,
+    pool: UpstreamPool,
+    address: SocketAddrV4,
+    idle_ms: u64,
+}
+
+impl LinkGuard {
+    /// Keeps the connection for another request, after the answer was read to its end.
+    pub(crate) fn release(self) {
+        if self.idle_ms == 0 || self.link.sender.is_closed() {
+            return;
+        }
+        let until = ClockTime::monotonic().plus(self.idle_ms);
+        let mut idle = self.pool.idle.borrow_mut();
+        let links = idle.entry(self.address).or_default();
+        if links.len() < MAX_IDLE_LINKS {
+            links.push(IdleLink { link: self.link, until });
+        }
+    }
+}
+
+impl UpstreamPool {
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &self,
+        address: SocketAddrV4,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, LinkGuard, bool), SendFault> {
+        while let Some(mut link) = self.take_idle(address) {
+            if link.sender.ready().await.is_err() {
+                continue;
+            }
+            match link.sender.try_send_request(request).await {
+                Ok(response) => return Ok(self.opened(address, link, response, false)),
+                Err(mut fault) => match fault.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(SendFault::Lost(describe(fault.error()))),
+                },
+            }
+        }
+        let mut link = connect(address).await?;
+        match link.sender.try_send_request(request).await {
+            Ok(response) => Ok(self.opened(address, link, response, true)),
+            Err(fault) => {
+                let text = describe(fault.error());
+                Err(match fault.message() {
+                    Some(_) => SendFault::NotSent(text),
+                    None => SendFault::Lost(text),
+                })
+            }
+        }
+    }
+
+    /// Closes the idle connections to an address.
+    pub(crate) fn forget(&self, address: SocketAddrV4) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
+    /// Closes connections that have been idle for their time.
+    pub(crate) fn prune(&self, now: ClockTime) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|idle| idle.until > now && !idle.link.sender.is_closed());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+
+    fn take_idle(&self, address: SocketAddrV4) -> Option<UpstreamLink> {
+        let now = ClockTime::monotonic();
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&address)?;
+        while let Some(idle) = links.pop() {
+            if idle.until > now && !idle.link.sender.is_closed() {
+                return Some(idle.link);
+            }
+        }
+        None
+    }
+
+    fn opened(
+        &self,
+        address: SocketAddrV4,
+        link: UpstreamLink,
+        response: Response<Incoming>,
+        fresh: bool,
+    ) -> (Response<Incoming>, LinkGuard, bool) {
+        let idle_ms = idle_ms(response.headers());
+        (response, LinkGuard { link, pool: self.clone(), address, idle_ms }, fresh)
+    }
+}
+
+async fn connect(address: SocketAddrV4) -> Result<UpstreamLink, SendFault> {
+    let connect = TcpStream::connect(address);
+    let stream = tokio::time::timeout(Duration::from_millis(CONNECT_MS), connect)
+        .await
+        .map_err(|_| SendFault::NotSent(format!("no connection within {CONNECT_MS} ms")))?
+        .map_err(|error| SendFault::NotSent(error.to_string()))?;
+    stream.set_nodelay(true).map_err(|error| SendFault::NotSent(error.to_string()))?;
+    let (sender, connection) = Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| SendFault::NotSent(describe(&error)))?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(error) = connection.await {
+            log::debug!(target: "burdockcleat", "event=target.connection_ended cause=\"{error}\"");
+        }
+    });
+    Ok(UpstreamLink { sender, connection: task.abort_handle() })
+}
+
+/// Text of an error with its cause, which hyper keeps apart.
+fn describe(error: &hyper::Error) -> String {
+    use std::error::Error;
+    error.source().map_or_else(|| error.to_string(), |cause| format!("{error}: {cause}"))
+}
+
+/// How long the connection of an answer may be idle: 0 if it ends with the answer.
+fn idle_ms(headers: &HeaderMap) -> u64 {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    if text(CONNECTION.as_str()).is_some_and(|value| value.to_lowercase().contains("close")) {
+        return 0;
+    }
+    let stated = text("keep-alive")
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<u64>().ok());
+    stated.map_or(DEFAULT_IDLE_MS, |seconds| {
+        (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS).min(MAX_IDLE_MS)
+    })
+}
