Count allowances in the agreed sliding window

Ruled out: the share of nodes heard (1.00 in each refusal logged). Change: sliding window over all nodes with 0.88 of the agreed limit; a restarted node takes 0.4 of it as used.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -1,62 +1,86 @@
-//! Allowances of workspaces, counted over all nodes.
+//! Allowances of workspaces, counted over all nodes in a sliding window.
 //!
-//! Every node keeps the whole bucket of each workspace and takes in what the other nodes report to
-//! have used. Reports are a fraction of a second old; a node that hears only part of the others
-//! refills only that part, so that halves which cannot reach each other do not use the rate twice.
+//! Answers a workspace that sends many times its usual. Every node keeps the whole window of each
+//! workspace and takes in what the other nodes report to have used. Reports are a fraction of a
+//! second old, so a part of the window is kept free for them; a node that hears only part of the
+//! others admits only that part, so that halves which cannot reach each other do not use the
+//! allowance twice.
 
 use burdockcleat_core::clock::ClockTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Key of a workspace in reports: a hash of its name.
 pub type WorkspaceKey = u32;
 /// Key of a node's process in reports.
 pub type ReporterKey = u64;
 
-/// Part of the burst that a node has at its start, since it does not know what was used before.
-const START_PART: f64 = 0.5;
-/// Part of the rate by which a bucket may be overdrawn before requests are refused: covers reports
-/// that are on their way.
-const FLOOR_PART: f64 = 0.0;
+/// Part of the window's limit that is used; the rest covers reports that are on their way.
+const USED_PART: f64 = 0.88;
+/// Part of the limit that a restarted node takes as used, since it does not know what was.
+const START_PART: f64 = 0.4;
+/// Length of the steps in which usage leaves the window, in ms.
+const BIN_MS: u64 = 250;
+
+/// How an allowance is counted, over all nodes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AllowanceRule {
+    /// Length of the window, in ms.
+    pub window_ms: u64,
+    /// Part by which the limit of a window may be exceeded.
+    pub overshoot: f64,
+    /// Amount by which it may be exceeded besides.
+    pub tolerance: f64,
+}
 
 #[derive(Debug)]
-struct WorkspaceBucket {
+struct WorkspaceWindow {
     rate_per_s: f64,
     burst: f64,
-    level: f64,
-    refilled: ClockTime,
+    /// Amounts by the end of their bin, oldest first.
+    bins: VecDeque<(u64, f64)>,
+    sum: f64,
+    /// Used by this node since its start.
     used: u64,
 }
 
-/// Buckets of all workspaces.
-#[derive(Debug, Default)]
+/// Windows of all workspaces.
+#[derive(Debug)]
 pub struct AllowanceLedger {
-    buckets: BTreeMap<WorkspaceKey, WorkspaceBucket>,
+    rule: AllowanceRule,
+    windows: BTreeMap<WorkspaceKey, WorkspaceWindow>,
     reported: BTreeMap<(ReporterKey, WorkspaceKey), u64>,
-    fresh: bool,
+    first_start: bool,
 }
 
 impl AllowanceLedger {
     /// Creates a ledger. `first_start` tells that nothing was used before.
-    pub fn new(first_start: bool) -> Self {
-        Self { fresh: first_start, ..Self::default() }
+    pub const fn new(rule: AllowanceRule, first_start: bool) -> Self {
+        Self { rule, windows: BTreeMap::new(), reported: BTreeMap::new(), first_start }
     }
 
-    /// Sets the allowance of a workspace.
-    pub fn configure(&mut self, key: WorkspaceKey, rate_per_s: f64, burst: f64, now: ClockTime) {
-        let start = if self.fresh { burst } else { burst * START_PART };
-        let bucket = self.buckets.entry(key).or_insert(WorkspaceBucket {
-            rate_per_s,
-            burst,
-            level: start,
-            refilled: now,
-            used: 0,
-        });
-        bucket.rate_per_s = rate_per_s;
-        bucket.burst = burst;
-        bucket.level = bucket.level.min(burst);
+    /// Sets the allowance of a workspace. Returns whether it is new or changed.
+    pub fn configure(
+        &mut self,
+        key: WorkspaceKey,
+        rate_per_s: f64,
+        burst: f64,
+        now: ClockTime,
+    ) -> bool {
+        if let Some(window) = self.windows.get_mut(&key) {
+            let changed = (window.rate_per_s, window.burst) != (rate_per_s, burst);
+            (window.rate_per_s, window.burst) = (rate_per_s, burst);
+            return changed;
+        }
+        let mut window =
+            WorkspaceWindow { rate_per_s, burst, bins: VecDeque::new(), sum: 0.0, used: 0 };
+        if !self.first_start {
+            window.fill(window.limit(&self.rule) * START_PART, &self.rule, now);
+        }
+        self.windows.insert(key, window);
+        true
     }
 
-    /// Takes `amount` from a workspace's bucket. `part` is the share of the nodes, this one
+    /// Takes `amount` from a workspace's window. `part` is the share of the nodes, this one
     /// included, that this node hears of.
     ///
     /// # Errors
@@ -68,52 +92,110 @@
         part: f64,
         now: ClockTime,
     ) -> Result<(), u64> {
-        let Some(bucket) = self.buckets.get_mut(&key) else { return Ok(()) };
-        bucket.refill(part, now);
-        // A request larger than the burst is let through by a full bucket.
-        let needed = (amount as f64).min(bucket.burst);
-        let missing = needed - bucket.level - bucket.rate_per_s * FLOOR_PART;
-        if missing > 0.0 {
-            return Err((missing * 1_000.0 / bucket.rate_per_s.max(1.0)).ceil() as u64);
+        let Some(window) = self.windows.get_mut(&key) else { return Ok(()) };
+        window.expire(&self.rule, now);
+        let limit = window.limit(&self.rule) * part;
+        let excess = window.sum + amount as f64 - limit;
+        // A request larger than the whole limit is let through once nothing else is in the window.
+        if excess > 0.0 && window.sum > 0.0 {
+            return Err(window.wait_ms(excess, &self.rule, now));
         }
-        bucket.level -= amount as f64;
-        bucket.used += amount;
+        window.add(amount as f64, now);
+        window.used += amount;
         Ok(())
     }
 
     /// Gives back what a request took that did not run.
-    pub fn give_back(&mut self, key: WorkspaceKey, amount: u64) {
-        if let Some(bucket) = self.buckets.get_mut(&key) {
-            bucket.level = (bucket.level + amount as f64).min(bucket.burst);
-            bucket.used = bucket.used.saturating_sub(amount);
+    pub fn give_back(&mut self, key: WorkspaceKey, amount: u64, now: ClockTime) {
+        if let Some(window) = self.windows.get_mut(&key) {
+            window.add(-(amount as f64), now);
+            window.used = window.used.saturating_sub(amount);
         }
     }
 
-    /// Takes in the total that another node's process has used since its start.
-    pub fn report(&mut self, from: ReporterKey, key: WorkspaceKey, used: u64, known_before: bool) {
+    /// Takes in the total that another node's process has used since its start. `from_start` tells
+    /// that this node has heard the process since then; else its first report only sets the base.
+    pub fn report(
+        &mut self,
+        from: ReporterKey,
+        key: WorkspaceKey,
+        used: u64,
+        from_start: bool,
+        now: ClockTime,
+    ) {
         let last = self.reported.insert((from, key), used);
-        // What a node used before this one first heard of it is not counted twice.
-        let base = last.unwrap_or(if known_before { 0 } else { used });
-        if let Some(bucket) = self.buckets.get_mut(&key) {
+        let base = last.unwrap_or(if from_start { 0 } else { used });
+        if let Some(window) = self.windows.get_mut(&key) {
             // A total that shrank had amounts given back.
-            bucket.level = (bucket.level - (used as f64 - base as f64)).min(bucket.burst);
+            window.add(used as f64 - base as f64, now);
         }
     }
 
     /// Totals that this node has used, for its own reports.
     pub fn totals(&self) -> Vec<(WorkspaceKey, u64)> {
-        self.buckets
+        self.windows
             .iter()
-            .filter(|(_, bucket)| bucket.used > 0)
-            .map(|(key, bucket)| (*key, bucket.used))
+            .filter(|(_, window)| window.used > 0)
+            .map(|(key, window)| (*key, window.used))
             .collect()
     }
+
+    /// Forgets the reports of processes that are gone.
+    pub fn retain_reporters<K: Fn(ReporterKey) -> bool>(&mut self, keep: K) {
+        self.reported.retain(|(from, _), _| keep(*from));
+    }
 }
 
-impl WorkspaceBucket {
-    fn refill(&mut self, part: f64, now: ClockTime) {
-        let elapsed = now.since(self.refilled) as f64 / 1_000.0;
-        self.refilled = now;
-        self.level = (self.level + self.rate_per_s * part * elapsed).min(self.burst);
+impl WorkspaceWindow {
+    fn limit(&self, rule: &AllowanceRule) -> f64 {
+        let seconds = rule.window_ms as f64 / 1_000.0;
+        let agreed = self.rate_per_s * seconds + self.burst;
+        (agreed * (1.0 + rule.overshoot) + rule.tolerance) * USED_PART
+    }
+
+    fn add(&mut self, amount: f64, now: ClockTime) {
+        let bin = now.as_ms() / BIN_MS;
+        self.sum += amount;
+        match self.bins.back_mut() {
+            Some((last, sum)) if *last == bin => *sum += amount,
+            _ => self.bins.push_back((bin, amount)),
+        }
+    }
+
+    /// Spreads an amount over the window before `now`.
+    fn fill(&mut self, amount: f64, rule: &AllowanceRule, now: ClockTime) {
+        let steps = (rule.window_ms / BIN_MS).max(1);
+        for step in 0..steps {
+            // The clock starts with the process: bins are counted from one window before it.
+            let at = ClockTime::from_ms((now.as_ms() + step * BIN_MS).saturating_sub(rule.window_ms));
+            self.add(amount / steps as f64, at);
+        }
+    }
+
+    fn expire(&mut self, rule: &AllowanceRule, now: ClockTime) {
+        let window_bins = rule.window_ms / BIN_MS + 1;
+        let now_bin = now.as_ms() / BIN_MS;
+        while let Some((bin, amount)) = self.bins.front()
+            && bin + window_bins <= now_bin
+        {
+            self.sum -= amount;
+            self.bins.pop_front();
+        }
+        if self.bins.is_empty() {
+            self.sum = 0.0;
+        }
+    }
+
+    /// Time until `excess` has left the window, in ms.
+    fn wait_ms(&self, excess: f64, rule: &AllowanceRule, now: ClockTime) -> u64 {
+        let mut left = excess;
+        for (bin, amount) in &self.bins {
+            left -= amount;
+            if left <= 0.0 {
+                let leaves = (bin + 1) * BIN_MS + rule.window_ms;
+                return leaves.saturating_sub(now.as_ms()).max(BIN_MS);
+            }
+        }
+        rule.window_ms
     }
 }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -105,7 +105,8 @@
     /// Gives the charge back: the request did not run.
     fn give_back(&self) {
         if let Some(AllowanceCharge { key, amount }) = self.charge {
-            self.node.ledger.borrow_mut().give_back(key, amount);
+            let now = ClockTime::monotonic();
+            self.node.ledger.borrow_mut().give_back(key, amount, now);
         }
     }
 }
@@ -174,7 +175,14 @@
             let key = workspace_key(&workspace.name);
             let part = node.heard_part(now);
             let taken = node.ledger.borrow_mut().take(key, amount, part, now);
-            taken.map_err(|retry_after_ms| Refusal::OverAllowance { retry_after_ms })?;
+            taken.map_err(|retry_after_ms| {
+                log::info!(
+                    target: "burdockcleat",
+                    "event=allowance.exceeded id={} workspace={} amount={amount} heard_part={part:.2} retry_after_ms={retry_after_ms}",
+                    request.attempt, workspace.name
+                );
+                Refusal::OverAllowance { retry_after_ms }
+            })?;
             Some(AllowanceCharge { key, amount })
         }
         _ => None,
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -237,7 +237,13 @@
         let mut ledger = self.ledger.borrow_mut();
         for workspace in config.workspaces.iter().flatten() {
             let key = crate::dispatch::workspace_key(&workspace.name);
-            ledger.configure(key, workspace.rate_per_s, workspace.burst, now);
+            if ledger.configure(key, workspace.rate_per_s, workspace.burst, now) {
+                log::info!(
+                    target: "burdockcleat",
+                    "event=allowance.configured workspace={} rate_per_s={} burst={} tokens={} config={}",
+                    workspace.name, workspace.rate_per_s, workspace.burst, workspace.counts_tokens, config.version
+                );
+            }
         }
         drop(ledger);
         self.refresh_targets();
@@ -360,7 +366,10 @@
             targets: RefCell::default(),
             board: RefCell::default(),
             peers: RefCell::default(),
-            ledger: RefCell::new(AllowanceLedger::new(settings.first_start)),
+            ledger: RefCell::new(AllowanceLedger::new(
+                settings.bounds.allowance,
+                settings.first_start,
+            )),
             budget: RefCell::new(RetryBudget::new(rule)),
             suspects: RefCell::default(),
             metrics: RefCell::default(),
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -66,9 +66,10 @@
             );
         }
         let mut ledger = self.ledger.borrow_mut();
-        let known = now.since(self.started) > STATUS_MS * 5;
+        // Processes that were there before this node have used their totals before it, too.
+        let from_start = now.since(self.started) > STATUS_MS * 5;
         for (workspace, used) in used {
-            ledger.report(process.0, workspace, used, known);
+            ledger.report(process.0, workspace, used, from_start, now);
         }
         drop(ledger);
         self.reconcile(process, &active, now);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,10 +1,11 @@
 //! Settings of a node, checked before anything starts.
 
+use crate::allowance::AllowanceRule;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 
 /// Everything that a node learns from outside at its start.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
     /// Name used in logs.
     pub name: String,
@@ -31,7 +32,7 @@
 }
 
 /// Limits agreed with the operators of the deployment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BoundSettings {
     /// Time between two announcements of a target, in ms.
     pub announce_interval_ms: u64,
@@ -45,4 +46,6 @@
     pub retry_percent: u32,
     /// Length of the retry window, in ms.
     pub retry_window_ms: u64,
+    /// How allowances of workspaces are counted.
+    pub allowance: AllowanceRule,
 }
