Order waiting requests by what can still meet its objective

Ruled out: leaked grants: running equals slots while 50 to 600 wait (event=placement.state, new, once a second at the placing node). Change: a request's wait is bounded by its caller's patience; due times leave room for the first event; a late request goes behind the next rank.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -167,7 +167,8 @@
         let steps = (rule.window_ms / BIN_MS).max(1);
         for step in 0..steps {
             // The clock starts with the process: bins are counted from one window before it.
-            let at = ClockTime::from_ms((now.as_ms() + step * BIN_MS).saturating_sub(rule.window_ms));
+            let at =
+                ClockTime::from_ms((now.as_ms() + step * BIN_MS).saturating_sub(rule.window_ms));
             self.add(amount / steps as f64, at);
         }
     }
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -3,6 +3,13 @@
 use std::collections::BTreeMap;
 use thiserror::Error;
 
+/// Shortest gap after which callers abandon a stream, in ms, as agreed with the callers.
+const MIN_PATIENCE_MS: u64 = 2_000;
+/// The same gap in latency objectives.
+const PATIENCE_OBJECTIVES: u64 = 4;
+/// The same gap in longest pauses.
+const PATIENCE_PAUSES: u64 = 8;
+
 /// A validated configuration document.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct RouteConfig {
@@ -215,6 +222,15 @@
         self.split.iter().rev().find(|(_, weight)| *weight > 0).map(|(service, _)| service.as_str())
     }
 
+    /// Longest gap, in ms, after which callers abandon a stream, also before its first event. None
+    /// for routes without streams, whose callers wait until their deadline.
+    pub fn patience_ms(&self) -> Option<u64> {
+        (self.kind == RequestKind::Stream).then(|| {
+            let pause_ms = self.pause_ms.unwrap_or(0) * PATIENCE_PAUSES;
+            MIN_PATIENCE_MS.max(self.objective_ms * PATIENCE_OBJECTIVES).max(pause_ms)
+        })
+    }
+
     /// Whether a request of the route may run more than once.
     pub const fn repeatable(&self) -> bool {
         match self.kind {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -91,6 +91,13 @@
         deadline.min(self.route.timeout_ms).saturating_sub(now.since(self.request.received))
     }
 
+    /// Time left until the caller stops waiting for the first part of the answer, in ms.
+    pub(crate) fn patience_left_ms(&self, now: ClockTime) -> u64 {
+        let waited = now.since(self.request.received);
+        let patience = self.route.patience_ms().unwrap_or(u64::MAX).saturating_sub(waited);
+        self.left_ms(now).min(patience)
+    }
+
     pub(crate) fn prompt_tokens(&self) -> u32 {
         u32::try_from(self.request.prompt_tokens.unwrap_or(0)).unwrap_or(u32::MAX)
     }
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -36,6 +36,8 @@
     /// Whether a send may have run.
     pub(crate) may_have_run: bool,
     pub(crate) last_target: Option<String>,
+    /// Whether events have been passed on.
+    pub(crate) streaming: bool,
     unreachable: u32,
     excluded: Vec<TargetKey>,
     /// A failure that a target answered, for the case that no other send succeeds.
@@ -228,7 +230,12 @@
 /// Has a target chosen for the request.
 async fn place(context: &Rc<RequestContext>, attempts: &Attempts) -> Result<TicketGuard, Refusal> {
     let now = ClockTime::monotonic();
-    let left_ms = context.left_ms(now);
+    // A resumed stream has its first events, and its caller waits for the next one from now on.
+    let left_ms = if attempts.streaming {
+        context.left_ms(now).min(context.route.patience_ms().unwrap_or(u64::MAX))
+    } else {
+        context.patience_left_ms(now)
+    };
     if left_ms == 0 {
         return Err(attempts.give_up("no time is left", None));
     }
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -49,6 +49,7 @@
     let _running = context.node.count_running();
     let mut last_event = context.request.last_event;
     let status = source.parts.status;
+    attempts.streaming = true;
     loop {
         let (end, last_id) = pass_on(&context, source, &sender).await;
         last_event = last_id.or(last_event);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -311,6 +311,11 @@
             self.board.borrow_mut().advance(now);
             self.flush_board();
             self.set_gauges(now);
+            if self.places_for_all(now) {
+                for line in self.board.borrow().summarize(now) {
+                    log::info!(target: "burdockcleat", "event=placement.state {line}");
+                }
+            }
         }
     }
 
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -186,6 +186,11 @@
         (first != own).then_some(first)
     }
 
+    /// Whether this node places for all others.
+    pub(super) fn places_for_all(&self, now: ClockTime) -> bool {
+        self.holder(now).is_none()
+    }
+
     pub(super) fn is_warm(&self, now: ClockTime) -> bool {
         now.since(self.started) >= WARM_MS
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -278,6 +278,26 @@
         self.queues.values().map(WaitingQueue::len).sum()
     }
 
+    /// One line per service, for logs.
+    pub fn summarize(&self, now: ClockTime) -> Vec<String> {
+        let services: std::collections::BTreeSet<_> =
+            self.targets.values().map(|state| state.info.service.as_str()).collect();
+        let line = |service: &str| {
+            let states: Vec<_> =
+                self.targets.values().filter(|state| state.info.service == service).collect();
+            let slots: u32 = states.iter().map(|state| state.info.slots).sum();
+            let running: usize = states.iter().map(|state| state.running.len()).sum();
+            let usable = states.iter().filter(|state| state.usable(now)).count();
+            let waiting = self.queues.get(service).map_or(0, WaitingQueue::len);
+            let pace = self.mean_pace(service);
+            format!(
+                "service={service} targets={} usable={usable} slots={slots} running={running} waiting={waiting} pace={pace:.2}",
+                states.len()
+            )
+        };
+        services.into_iter().map(line).collect()
+    }
+
     /// One line per target, for state dumps.
     pub fn describe(&self, now: ClockTime) -> Vec<String> {
         self.targets.values().map(|state| state.describe(now)).collect()
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -1,6 +1,6 @@
 //! Waiting requests of one service, most urgent first.
 
-use super::target::work_ms;
+use super::target::{first_event_ms, work_ms};
 use super::{PlacementTicket, TicketKey};
 use burdockcleat_core::clock::ClockTime;
 
@@ -8,6 +8,11 @@
 /// still has time to come back.
 const EXPIRE_PART: f64 = 0.6;
 
+/// Steps between two ranks.
+const RANK_STEPS: u32 = 2;
+/// Steps by which a late request falls back: behind the next rank, before the one after it.
+const LATE_STEPS: u32 = 3;
+
 /// A request that waits for a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct WaitingTicket {
@@ -24,15 +29,19 @@
 impl WaitingTicket {
     /// Starts the wait of a request.
     pub fn new(ticket: PlacementTicket, now: ClockTime) -> Self {
-        let due = u64::try_from(ticket.objective_left_ms).ok().map(|left| now.plus(left));
+        // What is sent later than this cannot meet its objective.
+        let sent_by = ticket.objective_left_ms - first_event_ms(&ticket) as i64;
+        let due = u64::try_from(sent_by).ok().map(|left| now.plus(left));
         let expires = now.plus((ticket.deadline_left_ms as f64 * EXPIRE_PART) as u64);
         Self { ticket, arrived: now, due, expires }
     }
 
-    /// Order of requests: by rank, then those that can meet their objective, then by urgency.
-    fn order(&self, now: ClockTime) -> (u32, bool, ClockTime) {
+    /// Order of requests: by rank and urgency. One that cannot meet its objective any more goes
+    /// behind those of the next rank that can.
+    fn order(&self, now: ClockTime) -> (u32, ClockTime) {
         let due = self.due.filter(|due| *due > now);
-        (self.ticket.rank, due.is_none(), due.unwrap_or(self.expires))
+        let late = if due.is_none() { LATE_STEPS } else { 0 };
+        (self.ticket.rank * RANK_STEPS + late, due.unwrap_or(self.expires))
     }
 }
 
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -80,14 +80,20 @@
     paused_until: ClockTime,
 }
 
+/// Time from the send of a request to its first event at an idle target of pace 1, in ms.
+pub(super) fn first_event_ms(ticket: &PlacementTicket) -> f64 {
+    if ticket.prompt_tokens == 0 {
+        return PLAIN_MS;
+    }
+    f64::from(ticket.prompt_tokens) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS
+}
+
 /// Time that a request takes at one slot of pace 1, in ms.
 pub(super) fn work_ms(ticket: &PlacementTicket) -> f64 {
     if ticket.prompt_tokens == 0 {
         return PLAIN_MS;
     }
-    f64::from(ticket.prompt_tokens) / PREFILL_TOKENS_PER_MS
-        + FIRST_EVENT_MS
-        + f64::from(ticket.output_tokens) * TOKEN_MS
+    first_event_ms(ticket) + f64::from(ticket.output_tokens) * TOKEN_MS
 }
 
 impl TargetState {
@@ -102,10 +108,15 @@
         }
     }
 
+    /// Whether the target is not paused after a failure.
+    pub(super) fn usable(&self, now: ClockTime) -> bool {
+        self.paused_until <= now
+    }
+
     /// Whether the target may get another request. After failures, one at a time.
     pub(super) fn free(&self, now: ClockTime) -> bool {
         let limit = if self.failures_in_row > 0 { 1 } else { self.info.slots as usize };
-        self.running.len() < limit.max(1) && self.paused_until <= now
+        self.running.len() < limit.max(1) && self.usable(now)
     }
 
     /// Cost of sending a request here, in ms.
