Give a restarted node document and targets at once, and let requests wait for them

Cause: after the final loss of power every node refused for 0.6 s although the register had a quorum after 0.2 s: statuses and looks are 100 to 200 ms apart, and targets were known only after their next announcement. Ruled out: a slow quorum (config.applied 0.46 s after the first start). Change: a new process gets a status in reply, fetches at once, and gets the targets with the document; requests wait up to 1 s for the first document and up to 1.2 s for a first target.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -12,10 +12,16 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Time to come back while no configuration is known, in ms: a restarted node learns it within two
 /// statuses of the others.
 const NO_CONFIG_RETRY_MS: u64 = 500;
+/// Longest wait of a request for the first configuration, in ms: a node that has just started learns
+/// it within some round trips, after a loss of all nodes within a second.
+const CONFIG_WAIT_MS: u64 = 1_000;
+/// Part of its deadline that a request may wait so: the caller can still come back.
+const CONFIG_WAIT_PARTS: u64 = 3;
 /// Output tokens expected of a request that states none.
 const DEFAULT_OUTPUT_TOKENS: u64 = 64;
 /// Ranks of routes within one rank of workspaces.
@@ -127,6 +133,13 @@
         Err(fault) => return reject_unreadable(&node, &fault),
     };
     let _running = node.count_running();
+    if node.config().is_none() {
+        let known = node.register.config_known.notified();
+        let limit_ms = request.deadline_ms.map_or(CONFIG_WAIT_MS, |ms| ms / CONFIG_WAIT_PARTS);
+        let limit = Duration::from_millis(limit_ms.min(CONFIG_WAIT_MS));
+        // Without a document after the wait, the request is refused below.
+        let _ = tokio::time::timeout(limit, known).await;
+    }
     let attempt = request.attempt.clone();
     let context = match admit(&node, request) {
         Ok(context) => Rc::new(context),
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -15,6 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use tokio::sync::Notify;
 
 /// Counter of the ballot that founds a register; all rounds have higher ones.
 const FOUNDING_COUNTER: u64 = 1;
@@ -34,6 +35,8 @@
     address: SocketAddrV4,
     store: Option<StoreHandle>,
     applied: RefCell<Option<AppliedValue>>,
+    /// Wakes requests that wait for the first document.
+    pub(crate) config_known: Notify,
     highest_counter: Cell<u64>,
     /// Since when the own replica holds a value that is not known to be chosen.
     undecided_since: Cell<Option<ClockTime>>,
@@ -49,6 +52,7 @@
             address,
             store,
             applied: RefCell::default(),
+            config_known: Notify::new(),
             highest_counter: Cell::new(FOUNDING_COUNTER),
             undecided_since: Cell::default(),
             fetching: Cell::default(),
--- a/crates/edge/src/membership/repair.rs
+++ b/crates/edge/src/membership/repair.rs
@@ -67,7 +67,7 @@
     }
 
     /// Fetches a newer value that another node knows to be chosen.
-    fn learn_from_peers(self: &Rc<Self>, now: ClockTime) {
+    pub(crate) fn learn_from_peers(self: &Rc<Self>, now: ClockTime) {
         let own = self.register.applied_mark();
         let peers = self.peers.borrow();
         let newest = peers
--- a/crates/edge/src/membership/rounds.rs
+++ b/crates/edge/src/membership/rounds.rs
@@ -265,8 +265,9 @@
     /// Fetches the applied value of another node.
     pub(super) async fn fetch_applied(self: Rc<Self>, from: std::net::SocketAddrV4) {
         match rpc::call(from, &PeerCall::ReadApplied).await {
-            Ok(PeerReply::Applied(Some(AcceptedValue { ballot, value }))) => {
+            Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), targets }) => {
                 self.apply_value(ballot, &value);
+                self.take_over_targets(&targets);
             }
             Ok(other) => {
                 log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
@@ -310,9 +311,10 @@
         let (store, job) = match call {
             PeerCall::ReadApplied => {
                 let applied = self.register.applied();
-                return PeerReply::Applied(
-                    applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
-                );
+                return PeerReply::Applied {
+                    value: applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
+                    targets: self.targets.borrow().snapshot(ClockTime::monotonic()),
+                };
             }
             PeerCall::ReadBallot { disk } => {
                 let Some(store) = store(disk) else { return PeerReply::WrongDisk };
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -21,7 +21,7 @@
 use crate::shutdown::{ShutdownPlan, ShutdownStage};
 use crate::slots::SlotError;
 use crate::suspects::SuspectLedger;
-use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
+use crate::targets::{AgedNotice, TargetAnnouncement, TargetNotice, TargetTable};
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use placing::Waiter;
@@ -247,6 +247,20 @@
         }
         drop(ledger);
         self.refresh_targets();
+        self.register.config_known.notify_waiters();
+    }
+
+    /// Takes over what another node knows of targets.
+    pub(crate) fn take_over_targets(&self, targets: &[AgedNotice]) {
+        let now = ClockTime::monotonic();
+        let mut table = self.targets.borrow_mut();
+        for AgedNotice { notice, age_ms } in targets {
+            // The clock begins with the process: what is older than it counts as heard at its start.
+            let heard = ClockTime::from_ms(now.as_ms().saturating_sub(*age_ms));
+            table.apply(notice, heard);
+        }
+        drop(table);
+        self.refresh_targets();
     }
 
     async fn receive_datagrams(self: Rc<Self>) {
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -288,8 +288,10 @@
             for (info, announcement) in infos.iter().zip(usable) {
                 keys.insert(info.key, announcement.clone());
             }
-            board.set_targets(service, &infos);
+            board.set_targets(service, &infos, now);
         }
+        drop(board);
+        self.flush_board();
     }
 
     /// What a target announced, if it may still be used.
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -4,6 +4,7 @@
 use crate::datagram::{NodeStatus, PeerDatagram};
 use crate::shutdown::ShutdownStage;
 use burdockcleat_core::clock::ClockTime;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -26,12 +27,25 @@
 
     /// Sends a status to all known nodes.
     pub(crate) fn send_status(&self) {
+        let datagram = PeerDatagram::Status(self.next_status());
+        let contacts = self.peers.borrow().contacts(self.settings.peer_address);
+        for address in contacts {
+            self.send_to(address, &datagram);
+        }
+    }
+
+    /// Sends a status to one node.
+    fn send_status_to(&self, address: SocketAddrV4) {
+        self.send_to(address, &PeerDatagram::Status(self.next_status()));
+    }
+
+    fn next_status(&self) -> NodeStatus {
         let now = ClockTime::monotonic();
         let active = self.active_tickets();
         self.reconcile(self.process, &active, now);
         let sequence = self.status_sequence.get() + 1;
         self.status_sequence.set(sequence);
-        let status = NodeStatus {
+        NodeStatus {
             process: self.process,
             sequence,
             address: self.settings.peer_address,
@@ -44,11 +58,6 @@
             peers: self.peers.borrow().shared(sequence, now),
             active,
             used: self.ledger.borrow().totals(),
-        };
-        let datagram = PeerDatagram::Status(status);
-        let contacts = self.peers.borrow().contacts(self.settings.peer_address);
-        for address in contacts {
-            self.send_to(address, &datagram);
         }
     }
 
@@ -60,6 +69,8 @@
         let (active, used) = (status.active.clone(), status.used.clone());
         let Some(new) = self.peers.borrow_mut().hear(status, now) else { return };
         if new {
+            // A node that has just started need not wait for the next status.
+            self.send_status_to(address);
             log::info!(
                 target: "burdockcleat",
                 "event=peer.heard peer={address} process={:x}", process.0
@@ -72,6 +83,9 @@
             ledger.report(process.0, workspace, used, from_start, now);
         }
         drop(ledger);
+        if self.register.applied_mark().is_none() {
+            self.learn_from_peers(now);
+        }
         self.reconcile(process, &active, now);
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -124,6 +124,8 @@
 const WAIT_PART: f64 = 0.5;
 /// Time to come back when no target may be used, in ms: a target announces itself every second.
 const NO_TARGET_RETRY_MS: u64 = 500;
+/// Longest wait of a request while no target of its service is known, in ms.
+const NO_TARGET_WAIT_MS: u64 = 1_200;
 /// Shortest time to come back, in ms.
 const MIN_RETRY_MS: u64 = 100;
 /// Longest time to come back, in ms.
@@ -144,7 +146,7 @@
 impl PlacementBoard {
     /// Replaces the usable targets of a service. Requests at targets that are no longer usable are
     /// forgotten with them.
-    pub fn set_targets(&mut self, service: &str, infos: &[TargetInfo]) {
+    pub fn set_targets(&mut self, service: &str, infos: &[TargetInfo], now: ClockTime) {
         let keep = |state: &TargetState| {
             state.info.service != service || infos.iter().any(|info| info.key == state.info.key)
         };
@@ -156,15 +158,16 @@
                 .and_modify(|state| state.info = info.clone())
                 .or_insert_with(|| TargetState::new(info.clone(), pace));
         }
+        self.place_waiting(service, now);
     }
 
     /// Takes in a request: places it, queues it or refuses it.
     pub fn submit(&mut self, ticket: PlacementTicket, now: ClockTime) {
-        if !self.targets.values().any(|state| state.info.service == ticket.service) {
-            self.refuse(&ticket, RefusalReason::NoTarget, NO_TARGET_RETRY_MS);
-            return;
+        let mut waiting = WaitingTicket::new(ticket, now);
+        if !self.has_targets(&waiting.ticket.service) {
+            // Targets announce themselves every second or so, also to nodes that have just started.
+            waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
         }
-        let waiting = WaitingTicket::new(ticket, now);
         let wait_ms = self.expected_wait_ms(&waiting);
         if wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
             self.refuse(&waiting.ticket, RefusalReason::WaitTooLong, wait_ms as u64);
@@ -175,6 +178,10 @@
         self.place_waiting(&service, now);
     }
 
+    fn has_targets(&self, service: &str) -> bool {
+        self.targets.values().any(|state| state.info.service == service)
+    }
+
     /// Removes a request whose caller left, or that its node has placed by itself.
     pub fn withdraw(&mut self, key: TicketKey) {
         for queue in self.queues.values_mut() {
@@ -258,11 +265,17 @@
         self.place_all(now);
         for queue in self.queues.values_mut() {
             for expired in queue.take_expired(now) {
+                let (reason, retry_after_ms) =
+                    if self.targets.values().any(|s| s.info.service == expired.ticket.service) {
+                        (RefusalReason::WaitTooLong, MIN_RETRY_MS)
+                    } else {
+                        (RefusalReason::NoTarget, NO_TARGET_RETRY_MS)
+                    };
                 self.outputs.push(PlacementOutput::Refuse {
                     key: expired.ticket.key,
                     process: expired.ticket.process,
-                    reason: RefusalReason::WaitTooLong,
-                    retry_after_ms: MIN_RETRY_MS,
+                    reason,
+                    retry_after_ms,
                 });
             }
         }
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -1,6 +1,7 @@
 //! Calls between nodes over TCP: a length, then a message, one answer for each call.
 
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterValue};
+use crate::targets::AgedNotice;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -26,7 +27,7 @@
     Accept { disk: u64, ballot: BallotNumber, value: RegisterValue },
     /// Ballot of the newest value that the replica has accepted.
     ReadBallot { disk: u64 },
-    /// Newest value that the node knows to be chosen.
+    /// Newest value that the node knows to be chosen, and its targets.
     ReadApplied,
 }
 
@@ -36,7 +37,10 @@
 pub(crate) enum PeerReply {
     Phase(PhaseReply),
     Ballot(Option<BallotNumber>),
-    Applied(Option<AcceptedValue>),
+    Applied {
+        value: Option<AcceptedValue>,
+        targets: Vec<AgedNotice>,
+    },
     /// The node answers from another disk, or from none.
     WrongDisk,
     /// The state could not be made durable.
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -43,6 +43,16 @@
     },
 }
 
+/// A notice that another node heard some time ago.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AgedNotice {
+    /// The notice.
+    pub notice: TargetNotice,
+    /// Time since it was heard, in ms.
+    pub age_ms: u64,
+}
+
 /// Why an announcement was refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Error)]
@@ -94,7 +104,7 @@
 }
 
 impl TargetTable {
-    /// Takes in a notice.
+    /// Takes in a notice that arrived at `now`.
     pub fn apply(&mut self, notice: &TargetNotice, now: ClockTime) -> TargetChange {
         match notice {
             TargetNotice::Announced(announcement) => self.announce(announcement, now),
@@ -199,6 +209,23 @@
         })
     }
 
+    /// All that is known of targets, for a node that has just started.
+    pub fn snapshot(&self, now: ClockTime) -> Vec<AgedNotice> {
+        self.records
+            .values()
+            .map(|record| {
+                let announcement = record.announcement.clone();
+                let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
+                let notice = if record.left {
+                    TargetNotice::Left { id, incarnation }
+                } else {
+                    TargetNotice::Announced(announcement)
+                };
+                AgedNotice { notice, age_ms: now.since(record.heard) }
+            })
+            .collect()
+    }
+
     /// Drops records that no delayed announcement can refer to any more.
     pub fn prune(&mut self, now: ClockTime) {
         self.records.retain(|_, record| now.since(record.heard) <= KEEP_LEFT_MS);
