Order waiting requests by slot time within a rank and give up silent targets

Change: root of the slot time up to 600 ms, threefold by rank, sixfold once late, due time between equals; expected wait from the inflow of what goes first; silent targets are given up where the request may be repeated.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -256,15 +256,22 @@
     let route = &context.route.name;
     let after_ms = ClockTime::monotonic().since(context.request.received);
     let (status, sends) = (status.as_u16(), attempts.sends);
+    let first_ms = attempts.first_ms.unwrap_or(after_ms);
+    let (waited_ms, pause_ms) = (attempts.waited_ms, attempts.pause_ms);
+    let (prompt, output) =
+        (context.prompt_tokens(), context.request.max_output_tokens.unwrap_or(0));
+    let hint = context.request.output_hint.unwrap_or(0);
     let target = attempts.last_target.as_deref().unwrap_or("-");
     log::info!(
         target: "burdockcleat",
-        "event=request.answered id={id} route={route} status={status} how={how} target={target} sends={sends} after_ms={after_ms}"
+        "event=request.answered id={id} route={route} status={status} how={how} target={target} sends={sends} waited_ms={waited_ms} first_ms={first_ms} pause_ms={pause_ms} after_ms={after_ms} prompt={prompt} output={output} hint={hint}"
     );
     let mut metrics = context.node.metrics.borrow_mut();
-    let on_time = status < 300 && after_ms <= context.route.objective_ms;
+    let on_time = status < 300 && first_ms <= context.route.objective_ms;
     let label = format!("rank{}", context.rank);
+    metrics.record("first_latency", &label, first_ms);
     metrics.record("answer_latency", &label, after_ms);
+    metrics.record("placement_wait", &label, waited_ms);
     metrics.count(if on_time { "requests_on_time" } else { "requests_late" }, &label, 1);
 }
 
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -21,6 +21,13 @@
 /// Time after the deadline for which the target's own answer is awaited, in ms: it ends its work
 /// at the deadline that it was given.
 const ANSWER_MARGIN_MS: u64 = 60;
+/// Silence of a target before the first event after which another one is tried, beside the time for
+/// the prompt, in ms: several times that of a busy target.
+const STREAM_STALL_MS: u64 = 700;
+/// Prompt tokens that the slowest target reads in a ms under load.
+const STALL_TOKENS_PER_MS: u64 = 8;
+/// Silence of a plain target after which another one is tried, in latency objectives.
+const STALL_OBJECTIVES: u64 = 2;
 /// Largest answer that is read whole, in bytes.
 const MAX_WHOLE_BYTES: usize = 16 << 20;
 /// Targets that a request may fail to reach before it is refused.
@@ -36,6 +43,12 @@
     /// Whether a send may have run.
     pub(crate) may_have_run: bool,
     pub(crate) last_target: Option<String>,
+    /// Wait for the placement of the last send, in ms.
+    pub(crate) waited_ms: u64,
+    /// Time from the receipt to the first event, in ms.
+    pub(crate) first_ms: Option<u64>,
+    /// Longest pause between two parts of the answer, in ms.
+    pub(crate) pause_ms: u64,
     /// Whether events have been passed on.
     pub(crate) streaming: bool,
     unreachable: u32,
@@ -78,6 +91,8 @@
     Broken(&'static str),
     /// No answer until the deadline.
     Late,
+    /// The target has been silent for so long that another one is tried.
+    Stalled,
 }
 
 impl WholeAnswer {
@@ -145,17 +160,19 @@
     attempts: &mut Attempts,
     last_event: Option<u64>,
 ) -> Result<OpenAnswer, Option<Refusal>> {
+    let started = ClockTime::monotonic();
     let ticket = match place(context, attempts).await {
         Ok(ticket) => ticket,
         Err(refusal) => return Err(Some(refusal)),
     };
+    attempts.waited_ms = ClockTime::monotonic().since(started);
     attempts.excluded.push(ticket.target());
     let Some(announcement) = context.node.announcement(ticket.target()) else {
         ticket.finish(TicketOutcome::Dropped);
         return Err(None);
     };
     attempts.last_target = Some(announcement.id.clone());
-    let result = send_once(context, ticket, &announcement, last_event).await;
+    let result = send_once(context, attempts, ticket, &announcement, last_event).await;
     judge(context, attempts, &announcement, result)
 }
 
@@ -178,6 +195,8 @@
             "the target answered with a failure"
         }
         SendResult::Answer(stream @ OpenAnswer::Stream(_)) => {
+            let first_ms = ClockTime::monotonic().since(context.request.received);
+            attempts.first_ms.get_or_insert(first_ms);
             attempts.sends += 1;
             attempts.may_have_run = true;
             return Ok(stream);
@@ -201,6 +220,11 @@
             context.node.suspect(context.fingerprint, announcement);
             cause
         }
+        SendResult::Stalled => {
+            attempts.sends += 1;
+            attempts.may_have_run = true;
+            "the target is silent"
+        }
         SendResult::Late => {
             attempts.sends += 1;
             let reason = "the target did not answer in time";
@@ -272,6 +296,7 @@
 /// to the end.
 async fn send_once(
     context: &Rc<RequestContext>,
+    attempts: &Attempts,
     ticket: TicketGuard,
     announcement: &TargetAnnouncement,
     last_event: Option<u64>,
@@ -289,12 +314,14 @@
         ticket.started();
         Ok((response, link))
     };
-    let limit = Duration::from_millis(left_ms + ANSWER_MARGIN_MS);
-    let sent = tokio::time::timeout(limit, exchange).await;
+    let stall_ms = stall_ms(context, attempts);
+    let limit_ms = stall_ms.unwrap_or(u64::MAX).min(left_ms + ANSWER_MARGIN_MS);
+    let sent = tokio::time::timeout(Duration::from_millis(limit_ms), exchange).await;
     let (response, link) = match sent {
         Err(_) => {
-            ticket.finish(TicketOutcome::Broken);
-            return SendResult::Late;
+            ticket.finish(TicketOutcome::Stalled);
+            let stalled = stall_ms == Some(limit_ms);
+            return if stalled { SendResult::Stalled } else { SendResult::Late };
         }
         Ok(Err(SendFault::NotSent(cause))) => {
             log::debug!(target: "burdockcleat", "event=target.unreachable target={} cause=\"{cause}\"", announcement.id);
@@ -403,6 +430,19 @@
     }
 }
 
+/// Silence of a target, in ms, after which a request goes to another one. None if it may not.
+fn stall_ms(context: &RequestContext, attempts: &Attempts) -> Option<u64> {
+    let route = &context.route;
+    if !route.repeatable() || attempts.sends + 1 >= route.max_attempts {
+        return None;
+    }
+    Some(if streamed(route) {
+        STREAM_STALL_MS + u64::from(context.prompt_tokens()) / STALL_TOKENS_PER_MS
+    } else {
+        route.objective_ms * STALL_OBJECTIVES
+    })
+}
+
 fn build_request(
     context: &RequestContext,
     announcement: &TargetAnnouncement,
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -15,6 +15,12 @@
 /// Parts that wait for a slow caller before the target is held up.
 const PARTS_AHEAD: usize = 8;
 
+/// Shortest silence in the middle of a stream after which it continues elsewhere, in ms: a target
+/// that reads long prompts for others pauses for some hundreds of ms.
+const MIN_STALL_MS: u64 = 800;
+/// The same in longest pauses of the route; its callers abandon a stream after eight.
+const STALL_PAUSES: u64 = 3;
+
 /// How the stream of one target ended.
 enum StreamEnd {
     Complete,
@@ -51,7 +57,7 @@
     let status = source.parts.status;
     attempts.streaming = true;
     loop {
-        let (end, last_id) = pass_on(&context, source, &sender).await;
+        let (end, last_id) = pass_on(&context, &mut attempts, source, &sender).await;
         last_event = last_id.or(last_event);
         match end {
             StreamEnd::Complete => return log_answer(&context, &attempts, status, "stream"),
@@ -99,6 +105,7 @@
 /// Passes on one target's stream. Returns how it ended and the last event passed on.
 async fn pass_on(
     context: &RequestContext,
+    attempts: &mut Attempts,
     source: Box<StreamSource>,
     sender: &Sender<Result<Bytes, StreamBroken>>,
 ) -> (StreamEnd, Option<u64>) {
@@ -107,12 +114,18 @@
         return (StreamEnd::CallerLeft, splitter.last_id());
     }
     let mut ended = ended;
+    let mut last_part = ClockTime::monotonic();
     while !ended {
-        let left = Duration::from_millis(context.left_ms(ClockTime::monotonic()));
+        let left_ms = context.left_ms(ClockTime::monotonic());
+        let stall_ms = stall_ms(context, attempts).unwrap_or(u64::MAX);
         let frame = tokio::select! {
             frame = body.frame() => frame,
             () = sender.closed() => return (StreamEnd::CallerLeft, splitter.last_id()),
-            () = tokio::time::sleep(left) => return (StreamEnd::OutOfTime, splitter.last_id()),
+            () = tokio::time::sleep(Duration::from_millis(left_ms.min(stall_ms))) => {
+                ticket.finish(TicketOutcome::Stalled);
+                let end = if stall_ms < left_ms { StreamEnd::Broken } else { StreamEnd::OutOfTime };
+                return (end, splitter.last_id());
+            }
         };
         let data = match frame {
             None => {
@@ -128,6 +141,9 @@
         match splitter.push(&data) {
             Ok(None) => {}
             Ok(Some(events)) => {
+                let now = ClockTime::monotonic();
+                attempts.pause_ms = attempts.pause_ms.max(now.since(last_part));
+                last_part = now;
                 if sender.send(Ok(events)).await.is_err() {
                     return (StreamEnd::CallerLeft, splitter.last_id());
                 }
@@ -148,6 +164,13 @@
     (StreamEnd::Complete, splitter.last_id())
 }
 
+/// Silence of a target, in ms, after which its stream continues at another one. None if it may not.
+fn stall_ms(context: &RequestContext, attempts: &Attempts) -> Option<u64> {
+    let route = &context.route;
+    let may = route.resumable && attempts.sends < route.max_attempts;
+    may.then(|| MIN_STALL_MS.max(route.pause_ms.unwrap_or(0) * STALL_PAUSES))
+}
+
 fn log_end(context: &RequestContext, attempts: &Attempts, cause: &str) {
     let id = &context.request.attempt;
     let target = attempts.last_target.as_deref().unwrap_or("-");
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -163,18 +163,21 @@
 
     /// Takes in a request: places it, queues it or refuses it.
     pub fn submit(&mut self, ticket: PlacementTicket, now: ClockTime) {
-        let mut waiting = WaitingTicket::new(ticket, now);
+        let pace = self.mean_pace(&ticket.service);
+        let mut waiting = WaitingTicket::new(ticket, pace, now);
         if !self.has_targets(&waiting.ticket.service) {
             // Targets announce themselves every second or so, also to nodes that have just started.
             waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
         }
-        let wait_ms = self.expected_wait_ms(&waiting);
+        let wait_ms = self.expected_wait_ms(&waiting, now);
         if wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
             self.refuse(&waiting.ticket, RefusalReason::WaitTooLong, wait_ms as u64);
             return;
         }
         let service = waiting.ticket.service.clone();
-        self.queues.entry(service.clone()).or_default().push(waiting);
+        let queue = self.queues.entry(service.clone()).or_default();
+        queue.count_arrival(&waiting, now);
+        queue.push(waiting);
         self.place_waiting(&service, now);
     }
 
@@ -246,6 +249,7 @@
                 prompt_tokens: active.prompt_tokens,
                 granted: now,
                 expected_first_ms: 0.0,
+                work_ms: 0.0,
                 first: None,
                 seen: now,
             });
@@ -303,8 +307,10 @@
             let usable = states.iter().filter(|state| state.usable(now)).count();
             let waiting = self.queues.get(service).map_or(0, WaitingQueue::len);
             let pace = self.mean_pace(service);
+            let fastest = states.iter().map(|state| state.work_pace).fold(f64::MAX, f64::min);
+            let slowest = states.iter().map(|state| state.work_pace).fold(0.0, f64::max);
             format!(
-                "service={service} targets={} usable={usable} slots={slots} running={running} waiting={waiting} pace={pace:.2}",
+                "service={service} targets={} usable={usable} slots={slots} running={running} waiting={waiting} pace={pace:.2} work_pace={fastest:.2}..{slowest:.2}",
                 states.len()
             )
         };
@@ -359,22 +365,14 @@
         });
     }
 
-    /// Expected wait: the work of the requests that go first, spread over the slots of the service.
-    fn expected_wait_ms(&self, waiting: &WaitingTicket) -> f64 {
+    /// Expected wait of a request, in ms.
+    fn expected_wait_ms(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
         let service = &waiting.ticket.service;
         let states = self.targets.values().filter(|state| state.info.service == *service);
-        let (mut slots, mut pace) = (0_u32, 0.0);
-        for state in states {
-            slots += state.info.slots;
-            pace += f64::from(state.info.slots) / state.pace;
-        }
-        let Some(queue) = self.queues.get(service).filter(|queue| queue.len() > 0) else {
-            return 0.0;
-        };
-        if slots == 0 {
-            return 0.0;
-        }
-        queue.work_before_ms(waiting) / pace.max(f64::EPSILON)
+        let usable = states.filter(|state| state.usable(now));
+        let slots: f64 = usable.map(|state| f64::from(state.info.slots) / state.work_pace).sum();
+        let queue = self.queues.get(service).filter(|queue| queue.len() > 0);
+        queue.map_or(0.0, |queue| queue.expected_wait_ms(waiting, slots, now))
     }
 
     fn mean_pace(&self, service: &str) -> f64 {
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -1,4 +1,8 @@
-//! Waiting requests of one service, most urgent first.
+//! Waiting requests of one service, the most worthwhile first.
+//!
+//! Answers bursts that exceed the targets several times over. Serving by due time alone lets every
+//! request wait until it is just too late; so requests that can still meet their objective go
+//! first, among them those that hold a slot for the shortest time, weighed by rank.
 
 use super::target::{first_event_ms, work_ms};
 use super::{PlacementTicket, TicketKey};
@@ -7,11 +11,28 @@
 /// Part of the time left at arrival after which a waiting request is refused, so that its caller
 /// still has time to come back.
 const EXPIRE_PART: f64 = 0.6;
-
-/// Steps between two ranks.
-const RANK_STEPS: u32 = 2;
-/// Steps by which a late request falls back: behind the next rank, before the one after it.
-const LATE_STEPS: u32 = 3;
+/// Power of the slot time in the order: below 1, so that long requests are not starved.
+const WORK_POWER: f64 = 0.5;
+/// Slot time above which requests are not told apart, in ms: among the longest ones, the order is
+/// by due time, so that none of them is starved.
+const WORK_CAP_MS: f64 = 600.0;
+/// Slot time that a request of one rank may hold for each unit of the next rank.
+const RANK_FACTOR: f64 = 3.0;
+/// Ranks beyond which requests are not told apart, to keep the weight finite.
+const MAX_RANK: u32 = 400;
+/// Factor by which a request falls back that cannot meet its objective any more: behind the next
+/// rank, before the one after it.
+const LATE_FACTOR: f64 = 6.0;
+/// Margin over the expected time to the first event, for targets that are busier than expected.
+const FIRST_MARGIN: f64 = 1.5;
+/// Time for the way between caller and node, and for the datagrams of the placement, in ms.
+const WAY_MS: f64 = 25.0;
+/// Time constant of the inflow, in ms: bursts of a few seconds show within it.
+const INFLOW_MS: f64 = 1_000.0;
+/// Classes of weight that the inflow tells apart, each twice the one before.
+const INFLOW_CLASSES: usize = 64;
+/// Part of the slots that is taken as free for a request however much goes before it.
+const MIN_FREE_PART: f64 = 0.05;
 
 /// A request that waits for a target.
 #[derive(Clone, Debug, PartialEq)]
@@ -24,32 +45,44 @@
     pub due: Option<ClockTime>,
     /// When it is refused.
     pub expires: ClockTime,
+    weight: f64,
 }
 
 impl WaitingTicket {
-    /// Starts the wait of a request.
-    pub fn new(ticket: PlacementTicket, now: ClockTime) -> Self {
-        // What is sent later than this cannot meet its objective.
-        let sent_by = ticket.objective_left_ms - first_event_ms(&ticket) as i64;
+    /// Starts the wait of a request at targets of the given pace.
+    pub fn new(ticket: PlacementTicket, pace: f64, now: ClockTime) -> Self {
+        let first_ms = first_event_ms(&ticket) * pace * FIRST_MARGIN + WAY_MS;
+        let sent_by = ticket.objective_left_ms - first_ms as i64;
         let due = u64::try_from(sent_by).ok().map(|left| now.plus(left));
         let expires = now.plus((ticket.deadline_left_ms as f64 * EXPIRE_PART) as u64);
-        Self { ticket, arrived: now, due, expires }
+        let rank = ticket.rank.min(MAX_RANK);
+        let weight = work_ms(&ticket).min(WORK_CAP_MS).powf(WORK_POWER)
+            * RANK_FACTOR.powi(rank.cast_signed());
+        Self { ticket, arrived: now, due, expires, weight }
     }
 
-    /// Order of requests: by rank and urgency. One that cannot meet its objective any more goes
-    /// behind those of the next rank that can.
-    fn order(&self, now: ClockTime) -> (u32, ClockTime) {
-        let due = self.due.filter(|due| *due > now);
-        let late = if due.is_none() { LATE_STEPS } else { 0 };
-        (self.ticket.rank * RANK_STEPS + late, due.unwrap_or(self.expires))
+    /// Cost of serving the request now, for the order of the queue: lower ones go first.
+    fn cost(&self, now: ClockTime) -> f64 {
+        let on_time = self.due.is_some_and(|due| due > now);
+        if on_time { self.weight } else { self.weight * LATE_FACTOR }
     }
 }
 
-/// The waiting requests of one service. A service has a few dozen at most, since the others are
-/// refused, so a scan is cheaper than an index.
-#[derive(Debug, Default)]
+/// The waiting requests of one service. A service has some hundreds at most, since the others are
+/// refused, so a scan is cheaper than an index over costs that change with time.
+#[derive(Debug)]
 pub(super) struct WaitingQueue {
     tickets: Vec<WaitingTicket>,
+    /// Slot time that arrived in the last second or so, by class of weight, in ms.
+    inflow: [f64; INFLOW_CLASSES],
+    inflow_at: ClockTime,
+}
+
+impl Default for WaitingQueue {
+    fn default() -> Self {
+        let inflow = [0.0; INFLOW_CLASSES];
+        Self { tickets: Vec::new(), inflow, inflow_at: ClockTime::default() }
+    }
 }
 
 impl WaitingQueue {
@@ -58,7 +91,10 @@
     }
 
     pub(super) fn pop(&mut self, now: ClockTime) -> Option<WaitingTicket> {
-        let first = (0..self.tickets.len()).min_by_key(|at| self.tickets[*at].order(now))?;
+        let costs = self.tickets.iter().map(|waiting| (waiting.cost(now), waiting.expires));
+        let (first, _) = costs.enumerate().min_by(|(_, left), (_, right)| {
+            left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
+        })?;
         Some(self.tickets.swap_remove(first))
     }
 
@@ -81,12 +117,41 @@
         expired
     }
 
-    /// Time at one slot of the requests that go before another one, in ms.
-    pub(super) fn work_before_ms(&self, waiting: &WaitingTicket) -> f64 {
-        self.tickets
+    /// Counts the arrival of a request.
+    pub(super) fn count_arrival(&mut self, waiting: &WaitingTicket, now: ClockTime) {
+        let decay = (-(now.since(self.inflow_at) as f64) / INFLOW_MS).exp();
+        self.inflow_at = now;
+        for work in &mut self.inflow {
+            *work *= decay;
+        }
+        self.inflow[weight_class(waiting.weight)] += work_ms(&waiting.ticket);
+    }
+
+    /// Expected wait of a request, in ms, at `slots` slots of pace 1: the work of those that wait
+    /// and go before it, at the slots that later ones which go before it leave free.
+    pub(super) fn expected_wait_ms(
+        &self,
+        waiting: &WaitingTicket,
+        slots: f64,
+        now: ClockTime,
+    ) -> f64 {
+        if self.tickets.is_empty() {
+            return 0.0;
+        }
+        let cost = waiting.cost(now);
+        let before: f64 = self
+            .tickets
             .iter()
-            .filter(|other| other.ticket.rank <= waiting.ticket.rank)
+            .filter(|other| other.cost(now) <= cost)
             .map(|other| work_ms(&other.ticket))
-            .sum()
+            .sum();
+        let class = weight_class(cost);
+        let inflow: f64 = self.inflow[..class].iter().sum::<f64>() / INFLOW_MS;
+        let free = (slots - inflow).max(slots * MIN_FREE_PART);
+        before / free.max(f64::EPSILON)
     }
 }
+
+fn weight_class(weight: f64) -> usize {
+    (weight.max(1.0).log2() as usize).min(INFLOW_CLASSES - 1)
+}
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -15,10 +15,16 @@
 const PLAIN_MS: f64 = 20.0;
 /// Weight of a new observation in the pace.
 const PACE_WEIGHT: f64 = 0.2;
+/// Slot time that the assumption counts for in the first estimate of a target's slot time, in ms.
+const WORK_PRIOR_MS: f64 = 2_000.0;
+/// Part of the slot times that the next answer leaves in the estimate.
+const WORK_DECAY: f64 = 0.98;
 /// Bounds of the pace.
 const PACE_RANGE: (f64, f64) = (0.1, 20.0);
 /// Cost of each request that runs at the target, in ms at pace 1: it slows the others down.
 const SHARE_COST_MS: f64 = 4.0;
+/// Part of the expected time of the output that counts as cost: long outputs go to fast targets.
+const OUTPUT_COST_PART: f64 = 0.1;
 /// Cost of a target in another failure domain, in ms: a round trip and priced traffic.
 const FAR_COST_MS: f64 = 4.0;
 /// Cost of a target whose every request failed lately, in ms.
@@ -55,6 +61,8 @@
     Broken,
     /// The target could not be reached.
     Unreachable,
+    /// The target was silent for too long.
+    Stalled,
     /// The caller left, or the node gave up for reasons of its own.
     Dropped,
 }
@@ -65,6 +73,8 @@
     pub(super) prompt_tokens: u32,
     pub(super) granted: ClockTime,
     pub(super) expected_first_ms: f64,
+    /// Expected slot time at pace 1, in ms; 0 if it is not known here.
+    pub(super) work_ms: f64,
     pub(super) first: Option<ClockTime>,
     pub(super) seen: ClockTime,
 }
@@ -73,8 +83,13 @@
 pub(super) struct TargetState {
     pub(super) info: TargetInfo,
     pub(super) running: BTreeMap<TicketKey, RunningTicket>,
-    /// Time that the target needs, as a multiple of the assumed one.
+    /// Time to the first event, as a multiple of the assumed one.
     pub(super) pace: f64,
+    /// Slot time, as a multiple of the assumed one.
+    pub(super) work_pace: f64,
+    /// Slot times that were needed and expected lately, in ms.
+    worked_ms: f64,
+    expected_ms: f64,
     failure_share: f64,
     failures_in_row: u32,
     paused_until: ClockTime,
@@ -102,6 +117,9 @@
             info,
             running: BTreeMap::new(),
             pace,
+            work_pace: 1.0,
+            worked_ms: WORK_PRIOR_MS,
+            expected_ms: WORK_PRIOR_MS,
             failure_share: 0.0,
             failures_in_row: 0,
             paused_until: ClockTime::from_ms(0),
@@ -124,6 +142,7 @@
         let far = if self.info.domain == ticket.domain { 0.0 } else { FAR_COST_MS };
         self.expected_first_ms(ticket.prompt_tokens, now)
             + self.running.len() as f64 * SHARE_COST_MS * self.pace
+            + f64::from(ticket.output_tokens) * TOKEN_MS * self.work_pace * OUTPUT_COST_PART
             + far
             + self.failure_share * FAILURE_COST_MS
     }
@@ -145,6 +164,7 @@
             prompt_tokens: ticket.prompt_tokens,
             granted: now,
             expected_first_ms,
+            work_ms: work_ms(ticket),
             first: None,
             seen: now,
         };
@@ -163,16 +183,19 @@
     }
 
     pub(super) fn finished(&mut self, key: TicketKey, outcome: TicketOutcome, now: ClockTime) {
-        self.running.remove(&key);
+        let running = self.running.remove(&key);
         match outcome {
             TicketOutcome::Answered => {
+                if let Some(running) = running.filter(|running| running.work_ms > 0.0) {
+                    self.learn_work(now.since(running.granted) as f64, running.work_ms);
+                }
                 self.failure_share *= 1.0 - FAILURE_WEIGHT;
                 self.failures_in_row = 0;
             }
             TicketOutcome::Broken => {
                 self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
             }
-            TicketOutcome::Unreachable => {
+            TicketOutcome::Unreachable | TicketOutcome::Stalled => {
                 let pause = FIRST_PAUSE_MS << self.failures_in_row.min(4);
                 self.paused_until = now.plus(pause.min(MAX_PAUSE_MS));
                 self.failures_in_row += 1;
@@ -181,14 +204,22 @@
         }
     }
 
+    fn learn_work(&mut self, worked_ms: f64, expected_ms: f64) {
+        self.worked_ms = self.worked_ms * WORK_DECAY + worked_ms;
+        self.expected_ms = self.expected_ms * WORK_DECAY + expected_ms;
+        let (low, high) = PACE_RANGE;
+        self.work_pace = (self.worked_ms / self.expected_ms).clamp(low, high);
+    }
+
     pub(super) fn describe(&self, now: ClockTime) -> String {
         format!(
-            "target={:x} service={} running={} slots={} pace={:.2} failures={:.2} paused_ms={}",
+            "target={:x} service={} running={} slots={} pace={:.2} work_pace={:.2} failures={:.2} paused_ms={}",
             self.info.key.0,
             self.info.service,
             self.running.len(),
             self.info.slots,
             self.pace,
+            self.work_pace,
             self.failure_share,
             self.paused_until.since(now)
         )
