Change the register through its lowest replica and estimate unreported usage

Ruled out: slow disks (no event=replica.save_failed in the log). Change: a node asks the lowest replica to make its change and proposes itself only if that fails; a value that the proposer holds is not sent back; documents are fetched from a random holder, disks first; the ledger adds what others have used since their last report; part of the window used 0.87.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -2,9 +2,9 @@
 //!
 //! Answers a workspace that sends many times its usual. Every node keeps the whole window of each
 //! workspace and takes in what the other nodes report to have used. Reports are a fraction of a
-//! second old, so a part of the window is kept free for them; a node that hears only part of the
-//! others admits only that part, so that halves which cannot reach each other do not use the
-//! allowance twice.
+//! second old, so each node adds what the others have used since, at their last rate, and keeps a
+//! part of the window free; a node that hears only part of the others admits only that part, so that
+//! halves which cannot reach each other do not use the allowance twice.
 
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, VecDeque};
@@ -14,8 +14,10 @@
 /// Key of a node's process in reports.
 pub type ReporterKey = u64;
 
-/// Part of the window's limit that is used; the rest covers reports that are on their way.
-const USED_PART: f64 = 0.88;
+/// Part of the window's limit that is used; the rest covers rates that grow between two reports.
+const USED_PART: f64 = 0.87;
+/// Time constant of the rate at which the others use an allowance, in ms: a few reports.
+const RATE_MS: f64 = 600.0;
 /// Part of the limit that a restarted node takes as used, since it does not know what was.
 const START_PART: f64 = 0.4;
 /// Length of the steps in which usage leaves the window, in ms.
@@ -39,6 +41,9 @@
     /// Amounts by the end of their bin, oldest first.
     bins: VecDeque<(u64, f64)>,
     sum: f64,
+    /// Reported by the others lately, decayed.
+    reported: f64,
+    reported_at: ClockTime,
     /// Used by this node since its start.
     used: u64,
 }
@@ -71,8 +76,15 @@
             (window.rate_per_s, window.burst) = (rate_per_s, burst);
             return changed;
         }
-        let mut window =
-            WorkspaceWindow { rate_per_s, burst, bins: VecDeque::new(), sum: 0.0, used: 0 };
+        let mut window = WorkspaceWindow {
+            rate_per_s,
+            burst,
+            bins: VecDeque::new(),
+            sum: 0.0,
+            reported: 0.0,
+            reported_at: now,
+            used: 0,
+        };
         if !self.first_start {
             window.fill(window.limit(&self.rule) * START_PART, &self.rule, now);
         }
@@ -81,7 +93,7 @@
     }
 
     /// Takes `amount` from a workspace's window. `part` is the share of the nodes, this one
-    /// included, that this node hears of.
+    /// included, that this node hears of, and `lag_ms` the age of their reports.
     ///
     /// # Errors
     /// Returns the time in ms after which the amount is expected to be available.
@@ -90,12 +102,14 @@
         key: WorkspaceKey,
         amount: u64,
         part: f64,
+        lag_ms: u64,
         now: ClockTime,
     ) -> Result<(), u64> {
         let Some(window) = self.windows.get_mut(&key) else { return Ok(()) };
         window.expire(&self.rule, now);
         let limit = window.limit(&self.rule) * part;
-        let excess = window.sum + amount as f64 - limit;
+        let unreported = window.reported_rate(now) * lag_ms as f64;
+        let excess = window.sum + unreported + amount as f64 - limit;
         // A request larger than the whole limit is let through once nothing else is in the window.
         if excess > 0.0 && window.sum > 0.0 {
             return Err(window.wait_ms(excess, &self.rule, now));
@@ -127,7 +141,10 @@
         let base = last.unwrap_or(if from_start { 0 } else { used });
         if let Some(window) = self.windows.get_mut(&key) {
             // A total that shrank had amounts given back.
-            window.add(used as f64 - base as f64, now);
+            let amount = used as f64 - base as f64;
+            window.add(amount, now);
+            window.reported = window.reported_rate(now) * RATE_MS + amount;
+            window.reported_at = now;
         }
     }
 
@@ -153,6 +170,12 @@
         (agreed * (1.0 + rule.overshoot) + rule.tolerance) * USED_PART
     }
 
+    /// Rate at which the others use the allowance, per ms.
+    fn reported_rate(&self, now: ClockTime) -> f64 {
+        let decay = (-(now.since(self.reported_at) as f64) / RATE_MS).exp();
+        (self.reported * decay / RATE_MS).max(0.0)
+    }
+
     fn add(&mut self, amount: f64, now: ClockTime) {
         let bin = now.as_ms() / BIN_MS;
         self.sum += amount;
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -202,7 +202,7 @@
     let version = config.version;
     let change = RegisterChange::Document { version, body: Arc::new(body.to_vec()) };
     let started = ClockTime::monotonic();
-    let result = node.change_register(&change, CHANGE_MS).await;
+    let result = node.change_through_replica(&change, CHANGE_MS).await;
     let took_ms = ClockTime::monotonic().since(started);
     match result {
         Ok(value) => {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -194,7 +194,8 @@
             let amount = if workspace.counts_tokens { tokens } else { 1 };
             let key = workspace_key(&workspace.name);
             let part = node.heard_part(now);
-            let taken = node.ledger.borrow_mut().take(key, amount, part, now);
+            let lag_ms = node.status_pause_ms(now);
+            let taken = node.ledger.borrow_mut().take(key, amount, part, lag_ms, now);
             taken.map_err(|retry_after_ms| {
                 log::info!(
                     target: "burdockcleat",
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -15,7 +15,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 
 /// Counter of the ballot that founds a register; all rounds have higher ones.
 const FOUNDING_COUNTER: u64 = 1;
@@ -41,6 +41,8 @@
     /// Since when the own replica holds a value that is not known to be chosen.
     undecided_since: Cell<Option<ClockTime>>,
     fetching: Cell<bool>,
+    /// Held while this node changes the register, so that its own changes do not meet.
+    changing: Mutex<()>,
     confirming: Cell<bool>,
     repairing: Cell<bool>,
 }
@@ -56,6 +58,7 @@
             highest_counter: Cell::new(FOUNDING_COUNTER),
             undecided_since: Cell::default(),
             fetching: Cell::default(),
+            changing: Mutex::new(()),
             confirming: Cell::default(),
             repairing: Cell::default(),
         }
@@ -94,6 +97,14 @@
         self.store.as_ref().and_then(StoreHandle::accepted_mark)
     }
 
+    /// The value of a ballot, if this node holds it.
+    fn held_value(&self, ballot: BallotNumber) -> Option<AcceptedValue> {
+        let applied = self
+            .applied()
+            .map(|applied| AcceptedValue { ballot: applied.ballot, value: applied.value });
+        self.accepted().into_iter().chain(applied).find(|held| held.ballot == ballot)
+    }
+
     fn next_ballot(&self) -> BallotNumber {
         let counter = self.highest_counter.get() + 1;
         self.highest_counter.set(counter);
--- a/crates/edge/src/membership/repair.rs
+++ b/crates/edge/src/membership/repair.rs
@@ -70,10 +70,15 @@
     pub(crate) fn learn_from_peers(self: &Rc<Self>, now: ClockTime) {
         let own = self.register.applied_mark();
         let peers = self.peers.borrow();
+        // Any of the nodes that hold the newest value will do; those with a disk have wider links.
         let newest = peers
             .alive(now)
             .filter(|record| record.status.applied > own)
-            .map(|record| (record.status.applied, record.status.address))
+            .map(|record| {
+                let status = &record.status;
+                let rank = (status.applied, status.disk.is_some(), rand::random::<u32>());
+                (rank, status.address)
+            })
             .max();
         drop(peers);
         if let Some((_, address)) = newest
--- a/crates/edge/src/membership/rounds.rs
+++ b/crates/edge/src/membership/rounds.rs
@@ -22,6 +22,13 @@
 const BACKOFF_MS: u64 = 25;
 /// Pause after a round without a quorum, in ms.
 const NO_QUORUM_PAUSE_MS: u64 = 100;
+/// Part of the time of a change that the lowest replica has for it, before this node tries itself.
+const THROUGH_PARTS: u64 = 2;
+/// Parts of the time of a change.
+const ALL_PARTS: u64 = 3;
+/// Longest time for a change that another node has asked for, in ms: operators move on to another
+/// node after a second.
+const CHANGE_MS: u64 = 800;
 /// Longest time for the replicas to report what they hold, in ms.
 const READ_MS: u64 = 500;
 
@@ -36,13 +43,70 @@
 }
 
 impl NodeState {
-    /// Changes the register and waits until the result is chosen.
+    /// Changes the register and waits until the result is chosen: through the lowest replica that is
+    /// heard, so that changes seldom meet, and by itself if that one does not answer.
+    pub(crate) async fn change_through_replica(
+        self: &Rc<Self>,
+        change: &RegisterChange,
+        limit_ms: u64,
+    ) -> Result<RegisterValue, RoundError> {
+        if let Some(replica) = self.lowest_replica() {
+            let call = PeerCall::Change(change.clone());
+            let limit = Duration::from_millis(limit_ms * THROUGH_PARTS / ALL_PARTS);
+            match tokio::time::timeout(limit, rpc::call(replica, &call)).await {
+                Ok(Ok(PeerReply::Changed(AcceptedValue { ballot, value }))) => {
+                    self.apply_value(ballot, &value);
+                    return Ok(value);
+                }
+                other => {
+                    log::info!(target: "burdockcleat", "event=register.no_change replica={replica} reply={other:?}");
+                }
+            }
+            return self
+                .change_register(change, limit_ms - limit_ms * THROUGH_PARTS / ALL_PARTS)
+                .await;
+        }
+        self.change_register(change, limit_ms).await
+    }
+
+    /// Address of the lowest replica that is heard; none if it is this node.
+    fn lowest_replica(&self) -> Option<std::net::SocketAddrV4> {
+        let applied = self.register.applied()?;
+        let now = ClockTime::monotonic();
+        let own = self.register.own_key();
+        let peers = self.peers.borrow();
+        let heard: BTreeSet<_> = peers
+            .alive(now)
+            .filter(|record| !record.status.leaving)
+            .filter_map(|record| {
+                let address = record.status.address;
+                record.status.disk.map(|disk| ReplicaKey { address, disk })
+            })
+            .chain(own)
+            .collect();
+        let lowest = applied.value.replicas.intersection(&heard).next().copied();
+        lowest.filter(|key| Some(*key) != own).map(|key| key.address)
+    }
+
+    /// Changes the register by rounds of this node and waits until the result is chosen.
     pub(crate) async fn change_register(
         self: &Rc<Self>,
         change: &RegisterChange,
         limit_ms: u64,
     ) -> Result<RegisterValue, RoundError> {
         let deadline = ClockTime::monotonic().plus(limit_ms);
+        let limit = Duration::from_millis(limit_ms);
+        let changing = self.register.changing.lock();
+        let Ok(_changing) = tokio::time::timeout(limit, changing).await else {
+            return Err(RoundError::NoQuorum);
+        };
+        // A change before this one may have made it needless.
+        if let (RegisterChange::Document { version, .. }, Some(applied)) =
+            (change, self.register.applied())
+            && applied.value.version >= *version
+        {
+            return Ok(applied.value);
+        }
         let mut tries = 0_u64;
         loop {
             let left_ms = deadline.since(ClockTime::monotonic());
@@ -121,7 +185,11 @@
     ) -> Option<PhaseReply> {
         let disk = key.disk;
         let (job, call) = match phase {
-            RoundPhase::Prepare => (StoreCall::Prepare(ballot), PeerCall::Prepare { disk, ballot }),
+            RoundPhase::Prepare => {
+                let applied = self.register.applied_mark();
+                let held = applied.max(self.register.accepted_mark()).map(|mark| mark.ballot);
+                (StoreCall::Prepare(ballot), PeerCall::Prepare { disk, ballot, held })
+            }
             RoundPhase::Accept(value) => {
                 (StoreCall::Accept(ballot, value.clone()), PeerCall::Accept { disk, ballot, value })
             }
@@ -132,6 +200,13 @@
         }
         match rpc::call(key.address, &call).await {
             Ok(PeerReply::Phase(reply)) => Some(reply),
+            // None if this node has moved on meanwhile, and no longer holds the value.
+            Ok(PeerReply::PromisedHeld) => match call {
+                PeerCall::Prepare { held: Some(held), .. } => {
+                    self.register.held_value(held).map(|value| PhaseReply::Promised(Some(value)))
+                }
+                _ => None,
+            },
             Ok(other) => {
                 log::debug!(target: "burdockcleat", "event=register.no_vote replica={} reply={other:?}", key.address);
                 None
@@ -264,7 +339,9 @@
 
     /// Fetches the applied value of another node.
     pub(super) async fn fetch_applied(self: Rc<Self>, from: std::net::SocketAddrV4) {
-        match rpc::call(from, &PeerCall::ReadApplied).await {
+        let with_targets =
+            self.targets.borrow().is_empty() || !self.is_warm(ClockTime::monotonic());
+        match rpc::call(from, &PeerCall::ReadApplied { with_targets }).await {
             Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), targets }) => {
                 self.apply_value(ballot, &value);
                 self.take_over_targets(&targets);
@@ -306,30 +383,50 @@
         }
     }
 
-    async fn answer(&self, call: PeerCall) -> PeerReply {
+    async fn answer(self: &Rc<Self>, call: PeerCall) -> PeerReply {
         let store = |disk| self.register.store.as_ref().filter(|store| store.disk() == disk);
         let (store, job) = match call {
-            PeerCall::ReadApplied => {
+            PeerCall::Change(change) => {
+                let result = self.change_register(&change, CHANGE_MS).await;
+                return match (result, self.register.applied()) {
+                    (Ok(_), Some(AppliedValue { ballot, value, .. })) => {
+                        PeerReply::Changed(AcceptedValue { ballot, value })
+                    }
+                    (Ok(_), None) => PeerReply::Failed("no value is applied".into()),
+                    (Err(error), _) => PeerReply::Failed(error.to_string()),
+                };
+            }
+            PeerCall::ReadApplied { with_targets } => {
                 let applied = self.register.applied();
                 return PeerReply::Applied {
                     value: applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
-                    targets: self.targets.borrow().snapshot(ClockTime::monotonic()),
+                    targets: if with_targets {
+                        self.targets.borrow().snapshot(ClockTime::monotonic())
+                    } else {
+                        Vec::new()
+                    },
                 };
             }
             PeerCall::ReadBallot { disk } => {
                 let Some(store) = store(disk) else { return PeerReply::WrongDisk };
                 return PeerReply::Ballot(store.accepted_mark().map(|mark| mark.ballot));
             }
-            PeerCall::Prepare { disk, ballot } => (store(disk), StoreCall::Prepare(ballot)),
+            PeerCall::Prepare { disk, ballot, held } => {
+                let Some(store) = store(disk) else { return PeerReply::WrongDisk };
+                return match store.call(StoreCall::Prepare(ballot)).await {
+                    Some(PhaseReply::Promised(Some(accepted))) if Some(accepted.ballot) == held => {
+                        PeerReply::PromisedHeld
+                    }
+                    Some(reply) => PeerReply::Phase(reply),
+                    None => not_durable(),
+                };
+            }
             PeerCall::Accept { disk, ballot, value } => {
                 (store(disk), StoreCall::Accept(ballot, value))
             }
         };
         let Some(store) = store else { return PeerReply::WrongDisk };
-        store.call(job).await.map_or_else(
-            || PeerReply::Failed("the state could not be made durable".into()),
-            PeerReply::Phase,
-        )
+        store.call(job).await.map_or_else(not_durable, PeerReply::Phase)
     }
 
     /// Ballots that the replicas report to hold, the own one included.
@@ -344,6 +441,10 @@
     }
 }
 
+fn not_durable() -> PeerReply {
+    PeerReply::Failed("the state could not be made durable".into())
+}
+
 impl RegisterService {
     pub(super) fn start_fetch(&self) -> bool {
         !self.fetching.replace(true)
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -191,7 +191,7 @@
         self.holder(now).is_none()
     }
 
-    pub(super) fn is_warm(&self, now: ClockTime) -> bool {
+    pub(crate) fn is_warm(&self, now: ClockTime) -> bool {
         now.since(self.started) >= WARM_MS
     }
 
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -19,12 +19,16 @@
         loop {
             self.send_status();
             self.refresh_targets();
-            let nodes = self.node_count(ClockTime::monotonic());
-            let pause_ms = STATUS_MS * nodes.div_ceil(STATUS_NODES) as u64;
+            let pause_ms = self.status_pause_ms(ClockTime::monotonic());
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
+    /// Pause between two statuses of a node, in ms.
+    pub(crate) fn status_pause_ms(&self, now: ClockTime) -> u64 {
+        STATUS_MS * self.node_count(now).div_ceil(STATUS_NODES) as u64
+    }
+
     /// Sends a status to all known nodes.
     pub(crate) fn send_status(&self) {
         let datagram = PeerDatagram::Status(self.next_status());
--- a/crates/edge/src/register.rs
+++ b/crates/edge/src/register.rs
@@ -46,6 +46,7 @@
 
 /// A change of the register.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RegisterChange {
     /// Confirms the value that is held.
     Confirm,
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -1,6 +1,6 @@
 //! Calls between nodes over TCP: a length, then a message, one answer for each call.
 
-use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterValue};
+use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
 use crate::targets::AgedNotice;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -21,14 +21,17 @@
 #[derive(Clone, Debug)]
 #[derive(Serialize, Deserialize)]
 pub(crate) enum PeerCall {
-    /// First phase of a round, at the replica on the given disk.
-    Prepare { disk: u64, ballot: BallotNumber },
+    /// First phase of a round, at the replica on the given disk. The value accepted under the ballot
+    /// `held` is not sent back, since the caller has it.
+    Prepare { disk: u64, ballot: BallotNumber, held: Option<BallotNumber> },
     /// Second phase of a round.
     Accept { disk: u64, ballot: BallotNumber, value: RegisterValue },
     /// Ballot of the newest value that the replica has accepted.
     ReadBallot { disk: u64 },
-    /// Newest value that the node knows to be chosen, and its targets.
-    ReadApplied,
+    /// Newest value that the node knows to be chosen, and its targets for a node that has none.
+    ReadApplied { with_targets: bool },
+    /// Has the node change the register.
+    Change(RegisterChange),
 }
 
 /// Answer to a call.
@@ -36,11 +39,15 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) enum PeerReply {
     Phase(PhaseReply),
+    /// Promised; the newest value accepted before is the one that the caller holds.
+    PromisedHeld,
     Ballot(Option<BallotNumber>),
     Applied {
         value: Option<AcceptedValue>,
         targets: Vec<AgedNotice>,
     },
+    /// The register was changed, and this value is chosen.
+    Changed(AcceptedValue),
     /// The node answers from another disk, or from none.
     WrongDisk,
     /// The state could not be made durable.
--- /dev/null
+++ b/crates/edge/tests/targets.rs
@@ -0,0 +1,111 @@
+//! Targets that announce themselves late, twice, from former lives or at reused addresses.
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_edge::targets::{TargetAnnouncement, TargetChange, TargetNotice, TargetTable};
+
+/// Time between announcements, in ms.
+const INTERVAL_MS: u64 = 1_200;
+
+fn announcement(id: &str, incarnation: u64, sequence: u64) -> TargetAnnouncement {
+    TargetAnnouncement {
+        id: id.into(),
+        service: "engines".into(),
+        address: "10.0.0.1:8000".parse().unwrap(),
+        domain: "a".into(),
+        slots: 4,
+        draining: false,
+        incarnation,
+        sequence,
+    }
+}
+
+fn announced(table: &mut TargetTable, announcement: TargetAnnouncement, ms: u64) -> TargetChange {
+    table.apply(&TargetNotice::Announced(announcement), ClockTime::from_ms(ms))
+}
+
+fn left(table: &mut TargetTable, id: &str, incarnation: u64, ms: u64) -> TargetChange {
+    let notice = TargetNotice::Left { id: id.into(), incarnation };
+    table.apply(&notice, ClockTime::from_ms(ms))
+}
+
+fn usable(table: &TargetTable, ms: u64) -> Vec<(String, u64)> {
+    let targets = table.usable("engines", INTERVAL_MS, ClockTime::from_ms(ms));
+    targets.iter().map(|target| (target.id.clone(), target.incarnation)).collect()
+}
+
+/// A late announcement of a target that left brings it back.
+#[test]
+fn a_leave_is_final_for_its_incarnation() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    assert_eq!(left(&mut table, "i", 10, 100), TargetChange::Leaving);
+    assert_eq!(announced(&mut table, announcement("i", 10, 2), 200), TargetChange::Stale);
+    assert!(usable(&table, 200).is_empty());
+    assert_eq!(announced(&mut table, announcement("i", 11, 1), 300), TargetChange::Joined);
+    assert_eq!(usable(&table, 300), [("i".into(), 11)]);
+}
+
+/// A leave that arrives before any announcement is forgotten.
+#[test]
+fn a_leave_of_an_unknown_target_holds_back_its_announcements() {
+    let mut table = TargetTable::default();
+    let incarnation = table.leaving_incarnation("i", ClockTime::from_ms(1_000_000));
+    left(&mut table, "i", incarnation, 0);
+    assert_eq!(announced(&mut table, announcement("i", 10, 1), 100), TargetChange::Stale);
+    assert_eq!(
+        announced(&mut table, announcement("i", incarnation + 1, 1), 200),
+        TargetChange::Joined
+    );
+}
+
+/// Announcements that overtake each other undo a drain.
+#[test]
+fn a_draining_target_stays_so() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    let draining = TargetAnnouncement { draining: true, ..announcement("i", 10, 3) };
+    assert_eq!(announced(&mut table, draining, 10), TargetChange::Leaving);
+    assert_eq!(announced(&mut table, announcement("i", 10, 2), 20), TargetChange::Stale);
+    announced(&mut table, announcement("i", 10, 4), 30);
+    assert!(usable(&table, 30).is_empty());
+}
+
+/// A delayed announcement of a crashed target wins over the one that has its address now.
+#[test]
+fn the_latest_incarnation_at_an_address_is_used() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("new", 20, 1), 0);
+    announced(&mut table, announcement("old", 10, 9), 100);
+    assert_eq!(usable(&table, 100), [("new".into(), 20)]);
+}
+
+/// A node that is cut off goes on sending to targets that it hears nothing of.
+#[test]
+fn silent_targets_are_not_used() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    assert_eq!(usable(&table, 3 * INTERVAL_MS).len(), 1, "announcements may be seconds late");
+    assert!(usable(&table, 6 * INTERVAL_MS).is_empty());
+}
+
+/// A restarted node uses a target whose leave only the others have heard.
+#[test]
+fn a_snapshot_carries_leaves_and_ages() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("gone", 10, 1), 0);
+    left(&mut table, "gone", 10, 0);
+    let here = TargetAnnouncement {
+        address: "10.0.0.2:8000".parse().unwrap(),
+        ..announcement("here", 10, 1)
+    };
+    announced(&mut table, here, 500);
+    let mut restarted = TargetTable::default();
+    for aged in table.snapshot(ClockTime::from_ms(1_500)) {
+        if aged.notice == (TargetNotice::Left { id: "gone".into(), incarnation: 10 }) {
+            assert_eq!(aged.age_ms, 1_500);
+        }
+        restarted.apply(&aged.notice, ClockTime::from_ms(9_000 - aged.age_ms));
+    }
+    assert_eq!(announced(&mut restarted, announcement("gone", 10, 2), 9_000), TargetChange::Stale);
+    assert_eq!(usable(&restarted, 9_000), [("here".into(), 10)]);
+}
