--- a/crates/edge/tests/register.rs
+++ b/crates/edge/tests/register.rs
@@ -295,7 +295,7 @@
             RoundPhase::Chosen(_) | RoundPhase::Lost(_) => None,
         };
         let Some(next) = next.copied() else { return round.phase().clone() };
-        let state = replicas.get_mut(&next).unwrap();
+        let state = replicas.get_mut(&next).expect("a replica");
         let reply = match round.phase() {
             RoundPhase::Accept(value) => state.accept(ballot, &value.clone()),
             _ => state.prepare(ballot),
--- a/crates/edge/tests/targets.rs
+++ b/crates/edge/tests/targets.rs
@@ -10,7 +10,7 @@
     TargetAnnouncement {
         id: id.into(),
         service: "engines".into(),
-        address: "10.0.0.1:8000".parse().unwrap(),
+        address: "10.0.0.1:8000".parse().expect("an address"),
         domain: "a".into(),
         slots: 4,
         draining: false,
--- a/crates/testbed/src/deployment/network.rs
+++ b/crates/testbed/src/deployment/network.rs
@@ -3,6 +3,7 @@
 use super::DeploymentError;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// Second octets are `FIRST_SECOND` and the ones after it.
 const FIRST_SECOND: u8 = 16;
@@ -16,15 +17,16 @@
 const ATTEMPTS: usize = 1_000;
 
 static NEXT_THIRD: AtomicU8 = AtomicU8::new(1);
+static GUARDS: Mutex<Vec<TcpListener>> = Mutex::new(Vec::new());
 
 /// First three octets of the addresses of a deployment, reserved on this machine.
 ///
 /// Tests of different programs run at the same time and process ids alone can clash, so a
-/// listener that lives as long as the deployment marks the network as taken.
+/// listener marks the network as taken. It lives as long as the program: the threads of relays
+/// listen on addresses of the network until then.
 #[derive(Debug)]
 pub(super) struct LoopbackNetwork {
     octets: [u8; 3],
-    _guard: TcpListener,
 }
 
 impl LoopbackNetwork {
@@ -36,7 +38,10 @@
             let third = NEXT_THIRD.fetch_add(1, Ordering::Relaxed);
             let octets = [127, FIRST_SECOND + second, third];
             match TcpListener::bind(socket_address(octets, GUARD_HOST, GUARD_PORT)) {
-                Ok(guard) => return Ok(Self { octets, _guard: guard }),
+                Ok(guard) => {
+                    GUARDS.lock().unwrap_or_else(PoisonError::into_inner).push(guard);
+                    return Ok(Self { octets });
+                }
                 Err(error) => last = Some(error),
             }
         }
