Keep amounts of unsent requests apart from the window of an allowance

Requests refused after a wait gave their amount back into a later step of the window than they had taken it from; once the taking left the window, the return was still in it. Change: amounts are pending until the send and reported so; used ones never go back. Lost and regained nodes and usable targets are logged.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -7,6 +7,7 @@
 //! halves which cannot reach each other do not use the allowance twice.
 
 use burdockcleat_core::clock::ClockTime;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
 /// Key of a workspace in reports: a hash of its name.
@@ -44,16 +45,30 @@
     /// Reported by the others lately, decayed.
     reported: f64,
     reported_at: ClockTime,
+    /// Taken at the other nodes for requests that are not sent yet.
+    pending_elsewhere: f64,
+    /// Taken at this node for requests that are not sent yet.
+    pending: u64,
     /// Used by this node since its start.
     used: u64,
 }
 
+/// What a node's process has taken from an allowance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct AllowanceUse {
+    /// Sent to targets since the start of the process.
+    pub used: u64,
+    /// Taken for requests that are not sent yet.
+    pub pending: u64,
+}
+
 /// Windows of all workspaces.
 #[derive(Debug)]
 pub struct AllowanceLedger {
     rule: AllowanceRule,
     windows: BTreeMap<WorkspaceKey, WorkspaceWindow>,
-    reported: BTreeMap<(ReporterKey, WorkspaceKey), u64>,
+    reported: BTreeMap<(ReporterKey, WorkspaceKey), AllowanceUse>,
     first_start: bool,
 }
 
@@ -83,6 +98,8 @@
             sum: 0.0,
             reported: 0.0,
             reported_at: now,
+            pending_elsewhere: 0.0,
+            pending: 0,
             used: 0,
         };
         if !self.first_start {
@@ -109,57 +126,76 @@
         window.expire(&self.rule, now);
         let limit = window.limit(&self.rule) * part;
         let unreported = window.reported_rate(now) * lag_ms as f64;
-        let excess = window.sum + unreported + amount as f64 - limit;
+        let taken = window.sum + window.pending as f64 + window.pending_elsewhere + unreported;
+        let excess = taken + amount as f64 - limit;
         // A request larger than the whole limit is let through once nothing else is in the window.
-        if excess > 0.0 && window.sum > 0.0 {
+        if excess > 0.0 && taken > 0.0 {
             return Err(window.wait_ms(excess, &self.rule, now));
         }
-        window.add(amount as f64, now);
-        window.used += amount;
+        window.pending += amount;
         Ok(())
     }
 
-    /// Gives back what a request took that did not run.
-    pub fn give_back(&mut self, key: WorkspaceKey, amount: u64, now: ClockTime) {
+    /// Counts what a request took as used: it is sent to a target now.
+    pub fn confirm(&mut self, key: WorkspaceKey, amount: u64, now: ClockTime) {
         if let Some(window) = self.windows.get_mut(&key) {
-            window.add(-(amount as f64), now);
-            window.used = window.used.saturating_sub(amount);
+            window.pending = window.pending.saturating_sub(amount);
+            window.add(amount as f64, now);
+            window.used += amount;
         }
     }
 
-    /// Takes in the total that another node's process has used since its start. `from_start` tells
-    /// that this node has heard the process since then; else its first report only sets the base.
+    /// Gives back what a request took that was not sent.
+    pub fn give_back(&mut self, key: WorkspaceKey, amount: u64) {
+        if let Some(window) = self.windows.get_mut(&key) {
+            window.pending = window.pending.saturating_sub(amount);
+        }
+    }
+
+    /// Takes in what another node's process has taken. `from_start` tells that this node has heard
+    /// the process since its start; else its first report only sets the base of what it used.
     pub fn report(
         &mut self,
         from: ReporterKey,
         key: WorkspaceKey,
-        used: u64,
+        taken: AllowanceUse,
         from_start: bool,
         now: ClockTime,
     ) {
-        let last = self.reported.insert((from, key), used);
-        let base = last.unwrap_or(if from_start { 0 } else { used });
-        if let Some(window) = self.windows.get_mut(&key) {
-            // A total that shrank had amounts given back.
-            let amount = used as f64 - base as f64;
-            window.add(amount, now);
-            window.reported = window.reported_rate(now) * RATE_MS + amount;
-            window.reported_at = now;
-        }
+        let last = self.reported.insert((from, key), taken);
+        let unknown = AllowanceUse { used: if from_start { 0 } else { taken.used }, pending: 0 };
+        let base = last.unwrap_or(unknown);
+        let Some(window) = self.windows.get_mut(&key) else { return };
+        let used = taken.used.saturating_sub(base.used) as f64;
+        let pending = taken.pending as f64 - base.pending as f64;
+        window.add(used, now);
+        window.pending_elsewhere = (window.pending_elsewhere + pending).max(0.0);
+        window.reported = (window.reported_rate(now) * RATE_MS + used + pending).max(0.0);
+        window.reported_at = now;
     }
 
-    /// Totals that this node has used, for its own reports.
-    pub fn totals(&self) -> Vec<(WorkspaceKey, u64)> {
+    /// What this node has taken, for its own reports.
+    pub fn totals(&self) -> Vec<(WorkspaceKey, AllowanceUse)> {
         self.windows
             .iter()
-            .filter(|(_, window)| window.used > 0)
-            .map(|(key, window)| (*key, window.used))
+            .filter(|(_, window)| window.used > 0 || window.pending > 0)
+            .map(|(key, window)| {
+                (*key, AllowanceUse { used: window.used, pending: window.pending })
+            })
             .collect()
     }
 
-    /// Forgets the reports of processes that are gone.
+    /// Forgets the reports of processes that are gone, with what was pending there.
     pub fn retain_reporters<K: Fn(ReporterKey) -> bool>(&mut self, keep: K) {
-        self.reported.retain(|(from, _), _| keep(*from));
+        let windows = &mut self.windows;
+        self.reported.retain(|(from, key), taken| {
+            let kept = keep(*from);
+            if let Some(window) = windows.get_mut(key).filter(|_| !kept) {
+                let left = window.pending_elsewhere - taken.pending as f64;
+                window.pending_elsewhere = left.max(0.0);
+            }
+            kept
+        });
     }
 }
 
--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -1,7 +1,7 @@
 //! Datagrams between nodes. All of them are repeated or replaced by later ones: a lost datagram
 //! delays a belief, it never decides anything.
 
-use crate::allowance::WorkspaceKey;
+use crate::allowance::{AllowanceUse, WorkspaceKey};
 use crate::placement::{
     ActiveTicket, PlacementTicket, ProcessKey, RefusalReason, TargetKey, TicketKey, TicketOutcome,
 };
@@ -45,8 +45,8 @@
     pub(crate) peers: Vec<SocketAddrV4>,
     /// Requests of this node that run at targets.
     pub(crate) active: Vec<ActiveTicket>,
-    /// Allowance used by workspace since the start of the process.
-    pub(crate) used: Vec<(WorkspaceKey, u64)>,
+    /// Taken from allowances, by workspace.
+    pub(crate) used: Vec<(WorkspaceKey, AllowanceUse)>,
 }
 
 /// The placing node's answer about a request.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -11,6 +11,7 @@
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -83,11 +84,30 @@
     pub(crate) charge: Option<AllowanceCharge>,
 }
 
-/// What a request took from an allowance.
-#[derive(Clone, Copy, Debug)]
+/// What a request took from an allowance. Dropped before the request is sent, it is given back.
 pub(crate) struct AllowanceCharge {
+    node: Rc<NodeState>,
     key: u32,
     amount: u64,
+    sent: Cell<bool>,
+}
+
+impl AllowanceCharge {
+    /// Counts the charge as used: the request is sent now.
+    fn confirm(&self) {
+        if !self.sent.replace(true) {
+            let now = ClockTime::monotonic();
+            self.node.ledger.borrow_mut().confirm(self.key, self.amount, now);
+        }
+    }
+}
+
+impl Drop for AllowanceCharge {
+    fn drop(&mut self) {
+        if !self.sent.get() {
+            self.node.ledger.borrow_mut().give_back(self.key, self.amount);
+        }
+    }
 }
 
 impl RequestContext {
@@ -115,11 +135,10 @@
         u32::try_from(expected).unwrap_or(u32::MAX)
     }
 
-    /// Gives the charge back: the request did not run.
-    fn give_back(&self) {
-        if let Some(AllowanceCharge { key, amount }) = self.charge {
-            let now = ClockTime::monotonic();
-            self.node.ledger.borrow_mut().give_back(key, amount, now);
+    /// Counts what the request took from the allowance as used.
+    pub(crate) fn confirm_charge(&self) {
+        if let Some(charge) = &self.charge {
+            charge.confirm();
         }
     }
 }
@@ -153,12 +172,7 @@
             answer.into_response(&context)
         }
         Ok(OpenAnswer::Stream(source)) => stream::respond(context, attempts, source),
-        Err(refusal) => {
-            if matches!(refusal, Refusal::NotRun { .. }) {
-                context.give_back();
-            }
-            refuse(&node, &attempt, &context.route.name, received, &refusal)
-        }
+        Err(refusal) => refuse(&node, &attempt, &context.route.name, received, &refusal),
     }
 }
 
@@ -204,7 +218,7 @@
                 );
                 Refusal::OverAllowance { retry_after_ms }
             })?;
-            Some(AllowanceCharge { key, amount })
+            Some(AllowanceCharge { node: node.clone(), key, amount, sent: Cell::new(false) })
         }
         _ => None,
     };
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -305,6 +305,7 @@
     let Some(request) = build_request(context, announcement, last_event, left_ms) else {
         return SendResult::Broken("the request could not be encoded");
     };
+    context.confirm_charge();
     let node = &context.node;
     let exchange = async {
         let (response, link, _) = match node.upstreams.send(announcement.address, request).await {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -26,7 +26,7 @@
 use burdockcleat_core::clock::ClockTime;
 use placing::Waiter;
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -89,6 +89,7 @@
     waiters: RefCell<HashMap<TicketKey, Waiter>>,
     active: RefCell<BTreeMap<TicketKey, ActiveTicket>>,
     target_keys: RefCell<HashMap<TargetKey, TargetAnnouncement>>,
+    usable: RefCell<BTreeSet<TargetKey>>,
     next_ticket: Cell<u64>,
     status_sequence: Cell<u64>,
     running: Cell<usize>,
@@ -319,6 +320,13 @@
         loop {
             tokio::time::sleep(Duration::from_millis(HOUSE_TICK_MS)).await;
             let now = ClockTime::monotonic();
+            for peer in self.peers.borrow_mut().take_lost(now) {
+                log::info!(target: "burdockcleat", "event=peer.lost peer={peer}");
+            }
+            let peers = self.peers.borrow();
+            let kept = |process| peers.address_of(ProcessKey(process), now).is_some();
+            self.ledger.borrow_mut().retain_reporters(kept);
+            drop(peers);
             self.targets.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.upstreams.prune(now);
@@ -400,6 +408,7 @@
             waiters: RefCell::default(),
             active: RefCell::default(),
             target_keys: RefCell::default(),
+            usable: RefCell::default(),
             next_ticket: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
             running: Cell::new(0),
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -10,6 +10,7 @@
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -281,6 +282,7 @@
         let targets = self.targets.borrow();
         let mut keys = self.target_keys.borrow_mut();
         let mut board = self.board.borrow_mut();
+        let mut all = BTreeSet::new();
         for service in config.services.keys() {
             let usable = targets.usable(service, interval_ms, now);
             let infos: Vec<_> =
@@ -289,8 +291,21 @@
                 keys.insert(info.key, announcement.clone());
             }
             board.set_targets(service, &infos, now);
+            all.extend(infos.iter().map(|info| info.key));
         }
         drop(board);
+        let before = self.usable.replace(all.clone());
+        for key in before.symmetric_difference(&all) {
+            let Some(announcement) = keys.get(key) else { continue };
+            let heard = targets.get(&announcement.id).map(|record| now.since(record.heard));
+            log::info!(
+                target: "burdockcleat",
+                "event=target.usable usable={} target={} incarnation={} service={} heard_ms={}",
+                all.contains(key), announcement.id, announcement.incarnation,
+                announcement.service, heard.unwrap_or(0)
+            );
+        }
+        drop((targets, keys));
         self.flush_board();
     }
 
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -2,6 +2,7 @@
 
 use super::NodeState;
 use crate::datagram::{NodeStatus, PeerDatagram};
+use crate::peers::PeerChange;
 use crate::shutdown::ShutdownStage;
 use burdockcleat_core::clock::ClockTime;
 use std::net::SocketAddrV4;
@@ -71,13 +72,15 @@
             return;
         }
         let (active, used) = (status.active.clone(), status.used.clone());
-        let Some(new) = self.peers.borrow_mut().hear(status, now) else { return };
-        if new {
+        let Some(change) = self.peers.borrow_mut().hear(status, now) else { return };
+        if change == PeerChange::New {
             // A node that has just started need not wait for the next status.
             self.send_status_to(address);
+        }
+        if change != PeerChange::Refreshed {
             log::info!(
                 target: "burdockcleat",
-                "event=peer.heard peer={address} process={:x}", process.0
+                "event=peer.heard peer={address} process={:x} change={change:?}", process.0
             );
         }
         let mut ledger = self.ledger.borrow_mut();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -22,6 +22,19 @@
     pub(crate) heard: ClockTime,
     /// Since when the process has been heard.
     pub(crate) since: ClockTime,
+    /// Whether its silence was noticed.
+    lost: bool,
+}
+
+/// What a status changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PeerChange {
+    /// A process that was not known.
+    New,
+    /// A process that had gone silent.
+    Regained,
+    /// Only the status.
+    Refreshed,
 }
 
 /// All known nodes.
@@ -39,9 +52,8 @@
         self.seeds = seeds.into_iter().collect();
     }
 
-    /// Takes in a status. Returns whether the process is new here, or none if the status is older
-    /// than what is known.
-    pub(crate) fn hear(&mut self, status: NodeStatus, now: ClockTime) -> Option<bool> {
+    /// Takes in a status. None if it is older than what is known.
+    pub(crate) fn hear(&mut self, status: NodeStatus, now: ClockTime) -> Option<PeerChange> {
         for peer in &status.peers {
             self.contacts.entry(*peer).or_insert(now);
         }
@@ -51,10 +63,14 @@
         if known.is_some_and(|record| record.status.sequence >= status.sequence) {
             return None;
         }
-        let since = known.map(|record| record.since);
-        let record = PeerRecord { status, heard: now, since: since.unwrap_or(now) };
-        self.records.insert(address, record);
-        Some(since.is_none())
+        let change = match known {
+            None => PeerChange::New,
+            Some(record) if record.lost => PeerChange::Regained,
+            Some(_) => PeerChange::Refreshed,
+        };
+        let since = known.map_or(now, |record| record.since);
+        self.records.insert(address, PeerRecord { status, heard: now, since, lost: false });
+        Some(change)
     }
 
     /// Nodes heard lately.
@@ -81,6 +97,16 @@
         (self.alive(now).count() + 1, expected.count() + 1)
     }
 
+    /// Nodes that have gone silent since the last call.
+    pub(crate) fn take_lost(&mut self, now: ClockTime) -> Vec<SocketAddrV4> {
+        let silent = self.records.values_mut().filter(|record| now.since(record.heard) > ALIVE_MS);
+        let lost = silent.filter(|record| !record.lost).map(|record| {
+            record.lost = true;
+            record.status.address
+        });
+        lost.collect()
+    }
+
     /// Addresses that a status goes to.
     pub(crate) fn contacts(&self, own: SocketAddrV4) -> Vec<SocketAddrV4> {
         let all: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -1,7 +1,7 @@
 //! Allowances, retry budget and suspects: what all nodes share.
 
 use burdockcleat_core::clock::ClockTime;
-use burdockcleat_edge::allowance::{AllowanceLedger, AllowanceRule};
+use burdockcleat_edge::allowance::{AllowanceLedger, AllowanceRule, AllowanceUse};
 use burdockcleat_edge::budget::{BudgetRule, RetryBudget};
 use burdockcleat_edge::suspects::SuspectLedger;
 
@@ -39,28 +39,38 @@
         for ledger in &mut ledgers {
             let amount = ASKED / nodes as u64;
             if ledger.take(KEY, amount, 1.0, lag_ms, at(now)).is_ok() {
+                ledger.confirm(KEY, amount, at(now));
                 admitted.push((now, amount as f64));
             }
         }
         if tick % (lag_ms / TICK_MS) == 0 {
-            let totals: Vec<_> = ledgers.iter().map(AllowanceLedger::totals).collect();
-            for (to, ledger) in ledgers.iter_mut().enumerate() {
-                for (from, totals) in totals.iter().enumerate().filter(|(from, _)| *from != to) {
-                    for (key, used) in totals {
-                        ledger.report(from as u64, *key, *used, true, at(now));
-                    }
-                }
+            exchange_reports(&mut ledgers, now);
+        }
+    }
+    let most = most_in_a_window(&admitted);
+    assert!(most <= AGREED, "{most} in a window of at most {AGREED}");
+    let last: f64 = admitted.iter().filter(|(ms, _)| *ms > 21_000).map(|(_, amount)| amount).sum();
+    assert!(last >= RATE * 8.0, "only {last} of {} in the last window", RATE * 8.0);
+}
+
+fn exchange_reports(ledgers: &mut [AllowanceLedger], now: u64) {
+    let totals: Vec<_> = ledgers.iter().map(AllowanceLedger::totals).collect();
+    for (to, ledger) in ledgers.iter_mut().enumerate() {
+        for (from, totals) in totals.iter().enumerate().filter(|(from, _)| *from != to) {
+            for (key, taken) in totals {
+                ledger.report(from as u64, *key, *taken, true, at(now));
             }
         }
     }
+}
+
+/// Largest sum in any window of 8 s.
+fn most_in_a_window(amounts: &[(u64, f64)]) -> f64 {
     let window = |end: u64| -> f64 {
-        let inside = admitted.iter().filter(|(ms, _)| *ms <= end && *ms + 8_000 > end);
+        let inside = amounts.iter().filter(|(ms, _)| *ms <= end && *ms + 8_000 > end);
         inside.map(|(_, amount)| amount).sum()
     };
-    let most = (8_000..30_000).step_by(50).map(window).fold(0.0, f64::max);
-    assert!(most <= AGREED, "{most} in a window of at most {AGREED}");
-    let steady = window(29_000);
-    assert!(steady >= RATE * 8.0, "only {steady} of {} in the last window", RATE * 8.0);
+    (8_000..40_000).step_by(100).map(window).fold(0.0, f64::max)
 }
 
 /// Two halves that do not hear each other use the allowance twice.
@@ -84,6 +94,7 @@
     ledger.configure(KEY, RATE, RATE, at(0));
     let mut sum = 0.0;
     while ledger.take(KEY, 100, 1.0, 200, at(0)).is_ok() {
+        ledger.confirm(KEY, 100, at(0));
         sum += 100.0;
     }
     assert!(sum < AGREED * 0.6, "{sum}");
@@ -95,23 +106,75 @@
 fn the_time_to_come_back_is_when_room_is_expected() {
     let mut ledger = AllowanceLedger::new(RULE, true);
     ledger.configure(KEY, RATE, RATE, at(0));
-    while ledger.take(KEY, 1_000, 1.0, 200, at(0)).is_ok() {}
+    while ledger.take(KEY, 1_000, 1.0, 200, at(0)).is_ok() {
+        ledger.confirm(KEY, 1_000, at(0));
+    }
     let wait_ms = ledger.take(KEY, 1_000, 1.0, 200, at(2_000)).unwrap_err();
     assert!(ledger.take(KEY, 1_000, 1.0, 200, at(2_000 + wait_ms + 250)).is_ok(), "{wait_ms}");
 }
 
 /// What was refused later counts against the workspace.
 #[test]
-fn what_did_not_run_is_given_back() {
+fn what_was_not_sent_is_given_back() {
     let mut ledger = AllowanceLedger::new(RULE, true);
     ledger.configure(KEY, RATE, RATE, at(0));
     for _ in 0..10_000 {
         ledger.take(KEY, 1_000, 1.0, 200, at(0)).unwrap();
-        ledger.give_back(KEY, 1_000, at(0));
+        ledger.give_back(KEY, 1_000);
     }
     assert!(ledger.totals().is_empty());
 }
 
+/// Pattern: a hot workspace at the end of an overload. Until then half of its requests were refused
+/// after a wait: what is given back later than it was taken leaves a hole in the window once the
+/// taking has left it, through which more is admitted than the window allows. Found by a hunt (Khangai, hunt-01c7-7: 1,019,913 of 990,031 tokens).
+#[test]
+fn requests_refused_after_a_wait_leave_no_hole_in_the_window() {
+    const NODES: usize = 4;
+    const WAIT_MS: u64 = 1_400;
+    const OVERLOAD_MS: u64 = 3_000;
+    let mut ledgers: Vec<_> = (0..NODES).map(|_| AllowanceLedger::new(RULE, true)).collect();
+    for ledger in &mut ledgers {
+        ledger.configure(KEY, RATE, RATE, at(0));
+    }
+    let mut waiting: Vec<(u64, usize, bool)> = Vec::new();
+    let mut sent: Vec<(u64, f64)> = Vec::new();
+    for now in (0..40_000_u64).step_by(10) {
+        for (node, ledger) in ledgers.iter_mut().enumerate() {
+            if ledger.take(KEY, 150, 1.0, 200, at(now)).is_ok() {
+                let served = now > OVERLOAD_MS || (now / 10 + node as u64).is_multiple_of(2);
+                waiting.push((now + WAIT_MS, node, served));
+            }
+        }
+        for (_, node, served) in waiting.extract_if(.., |(end, _, _)| *end == now) {
+            if served {
+                ledgers[node].confirm(KEY, 150, at(now));
+                sent.push((now, 150.0));
+            } else {
+                ledgers[node].give_back(KEY, 150);
+            }
+        }
+        if now % 200 == 0 {
+            exchange_reports(&mut ledgers, now);
+        }
+    }
+    let most = most_in_a_window(&sent);
+    assert!(most <= AGREED, "{most} in a window of at most {AGREED}");
+    assert!(most >= RATE * 8.0, "only {most}");
+}
+
+/// What was pending at a node that died is never available again.
+#[test]
+fn pending_amounts_of_a_dead_node_are_forgotten() {
+    let mut ledger = AllowanceLedger::new(RULE, true);
+    ledger.configure(KEY, RATE, RATE, at(0));
+    let taken = AllowanceUse { used: 0, pending: 1_000_000 };
+    ledger.report(9, KEY, taken, true, at(0));
+    assert!(ledger.take(KEY, 100, 1.0, 200, at(0)).is_err());
+    ledger.retain_reporters(|_| false);
+    assert!(ledger.take(KEY, 100, 1.0, 200, at(10_000)).is_ok());
+}
+
 /// All nodes together retry more often than agreed.
 #[test]
 fn retries_of_all_nodes_stay_within_the_budget() {
