--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -68,21 +68,8 @@
 /// A service and the limits of its targets.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ServiceRule {
-    /// Path of the health check.
-    pub health_path: String,
     /// Connections that a target accepts from all callers together.
     pub connection_limit: u32,
-    /// Model engine parameters; none for plain services.
-    pub engine: Option<EngineRule>,
-}
-
-/// Parameters shared by the engines of a service.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct EngineRule {
-    /// Requests that an engine runs at once.
-    pub slots: u32,
-    /// Tokens that fit into an engine's memory.
-    pub memory_tokens: u64,
 }
 
 /// A workspace with its credentials and allowance.
@@ -111,15 +98,13 @@
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a request head, in ms.
-    pub head_ms: u64,
-    /// Longest time that a connection may stay idle, in ms.
+    /// Longest time that a connection may stay idle, in ms; also bounds a slow request head.
     pub idle_ms: u64,
 }
 
 impl Default for RequestLimits {
     fn default() -> Self {
-        Self { head_bytes: 16 << 10, body_bytes: 4 << 20, head_ms: 3_000, idle_ms: 15_000 }
+        Self { head_bytes: 16 << 10, body_bytes: 4 << 20, idle_ms: 15_000 }
     }
 }
 
--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -43,8 +43,8 @@
     pub(crate) accepted: Option<ValueMark>,
     /// Some of the nodes that this one knows.
     pub(crate) peers: Vec<SocketAddrV4>,
-    /// Requests of this node that run at targets.
-    pub(crate) active: Vec<ActiveTicket>,
+    /// Requests of this node that run at targets; left out for nodes that are unlikely to place.
+    pub(crate) active: Option<Vec<ActiveTicket>>,
     /// Taken from allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUse)>,
 }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -1,16 +1,18 @@
 //! The way of a request: read, route, authenticate, contain, charge, place, send, answer.
 
 mod attempt;
+mod send;
 mod stream;
 
 use crate::config::{RequestKind, RouteRule};
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
 use crate::request::{CallerRequest, RequestFault};
-use attempt::{Attempts, OpenAnswer};
+use attempt::Attempts;
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
+use send::OpenAnswer;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -1,6 +1,7 @@
 //! Passes an event stream on as it arrives, and continues it at another target after a break.
 
-use super::attempt::{Attempts, OpenAnswer, StreamSource, open_answer, strip_headers};
+use super::attempt::{Attempts, open_answer};
+use super::send::{OpenAnswer, StreamSource, strip_headers};
 use super::{RequestContext, log_answer};
 use crate::placement::TicketOutcome;
 use crate::reply::{ReplyBody, StreamBroken};
--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -13,8 +13,8 @@
 
 /// Margin after the idle time that callers are told, in ms: a request may be on its way.
 const IDLE_MARGIN_MS: u64 = 2_000;
-/// Largest request head and read buffer, in bytes: the limit of the documents with a margin.
-const BUFFER_BYTES: usize = 64 << 10;
+/// Smallest read buffer, in bytes, which also bounds the request head: hyper asks for 8 KiB.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
 /// Pause after a failure to accept, in ms: descriptors are freed by requests that end.
 const ACCEPT_PAUSE_MS: u64 = 20;
 
@@ -38,7 +38,8 @@
         log::debug!(target: "burdockcleat", "event=caller.socket_failed cause=\"{error}\"");
         return;
     }
-    let idle_ms = node.limits().idle_ms + IDLE_MARGIN_MS;
+    let limits = node.limits();
+    let idle_ms = limits.idle_ms + IDLE_MARGIN_MS;
     let service = service_fn(|request| {
         let node = node.clone();
         async move { Ok::<_, Infallible>(dispatch::serve(node, request).await) }
@@ -46,7 +47,7 @@
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(idle_ms))
-        .max_buf_size(BUFFER_BYTES)
+        .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut stage = node.stage.subscribe();
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -3,6 +3,7 @@
 
 mod repair;
 mod rounds;
+mod serve;
 mod store;
 
 pub(crate) use rounds::RoundError;
--- a/crates/edge/src/membership/rounds.rs
+++ b/crates/edge/src/membership/rounds.rs
@@ -13,7 +13,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
 
 /// Longest time for one round, in ms: two phases with slow syncs.
@@ -26,9 +25,6 @@
 const THROUGH_PARTS: u64 = 2;
 /// Parts of the time of a change.
 const ALL_PARTS: u64 = 3;
-/// Longest time for a change that another node has asked for, in ms: operators move on to another
-/// node after a second.
-const CHANGE_MS: u64 = 800;
 /// Longest time for the replicas to report what they hold, in ms.
 const READ_MS: u64 = 500;
 
@@ -337,98 +333,6 @@
         value.has_quorum(&holders)
     }
 
-    /// Fetches the applied value of another node.
-    pub(super) async fn fetch_applied(self: Rc<Self>, from: std::net::SocketAddrV4) {
-        let with_targets =
-            self.targets.borrow().is_empty() || !self.is_warm(ClockTime::monotonic());
-        match rpc::call(from, &PeerCall::ReadApplied { with_targets }).await {
-            Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), targets }) => {
-                self.apply_value(ballot, &value);
-                self.take_over_targets(&targets);
-            }
-            Ok(other) => {
-                log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
-            }
-            Err(error) => {
-                log::info!(target: "burdockcleat", "event=config.fetch_failed peer={from} cause=\"{error}\"");
-            }
-        }
-        self.register.fetching.set(false);
-    }
-
-    /// Answers calls of other nodes.
-    pub(crate) async fn accept_peers(self: Rc<Self>, listener: TcpListener) {
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().serve_peer(stream));
-                }
-                Err(error) => {
-                    log::warn!(target: "burdockcleat", "event=peer.accept_failed cause=\"{error}\"");
-                    tokio::time::sleep(Duration::from_millis(NO_QUORUM_PAUSE_MS)).await;
-                }
-            }
-        }
-    }
-
-    async fn serve_peer(self: Rc<Self>, mut stream: TcpStream) {
-        let exchange = async {
-            stream.set_nodelay(true)?;
-            let call: PeerCall = rpc::read_message(&mut stream).await?;
-            let reply = self.answer(call).await;
-            rpc::write_message(&mut stream, &reply).await
-        };
-        if let Err(error) = exchange.await {
-            log::debug!(target: "burdockcleat", "event=peer.call_failed cause=\"{error}\"");
-        }
-    }
-
-    async fn answer(self: &Rc<Self>, call: PeerCall) -> PeerReply {
-        let store = |disk| self.register.store.as_ref().filter(|store| store.disk() == disk);
-        let (store, job) = match call {
-            PeerCall::Change(change) => {
-                let result = self.change_register(&change, CHANGE_MS).await;
-                return match (result, self.register.applied()) {
-                    (Ok(_), Some(AppliedValue { ballot, value, .. })) => {
-                        PeerReply::Changed(AcceptedValue { ballot, value })
-                    }
-                    (Ok(_), None) => PeerReply::Failed("no value is applied".into()),
-                    (Err(error), _) => PeerReply::Failed(error.to_string()),
-                };
-            }
-            PeerCall::ReadApplied { with_targets } => {
-                let applied = self.register.applied();
-                return PeerReply::Applied {
-                    value: applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
-                    targets: if with_targets {
-                        self.targets.borrow().snapshot(ClockTime::monotonic())
-                    } else {
-                        Vec::new()
-                    },
-                };
-            }
-            PeerCall::ReadBallot { disk } => {
-                let Some(store) = store(disk) else { return PeerReply::WrongDisk };
-                return PeerReply::Ballot(store.accepted_mark().map(|mark| mark.ballot));
-            }
-            PeerCall::Prepare { disk, ballot, held } => {
-                let Some(store) = store(disk) else { return PeerReply::WrongDisk };
-                return match store.call(StoreCall::Prepare(ballot)).await {
-                    Some(PhaseReply::Promised(Some(accepted))) if Some(accepted.ballot) == held => {
-                        PeerReply::PromisedHeld
-                    }
-                    Some(reply) => PeerReply::Phase(reply),
-                    None => not_durable(),
-                };
-            }
-            PeerCall::Accept { disk, ballot, value } => {
-                (store(disk), StoreCall::Accept(ballot, value))
-            }
-        };
-        let Some(store) = store else { return PeerReply::WrongDisk };
-        store.call(job).await.map_or_else(not_durable, PeerReply::Phase)
-    }
-
     /// Ballots that the replicas report to hold, the own one included.
     pub(super) fn reported_ballots(&self, now: ClockTime) -> BTreeMap<ReplicaKey, BallotNumber> {
         let peers = self.peers.borrow();
@@ -441,10 +345,6 @@
     }
 }
 
-fn not_durable() -> PeerReply {
-    PeerReply::Failed("the state could not be made durable".into())
-}
-
 impl RegisterService {
     pub(super) fn start_fetch(&self) -> bool {
         !self.fetching.replace(true)
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,24 +1,25 @@
 //! The node: its state, its tasks and their start and end.
 
+mod datagrams;
 mod placing;
+mod server;
 mod status;
 
 pub(crate) use placing::{Placement, TicketGuard};
+pub use server::NodeServer;
 
 use crate::allowance::AllowanceLedger;
-use crate::budget::{BudgetRule, RetryBudget};
+use crate::budget::RetryBudget;
 use crate::config::{RequestLimits, RouteConfig};
-use crate::control;
-use crate::datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
+use crate::datagram::PeerDatagram;
 use crate::dialect::WireDialect;
-use crate::frontend;
 use crate::logs;
-use crate::membership::{RegisterService, StoreHandle};
+use crate::membership::RegisterService;
 use crate::metrics::MetricSet;
 use crate::peers::PeerTable;
 use crate::placement::{ActiveTicket, PlacementBoard, ProcessKey, TargetKey, TicketKey};
 use crate::settings::NodeSettings;
-use crate::shutdown::{ShutdownPlan, ShutdownStage};
+use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
 use crate::suspects::SuspectLedger;
 use crate::targets::{AgedNotice, TargetAnnouncement, TargetNotice, TargetTable};
@@ -31,8 +32,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::{TcpListener, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 /// Pause between two looks at waiting requests, in ms.
@@ -41,8 +41,6 @@
 const HOUSE_TICK_MS: u64 = 1_000;
 /// Time for which a notice about a leaving target is repeated, in ms after the first.
 const NOTICE_REPEATS_MS: [u64; 3] = [60, 250, 700];
-/// Pause between two looks at the shutdown, in ms.
-const SHUTDOWN_TICK_MS: u64 = 50;
 
 /// A node that could not start or go on.
 #[derive(Debug)]
@@ -104,16 +102,6 @@
     }
 }
 
-/// A node with its listeners bound.
-pub struct NodeServer {
-    state: Rc<NodeState>,
-    callers: TcpListener,
-    ready: TcpListener,
-    control: TcpListener,
-    peers: TcpListener,
-    metrics: TcpListener,
-}
-
 /// Key of an incarnation of a target.
 pub(crate) fn target_key(announcement: &TargetAnnouncement) -> TargetKey {
     let mut hash = xxhash_rust::xxh3::Xxh3::new();
@@ -157,31 +145,6 @@
         TicketKey(next)
     }
 
-    /// Sends a datagram to a node. A failure is as good as a loss.
-    pub(crate) fn send_to(&self, address: SocketAddrV4, datagram: &PeerDatagram) {
-        let bytes = match postcard::to_stdvec(datagram) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::warn!(target: "burdockcleat", "event=peer.encode_failed cause=\"{error}\"");
-                return;
-            }
-        };
-        if let Err(error) = self.socket.try_send_to(&bytes, address.into()) {
-            log::debug!(target: "burdockcleat", "event=peer.send_failed peer={address} cause=\"{error}\"");
-        }
-    }
-
-    /// Sends a datagram to all nodes that are heard.
-    pub(crate) fn broadcast(&self, datagram: &PeerDatagram) {
-        let now = ClockTime::monotonic();
-        let peers = self.peers.borrow();
-        let addresses: Vec<_> = peers.alive(now).map(|record| record.status.address).collect();
-        drop(peers);
-        for address in addresses {
-            self.send_to(address, datagram);
-        }
-    }
-
     /// Takes in a notice of a target. `direct` tells that it came from the target itself.
     pub(crate) fn apply_notice(self: &Rc<Self>, notice: &TargetNotice, direct: bool) {
         use crate::targets::TargetChange::{Joined, Leaving, Refreshed, Stale};
@@ -264,48 +227,6 @@
         self.refresh_targets();
     }
 
-    async fn receive_datagrams(self: Rc<Self>) {
-        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            match self.socket.recv_from(&mut buffer).await {
-                Ok((length, std::net::SocketAddr::V4(from))) => {
-                    match postcard::from_bytes(&buffer[..length]) {
-                        Ok(datagram) => self.handle_datagram(from, datagram),
-                        Err(error) => {
-                            log::warn!(target: "burdockcleat", "event=peer.decode_failed peer={from} cause=\"{error}\"");
-                        }
-                    }
-                }
-                Ok(_) => {}
-                Err(error) => {
-                    log::debug!(target: "burdockcleat", "event=peer.receive_failed cause=\"{error}\"");
-                    tokio::time::sleep(Duration::from_millis(1)).await;
-                }
-            }
-        }
-    }
-
-    fn handle_datagram(self: &Rc<Self>, from: SocketAddrV4, datagram: PeerDatagram) {
-        let now = ClockTime::monotonic();
-        match datagram {
-            PeerDatagram::Status(status) => self.hear_status(status, now),
-            PeerDatagram::Notice(notice) => self.apply_notice(&notice, false),
-            PeerDatagram::Suspect { fingerprint, incarnation } => {
-                self.suspects.borrow_mut().record(fingerprint, &incarnation, now);
-            }
-            PeerDatagram::Submit(ticket) => self.hear_submit(from, ticket, now),
-            PeerDatagram::Decision { key, decision } => self.hear_decision(from, key, decision),
-            PeerDatagram::Withdraw(key) => self.board.borrow_mut().withdraw(key),
-            PeerDatagram::Started { key, target } => {
-                self.board.borrow_mut().started(target, key, now);
-            }
-            PeerDatagram::Finished { key, target, outcome } => {
-                self.board.borrow_mut().finished(target, key, outcome, now);
-                self.flush_board();
-            }
-        }
-    }
-
     async fn tick_board(self: Rc<Self>) {
         loop {
             tokio::time::sleep(Duration::from_millis(BOARD_TICK_MS)).await;
@@ -330,6 +251,11 @@
             self.targets.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.upstreams.prune(now);
+            if let Some(config) = self.config() {
+                let limits = config.services.values().map(|service| service.connection_limit);
+                let lowest = limits.filter(|limit| *limit > 0).min().unwrap_or(0);
+                self.upstreams.set_limit(lowest, self.node_count(now));
+            }
             self.board.borrow_mut().advance(now);
             self.flush_board();
             self.set_gauges(now);
@@ -358,153 +284,3 @@
         }
     }
 }
-
-impl NodeServer {
-    /// Binds all addresses of a node.
-    ///
-    /// # Errors
-    /// Fails if an address is taken or the storage cannot be opened.
-    pub async fn bind(settings: NodeSettings, dialect: WireDialect) -> Result<Self, NodeError> {
-        let listen = async |address: SocketAddrV4| {
-            TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })
-        };
-        let callers = listen(settings.caller_address).await?;
-        let ready = listen(settings.ready_address).await?;
-        let control = listen(settings.control_address).await?;
-        let peers = listen(settings.peer_address).await?;
-        let metrics = listen(settings.metrics_address).await?;
-        let address = settings.peer_address;
-        let socket = UdpSocket::bind(address)
-            .await
-            .map_err(|source| NodeError::Listen { address, source })?;
-        let process: u64 = rand::random();
-        let store = match &settings.data_folder {
-            Some(folder) => Some(StoreHandle::spawn(folder, rand::random())?),
-            None => None,
-        };
-        let rule = BudgetRule {
-            percent: settings.bounds.retry_percent,
-            extra: settings.bounds.retry_extra,
-            window_ms: settings.bounds.retry_window_ms,
-        };
-        let register = RegisterService::new(process, address, store);
-        let state = NodeState {
-            process: ProcessKey(process),
-            targets: RefCell::default(),
-            board: RefCell::default(),
-            peers: RefCell::default(),
-            ledger: RefCell::new(AllowanceLedger::new(
-                settings.bounds.allowance,
-                settings.first_start,
-            )),
-            budget: RefCell::new(RetryBudget::new(rule)),
-            suspects: RefCell::default(),
-            metrics: RefCell::default(),
-            upstreams: UpstreamPool::default(),
-            register,
-            stage: watch::Sender::new(ShutdownStage::Running),
-            started: ClockTime::monotonic(),
-            socket,
-            waiters: RefCell::default(),
-            active: RefCell::default(),
-            target_keys: RefCell::default(),
-            usable: RefCell::default(),
-            next_ticket: Cell::new(rand::random()),
-            status_sequence: Cell::new(0),
-            running: Cell::new(0),
-            settings,
-            dialect,
-        };
-        state.set_seeds(&state.settings.seeds);
-        Ok(Self { state: Rc::new(state), callers, ready, control, peers, metrics })
-    }
-
-    /// Serves until SIGTERM and the end of the requests that run. `reload_seeds` reads the seeds
-    /// anew; none if they cannot be read.
-    ///
-    /// # Errors
-    /// Fails if the signal handlers cannot be installed.
-    pub async fn run<F>(self, reload_seeds: F) -> Result<(), NodeError>
-    where
-        F: Fn() -> Option<Vec<SocketAddrV4>> + 'static,
-    {
-        let node = self.state;
-        let settings = &node.settings;
-        log::info!(
-            target: "burdockcleat",
-            "event=node.started process={:x} domain={} callers={} peers={} disk={:?} first_start={} seeds={:?}",
-            node.process.0, settings.domain, settings.caller_address, settings.peer_address,
-            node.register.disk(), settings.first_start, settings.seeds
-        );
-        let handler = |kind, what| signal(kind).map_err(|s| NodeError::Runtime { what, source: s });
-        let mut terminate = handler(SignalKind::terminate(), "the SIGTERM handler")?;
-        let mut reload = handler(SignalKind::hangup(), "the SIGHUP handler")?;
-        let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
-        spawn(Box::pin(frontend::accept_callers(node.clone(), self.callers)));
-        spawn(Box::pin(control::accept_readiness(node.clone(), self.ready)));
-        spawn(Box::pin(control::accept_control(node.clone(), self.control)));
-        spawn(Box::pin(control::accept_metrics(node.clone(), self.metrics)));
-        spawn(Box::pin(node.clone().accept_peers(self.peers)));
-        spawn(Box::pin(node.clone().receive_datagrams()));
-        spawn(Box::pin(node.clone().send_statuses()));
-        spawn(Box::pin(node.clone().tick_board()));
-        spawn(Box::pin(node.clone().keep_house()));
-        spawn(Box::pin(node.clone().keep_register()));
-        let mut poll = tokio::time::interval(Duration::from_secs(SETTINGS_POLL_S));
-        loop {
-            tokio::select! {
-                _ = terminate.recv() => break,
-                _ = reload.recv() => node.reload(&reload_seeds, "SIGHUP"),
-                _ = poll.tick() => node.reload(&reload_seeds, "poll"),
-            }
-        }
-        node.shut_down().await;
-        Ok(())
-    }
-}
-
-/// Pause between two looks at the settings, which may change without a signal, in s.
-const SETTINGS_POLL_S: u64 = 3;
-
-impl NodeState {
-    fn set_seeds(&self, seeds: &[SocketAddrV4]) {
-        let port = self.settings.peer_address.port();
-        let seeds = seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port));
-        self.peers.borrow_mut().set_seeds(seeds);
-    }
-
-    fn reload<F>(&self, reload_seeds: &F, cause: &str)
-    where
-        F: Fn() -> Option<Vec<SocketAddrV4>>,
-    {
-        let Some(seeds) = reload_seeds() else {
-            log::warn!(target: "burdockcleat", "event=node.reload_failed cause={cause}");
-            return;
-        };
-        self.set_seeds(&seeds);
-        if cause != "poll" {
-            log::info!(target: "burdockcleat", "event=node.reloaded cause={cause} seeds={seeds:?}");
-        }
-    }
-
-    async fn shut_down(self: Rc<Self>) {
-        let now = ClockTime::monotonic();
-        let plan = ShutdownPlan::new(now, self.settings.bounds.grace_ms);
-        log::info!(target: "burdockcleat", "event=node.stopping running={}", self.running.get());
-        self.stage.send_replace(ShutdownStage::Withdrawn);
-        self.send_status();
-        loop {
-            tokio::time::sleep(Duration::from_millis(SHUTDOWN_TICK_MS)).await;
-            let now = ClockTime::monotonic();
-            if now >= plan.close_at && *self.stage.borrow() != ShutdownStage::Closing {
-                self.stage.send_replace(ShutdownStage::Closing);
-                continue;
-            }
-            let idle = self.running.get() == 0 && *self.stage.borrow() == ShutdownStage::Closing;
-            if idle || now >= plan.exit_at {
-                break;
-            }
-        }
-        log::info!(target: "burdockcleat", "event=node.stopped running={}", self.running.get());
-    }
-}
--- /dev/null
+++ b/crates/edge/src/node/datagrams.rs
@@ -0,0 +1,77 @@
+//! Datagrams of a node: sent without waiting, received by one task.
+
+use super::NodeState;
+use crate::datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
+use burdockcleat_core::clock::ClockTime;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+impl NodeState {
+    /// Sends a datagram to a node. A failure is as good as a loss.
+    pub(crate) fn send_to(&self, address: SocketAddrV4, datagram: &PeerDatagram) {
+        let bytes = match postcard::to_stdvec(datagram) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::warn!(target: "burdockcleat", "event=peer.encode_failed cause=\"{error}\"");
+                return;
+            }
+        };
+        if let Err(error) = self.socket.try_send_to(&bytes, address.into()) {
+            log::debug!(target: "burdockcleat", "event=peer.send_failed peer={address} cause=\"{error}\"");
+        }
+    }
+
+    /// Sends a datagram to all nodes that are heard.
+    pub(crate) fn broadcast(&self, datagram: &PeerDatagram) {
+        let now = ClockTime::monotonic();
+        let peers = self.peers.borrow();
+        let addresses: Vec<_> = peers.alive(now).map(|record| record.status.address).collect();
+        drop(peers);
+        for address in addresses {
+            self.send_to(address, datagram);
+        }
+    }
+
+    pub(super) async fn receive_datagrams(self: Rc<Self>) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buffer).await {
+                Ok((length, std::net::SocketAddr::V4(from))) => {
+                    match postcard::from_bytes(&buffer[..length]) {
+                        Ok(datagram) => self.handle_datagram(from, datagram),
+                        Err(error) => {
+                            log::warn!(target: "burdockcleat", "event=peer.decode_failed peer={from} cause=\"{error}\"");
+                        }
+                    }
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    log::debug!(target: "burdockcleat", "event=peer.receive_failed cause=\"{error}\"");
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                }
+            }
+        }
+    }
+
+    fn handle_datagram(self: &Rc<Self>, from: SocketAddrV4, datagram: PeerDatagram) {
+        let now = ClockTime::monotonic();
+        match datagram {
+            PeerDatagram::Status(status) => self.hear_status(status, now),
+            PeerDatagram::Notice(notice) => self.apply_notice(&notice, false),
+            PeerDatagram::Suspect { fingerprint, incarnation } => {
+                self.suspects.borrow_mut().record(fingerprint, &incarnation, now);
+            }
+            PeerDatagram::Submit(ticket) => self.hear_submit(from, ticket, now),
+            PeerDatagram::Decision { key, decision } => self.hear_decision(from, key, decision),
+            PeerDatagram::Withdraw(key) => self.board.borrow_mut().withdraw(key),
+            PeerDatagram::Started { key, target } => {
+                self.board.borrow_mut().started(target, key, now);
+            }
+            PeerDatagram::Finished { key, target, outcome } => {
+                self.board.borrow_mut().finished(target, key, outcome, now);
+                self.flush_board();
+            }
+        }
+    }
+}
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -174,7 +174,7 @@
 
     /// Address of the node that places for all: the lowest one with a disk, since these have more
     /// processor time, that is heard and knows the others. None if it is this node.
-    fn holder(&self, now: ClockTime) -> Option<SocketAddrV4> {
+    pub(super) fn holder(&self, now: ClockTime) -> Option<SocketAddrV4> {
         let own = self.settings.peer_address;
         let leaving = *self.stage.borrow() != ShutdownStage::Running;
         let own_rank = (!self.is_warm(now) || leaving, self.register.disk().is_none(), own);
--- /dev/null
+++ b/crates/edge/src/node/server.rs
@@ -0,0 +1,183 @@
+//! Start, reload and end of a node.
+
+use super::{NodeError, NodeState};
+use crate::allowance::AllowanceLedger;
+use crate::budget::{BudgetRule, RetryBudget};
+use crate::control;
+use crate::dialect::WireDialect;
+use crate::frontend;
+use crate::membership::{RegisterService, StoreHandle};
+use crate::placement::ProcessKey;
+use crate::settings::NodeSettings;
+use crate::shutdown::{ShutdownPlan, ShutdownStage};
+use crate::upstream::UpstreamPool;
+use burdockcleat_core::clock::ClockTime;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+/// Pause between two looks at the shutdown, in ms.
+const SHUTDOWN_TICK_MS: u64 = 50;
+/// Pause between two looks at the settings, which may change without a signal, in s.
+const SETTINGS_POLL_S: u64 = 3;
+
+/// A node with its listeners bound.
+pub struct NodeServer {
+    state: Rc<NodeState>,
+    callers: TcpListener,
+    ready: TcpListener,
+    control: TcpListener,
+    peers: TcpListener,
+    metrics: TcpListener,
+}
+
+impl NodeServer {
+    /// Binds all addresses of a node.
+    ///
+    /// # Errors
+    /// Fails if an address is taken or the storage cannot be opened.
+    pub async fn bind(settings: NodeSettings, dialect: WireDialect) -> Result<Self, NodeError> {
+        let listen = async |address: SocketAddrV4| {
+            TcpListener::bind(address).await.map_err(|source| NodeError::Listen { address, source })
+        };
+        let callers = listen(settings.caller_address).await?;
+        let ready = listen(settings.ready_address).await?;
+        let control = listen(settings.control_address).await?;
+        let peers = listen(settings.peer_address).await?;
+        let metrics = listen(settings.metrics_address).await?;
+        let address = settings.peer_address;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|source| NodeError::Listen { address, source })?;
+        let process: u64 = rand::random();
+        let store = match &settings.data_folder {
+            Some(folder) => Some(StoreHandle::spawn(folder, rand::random())?),
+            None => None,
+        };
+        let rule = BudgetRule {
+            percent: settings.bounds.retry_percent,
+            extra: settings.bounds.retry_extra,
+            window_ms: settings.bounds.retry_window_ms,
+        };
+        let register = RegisterService::new(process, address, store);
+        let state = NodeState {
+            process: ProcessKey(process),
+            targets: RefCell::default(),
+            board: RefCell::default(),
+            peers: RefCell::default(),
+            ledger: RefCell::new(AllowanceLedger::new(
+                settings.bounds.allowance,
+                settings.first_start,
+            )),
+            budget: RefCell::new(RetryBudget::new(rule)),
+            suspects: RefCell::default(),
+            metrics: RefCell::default(),
+            upstreams: UpstreamPool::default(),
+            register,
+            stage: watch::Sender::new(ShutdownStage::Running),
+            started: ClockTime::monotonic(),
+            socket,
+            waiters: RefCell::default(),
+            active: RefCell::default(),
+            target_keys: RefCell::default(),
+            usable: RefCell::default(),
+            next_ticket: Cell::new(rand::random()),
+            status_sequence: Cell::new(0),
+            running: Cell::new(0),
+            settings,
+            dialect,
+        };
+        state.set_seeds(&state.settings.seeds);
+        Ok(Self { state: Rc::new(state), callers, ready, control, peers, metrics })
+    }
+
+    /// Serves until SIGTERM and the end of the requests that run. `reload_seeds` reads the seeds
+    /// anew; none if they cannot be read.
+    ///
+    /// # Errors
+    /// Fails if the signal handlers cannot be installed.
+    pub async fn run<F>(self, reload_seeds: F) -> Result<(), NodeError>
+    where
+        F: Fn() -> Option<Vec<SocketAddrV4>> + 'static,
+    {
+        let node = self.state;
+        let settings = &node.settings;
+        log::info!(
+            target: "burdockcleat",
+            "event=node.started process={:x} domain={} callers={} peers={} disk={:?} first_start={} seeds={:?}",
+            node.process.0, settings.domain, settings.caller_address, settings.peer_address,
+            node.register.disk(), settings.first_start, settings.seeds
+        );
+        let handler = |kind, what| signal(kind).map_err(|s| NodeError::Runtime { what, source: s });
+        let mut terminate = handler(SignalKind::terminate(), "the SIGTERM handler")?;
+        let mut reload = handler(SignalKind::hangup(), "the SIGHUP handler")?;
+        let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
+        spawn(Box::pin(frontend::accept_callers(node.clone(), self.callers)));
+        spawn(Box::pin(control::accept_readiness(node.clone(), self.ready)));
+        spawn(Box::pin(control::accept_control(node.clone(), self.control)));
+        spawn(Box::pin(control::accept_metrics(node.clone(), self.metrics)));
+        spawn(Box::pin(node.clone().accept_peers(self.peers)));
+        spawn(Box::pin(node.clone().receive_datagrams()));
+        spawn(Box::pin(node.clone().send_statuses()));
+        spawn(Box::pin(node.clone().tick_board()));
+        spawn(Box::pin(node.clone().keep_house()));
+        spawn(Box::pin(node.clone().keep_register()));
+        let mut poll = tokio::time::interval(Duration::from_secs(SETTINGS_POLL_S));
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => break,
+                _ = reload.recv() => node.reload(&reload_seeds, "SIGHUP"),
+                _ = poll.tick() => node.reload(&reload_seeds, "poll"),
+            }
+        }
+        node.shut_down().await;
+        Ok(())
+    }
+}
+
+impl NodeState {
+    fn set_seeds(&self, seeds: &[SocketAddrV4]) {
+        let port = self.settings.peer_address.port();
+        let seeds = seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), port));
+        self.peers.borrow_mut().set_seeds(seeds);
+    }
+
+    fn reload<F>(&self, reload_seeds: &F, cause: &str)
+    where
+        F: Fn() -> Option<Vec<SocketAddrV4>>,
+    {
+        let Some(seeds) = reload_seeds() else {
+            log::warn!(target: "burdockcleat", "event=node.reload_failed cause={cause}");
+            return;
+        };
+        self.set_seeds(&seeds);
+        if cause != "poll" {
+            log::info!(target: "burdockcleat", "event=node.reloaded cause={cause} seeds={seeds:?}");
+        }
+    }
+
+    async fn shut_down(self: Rc<Self>) {
+        let now = ClockTime::monotonic();
+        let plan = ShutdownPlan::new(now, self.settings.bounds.grace_ms);
+        log::info!(target: "burdockcleat", "event=node.stopping running={}", self.running.get());
+        self.stage.send_replace(ShutdownStage::Withdrawn);
+        self.send_status();
+        loop {
+            tokio::time::sleep(Duration::from_millis(SHUTDOWN_TICK_MS)).await;
+            let now = ClockTime::monotonic();
+            if now >= plan.close_at && *self.stage.borrow() != ShutdownStage::Closing {
+                self.stage.send_replace(ShutdownStage::Closing);
+                continue;
+            }
+            let idle = self.running.get() == 0 && *self.stage.borrow() == ShutdownStage::Closing;
+            if idle || now >= plan.exit_at {
+                break;
+            }
+        }
+        log::info!(target: "burdockcleat", "event=node.stopped running={}", self.running.get());
+    }
+}
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -11,6 +11,8 @@
 
 /// Pause between two statuses, in ms.
 const STATUS_MS: u64 = 200;
+/// Statuses sent at once, so that they do not hold up requests on a narrow link.
+const STATUS_BURST: usize = 8;
 /// Nodes up to which the pause holds; with more of them it grows, so that a node receives a bounded
 /// number of statuses a second.
 const STATUS_NODES: usize = 40;
@@ -18,10 +20,33 @@
 impl NodeState {
     pub(super) async fn send_statuses(self: Rc<Self>) {
         loop {
-            self.send_status();
+            let contacts = self.peers.borrow().contacts(self.settings.peer_address);
+            let pause = Duration::from_millis(self.status_pause_ms(ClockTime::monotonic()));
+            let parts = contacts.len().div_ceil(STATUS_BURST).max(1);
+            for part in contacts.chunks(STATUS_BURST) {
+                self.send_status_to_all(&self.next_status(), part);
+                tokio::time::sleep(pause / parts as u32).await;
+            }
+            if contacts.is_empty() {
+                tokio::time::sleep(pause).await;
+            }
             self.refresh_targets();
-            let pause_ms = self.status_pause_ms(ClockTime::monotonic());
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+
+    /// Sends a status; with the requests at targets to those nodes that may have to place.
+    fn send_status_to_all(&self, status: &NodeStatus, addresses: &[SocketAddrV4]) {
+        let now = ClockTime::monotonic();
+        let few = self.node_count(now) <= STATUS_NODES;
+        let holder = self.holder(now);
+        let full = PeerDatagram::Status(status.clone());
+        let slim = PeerDatagram::Status(NodeStatus { active: None, ..status.clone() });
+        for address in addresses {
+            let places = few || holder == Some(*address) || {
+                let peers = self.peers.borrow();
+                peers.get(*address).is_none_or(|record| record.status.disk.is_some())
+            };
+            self.send_to(*address, if places { &full } else { &slim });
         }
     }
 
@@ -30,18 +55,10 @@
         STATUS_MS * self.node_count(now).div_ceil(STATUS_NODES) as u64
     }
 
-    /// Sends a status to all known nodes.
+    /// Sends a status to all known nodes at once, after a change that they wait for.
     pub(crate) fn send_status(&self) {
-        let datagram = PeerDatagram::Status(self.next_status());
         let contacts = self.peers.borrow().contacts(self.settings.peer_address);
-        for address in contacts {
-            self.send_to(address, &datagram);
-        }
-    }
-
-    /// Sends a status to one node.
-    fn send_status_to(&self, address: SocketAddrV4) {
-        self.send_to(address, &PeerDatagram::Status(self.next_status()));
+        self.send_status_to_all(&self.next_status(), &contacts);
     }
 
     fn next_status(&self) -> NodeStatus {
@@ -61,7 +78,7 @@
             applied: self.register.applied_mark(),
             accepted: self.register.accepted_mark(),
             peers: self.peers.borrow().shared(sequence, now),
-            active,
+            active: Some(active),
             used: self.ledger.borrow().totals(),
         }
     }
@@ -75,7 +92,7 @@
         let Some(change) = self.peers.borrow_mut().hear(status, now) else { return };
         if change == PeerChange::New {
             // A node that has just started need not wait for the next status.
-            self.send_status_to(address);
+            self.send_status_to_all(&self.next_status(), &[address]);
         }
         if change != PeerChange::Refreshed {
             log::info!(
@@ -93,6 +110,8 @@
         if self.register.applied_mark().is_none() {
             self.learn_from_peers(now);
         }
-        self.reconcile(process, &active, now);
+        if let Some(active) = active {
+            self.reconcile(process, &active, now);
+        }
     }
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -12,8 +12,9 @@
 const EXPECTED_MS: u64 = 20_000;
 /// Time after which a silent node is forgotten, in ms.
 const FORGET_MS: u64 = 120_000;
-/// Addresses of other nodes in a status.
-const SHARED_PEERS: usize = 40;
+/// Addresses of other nodes in a status: a different part each time, so that all are named within
+/// some seconds also by many nodes.
+const SHARED_PEERS: usize = 8;
 
 /// What is known of another node.
 #[derive(Debug)]
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -38,8 +38,6 @@
     pub announce_interval_ms: u64,
     /// Time from SIGTERM to SIGKILL, in ms.
     pub grace_ms: u64,
-    /// Longest time until a leaving target receives nothing new, in ms.
-    pub drain_ms: u64,
     /// Retries allowed beyond the ratio in each window, over all nodes.
     pub retry_extra: u32,
     /// Retries allowed for each hundred requests, over all nodes.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -8,7 +8,7 @@
 use hyper::header::{CONNECTION, HeaderMap};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -26,8 +26,10 @@
 /// Margin before the stated end of an idle connection, in ms: the target may close it while a
 /// request is on its way.
 const IDLE_MARGIN_MS: u64 = 1_000;
-/// Idle connections kept for a target.
+/// Idle connections kept for a target at most.
 const MAX_IDLE_LINKS: usize = 8;
+/// Part of the connections that a target accepts which the nodes together may keep idle.
+const IDLE_LIMIT_PART: usize = 3;
 
 /// A request that got no answer from its target.
 #[derive(Debug)]
@@ -45,6 +47,7 @@
 #[derive(Clone, Default)]
 pub(crate) struct UpstreamPool {
     idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleLink>>>>,
+    max_idle: Rc<Cell<usize>>,
 }
 
 struct IdleLink {
@@ -80,7 +83,7 @@
         let until = ClockTime::monotonic().plus(self.idle_ms);
         let mut idle = self.pool.idle.borrow_mut();
         let links = idle.entry(self.address).or_default();
-        if links.len() < MAX_IDLE_LINKS {
+        if links.len() < self.pool.max_idle.get() {
             links.push(IdleLink { link: self.link, until });
         }
     }
@@ -118,6 +121,14 @@
         }
     }
 
+    /// Sets the number of idle connections kept for a target, from the number that targets accept
+    /// (0: no limit) and the number of nodes.
+    pub(crate) fn set_limit(&self, connection_limit: u32, nodes: usize) {
+        let share = connection_limit as usize / IDLE_LIMIT_PART / nodes.max(1);
+        let limit = if connection_limit == 0 { MAX_IDLE_LINKS } else { share };
+        self.max_idle.set(limit.clamp(1, MAX_IDLE_LINKS));
+    }
+
     /// Closes the idle connections to an address.
     pub(crate) fn forget(&self, address: SocketAddrV4) {
         self.idle.borrow_mut().remove(&address);
