--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -85,6 +85,8 @@
     pub(crate) started: ClockTime,
     socket: UdpSocket,
     waiters: RefCell<HashMap<TicketKey, Waiter>>,
+    /// A placing node that did not answer, and since when.
+    silent_holder: Cell<Option<(SocketAddrV4, ClockTime)>>,
     active: RefCell<BTreeMap<TicketKey, ActiveTicket>>,
     target_keys: RefCell<HashMap<TargetKey, TargetAnnouncement>>,
     usable: RefCell<BTreeSet<TargetKey>>,
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -2,6 +2,7 @@
 
 use super::{NodeState, target_key};
 use crate::datagram::{PeerDatagram, PlacementDecision};
+use crate::peers::PeerRecord;
 use crate::placement::{
     ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetInfo,
     TargetKey, TicketKey, TicketOutcome,
@@ -110,7 +111,13 @@
             let holder = self.holder(now);
             let silent = now.since(heard.get()) >= SILENCE_MS;
             let Some(holder) = holder.filter(|_| !silent) else {
-                if silent {
+                if let Some(address) = holder.filter(|_| silent) {
+                    // The others need not wait for it in turn, until it is heard again.
+                    self.silent_holder.set(Some((address, now)));
+                    log::info!(
+                        target: "burdockcleat",
+                        "event=placement.fell_back holder={address} silent_ms={}", now.since(heard.get())
+                    );
                     self.metrics.borrow_mut().count("placements", "holder silent", 1);
                 }
                 break self.place_here(ticket.aged(now.since(submitted)), receiver).await;
@@ -178,11 +185,17 @@
         let own = self.settings.peer_address;
         let leaving = *self.stage.borrow() != ShutdownStage::Running;
         let own_rank = (!self.is_warm(now) || leaving, self.register.disk().is_none(), own);
+        let silent = self.silent_holder.get();
+        let answers = |record: &&PeerRecord| {
+            silent.is_none_or(|(address, since)| {
+                record.status.address != address || record.heard > since
+            })
+        };
         let peers = self.peers.borrow();
-        let ranks = peers
-            .alive(now)
-            .map(|record| &record.status)
-            .map(|status| (!status.warm || status.leaving, status.disk.is_none(), status.address));
+        let ranks =
+            peers.alive(now).filter(answers).map(|record| &record.status).map(|status| {
+                (!status.warm || status.leaving, status.disk.is_none(), status.address)
+            });
         let (_, _, first) = ranks.min().map_or(own_rank, |rank| rank.min(own_rank));
         (first != own).then_some(first)
     }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -82,6 +82,7 @@
             started: ClockTime::monotonic(),
             socket,
             waiters: RefCell::default(),
+            silent_holder: Cell::default(),
             active: RefCell::default(),
             target_keys: RefCell::default(),
             usable: RefCell::default(),
