Submit waiting requests rarely, judge late ones again, and share an overload among sizes

A waiting request was submitted again every 30 ms: 850 and 1,300 waiting requests are 70,000 datagrams a second for a node with 0.32 of a core. Nodes then placed by themselves or through another node, and 556 requests were granted for 288 slots.

Slots are busy (concurrency from logs: 7.0 of 8 and 4.8 of 5 at the median target), and targets differ by 2.8 in speed.

Change: submission.rs paces submissions (30 ms without an answer, then 0.3 to 1.2 s while the request is known to wait) and tells the silence of the placing node from a pause of the own process; all waiting requests move when it changes. The part of the output in the cost of a target is removed (no gain, measured before).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,6 +4,7 @@
 //! Requests are placed by the node that read them, over views that all nodes share in datagrams,
 //! so that service continues while the replicated configuration register has no quorum. The pure
 //! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`],
+//! [`submission`],
 //! [`suspects`], [`events`]) contain no socket, clock or thread.
 
 pub mod allowance;
@@ -28,6 +29,7 @@
 pub mod settings;
 mod shutdown;
 pub mod slots;
+pub mod submission;
 pub mod suspects;
 pub mod targets;
 mod upstream;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -33,7 +33,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Pause between two looks at waiting requests, in ms.
 const BOARD_TICK_MS: u64 = 25;
@@ -42,6 +42,9 @@
 /// Time for which a notice about a leaving target is repeated, in ms after the first.
 const NOTICE_REPEATS_MS: [u64; 3] = [60, 250, 700];
 
+/// Time after which a placing node that did not answer is asked again, in ms, unless it is heard.
+const SILENT_HOLDER_MS: u64 = 10_000;
+
 /// A node that could not start or go on.
 #[derive(Debug)]
 #[derive(Error)]
@@ -85,8 +88,10 @@
     pub(crate) started: ClockTime,
     socket: UdpSocket,
     waiters: RefCell<HashMap<TicketKey, Waiter>>,
-    /// A placing node that did not answer, and since when.
-    silent_holder: Cell<Option<(SocketAddrV4, ClockTime)>>,
+    /// Placing nodes that did not answer, and since when.
+    silent_holders: RefCell<BTreeMap<SocketAddrV4, ClockTime>>,
+    /// Told when requests may have to be placed by another node.
+    holder_changed: Notify,
     active: RefCell<BTreeMap<TicketKey, ActiveTicket>>,
     target_keys: RefCell<HashMap<TargetKey, TargetAnnouncement>>,
     usable: RefCell<BTreeSet<TargetKey>>,
@@ -250,15 +255,22 @@
         loop {
             tokio::time::sleep(Duration::from_millis(HOUSE_TICK_MS)).await;
             let now = ClockTime::monotonic();
-            for peer in self.peers.borrow_mut().take_lost(now) {
+            let lost = self.peers.borrow_mut().take_lost(now);
+            for peer in &lost {
                 log::info!(target: "burdockcleat", "event=peer.lost peer={peer}");
             }
+            if !lost.is_empty() {
+                self.holder_changed.notify_waiters();
+            }
             let peers = self.peers.borrow();
             let kept = |process| peers.address_of(ProcessKey(process), now).is_some();
             self.ledger.borrow_mut().retain_reporters(kept);
             drop(peers);
             self.targets.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
+            self.silent_holders
+                .borrow_mut()
+                .retain(|_, since| now.since(*since) < SILENT_HOLDER_MS);
             self.upstreams.prune(now);
             if let Some(config) = self.config() {
                 let limits = config.services.values().map(|service| service.connection_limit);
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -8,6 +8,7 @@
     TargetKey, TicketKey, TicketOutcome,
 };
 use crate::shutdown::ShutdownStage;
+use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionPace, SubmissionStep};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
@@ -17,24 +18,35 @@
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Pause before a submission is sent again, in ms: several round trips.
-const RESEND_MS: u64 = 30;
-/// Silence of the placing node after which this node places by itself, in ms: three submissions.
-const SILENCE_MS: u64 = 100;
+/// Silent placing nodes after which a request is placed here.
+const MAX_SILENT: u32 = 2;
 /// Time after its start for which a node does not place for others, in ms: it has not heard all of
 /// them yet.
 const WARM_MS: u64 = 1_500;
 
+/// Outcome of a request whose placement was lost.
+const UNPLACED: PlacementDecision =
+    PlacementDecision::Refuse { reason: RefusalReason::NoTarget, retry_after_ms: RESEND_MS };
+
 /// How a request was placed.
 pub(crate) enum Placement {
     Granted(TicketGuard),
     Refused { reason: RefusalReason, retry_after_ms: u64 },
 }
 
+/// What came of a submission.
+enum HolderReply {
+    Decided(PlacementDecision),
+    /// Another node places now.
+    Changed,
+    Silent,
+}
+
 /// A request of this node that waits for a placement.
 pub(super) struct Waiter {
     sender: oneshot::Sender<PlacementDecision>,
-    heard: Rc<Cell<ClockTime>>,
+    /// When the placing node told last that the request waits there.
+    queued: Rc<Cell<Option<ClockTime>>>,
 }
 
 /// A request at a target. Dropping it reports that the request was dropped.
@@ -103,44 +115,78 @@
         let key = ticket.key;
         let (sender, mut receiver) = oneshot::channel();
         let submitted = ClockTime::monotonic();
-        let heard = Rc::new(Cell::new(submitted));
-        self.waiters.borrow_mut().insert(key, Waiter { sender, heard: heard.clone() });
+        let queued = Rc::new(Cell::new(None));
+        self.waiters.borrow_mut().insert(key, Waiter { sender, queued: queued.clone() });
         let mut guard = WaitGuard { node: self.clone(), key, placed: false };
+        let mut silent = 0;
         let decision = loop {
             let now = ClockTime::monotonic();
-            let holder = self.holder(now);
-            let silent = now.since(heard.get()) >= SILENCE_MS;
-            let Some(holder) = holder.filter(|_| !silent) else {
-                if let Some(address) = holder.filter(|_| silent) {
-                    // The others need not wait for it in turn, until it is heard again.
-                    self.silent_holder.set(Some((address, now)));
-                    log::info!(
-                        target: "burdockcleat",
-                        "event=placement.fell_back holder={address} silent_ms={}", now.since(heard.get())
-                    );
-                    self.metrics.borrow_mut().count("placements", "holder silent", 1);
-                }
-                break self.place_here(ticket.aged(now.since(submitted)), receiver).await;
-            };
             let aged = ticket.aged(now.since(submitted));
-            self.send_to(holder, &PeerDatagram::Submit(aged));
-            let wait = tokio::time::timeout(Duration::from_millis(RESEND_MS), &mut receiver).await;
-            match wait {
-                Ok(Ok(decision)) => break decision,
-                // The sender is kept by the waiter, which the guard owns until here.
-                Ok(Err(_)) => {
-                    break PlacementDecision::Refuse {
-                        reason: RefusalReason::NoTarget,
-                        retry_after_ms: RESEND_MS,
-                    };
+            let Some(holder) = self.holder(now).filter(|_| silent < MAX_SILENT) else {
+                break self.place_here(aged, receiver).await;
+            };
+            match self.place_at(holder, &ticket, submitted, &queued, &mut receiver).await {
+                HolderReply::Decided(decision) => break decision,
+                HolderReply::Changed => {}
+                HolderReply::Silent => {
+                    silent += 1;
+                    self.avoid_holder(holder);
                 }
-                Err(_) => {}
             }
+            self.send_to(holder, &PeerDatagram::Withdraw(key));
         };
         guard.placed = true;
         self.open_placement(&ticket, decision)
     }
 
+    /// Submits a request to a placing node until it decides, or does not answer.
+    async fn place_at(
+        &self,
+        holder: SocketAddrV4,
+        ticket: &PlacementTicket,
+        submitted: ClockTime,
+        queued: &Cell<Option<ClockTime>>,
+        receiver: &mut oneshot::Receiver<PlacementDecision>,
+    ) -> HolderReply {
+        queued.set(None);
+        let mut pace = SubmissionPace::new(ClockTime::monotonic());
+        loop {
+            let now = ClockTime::monotonic();
+            let pause_ms = match pace.step(queued.get(), now) {
+                SubmissionStep::Silent => return HolderReply::Silent,
+                SubmissionStep::Wait(pause_ms) => pause_ms,
+                SubmissionStep::Submit => {
+                    let aged = ticket.aged(now.since(submitted));
+                    self.send_to(holder, &PeerDatagram::Submit(aged));
+                    continue;
+                }
+            };
+            tokio::select! {
+                decision = &mut *receiver => {
+                    // The sender is kept by the waiter as long as its guard lives.
+                    return HolderReply::Decided(decision.unwrap_or(UNPLACED));
+                }
+                () = self.holder_changed.notified() => {}
+                () = tokio::time::sleep(Duration::from_millis(pause_ms)) => {}
+            }
+            if self.holder(ClockTime::monotonic()) != Some(holder) {
+                return HolderReply::Changed;
+            }
+        }
+    }
+
+    /// Leaves a silent placing node out until it is heard again.
+    fn avoid_holder(&self, holder: SocketAddrV4) {
+        let now = ClockTime::monotonic();
+        self.silent_holders.borrow_mut().insert(holder, now);
+        self.holder_changed.notify_waiters();
+        log::info!(
+            target: "burdockcleat",
+            "event=placement.fell_back holder={holder} silent_ms={SILENCE_MS}"
+        );
+        self.metrics.borrow_mut().count("placements", "holder silent", 1);
+    }
+
     async fn place_here(
         self: &Rc<Self>,
         ticket: PlacementTicket,
@@ -148,11 +194,7 @@
     ) -> PlacementDecision {
         self.board.borrow_mut().submit(ticket, ClockTime::monotonic());
         self.flush_board();
-        let lost = PlacementDecision::Refuse {
-            reason: RefusalReason::NoTarget,
-            retry_after_ms: RESEND_MS,
-        };
-        receiver.await.unwrap_or(lost)
+        receiver.await.unwrap_or(UNPLACED)
     }
 
     fn open_placement(
@@ -185,11 +227,9 @@
         let own = self.settings.peer_address;
         let leaving = *self.stage.borrow() != ShutdownStage::Running;
         let own_rank = (!self.is_warm(now) || leaving, self.register.disk().is_none(), own);
-        let silent = self.silent_holder.get();
+        let silent = self.silent_holders.borrow();
         let answers = |record: &&PeerRecord| {
-            silent.is_none_or(|(address, since)| {
-                record.status.address != address || record.heard > since
-            })
+            silent.get(&record.status.address).is_none_or(|since| record.heard > *since)
         };
         let peers = self.peers.borrow();
         let ranks =
@@ -273,7 +313,7 @@
     ) {
         if decision == PlacementDecision::Queued {
             if let Some(waiter) = self.waiters.borrow().get(&key) {
-                waiter.heard.set(ClockTime::monotonic());
+                waiter.queued.set(Some(ClockTime::monotonic()));
             }
             return;
         }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// Pause between two looks at the shutdown, in ms.
 const SHUTDOWN_TICK_MS: u64 = 50;
@@ -82,7 +82,8 @@
             started: ClockTime::monotonic(),
             socket,
             waiters: RefCell::default(),
-            silent_holder: Cell::default(),
+            silent_holders: RefCell::default(),
+            holder_changed: Notify::new(),
             active: RefCell::default(),
             target_keys: RefCell::default(),
             usable: RefCell::default(),
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -4,6 +4,7 @@
 //! request wait until it is just too late; so requests that can still meet their objective go
 //! first, among them those that hold a slot for the shortest time, weighed by rank.
 
+use super::sizes::{RequestSize, SizeBand};
 use super::target::{first_event_ms, work_ms};
 use super::{PlacementTicket, TicketKey};
 use burdockcleat_core::clock::ClockTime;
@@ -11,11 +12,8 @@
 /// Part of the time left at arrival after which a waiting request is refused, so that its caller
 /// still has time to come back.
 const EXPIRE_PART: f64 = 0.6;
-/// Power of the slot time in the order: below 1, so that long requests are not starved.
-const WORK_POWER: f64 = 0.5;
-/// Slot time above which requests are not told apart, in ms: among the longest ones, the order is
-/// by due time, so that none of them is starved.
-const WORK_CAP_MS: f64 = 600.0;
+/// Power of the work for each unit of worth in the order: below 1, so that ranks go before sizes.
+const WORK_POWER: f64 = 0.7;
 /// Slot time that a request of one rank may hold for each unit of the next rank.
 const RANK_FACTOR: f64 = 3.0;
 /// Ranks beyond which requests are not told apart, to keep the weight finite.
@@ -23,6 +21,9 @@
 /// Factor by which a request falls back that cannot meet its objective any more: behind the next
 /// rank, before the one after it.
 const LATE_FACTOR: f64 = 6.0;
+/// Factor by which a request goes before others of its rank if its size goes short: before the
+/// smallest of them, behind the rank above.
+const SHORT_FACTOR: f64 = 0.1;
 /// Margin over the expected time to the first event, for targets that are busier than expected.
 const FIRST_MARGIN: f64 = 1.5;
 /// Time for the way between caller and node, and for the datagrams of the placement, in ms.
@@ -35,36 +36,56 @@
 const MIN_FREE_PART: f64 = 0.05;
 
 /// A request that waits for a target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct WaitingTicket {
-    /// The request.
-    pub ticket: PlacementTicket,
+#[derive(Clone, Debug)]
+pub(super) struct WaitingTicket {
+    pub(super) ticket: PlacementTicket,
+    pub(super) band: SizeBand,
     /// When it began to wait.
-    pub arrived: ClockTime,
+    pub(super) arrived: ClockTime,
     /// When it must have been sent to meet its objective; none if that has passed on arrival.
-    pub due: Option<ClockTime>,
+    pub(super) due: Option<ClockTime>,
     /// When it is refused.
-    pub expires: ClockTime,
+    pub(super) expires: ClockTime,
     weight: f64,
+    /// Whether it was judged again after its objective could not be met any more.
+    judged_late: bool,
+}
+
+/// A waiting request that is given up.
+#[derive(Debug)]
+pub(super) struct HopelessTicket {
+    pub(super) waiting: WaitingTicket,
+    /// Expected wait from now on, in ms.
+    pub(super) wait_ms: f64,
 }
 
 impl WaitingTicket {
     /// Starts the wait of a request at targets of the given pace.
-    pub fn new(ticket: PlacementTicket, pace: f64, now: ClockTime) -> Self {
+    pub(super) fn new(
+        ticket: PlacementTicket,
+        size: RequestSize,
+        pace: f64,
+        now: ClockTime,
+    ) -> Self {
         let first_ms = first_event_ms(&ticket) * pace * FIRST_MARGIN + WAY_MS;
         let sent_by = ticket.objective_left_ms - first_ms as i64;
         let due = u64::try_from(sent_by).ok().map(|left| now.plus(left));
         let expires = now.plus((ticket.deadline_left_ms as f64 * EXPIRE_PART) as u64);
         let rank = ticket.rank.min(MAX_RANK);
-        let weight = work_ms(&ticket).min(WORK_CAP_MS).powf(WORK_POWER)
-            * RANK_FACTOR.powi(rank.cast_signed());
-        Self { ticket, arrived: now, due, expires, weight }
+        let short = if size.goes_short { SHORT_FACTOR } else { 1.0 };
+        let work = work_ms(&ticket) / size.worth;
+        let weight = work.powf(WORK_POWER) * RANK_FACTOR.powi(rank.cast_signed()) * short;
+        let judged_late = due.is_none();
+        Self { ticket, band: size.band, arrived: now, due, expires, weight, judged_late }
+    }
+
+    fn on_time(&self, now: ClockTime) -> bool {
+        self.due.is_some_and(|due| due > now)
     }
 
     /// Cost of serving the request now, for the order of the queue: lower ones go first.
     fn cost(&self, now: ClockTime) -> f64 {
-        let on_time = self.due.is_some_and(|due| due > now);
-        if on_time { self.weight } else { self.weight * LATE_FACTOR }
+        if self.on_time(now) { self.weight } else { self.weight * LATE_FACTOR }
     }
 }
 
@@ -110,11 +131,36 @@
         self.tickets.len()
     }
 
-    pub(super) fn take_expired(&mut self, now: ClockTime) -> Vec<WaitingTicket> {
-        let (expired, kept) =
-            std::mem::take(&mut self.tickets).into_iter().partition(|w| w.expires <= now);
-        self.tickets = kept;
-        expired
+    /// Takes out the requests that have waited too long, and those that have just become too late
+    /// for their objective and would wait for more than `part` of the time that they have left.
+    pub(super) fn take_hopeless(
+        &mut self,
+        slots: f64,
+        part: f64,
+        now: ClockTime,
+    ) -> Vec<HopelessTicket> {
+        let mut hopeless = Vec::new();
+        let mut at = 0;
+        while at < self.tickets.len() {
+            let waiting = &self.tickets[at];
+            let expired = waiting.expires <= now;
+            let late = !waiting.judged_late && !waiting.on_time(now);
+            if !expired && !late {
+                at += 1;
+                continue;
+            }
+            let wait_ms = self.expected_wait_ms(waiting, slots, now);
+            let left_ms =
+                waiting.ticket.deadline_left_ms.saturating_sub(now.since(waiting.arrived));
+            if expired || wait_ms > left_ms as f64 * part {
+                let waiting = self.tickets.swap_remove(at);
+                hopeless.push(HopelessTicket { waiting, wait_ms });
+            } else {
+                self.tickets[at].judged_late = true;
+                at += 1;
+            }
+        }
+        hopeless
     }
 
     /// Counts the arrival of a request.
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -23,8 +23,6 @@
 const PACE_RANGE: (f64, f64) = (0.1, 20.0);
 /// Cost of each request that runs at the target, in ms at pace 1: it slows the others down.
 const SHARE_COST_MS: f64 = 4.0;
-/// Part of the expected time of the output that counts as cost: long outputs go to fast targets.
-const OUTPUT_COST_PART: f64 = 0.1;
 /// Cost of a target in another failure domain, in ms: a round trip and priced traffic.
 const FAR_COST_MS: f64 = 4.0;
 /// Cost of a target whose every request failed lately, in ms.
@@ -77,6 +75,8 @@
     pub(super) work_ms: f64,
     pub(super) first: Option<ClockTime>,
     pub(super) seen: ClockTime,
+    /// Whether its node has told that it runs.
+    pub(super) reported: bool,
 }
 
 #[derive(Debug)]
@@ -142,7 +142,6 @@
         let far = if self.info.domain == ticket.domain { 0.0 } else { FAR_COST_MS };
         self.expected_first_ms(ticket.prompt_tokens, now)
             + self.running.len() as f64 * SHARE_COST_MS * self.pace
-            + f64::from(ticket.output_tokens) * TOKEN_MS * self.work_pace * OUTPUT_COST_PART
             + far
             + self.failure_share * FAILURE_COST_MS
     }
@@ -167,12 +166,14 @@
             work_ms: work_ms(ticket),
             first: None,
             seen: now,
+            reported: false,
         };
         self.running.insert(ticket.key, running);
     }
 
     pub(super) fn started(&mut self, key: TicketKey, now: ClockTime) {
         let Some(running) = self.running.get_mut(&key) else { return };
+        running.reported = true;
         if running.first.replace(now).is_some() || running.expected_first_ms <= 0.0 {
             return;
         }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -264,3 +264,59 @@
     board.withdraw(TicketKey(1));
     assert_eq!(board.waiting_count(), 0);
 }
+
+/// Pattern: datagrams cross. A report that was sent before a request ended, and arrives after the
+/// notice of its end, takes the slot again.
+#[test]
+fn an_old_report_does_not_take_the_slot_of_an_ended_request() {
+    let mut board = board(1, 1);
+    board.submit(ticket(1, 0, 20), at(0));
+    let (key, target) = grants(&mut board)[0];
+    let active = ActiveTicket { key: TicketKey(key), target, prompt_tokens: 1_000, started: true };
+    board.finished(target, TicketKey(key), TicketOutcome::Answered, at(100));
+    board.reconcile(PROCESS, &[active], at(101));
+    board.submit(ticket(2, 0, 20), at(102));
+    assert_eq!(grants(&mut board), [(2, target)]);
+}
+
+/// Pattern: the notice of a request's end is lost. Its slot stays taken for several reports.
+#[test]
+fn a_report_frees_the_slot_of_a_request_that_was_reported_before() {
+    let mut board = board(1, 1);
+    board.submit(ticket(1, 0, 20), at(0));
+    let (key, target) = grants(&mut board)[0];
+    let active = ActiveTicket { key: TicketKey(key), target, prompt_tokens: 1_000, started: true };
+    board.reconcile(PROCESS, &[active], at(100));
+    board.reconcile(PROCESS, &[], at(300));
+    board.submit(ticket(2, 0, 20), at(301));
+    assert_eq!(grants(&mut board), [(2, target)]);
+}
+
+/// Pattern: an overload that lasts, with prompts of very different sizes. The largest tenth is
+/// always behind all others of its rank.
+#[test]
+fn the_largest_prompts_get_their_share_of_a_lasting_overload() {
+    let mut board = board(2, 4);
+    let size = |n: u64| if n.is_multiple_of(10) { 20_000 } else { 800 };
+    let arrivals: Vec<_> = (0..600)
+        .map(|n| (n * 1_000 / 100, PlacementTicket { prompt_tokens: size(n), ..ticket(n, 0, 20) }))
+        .collect();
+    let result = play(&mut board, &arrivals, 8_000);
+    let largest = result.on_time.iter().filter(|key| **key % 10 == 0).count();
+    let all = result.on_time.len();
+    // Half of what the whole kind gets.
+    assert!(largest * 10 * 2 >= all, "{largest} largest ones of {all}");
+}
+
+/// Pattern: an overload that lasts. Requests that cannot meet their objective any more are held
+/// until little of their deadline is left, in place of an early refusal.
+#[test]
+fn requests_that_became_late_are_refused_early_in_a_lasting_overload() {
+    let mut board = board(1, 4);
+    let ticket = |n| PlacementTicket { deadline_left_ms: 5_000, ..ticket(n, 0, 20) };
+    // Four slots serve 20 requests a second; 60 arrive.
+    let arrivals: Vec<_> = (0..360).map(|n| (n * 1_000 / 60, ticket(n))).collect();
+    let result = play(&mut board, &arrivals, 8_000);
+    assert!(result.refused >= 180, "{result:?}");
+    assert!(result.longest_refusal_ms <= 700, "{}", result.longest_refusal_ms);
+}
