Count the time that callers spent before they came back

Cause: the latency of a refused caller counts from its first attempt, but a request that comes back was ordered as if it had just begun, and took slots from requests that could still meet their objective. Its deadline tells: first attempts state the whole of it or up to 15 % less.

Change: deadlines.rs keeps the longest deadline of each route and gives a lower bound of the time spent, which shortens the objective of the placement.

--- /dev/null
+++ b/crates/edge/src/deadlines.rs
@@ -0,0 +1,42 @@
+//! How long a caller has been waiting when its request arrives.
+//!
+//! Answers an overload in which refused callers come back: their latency counts from their first
+//! attempt, but each attempt is a new request. A deadline below those of first attempts tells that a
+//! part of the time is spent.
+
+use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
+
+/// Part by which the deadlines of first attempts on a route differ, as callers state them.
+const DEADLINE_SPREAD: f64 = 0.15;
+/// Time for which the longest deadline of a route is remembered, in ms.
+const MEMORY_MS: u64 = 20_000;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LongestDeadline {
+    current_ms: u64,
+    previous_ms: u64,
+    since: ClockTime,
+}
+
+/// Longest deadlines of each route, lately.
+#[derive(Debug, Default)]
+pub struct DeadlineLedger {
+    routes: BTreeMap<String, LongestDeadline>,
+}
+
+impl DeadlineLedger {
+    /// Counts a request with a deadline, and tells how long its caller has been waiting at least,
+    /// in ms.
+    pub fn spent_ms(&mut self, route: &str, deadline_ms: u64, now: ClockTime) -> u64 {
+        let longest = self.routes.entry(route.to_owned()).or_default();
+        if now.since(longest.since) >= MEMORY_MS {
+            longest.previous_ms = longest.current_ms;
+            longest.current_ms = 0;
+            longest.since = now;
+        }
+        longest.current_ms = longest.current_ms.max(deadline_ms);
+        let first_ms = longest.current_ms.max(longest.previous_ms) as f64 * (1.0 - DEADLINE_SPREAD);
+        (first_ms as u64).saturating_sub(deadline_ms)
+    }
+}
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -82,6 +82,8 @@
     pub(crate) service: String,
     pub(crate) workspace: Option<String>,
     pub(crate) rank: u32,
+    /// Time for which the caller has waited before this attempt, at least, in ms.
+    pub(crate) spent_ms: u64,
     pub(crate) fingerprint: u64,
     pub(crate) charge: Option<AllowanceCharge>,
 }
@@ -225,9 +227,22 @@
         _ => None,
     };
     let workspace = workspace.map(|workspace| workspace.name.clone());
+    let spent_ms = request
+        .deadline_ms
+        .map_or(0, |ms| node.deadlines.borrow_mut().spent_ms(&route.name, ms, now));
     node.budget.borrow_mut().count_request(&service, node.node_count(now), now);
     let node = node.clone();
-    Ok(RequestContext { node, request, route, service, workspace, rank, fingerprint, charge })
+    Ok(RequestContext {
+        node,
+        request,
+        route,
+        service,
+        workspace,
+        rank,
+        spent_ms,
+        fingerprint,
+        charge,
+    })
 }
 
 /// Key of a workspace in the reports between nodes.
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -187,7 +187,7 @@
         return Err(attempts.give_up("no time is left", None));
     }
     let node = &context.node;
-    let waited = now.since(context.request.received).cast_signed();
+    let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
     let objective_ms = context.route.objective_ms.cast_signed();
     let objective_left_ms = objective_ms - if attempts.streaming { 0 } else { waited };
     let ticket = PlacementTicket {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Requests are placed by the node that read them, over views that all nodes share in datagrams,
 //! so that service continues while the replicated configuration register has no quorum. The pure
-//! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`],
+//! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`deadlines`],
 //! [`submission`],
 //! [`suspects`], [`events`]) contain no socket, clock or thread.
 
@@ -12,6 +12,7 @@
 pub mod config;
 mod control;
 mod datagram;
+pub mod deadlines;
 pub mod dialect;
 mod dispatch;
 pub mod events;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,6 +12,7 @@
 use crate::budget::RetryBudget;
 use crate::config::{RequestLimits, RouteConfig};
 use crate::datagram::PeerDatagram;
+use crate::deadlines::DeadlineLedger;
 use crate::dialect::WireDialect;
 use crate::logs;
 use crate::membership::RegisterService;
@@ -81,6 +82,7 @@
     pub(crate) ledger: RefCell<AllowanceLedger>,
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) suspects: RefCell<SuspectLedger>,
+    pub(crate) deadlines: RefCell<DeadlineLedger>,
     pub(crate) metrics: RefCell<MetricSet>,
     pub(crate) upstreams: UpstreamPool,
     pub(crate) register: RegisterService,
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -75,6 +75,7 @@
             )),
             budget: RefCell::new(RetryBudget::new(rule)),
             suspects: RefCell::default(),
+            deadlines: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
             register,
