Compress documents, and have only replicas run rounds

A node without a disk sends a document to four replicas over 10 Mbit/s in 1.4 s, longer than a round may take, and its prepare ends the rounds of others; each failed read did the same; and 66 nodes fetched the document from the one node that knew it, which its link carries in 2.4 s.

Ruled out: disks (syncs of 1 ms, no event=replica.save_failed) and the cut of the core (none in that time).

Change: documents are stored and passed on compressed (document.rs). Changes and reads go through the lowest replica, then through the next one; a node without a replica runs no rounds while replicas are heard. A read through a replica writes nothing if a quorum holds the value. Registers written by earlier builds cannot be read.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,5 +1,6 @@
 //! Calls of targets, operators and the load balancer.
 
+use crate::document::{self, MAX_DOCUMENT_BYTES};
 use crate::metrics::MetricSet;
 use crate::node::NodeState;
 use crate::register::RegisterChange;
@@ -21,8 +22,6 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 
-/// Largest document, in bytes.
-const MAX_DOCUMENT_BYTES: usize = 12 << 20;
 /// Longest time for a change or a read of the document, in ms: operators move on to another node
 /// after a second.
 const CHANGE_MS: u64 = 900;
@@ -200,7 +199,14 @@
         }
     };
     let version = config.version;
-    let change = RegisterChange::Document { version, body: Arc::new(body.to_vec()) };
+    let packed = match document::pack(&body) {
+        Ok(packed) => packed,
+        Err(error) => {
+            log::error!(target: "burdockcleat", "event=config.rejected version={version} cause=\"compressing: {error}\"");
+            return refusal_reply(StatusCode::SERVICE_UNAVAILABLE, "try again", Some(RETRY_MS));
+        }
+    };
+    let change = RegisterChange::Document { version, body: Arc::new(packed) };
     let started = ClockTime::monotonic();
     let result = node.change_through_replica(&change, CHANGE_MS).await;
     let took_ms = ClockTime::monotonic().since(started);
@@ -224,7 +230,13 @@
 
 async fn get_config(node: &Rc<NodeState>) -> Response<ReplyBody> {
     match node.read_register(CHANGE_MS).await {
-        Ok(value) if value.version > 0 => json_reply(StatusCode::OK, value.body.to_vec()),
+        Ok(value) if value.version > 0 => match document::unpack(&value.body) {
+            Ok(document) => json_reply(StatusCode::OK, document),
+            Err(error) => {
+                log::error!(target: "burdockcleat", "event=config.unreadable version={} cause=\"{error}\"", value.version);
+                text_reply(StatusCode::INTERNAL_SERVER_ERROR, "the stored document is damaged")
+            }
+        },
         Ok(_) => refusal_reply(StatusCode::SERVICE_UNAVAILABLE, "no document yet", Some(RETRY_MS)),
         Err(error) => {
             log::info!(target: "burdockcleat", "event=config.read_failed cause=\"{error}\"");
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod deadlines;
 pub mod dialect;
 mod dispatch;
+pub mod document;
 pub mod events;
 mod frontend;
 pub mod logs;
--- a/crates/edge/src/membership/rounds.rs
+++ b/crates/edge/src/membership/rounds.rs
@@ -2,6 +2,8 @@
 
 use super::store::StoreCall;
 use super::{AppliedValue, FOUNDING_COUNTER, RegisterService};
+use crate::config::ConfigFault;
+use crate::document;
 use crate::node::NodeState;
 use crate::register::{
     AcceptedValue, BallotNumber, PhaseReply, ProposerRound, RegisterChange, RegisterValue,
@@ -25,6 +27,8 @@
 const THROUGH_PARTS: u64 = 2;
 /// Parts of the time of a change.
 const ALL_PARTS: u64 = 3;
+/// Replicas that a change is tried through.
+const MAX_PROPOSERS: usize = 2;
 /// Longest time for the replicas to report what they hold, in ms.
 const READ_MS: u64 = 500;
 
@@ -40,36 +44,45 @@
 
 impl NodeState {
     /// Changes the register and waits until the result is chosen: through the lowest replica that is
-    /// heard, so that changes seldom meet, and by itself if that one does not answer.
+    /// heard, so that changes seldom meet, or else through the next one. A node without a replica
+    /// runs no rounds itself while replicas are heard: its link may be too narrow to finish one, and
+    /// each would end those of others.
     pub(crate) async fn change_through_replica(
         self: &Rc<Self>,
         change: &RegisterChange,
         limit_ms: u64,
     ) -> Result<RegisterValue, RoundError> {
-        if let Some(replica) = self.lowest_replica() {
+        let own = self.register.own_key();
+        let replicas = self.heard_replicas();
+        let mut left_ms = limit_ms;
+        for replica in replicas.iter().take(MAX_PROPOSERS) {
+            if Some(*replica) == own {
+                break;
+            }
+            let time_ms = (limit_ms * THROUGH_PARTS / ALL_PARTS).min(left_ms);
+            left_ms -= time_ms;
             let call = PeerCall::Change(change.clone());
-            let limit = Duration::from_millis(limit_ms * THROUGH_PARTS / ALL_PARTS);
-            match tokio::time::timeout(limit, rpc::call(replica, &call)).await {
+            let reply = rpc::call(replica.address, &call);
+            match tokio::time::timeout(Duration::from_millis(time_ms), reply).await {
                 Ok(Ok(PeerReply::Changed(AcceptedValue { ballot, value }))) => {
                     self.apply_value(ballot, &value);
                     return Ok(value);
                 }
                 other => {
-                    log::info!(target: "burdockcleat", "event=register.no_change replica={replica} reply={other:?}");
+                    log::info!(target: "burdockcleat", "event=register.no_change replica={} reply={other:?}", replica.address);
                 }
             }
-            return self
-                .change_register(change, limit_ms - limit_ms * THROUGH_PARTS / ALL_PARTS)
-                .await;
         }
-        self.change_register(change, limit_ms).await
+        if own.is_none() && !replicas.is_empty() {
+            return Err(RoundError::NoQuorum);
+        }
+        self.change_register(change, left_ms).await
     }
 
-    /// Address of the lowest replica that is heard; none if it is this node.
-    fn lowest_replica(&self) -> Option<std::net::SocketAddrV4> {
-        let applied = self.register.applied()?;
+    /// Replicas that are heard, the own one included, lowest first.
+    fn heard_replicas(&self) -> Vec<ReplicaKey> {
+        let Some(applied) = self.register.applied() else { return Vec::new() };
         let now = ClockTime::monotonic();
-        let own = self.register.own_key();
         let peers = self.peers.borrow();
         let heard: BTreeSet<_> = peers
             .alive(now)
@@ -78,10 +91,9 @@
                 let address = record.status.address;
                 record.status.disk.map(|disk| ReplicaKey { address, disk })
             })
-            .chain(own)
+            .chain(self.register.own_key())
             .collect();
-        let lowest = applied.value.replicas.intersection(&heard).next().copied();
-        lowest.filter(|key| Some(*key) != own).map(|key| key.address)
+        applied.value.replicas.intersection(&heard).copied().collect()
     }
 
     /// Changes the register by rounds of this node and waits until the result is chosen.
@@ -241,11 +253,11 @@
         if let Some(value) = self.read_quorum().await {
             return Ok(value);
         }
-        self.change_register(&RegisterChange::Confirm, limit_ms).await
+        self.change_through_replica(&RegisterChange::Confirm, limit_ms).await
     }
 
     /// The applied value, if a quorum of replicas holds just its ballot.
-    async fn read_quorum(self: &Rc<Self>) -> Option<RegisterValue> {
+    pub(super) async fn read_quorum(self: &Rc<Self>) -> Option<RegisterValue> {
         let applied = self.register.applied()?;
         let mut calls = JoinSet::new();
         for key in applied.value.voters() {
@@ -292,7 +304,10 @@
         } else if value.version == 0 {
             None
         } else {
-            match (self.dialect.decode_config)(&value.body) {
+            let decode = |document: Vec<u8>| (self.dialect.decode_config)(&document);
+            let unpacked = document::unpack(&value.body)
+                .map_err(|error| ConfigFault::Unreadable(error.to_string()));
+            match unpacked.and_then(decode) {
                 Ok(config) => Some(Rc::new(config)),
                 Err(fault) => {
                     // Checked before it was proposed: only another build can disagree.
--- a/crates/edge/src/membership/serve.rs
+++ b/crates/edge/src/membership/serve.rs
@@ -3,7 +3,7 @@
 use super::AppliedValue;
 use super::store::StoreCall;
 use crate::node::NodeState;
-use crate::register::{AcceptedValue, PhaseReply};
+use crate::register::{AcceptedValue, PhaseReply, RegisterChange};
 use crate::rpc::{self, PeerCall, PeerReply};
 use burdockcleat_core::clock::ClockTime;
 use std::rc::Rc;
@@ -67,7 +67,14 @@
         let store = |disk| self.register.store.as_ref().filter(|store| store.disk() == disk);
         let (store, job) = match call {
             PeerCall::Change(change) => {
-                let result = self.change_register(&change, CHANGE_MS).await;
+                let confirmed = match change {
+                    RegisterChange::Confirm => self.read_quorum().await,
+                    _ => None,
+                };
+                let result = match confirmed {
+                    Some(value) => Ok(value),
+                    None => self.change_register(&change, CHANGE_MS).await,
+                };
                 return match (result, self.register.applied()) {
                     (Ok(_), Some(AppliedValue { ballot, value, .. })) => {
                         PeerReply::Changed(AcceptedValue { ballot, value })
--- a/crates/edge/src/register.rs
+++ b/crates/edge/src/register.rs
@@ -36,7 +36,7 @@
 pub struct RegisterValue {
     /// Version of the document; 0 before the first one.
     pub version: u64,
-    /// The document as the operator sent it.
+    /// The document as the operator sent it, compressed.
     pub body: Arc<Vec<u8>>,
     /// Replicas of the register.
     pub replicas: BTreeSet<ReplicaKey>,
@@ -54,7 +54,7 @@
     Document {
         /// Version of the document.
         version: u64,
-        /// The document.
+        /// The document, compressed.
         body: Arc<Vec<u8>>,
     },
     /// Replaces the replicas, if `from` is the settled set.
