Avoid targets that answer with failures

Ruled out: retries (orders may not be repeated), a shortage of targets (2 to 18 of 18 slots taken).

Change: a failed answer counts in the failure share with less weight than a broken one; a share up to 0.2 costs nothing, since some requests fail everywhere; failures are forgotten with 3 s, since an avoided target shows no recovery.

Tests: a target that fails half of its requests (fails before: the outcome did not exist); failures of the requests themselves keep no target out.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -181,7 +181,8 @@
         }
         Ok(Ok(body)) => {
             link.release();
-            ticket.finish(TicketOutcome::Answered);
+            let failed = parts.status.is_server_error();
+            ticket.finish(if failed { TicketOutcome::Failed } else { TicketOutcome::Answered });
             SendResult::Answer(OpenAnswer::Whole(WholeAnswer { parts, body: body.to_bytes() }))
         }
     }
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -27,8 +27,15 @@
 const FAR_COST_MS: f64 = 4.0;
 /// Cost of a target whose every request failed lately, in ms.
 const FAILURE_COST_MS: f64 = 2_000.0;
-/// Weight of a new outcome in the failure share.
-const FAILURE_WEIGHT: f64 = 0.25;
+/// Weight of an answer that broke off in the failure share.
+const BROKEN_WEIGHT: f64 = 0.25;
+/// Weight of an answer with a failure: some requests fail at every target.
+const FAILED_WEIGHT: f64 = 0.1;
+/// Failure share that costs nothing: above what the requests themselves cause.
+const FAILURE_TOLERANCE: f64 = 0.2;
+/// Time constant in which failures are forgotten, in ms: a target that is avoided answers nothing
+/// that would show its recovery.
+const FAILURE_MEMORY_MS: f64 = 3_000.0;
 /// First pause after a failure to reach a target, in ms; doubled with each further one.
 const FIRST_PAUSE_MS: u64 = 250;
 /// Longest pause, in ms: a target is back some seconds after a crash.
@@ -53,6 +60,8 @@
 pub enum TicketOutcome {
     /// Answered.
     Answered,
+    /// Answered with a failure of the target's own.
+    Failed,
     /// The target answered that it did not run the request, since it is full.
     Full,
     /// The target did not answer, broke off, or answered with something else.
@@ -91,6 +100,7 @@
     worked_ms: f64,
     expected_ms: f64,
     failure_share: f64,
+    failure_counted: ClockTime,
     failures_in_row: u32,
     paused_until: ClockTime,
 }
@@ -121,6 +131,7 @@
             worked_ms: WORK_PRIOR_MS,
             expected_ms: WORK_PRIOR_MS,
             failure_share: 0.0,
+            failure_counted: ClockTime::from_ms(0),
             failures_in_row: 0,
             paused_until: ClockTime::from_ms(0),
         }
@@ -143,7 +154,7 @@
         self.expected_first_ms(ticket.prompt_tokens, now)
             + self.running.len() as f64 * SHARE_COST_MS * self.pace
             + far
-            + self.failure_share * FAILURE_COST_MS
+            + (self.failure_share(now) - FAILURE_TOLERANCE).max(0.0) * FAILURE_COST_MS
     }
 
     /// Expected time to the first event: the prompts ahead that are not read yet, and this one.
@@ -190,12 +201,14 @@
                 if let Some(running) = running.filter(|running| running.work_ms > 0.0) {
                     self.learn_work(now.since(running.granted) as f64, running.work_ms);
                 }
-                self.failure_share *= 1.0 - FAILURE_WEIGHT;
+                self.count_outcome(0.0, FAILED_WEIGHT, now);
                 self.failures_in_row = 0;
             }
-            TicketOutcome::Broken => {
-                self.failure_share += (1.0 - self.failure_share) * FAILURE_WEIGHT;
+            TicketOutcome::Failed => {
+                self.count_outcome(1.0, FAILED_WEIGHT, now);
+                self.failures_in_row = 0;
             }
+            TicketOutcome::Broken => self.count_outcome(1.0, BROKEN_WEIGHT, now),
             TicketOutcome::Unreachable | TicketOutcome::Stalled => {
                 let pause = FIRST_PAUSE_MS << self.failures_in_row.min(4);
                 self.paused_until = now.plus(pause.min(MAX_PAUSE_MS));
@@ -205,6 +218,18 @@
         }
     }
 
+    /// Part of the requests that failed lately.
+    fn failure_share(&self, now: ClockTime) -> f64 {
+        let age_ms = now.since(self.failure_counted) as f64;
+        self.failure_share * (-age_ms / FAILURE_MEMORY_MS).exp()
+    }
+
+    fn count_outcome(&mut self, failed: f64, weight: f64, now: ClockTime) {
+        let share = self.failure_share(now);
+        self.failure_share = share + (failed - share) * weight;
+        self.failure_counted = now;
+    }
+
     fn learn_work(&mut self, worked_ms: f64, expected_ms: f64) {
         self.worked_ms = self.worked_ms * WORK_DECAY + worked_ms;
         self.expected_ms = self.expected_ms * WORK_DECAY + expected_ms;
@@ -221,7 +246,7 @@
             self.info.slots,
             self.pace,
             self.work_pace,
-            self.failure_share,
+            self.failure_share(now),
             self.paused_until.since(now)
         )
     }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -320,3 +320,42 @@
     assert!(result.refused >= 180, "{result:?}");
     assert!(result.longest_refusal_ms <= 700, "{}", result.longest_refusal_ms);
 }
+
+/// Sends `count` requests one after the other; `fails` tells by target and number of the request at
+/// it whether its answer is a failure. Returns the requests at each target.
+fn send_one_by_one<F>(targets: u64, count: u64, fails: F) -> Vec<u64>
+where
+    F: Fn(u64, u64) -> bool,
+{
+    let mut board = board(targets, 4);
+    let mut sent = vec![0; targets as usize];
+    for key in 0..count {
+        let now = key * 10;
+        let plain = PlacementTicket { prompt_tokens: 0, ..ticket(key, 0, 0) };
+        board.submit(plain, at(now));
+        let (key, target) = grants(&mut board)[0];
+        let number = sent[target.0 as usize];
+        sent[target.0 as usize] += 1;
+        let failed = fails(target.0, number);
+        let outcome = if failed { TicketOutcome::Failed } else { TicketOutcome::Answered };
+        board.started(target, TicketKey(key), at(now + 5));
+        board.finished(target, TicketKey(key), outcome, at(now + 5));
+    }
+    sent
+}
+
+/// Pattern: a target answers half of its requests with a failure while its health is good. It gets
+/// as many requests as the others, or more, since failures come fast.
+#[test]
+fn a_target_that_fails_half_of_its_requests_is_avoided() {
+    let sent = send_one_by_one(3, 600, |target, number| target == 0 && number.is_multiple_of(2));
+    assert!(sent[0] * 10 <= 600, "{sent:?}");
+}
+
+/// Pattern: some requests fail wherever they run. A target with a little bad luck is left out.
+#[test]
+fn failures_of_the_requests_themselves_keep_no_target_out() {
+    // The first target is as good as the second one, but for its failures.
+    let sent = send_one_by_one(2, 600, |target, number| target == 0 && number % 7 == 3);
+    assert!(sent[0] * 2 >= 600, "{sent:?}");
+}
