--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -139,6 +139,24 @@
         u32::try_from(expected).unwrap_or(u32::MAX)
     }
 
+    /// What the decisions on the request depend on, for logs.
+    fn describe(&self) -> String {
+        let left_ms = self.left_ms(ClockTime::monotonic());
+        let (prompt, expected) = (self.prompt_tokens(), self.output_tokens());
+        format!(
+            " rank={} prompt={prompt} expected_output={expected} spent_ms={} left_ms={left_ms}",
+            self.rank, self.spent_ms
+        )
+    }
+
+    /// Counts prompt tokens that a target read in vain.
+    pub(crate) fn count_wasted_prefill(&self, cause: &str) {
+        let tokens = u64::from(self.prompt_tokens());
+        if tokens > 0 {
+            self.node.metrics.borrow_mut().count("wasted_prefill_tokens", cause, tokens);
+        }
+    }
+
     /// Counts what the request took from the allowance as used.
     pub(crate) fn confirm_charge(&self) {
         if let Some(charge) = &self.charge {
@@ -166,7 +184,7 @@
     let attempt = request.attempt.clone();
     let context = match admit(&node, request) {
         Ok(context) => Rc::new(context),
-        Err(refusal) => return refuse(&node, &attempt, "-", received, &refusal),
+        Err(refusal) => return refuse(&node, &attempt, None, received, &refusal),
     };
     let mut attempts = Attempts::default();
     let last_event = context.request.last_event;
@@ -176,7 +194,7 @@
             answer.into_response(&context)
         }
         Ok(OpenAnswer::Stream(source)) => stream::respond(context, attempts, source),
-        Err(refusal) => refuse(&node, &attempt, &context.route.name, received, &refusal),
+        Err(refusal) => refuse(&node, &attempt, Some(&context), received, &refusal),
     }
 }
 
@@ -267,7 +285,7 @@
 fn refuse(
     node: &NodeState,
     attempt: &str,
-    route: &str,
+    context: Option<&RequestContext>,
     received: ClockTime,
     refusal: &Refusal,
 ) -> Response<ReplyBody> {
@@ -275,9 +293,11 @@
     let reason = refusal.reason();
     let after_ms = ClockTime::monotonic().since(received);
     let version = node.config().map_or(0, |config| config.version);
+    let route = context.map_or("-", |context| &context.route.name);
+    let inputs = context.map(RequestContext::describe).unwrap_or_default();
     log::info!(
         target: "burdockcleat",
-        "event=request.refused id={attempt} route={route} status={status} reason=\"{reason}\" after_ms={after_ms} config={version}"
+        "event=request.refused id={attempt} route={route} status={status} reason=\"{reason}\" after_ms={after_ms} config={version}{inputs}"
     );
     node.metrics.borrow_mut().count("requests_refused", reason, 1);
     refusal.reply()
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -139,17 +139,21 @@
             attempts.sends += 1;
             attempts.may_have_run = true;
             context.node.suspect(context.fingerprint, announcement);
+            context.count_wasted_prefill(cause);
             cause
         }
         SendResult::Stalled => {
             attempts.sends += 1;
             attempts.may_have_run = true;
-            "the target is silent"
+            let cause = "the target is silent";
+            context.count_wasted_prefill(cause);
+            cause
         }
         SendResult::Late => {
             attempts.sends += 1;
             let reason = "the target did not answer in time";
             log_send(context, announcement, reason);
+            context.count_wasted_prefill(reason);
             let status = StatusCode::GATEWAY_TIMEOUT;
             return Err(Some(Refusal::Failed { status, reason }));
         }
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -62,13 +62,18 @@
         last_event = last_id.or(last_event);
         match end {
             StreamEnd::Complete => return log_answer(&context, &attempts, status, "stream"),
-            StreamEnd::CallerLeft => return log_end(&context, &attempts, "the caller left"),
+            StreamEnd::CallerLeft => {
+                context.count_wasted_prefill("the caller left");
+                return log_end(&context, &attempts, "the caller left");
+            }
             StreamEnd::OutOfTime => {
+                context.count_wasted_prefill("out of time");
                 log_end(&context, &attempts, "out of time");
                 break;
             }
             StreamEnd::Broken => {}
         }
+        context.count_wasted_prefill("the target broke off");
         log_end(&context, &attempts, "the target broke off");
         if !context.route.resumable {
             break;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -298,6 +298,9 @@
         metrics.set("targets", "known", self.targets.borrow().len() as f64);
         metrics.set("requests", "running", self.running.get() as f64);
         metrics.set("requests", "waiting", self.board.borrow().waiting_count() as f64);
+        for (service, age_ms) in self.board.borrow().queue_ages(now) {
+            metrics.set("queue_age_ms", service, age_ms as f64);
+        }
         metrics.set("log_lines", "dropped", logs::dropped_lines() as f64);
         if let Some(config) = self.config() {
             metrics.set("config", "version", config.version as f64);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -217,6 +217,12 @@
         self.services.values().map(ServiceBoard::waiting_count).sum()
     }
 
+    /// Wait of the oldest waiting request by service, in ms.
+    pub fn queue_ages(&self, now: ClockTime) -> Vec<(&str, u64)> {
+        let ages = self.services.iter().map(|(service, board)| (&**service, board.queue_age(now)));
+        ages.collect()
+    }
+
     /// One line per service, for logs.
     pub fn summarize(&self, now: ClockTime) -> Vec<String> {
         self.services.iter().map(|(service, board)| board.summarize(service, now)).collect()
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -131,6 +131,11 @@
         self.tickets.len()
     }
 
+    /// Arrival of the request that has waited longest.
+    pub(super) fn oldest(&self) -> Option<ClockTime> {
+        self.tickets.iter().map(|waiting| waiting.arrived).min()
+    }
+
     /// Takes out the requests that have waited too long, and those that have just become too late
     /// for their objective and would wait for more than `part` of the time that they have left.
     pub(super) fn take_hopeless(
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -176,6 +176,11 @@
         self.queue.len()
     }
 
+    /// Wait of the oldest waiting request, in ms; 0 if none waits.
+    pub(super) fn queue_age(&self, now: ClockTime) -> u64 {
+        self.queue.oldest().map_or(0, |arrived| now.since(arrived))
+    }
+
     pub(super) fn summarize(&self, service: &str, now: ClockTime) -> String {
         let states = self.targets.values();
         let slots: u32 = states.clone().map(|state| state.info.slots).sum();
