Let silent nodes of a large deployment be down only after three statuses

Cause: above 200 nodes a status comes every 1.2 s or more, but a node counted as down after 1 s of silence: each node took the others for lost between their statuses.

Change: cadence.rs has the pause and the silence by the number of nodes; up to 66 nodes nothing changes. The targets in use moved from node/placing.rs to node/usable.rs.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,12 +3,13 @@
 //!
 //! Requests are placed by the node that read them, over views that all nodes share in datagrams,
 //! so that service continues while the replicated configuration register has no quorum. The pure
-//! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`deadlines`],
+//! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`cadence`], [`deadlines`],
 //! [`submission`],
 //! [`suspects`], [`events`]) contain no socket, clock or thread.
 
 pub mod allowance;
 pub mod budget;
+pub mod cadence;
 pub mod config;
 mod control;
 mod datagram;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -4,6 +4,7 @@
 mod placing;
 mod server;
 mod status;
+mod usable;
 
 pub(crate) use placing::{Placement, TicketGuard};
 pub use server::NodeServer;
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -1,18 +1,16 @@
 //! Placement of requests: by the placing node where it answers, else by this one.
 
-use super::{NodeState, target_key};
+use super::NodeState;
 use crate::datagram::{PeerDatagram, PlacementDecision};
 use crate::peers::PeerRecord;
 use crate::placement::{
-    ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetInfo,
-    TargetKey, TicketKey, TicketOutcome,
+    ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetKey,
+    TicketKey, TicketOutcome,
 };
 use crate::shutdown::ShutdownStage;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionPace, SubmissionStep};
-use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
-use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
@@ -327,50 +325,6 @@
         }
     }
 
-    /// Brings the board in line with the targets that may be used.
-    pub(crate) fn refresh_targets(&self) {
-        let Some(config) = self.config() else { return };
-        let now = ClockTime::monotonic();
-        let interval_ms = self.settings.bounds.announce_interval_ms;
-        let targets = self.targets.borrow();
-        let mut keys = self.target_keys.borrow_mut();
-        let mut board = self.board.borrow_mut();
-        let mut all = BTreeSet::new();
-        for service in config.services.keys() {
-            let usable = targets.usable(service, interval_ms, now);
-            let infos: Vec<_> =
-                usable.iter().map(|announcement| target_info(announcement)).collect();
-            for (info, announcement) in infos.iter().zip(usable) {
-                keys.insert(info.key, announcement.clone());
-            }
-            board.set_targets(service, &infos, now);
-            all.extend(infos.iter().map(|info| info.key));
-        }
-        drop(board);
-        let before = self.usable.replace(all.clone());
-        for key in before.symmetric_difference(&all) {
-            let Some(announcement) = keys.get(key) else { continue };
-            let heard = targets.get(&announcement.id).map(|record| now.since(record.heard));
-            log::info!(
-                target: "burdockcleat",
-                "event=target.usable usable={} target={} incarnation={} service={} heard_ms={}",
-                all.contains(key), announcement.id, announcement.incarnation,
-                announcement.service, heard.unwrap_or(0)
-            );
-        }
-        drop((targets, keys));
-        self.flush_board();
-    }
-
-    /// What a target announced, if it may still be used.
-    pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
-        let announcement = self.target_keys.borrow().get(&target).cloned()?;
-        let targets = self.targets.borrow();
-        let record = targets.get(&announcement.id)?;
-        let same = record.announcement.incarnation == announcement.incarnation;
-        (same && !record.left && !record.announcement.draining).then_some(announcement)
-    }
-
     /// Requests of this node at targets.
     pub(super) fn active_tickets(&self) -> Vec<ActiveTicket> {
         self.active.borrow().values().copied().collect()
@@ -383,15 +337,6 @@
     }
 }
 
-fn target_info(announcement: &TargetAnnouncement) -> TargetInfo {
-    TargetInfo {
-        key: target_key(announcement),
-        service: announcement.service.clone(),
-        domain: announcement.domain.clone(),
-        slots: announcement.slots,
-    }
-}
-
 const fn decision_label(decision: PlacementDecision) -> &'static str {
     match decision {
         PlacementDecision::Grant { .. } => "granted",
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -1,6 +1,7 @@
 //! Status datagrams: what a node tells the others a few times a second, and what it learns.
 
 use super::NodeState;
+use crate::cadence::{STATUS_MS, STATUS_NODES, status_pause_ms};
 use crate::datagram::{NodeStatus, PeerDatagram};
 use crate::peers::PeerChange;
 use crate::shutdown::ShutdownStage;
@@ -9,13 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Pause between two statuses, in ms.
-const STATUS_MS: u64 = 200;
 /// Statuses sent at once, so that they do not hold up requests on a narrow link.
 const STATUS_BURST: usize = 8;
-/// Nodes up to which the pause holds; with more of them it grows, so that a node receives a bounded
-/// number of statuses a second.
-const STATUS_NODES: usize = 40;
 
 impl NodeState {
     pub(super) async fn send_statuses(self: Rc<Self>) {
@@ -52,7 +48,7 @@
 
     /// Pause between two statuses of a node, in ms.
     pub(crate) fn status_pause_ms(&self, now: ClockTime) -> u64 {
-        STATUS_MS * self.node_count(now).div_ceil(STATUS_NODES) as u64
+        status_pause_ms(self.node_count(now))
     }
 
     /// Sends a status to all known nodes at once, after a change that they wait for.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,13 +1,12 @@
 //! Other nodes: found from seeds, kept by their status datagrams.
 
+use crate::cadence::silence_ms;
 use crate::datagram::NodeStatus;
 use crate::placement::ProcessKey;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 
-/// Time without a status after which a node counts as down, in ms: five statuses.
-const ALIVE_MS: u64 = 1_000;
 /// Time for which a silent node counts among those that should be there, in ms.
 const EXPECTED_MS: u64 = 20_000;
 /// Time after which a silent node is forgotten, in ms.
@@ -74,9 +73,14 @@
         Some(change)
     }
 
+    /// Time without a status after which a node counts as down, in ms.
+    fn alive_ms(&self) -> u64 {
+        silence_ms(self.records.len() + 1)
+    }
+
     /// Nodes heard lately.
     pub(crate) fn alive(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
-        self.records.values().filter(move |record| now.since(record.heard) <= ALIVE_MS)
+        self.records.values().filter(move |record| now.since(record.heard) <= self.alive_ms())
     }
 
     /// The record of an address.
@@ -91,16 +95,18 @@
 
     /// Numbers of nodes that are heard and that should be, each with the own one.
     pub(crate) fn census(&self, now: ClockTime) -> (usize, usize) {
+        let alive_ms = self.alive_ms();
         let expected = self.records.values().filter(|record| {
             now.since(record.heard) <= EXPECTED_MS
-                && (!record.status.leaving || now.since(record.heard) <= ALIVE_MS)
+                && (!record.status.leaving || now.since(record.heard) <= alive_ms)
         });
         (self.alive(now).count() + 1, expected.count() + 1)
     }
 
     /// Nodes that have gone silent since the last call.
     pub(crate) fn take_lost(&mut self, now: ClockTime) -> Vec<SocketAddrV4> {
-        let silent = self.records.values_mut().filter(|record| now.since(record.heard) > ALIVE_MS);
+        let alive_ms = self.alive_ms();
+        let silent = self.records.values_mut().filter(|record| now.since(record.heard) > alive_ms);
         let lost = silent.filter(|record| !record.lost).map(|record| {
             record.lost = true;
             record.status.address
@@ -110,9 +116,10 @@
 
     /// Number of nodes with a disk that should be there and are silent.
     pub(crate) fn silent_disks(&self, now: ClockTime) -> usize {
+        let alive_ms = self.alive_ms();
         let silent = self.records.values().filter(|record| {
             let silence = now.since(record.heard);
-            silence > ALIVE_MS && silence <= EXPECTED_MS && !record.status.leaving
+            silence > alive_ms && silence <= EXPECTED_MS && !record.status.leaving
         });
         silent.filter(|record| record.status.disk.is_some()).count()
     }
