--- a/crates/edge/src/deadlines.rs
+++ b/crates/edge/src/deadlines.rs
@@ -4,6 +4,7 @@
 //! attempt, but each attempt is a new request. A deadline below those of first attempts tells that a
 //! part of the time is spent.
 
+use crate::memory::RouteDeadline;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
 
@@ -39,4 +40,21 @@
         let first_ms = longest.current_ms.max(longest.previous_ms) as f64 * (1.0 - DEADLINE_SPREAD);
         (first_ms as u64).saturating_sub(deadline_ms)
     }
+
+    /// Longest deadlines by route, for nodes that have just started.
+    pub fn longest(&self) -> Vec<RouteDeadline> {
+        let longest = |route: &LongestDeadline| route.current_ms.max(route.previous_ms);
+        self.routes.iter().map(|(name, route)| (name.clone(), longest(route))).collect()
+    }
+
+    /// Takes over longest deadlines that were known before the start.
+    pub fn recall(&mut self, deadlines: &[RouteDeadline], now: ClockTime) {
+        for (route, longest_ms) in deadlines {
+            let known = self.routes.entry(route.clone()).or_default();
+            if known.current_ms == 0 {
+                known.since = now;
+            }
+            known.current_ms = known.current_ms.max(*longest_ms);
+        }
+    }
 }
--- a/crates/edge/src/dispatch/attempt.rs
+++ b/crates/edge/src/dispatch/attempt.rs
@@ -204,6 +204,8 @@
         output_tokens: context.output_tokens(),
         objective_left_ms,
         deadline_left_ms: left_ms,
+        answer_left_ms: context.left_ms(now),
+        pause_ms: context.route.pause_ms,
         excluded: attempts.excluded.clone(),
     };
     let placement = node.place(ticket);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod frontend;
 pub mod logs;
 mod membership;
+pub mod memory;
 pub mod metrics;
 mod node;
 mod peers;
--- a/crates/edge/src/membership.rs
+++ b/crates/edge/src/membership.rs
@@ -75,6 +75,11 @@
         self.store.as_ref().map(StoreHandle::disk)
     }
 
+    /// The node's disk, if it has one.
+    pub(crate) const fn store(&self) -> Option<&StoreHandle> {
+        self.store.as_ref()
+    }
+
     /// The own replica.
     pub(crate) fn own_key(&self) -> Option<ReplicaKey> {
         self.disk().map(|disk| ReplicaKey { address: self.address, disk })
--- a/crates/edge/src/membership/serve.rs
+++ b/crates/edge/src/membership/serve.rs
@@ -22,9 +22,9 @@
         let with_targets =
             self.targets.borrow().is_empty() || !self.is_warm(ClockTime::monotonic());
         match rpc::call(from, &PeerCall::ReadApplied { with_targets }).await {
-            Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), targets }) => {
-                self.apply_value(ballot, &value);
-                self.take_over_targets(&targets);
+            Ok(PeerReply::Applied { value: Some(applied), targets, deadlines }) => {
+                self.apply_value(applied.ballot, &applied.value);
+                self.take_over(&targets, &deadlines);
             }
             Ok(other) => {
                 log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
@@ -85,14 +85,14 @@
             }
             PeerCall::ReadApplied { with_targets } => {
                 let applied = self.register.applied();
-                return PeerReply::Applied {
-                    value: applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value }),
-                    targets: if with_targets {
-                        self.targets.borrow().snapshot(ClockTime::monotonic())
-                    } else {
-                        Vec::new()
-                    },
+                let value = applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value });
+                let (targets, deadlines) = if with_targets {
+                    let targets = self.targets.borrow().snapshot(ClockTime::monotonic());
+                    (targets, self.deadlines.borrow().longest())
+                } else {
+                    (Vec::new(), Vec::new())
                 };
+                return PeerReply::Applied { value, targets, deadlines };
             }
             PeerCall::ReadBallot { disk } => {
                 let Some(store) = store(disk) else { return PeerReply::WrongDisk };
--- a/crates/edge/src/membership/store.rs
+++ b/crates/edge/src/membership/store.rs
@@ -1,9 +1,13 @@
-//! The thread that owns the replica's files: a slow or stalled disk holds up nothing else.
+//! The thread that owns the node's files: a slow or stalled disk holds up nothing else.
 
 use crate::datagram::ValueMark;
+use crate::memory::RecoveryMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterValue, ReplicaState};
 use crate::slots::{SlotError, SlotStore};
+use std::cell::RefCell;
+use std::error::Error;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::oneshot;
@@ -14,41 +18,60 @@
     Accept(BallotNumber, RegisterValue),
 }
 
-struct StoreJob {
-    call: StoreCall,
-    reply: oneshot::Sender<Result<PhaseReply, SlotError>>,
+enum StoreJob {
+    Replica { call: StoreCall, reply: oneshot::Sender<Result<PhaseReply, SlotError>> },
+    Remember(RecoveryMemory),
 }
 
 /// Running replica.
 pub(crate) struct StoreHandle {
     jobs: Sender<StoreJob>,
     accepted: Arc<Mutex<Option<AcceptedValue>>>,
+    /// Whether a memory is still to be written.
+    remembering: Arc<AtomicBool>,
+    recalled: RefCell<Option<RecoveryMemory>>,
     disk: u64,
 }
 
 impl StoreHandle {
     /// Opens the files in a folder and starts the thread.
     pub(crate) fn spawn(folder: &Path, new_disk: u64) -> Result<Self, SlotError> {
-        let (store, state) = SlotStore::open(folder, new_disk)?;
+        let (mut store, state) = SlotStore::open(folder, new_disk)?;
         let disk = store.disk();
+        let recalled = RefCell::new(store.recalled());
+        let remembering = Arc::new(AtomicBool::new(false));
+        let pending = remembering.clone();
         let accepted = Arc::new(Mutex::new(state.accepted.clone()));
         let (jobs, receiver) = channel();
         let shared = accepted.clone();
         std::thread::Builder::new()
             .name("store".into())
-            .spawn(move || serve(store, state, &receiver, &shared))
+            .spawn(move || serve(store, state, &receiver, &shared, &pending))
             .map_err(|source| SlotError::File {
                 action: "starting the thread for",
                 path: folder.to_owned(),
                 source,
             })?;
-        Ok(Self { jobs, accepted, disk })
+        Ok(Self { jobs, accepted, remembering, recalled, disk })
     }
 
     pub(crate) const fn disk(&self) -> u64 {
         self.disk
     }
 
+    /// The memory that was on the disk at the start, once.
+    pub(crate) fn recall(&self) -> Option<RecoveryMemory> {
+        self.recalled.take()
+    }
+
+    /// Has a memory written. Returns whether it will be: not while one before it is being written.
+    pub(crate) fn remember(&self, memory: RecoveryMemory) -> bool {
+        if self.remembering.swap(true, Ordering::AcqRel) {
+            return false;
+        }
+        self.jobs.send(StoreJob::Remember(memory)).is_ok()
+    }
+
     pub(crate) fn accepted(&self) -> Option<AcceptedValue> {
         self.accepted.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
@@ -61,28 +84,42 @@
     /// Has the replica answer once its state is durable. None if it could not be made so.
     pub(crate) async fn call(&self, call: StoreCall) -> Option<PhaseReply> {
         let (reply, receiver) = oneshot::channel();
-        self.jobs.send(StoreJob { call, reply }).ok()?;
+        self.jobs.send(StoreJob::Replica { call, reply }).ok()?;
         match receiver.await.ok()? {
             Ok(reply) => Some(reply),
             Err(error) => {
-                use std::error::Error;
-                let cause = error.source().map(ToString::to_string).unwrap_or_default();
-                log::warn!(target: "burdockcleat", "event=replica.save_failed cause=\"{error}: {cause}\"");
+                log_failure("replica.save_failed", &error);
                 None
             }
         }
     }
 }
 
+fn log_failure(event: &str, error: &SlotError) {
+    let cause = error.source().map(ToString::to_string).unwrap_or_default();
+    log::warn!(target: "burdockcleat", "event={event} cause=\"{error}: {cause}\"");
+}
+
 fn serve(
     mut store: SlotStore,
     mut state: ReplicaState,
     jobs: &Receiver<StoreJob>,
     accepted: &Mutex<Option<AcceptedValue>>,
+    remembering: &AtomicBool,
 ) {
     while let Ok(job) = jobs.recv() {
+        let (call, reply_to) = match job {
+            StoreJob::Replica { call, reply } => (call, reply),
+            StoreJob::Remember(memory) => {
+                if let Err(error) = store.remember(&memory) {
+                    log_failure("memory.save_failed", &error);
+                }
+                remembering.store(false, Ordering::Release);
+                continue;
+            }
+        };
         let mut next = state.clone();
-        let reply = match job.call {
+        let reply = match call {
             StoreCall::Prepare(ballot) => next.prepare(ballot),
             StoreCall::Accept(ballot, value) => next.accept(ballot, &value),
         };
@@ -93,6 +130,6 @@
             reply
         });
         // The caller may have given up waiting.
-        let _ = job.reply.send(reply);
+        let _ = reply_to.send(reply);
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -2,6 +2,7 @@
 
 mod datagrams;
 mod placing;
+mod recovery;
 mod server;
 mod status;
 mod usable;
@@ -17,6 +18,7 @@
 use crate::dialect::WireDialect;
 use crate::logs;
 use crate::membership::RegisterService;
+use crate::memory::RecoveryMemory;
 use crate::metrics::MetricSet;
 use crate::peers::PeerTable;
 use crate::placement::{ActiveTicket, PlacementBoard, ProcessKey, TargetKey, TicketKey};
@@ -24,7 +26,7 @@
 use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
 use crate::suspects::SuspectLedger;
-use crate::targets::{AgedNotice, TargetAnnouncement, TargetNotice, TargetTable};
+use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use placing::Waiter;
@@ -101,6 +103,8 @@
     next_ticket: Cell<u64>,
     status_sequence: Cell<u64>,
     running: Cell<usize>,
+    /// What was written down last for the next start.
+    remembered: RefCell<Option<RecoveryMemory>>,
 }
 
 /// Counts a request as running until it is dropped.
@@ -173,6 +177,7 @@
         if change != Refreshed {
             log::info!(target: "burdockcleat", "event=target.{change:?} notice={notice:?} direct={direct}");
             self.refresh_targets();
+            self.remember();
         }
         if direct {
             let datagram = PeerDatagram::Notice(notice.clone());
@@ -231,19 +236,6 @@
         self.register.config_known.notify_waiters();
     }
 
-    /// Takes over what another node knows of targets.
-    pub(crate) fn take_over_targets(&self, targets: &[AgedNotice]) {
-        let now = ClockTime::monotonic();
-        let mut table = self.targets.borrow_mut();
-        for AgedNotice { notice, age_ms } in targets {
-            // The clock begins with the process: what is older than it counts as heard at its start.
-            let heard = ClockTime::from_ms(now.as_ms().saturating_sub(*age_ms));
-            table.apply(notice, heard);
-        }
-        drop(table);
-        self.refresh_targets();
-    }
-
     async fn tick_board(self: Rc<Self>) {
         loop {
             tokio::time::sleep(Duration::from_millis(BOARD_TICK_MS)).await;
@@ -282,6 +274,7 @@
             }
             self.board.borrow_mut().advance(now);
             self.flush_board();
+            self.remember();
             self.set_gauges(now);
             if self.places_for_all(now) {
                 for line in self.board.borrow().summarize(now) {
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -91,6 +91,7 @@
             next_ticket: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
             running: Cell::new(0),
+            remembered: RefCell::default(),
             settings,
             dialect,
         };
@@ -118,6 +119,7 @@
         let handler = |kind, what| signal(kind).map_err(|s| NodeError::Runtime { what, source: s });
         let mut terminate = handler(SignalKind::terminate(), "the SIGTERM handler")?;
         let mut reload = handler(SignalKind::hangup(), "the SIGHUP handler")?;
+        node.recall();
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(frontend::accept_callers(node.clone(), self.callers)));
         spawn(Box::pin(control::accept_readiness(node.clone(), self.ready)));
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -8,9 +8,12 @@
 mod queue;
 mod service;
 mod sizes;
+mod speed;
+mod strain;
 mod target;
 
 pub use sizes::{RequestSize, SizeBand, SizeLedger};
+pub use speed::{ReadingCurve, SpeedEstimate, SpeedModel};
 pub use target::{TargetInfo, TicketOutcome};
 
 use burdockcleat_core::clock::ClockTime;
@@ -53,8 +56,12 @@
     pub output_tokens: u32,
     /// Time left until the latency objective, in ms; negative once it has passed.
     pub objective_left_ms: i64,
-    /// Time left until the deadline, in ms.
+    /// Time left until the caller stops waiting for the first part of the answer, in ms.
     pub deadline_left_ms: u64,
+    /// Time left until the answer must be complete, in ms.
+    pub answer_left_ms: u64,
+    /// Longest pause of the stream on time, in ms; none if it is no stream.
+    pub pause_ms: Option<u64>,
     /// Targets that the request may not go to again.
     pub excluded: Vec<TargetKey>,
 }
@@ -66,6 +73,7 @@
         let mut aged = self.clone();
         aged.objective_left_ms -= ms.cast_signed();
         aged.deadline_left_ms = aged.deadline_left_ms.saturating_sub(ms);
+        aged.answer_left_ms = aged.answer_left_ms.saturating_sub(ms);
         aged
     }
 }
@@ -125,6 +133,8 @@
 #[derive(Debug, Default)]
 pub struct PlacementBoard {
     services: BTreeMap<String, ServiceBoard>,
+    /// Speeds of targets that were known before the start.
+    recalled: BTreeMap<TargetKey, SpeedModel>,
     outputs: Vec<PlacementOutput>,
 }
 
@@ -136,10 +146,20 @@
             return;
         }
         let board = self.services.entry(service.to_owned()).or_default();
-        board.set_targets(infos);
+        board.set_targets(infos, &self.recalled);
         board.place_waiting(now, &mut self.outputs);
     }
 
+    /// Takes over speeds that were known before the start, for targets that are still to be set.
+    pub fn recall_speeds(&mut self, speeds: &[(TargetKey, SpeedModel)]) {
+        self.recalled.extend(speeds.iter().copied());
+    }
+
+    /// Speeds of all targets.
+    pub fn speeds(&self) -> Vec<(TargetKey, SpeedModel)> {
+        self.services.values().flat_map(ServiceBoard::speeds).collect()
+    }
+
     /// Takes in a request: places it, queues it or refuses it.
     pub fn submit(&mut self, ticket: PlacementTicket, now: ClockTime) {
         let board = self.services.entry(ticket.service.clone()).or_default();
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -5,7 +5,7 @@
 //! first, among them those that hold a slot for the shortest time, weighed by rank.
 
 use super::sizes::{RequestSize, SizeBand};
-use super::target::{first_event_ms, work_ms};
+use super::speed::SpeedModel;
 use super::{PlacementTicket, TicketKey};
 use burdockcleat_core::clock::ClockTime;
 
@@ -46,7 +46,13 @@
     pub(super) due: Option<ClockTime>,
     /// When it is refused.
     pub(super) expires: ClockTime,
+    /// Effort of reading its prompt, in tokens of a short one.
+    pub(super) effort: f64,
+    /// What it is worth on time, in usual requests of its rank.
+    pub(super) worth: f64,
     weight: f64,
+    /// Time that it holds a slot at the mean speed, in ms.
+    run_ms: f64,
     /// Whether it was judged again after its objective could not be met any more.
     judged_late: bool,
 }
@@ -60,23 +66,38 @@
 }
 
 impl WaitingTicket {
-    /// Starts the wait of a request at targets of the given pace.
+    /// Starts the wait of a request at targets of the given mean speed.
     pub(super) fn new(
         ticket: PlacementTicket,
         size: RequestSize,
-        pace: f64,
+        effort: f64,
+        speed: &SpeedModel,
+        slots: f64,
         now: ClockTime,
     ) -> Self {
-        let first_ms = first_event_ms(&ticket) * pace * FIRST_MARGIN + WAY_MS;
+        let first_ms = speed.first_event_ms(effort) * FIRST_MARGIN + WAY_MS;
         let sent_by = ticket.objective_left_ms - first_ms as i64;
         let due = u64::try_from(sent_by).ok().map(|left| now.plus(left));
         let expires = now.plus((ticket.deadline_left_ms as f64 * EXPIRE_PART) as u64);
         let rank = ticket.rank.min(MAX_RANK);
         let short = if size.goes_short { SHORT_FACTOR } else { 1.0 };
-        let work = work_ms(&ticket) / size.worth;
-        let weight = work.powf(WORK_POWER) * RANK_FACTOR.powi(rank.cast_signed()) * short;
+        let run_ms = speed.load_ms(effort, f64::from(ticket.output_tokens), slots);
+        let weight =
+            (run_ms / size.worth).powf(WORK_POWER) * RANK_FACTOR.powi(rank.cast_signed()) * short;
         let judged_late = due.is_none();
-        Self { ticket, band: size.band, arrived: now, due, expires, weight, judged_late }
+        let worth = size.worth;
+        Self {
+            ticket,
+            band: size.band,
+            arrived: now,
+            due,
+            expires,
+            effort,
+            worth,
+            weight,
+            run_ms,
+            judged_late,
+        }
     }
 
     fn on_time(&self, now: ClockTime) -> bool {
@@ -97,12 +118,23 @@
     /// Slot time that arrived in the last second or so, by class of weight, in ms.
     inflow: [f64; INFLOW_CLASSES],
     inflow_at: ClockTime,
+    /// Requests, the effort of their prompts and their output tokens lately, decayed.
+    arrivals: f64,
+    effort: f64,
+    output_tokens: f64,
 }
 
 impl Default for WaitingQueue {
     fn default() -> Self {
         let inflow = [0.0; INFLOW_CLASSES];
-        Self { tickets: Vec::new(), inflow, inflow_at: ClockTime::default() }
+        Self {
+            tickets: Vec::new(),
+            inflow,
+            inflow_at: ClockTime::default(),
+            arrivals: 0.0,
+            effort: 0.0,
+            output_tokens: 0.0,
+        }
     }
 }
 
@@ -111,12 +143,24 @@
         self.tickets.push(waiting);
     }
 
-    pub(super) fn pop(&mut self, now: ClockTime) -> Option<WaitingTicket> {
-        let costs = self.tickets.iter().map(|waiting| (waiting.cost(now), waiting.expires));
-        let (first, _) = costs.enumerate().min_by(|(_, left), (_, right)| {
-            left.0.total_cmp(&right.0).then(left.1.cmp(&right.1))
-        })?;
-        Some(self.tickets.swap_remove(first))
+    /// Keys of the waiting requests, the most worthwhile first.
+    pub(super) fn in_order(&self, now: ClockTime) -> Vec<TicketKey> {
+        let mut order: Vec<_> = self
+            .tickets
+            .iter()
+            .map(|waiting| (waiting.cost(now), waiting.expires, waiting.ticket.key))
+            .collect();
+        order.sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
+        order.into_iter().map(|(_, _, key)| key).collect()
+    }
+
+    pub(super) fn get(&self, key: TicketKey) -> Option<&WaitingTicket> {
+        self.tickets.iter().find(|waiting| waiting.ticket.key == key)
+    }
+
+    pub(super) fn take(&mut self, key: TicketKey) -> Option<WaitingTicket> {
+        let at = self.tickets.iter().position(|waiting| waiting.ticket.key == key)?;
+        Some(self.tickets.swap_remove(at))
     }
 
     pub(super) fn remove(&mut self, key: TicketKey) {
@@ -175,10 +219,19 @@
         for work in &mut self.inflow {
             *work *= decay;
         }
-        self.inflow[weight_class(waiting.weight)] += work_ms(&waiting.ticket);
+        self.inflow[weight_class(waiting.weight)] += waiting.run_ms;
+        self.arrivals = self.arrivals * decay + 1.0;
+        self.effort = self.effort * decay + waiting.effort;
+        self.output_tokens = self.output_tokens * decay + f64::from(waiting.ticket.output_tokens);
+    }
+
+    /// Mean effort of the prompts and tokens of the outputs of the requests that arrived lately.
+    pub(super) fn usual_request(&self) -> (f64, f64) {
+        let arrivals = self.arrivals.max(1.0);
+        (self.effort / arrivals, self.output_tokens / arrivals)
     }
 
-    /// Expected wait of a request, in ms, at `slots` slots of pace 1: the work of those that wait
+    /// Expected wait of a request, in ms, at `slots` slots of mean speed: the work of those that wait
     /// and go before it, at the slots that later ones which go before it leave free.
     pub(super) fn expected_wait_ms(
         &self,
@@ -194,7 +247,7 @@
             .tickets
             .iter()
             .filter(|other| other.cost(now) <= cost)
-            .map(|other| work_ms(&other.ticket))
+            .map(|other| other.run_ms)
             .sum();
         let class = weight_class(cost);
         let inflow: f64 = self.inflow[..class].iter().sum::<f64>() / INFLOW_MS;
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -2,6 +2,7 @@
 
 use super::queue::{WaitingQueue, WaitingTicket};
 use super::sizes::SizeLedger;
+use super::speed::{ReadingCurve, SpeedModel};
 use super::target::{RunningTicket, TargetInfo, TargetState, TicketOutcome};
 use super::{
     ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetKey, TicketKey,
@@ -24,6 +25,10 @@
 const REPORT_GRACE_MS: u64 = 700;
 /// Time for which an ended request may still stand in a report that is under way, in ms.
 const ENDED_MS: u64 = 1_000;
+/// Part of a request's own worth that must be lost for it to wait for a better target.
+const HOLD_PART: f64 = 0.25;
+/// Waiting requests that are passed over for others in one placement at most, which bounds its time.
+const MAX_PASSED_OVER: usize = 64;
 /// Time to keep a request whose node went silent, in ms.
 const SILENT_MS: u64 = 3_000;
 
@@ -33,22 +38,34 @@
     targets: BTreeMap<TargetKey, TargetState>,
     queue: WaitingQueue,
     sizes: SizeLedger,
+    curve: ReadingCurve,
     /// Requests that ended lately, with the time of their end.
     ended: HashMap<TicketKey, ClockTime>,
 }
 
 impl ServiceBoard {
-    pub(super) fn set_targets(&mut self, infos: &[TargetInfo]) {
+    pub(super) fn set_targets(
+        &mut self,
+        infos: &[TargetInfo],
+        recalled: &BTreeMap<TargetKey, SpeedModel>,
+    ) {
         self.targets.retain(|key, _| infos.iter().any(|info| info.key == *key));
-        let pace = self.mean_pace();
+        let speed = self.mean_speed();
         for info in infos {
             self.targets
                 .entry(info.key)
                 .and_modify(|state| state.info = info.clone())
-                .or_insert_with(|| TargetState::new(info.clone(), pace));
+                .or_insert_with(|| {
+                    let speed = recalled.get(&info.key).copied().unwrap_or(speed);
+                    TargetState::new(info.clone(), speed)
+                });
         }
     }
 
+    pub(super) fn speeds(&self) -> impl Iterator<Item = (TargetKey, SpeedModel)> {
+        self.targets.iter().map(|(key, state)| (*key, *state.speed()))
+    }
+
     pub(super) fn has_target(&self, target: TargetKey) -> bool {
         self.targets.contains_key(&target)
     }
@@ -61,13 +78,15 @@
         outputs: &mut Vec<PlacementOutput>,
     ) {
         let size = self.sizes.count_arrival(&ticket, now);
-        let mut waiting = WaitingTicket::new(ticket, size, self.mean_pace(), now);
+        let effort = self.curve.effort(ticket.prompt_tokens);
+        let mut waiting =
+            WaitingTicket::new(ticket, size, effort, &self.mean_speed(), self.mean_slots(), now);
         if self.targets.is_empty() {
             // Targets announce themselves every second or so, also to nodes that have just started.
             waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
         }
         let wait_ms = self.expected_wait_ms(&waiting, now);
-        if wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
+        if waiting.due.is_none() && wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
             outputs.push(refusal(&waiting.ticket, RefusalReason::WaitTooLong, wait_ms as u64));
             return;
         }
@@ -89,8 +108,9 @@
     }
 
     pub(super) fn started(&mut self, target: TargetKey, key: TicketKey, now: ClockTime) {
-        if let Some(state) = self.targets.get_mut(&target) {
-            state.started(key, now);
+        let Some(state) = self.targets.get_mut(&target) else { return };
+        if let Some((prompt_tokens, effort)) = state.started(key, now) {
+            self.curve.learn(prompt_tokens, effort);
         }
     }
 
@@ -111,7 +131,10 @@
             && !state.running.contains_key(&ticket.key)
             && !self.ended.contains_key(&ticket.key)
         {
-            state.grant(ticket, now);
+            let effort = self.curve.effort(ticket.prompt_tokens);
+            let size = self.sizes.size(ticket);
+            let waiting = WaitingTicket::new(ticket.clone(), size, effort, state.speed(), 1.0, now);
+            state.grant(&waiting, now);
         }
     }
 
@@ -140,11 +163,16 @@
                 process,
                 prompt_tokens: active.prompt_tokens,
                 granted: now,
-                expected_first_ms: 0.0,
-                work_ms: 0.0,
+                effort: self.curve.effort(active.prompt_tokens),
+                effort_ahead: self.curve.effort(active.prompt_tokens),
+                worth: 1.0,
+                rank: 0,
+                output_tokens: 0,
+                pause_ms: None,
                 first: None,
                 seen: now,
                 reported: true,
+                measured: false,
             });
             running.seen = now;
             running.reported = true;
@@ -186,13 +214,17 @@
         let slots: u32 = states.clone().map(|state| state.info.slots).sum();
         let running: usize = states.clone().map(|state| state.running.len()).sum();
         let usable = states.clone().filter(|state| state.usable(now)).count();
-        let fastest = states.clone().map(|state| state.work_pace).fold(f64::MAX, f64::min);
-        let slowest = states.clone().map(|state| state.work_pace).fold(0.0, f64::max);
+        let speed = self.mean_speed();
+        let fastest = states.clone().map(|s| s.speed().token_ms).fold(f64::MAX, f64::min);
+        let slowest = states.clone().map(|s| s.speed().token_ms).fold(0.0, f64::max);
         format!(
-            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} pace={:.2} work_pace={fastest:.2}..{slowest:.2}",
+            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} growth={:.3} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}",
             states.len(),
             self.queue.len(),
-            self.mean_pace()
+            speed.fixed_ms,
+            speed.read_ms * 1_000.0,
+            self.curve.growth(),
+            speed.token_ms
         )
     }
 
@@ -202,16 +234,23 @@
 
     /// Places waiting requests while targets are free.
     pub(super) fn place_waiting(&mut self, now: ClockTime, outputs: &mut Vec<PlacementOutput>) {
-        let mut skipped = Vec::new();
-        while self.queue.len() > 0 && self.targets.values().any(|state| state.free(now)) {
-            let Some(waiting) = self.queue.pop(now) else { break };
-            let Some(target) = self.pick_target(&waiting.ticket, now) else {
-                // A request that excludes the free targets does not hold up the others.
-                skipped.push(waiting);
+        if self.queue.len() == 0 || !self.targets.values().any(|state| state.free(now)) {
+            return;
+        }
+        let mut passed_over = 0;
+        for key in self.queue.in_order(now) {
+            let Some(waiting) = self.queue.get(key) else { continue };
+            let Some(target) = self.pick_target(waiting, now) else {
+                // A request that waits for a better target does not hold up the others.
+                passed_over += 1;
+                if passed_over >= MAX_PASSED_OVER {
+                    break;
+                }
                 continue;
             };
+            let Some(waiting) = self.queue.take(key) else { continue };
             let Some(state) = self.targets.get_mut(&target) else { continue };
-            state.grant(&waiting.ticket, now);
+            state.grant(&waiting, now);
             self.sizes.count_grant(&waiting.ticket, waiting.band);
             outputs.push(PlacementOutput::Grant {
                 key: waiting.ticket.key,
@@ -219,21 +258,25 @@
                 target,
                 waited_ms: now.since(waiting.arrived),
             });
-        }
-        for waiting in skipped {
-            self.queue.push(waiting);
+            if !self.targets.values().any(|state| state.free(now)) {
+                break;
+            }
         }
     }
 
-    /// Picks the free target with the lowest cost for a request.
-    fn pick_target(&self, ticket: &PlacementTicket, now: ClockTime) -> Option<TargetKey> {
-        self.targets
-            .values()
-            .filter(|state| !ticket.excluded.contains(&state.info.key))
+    /// Picks the free target at which least is lost, and among these the one with the lowest cost. None
+    /// if none is free, or if another one would lose less once it has a free slot.
+    fn pick_target(&self, waiting: &WaitingTicket, now: ClockTime) -> Option<TargetKey> {
+        let excluded = &waiting.ticket.excluded;
+        let allowed = || self.targets.values().filter(|s| !excluded.contains(&s.info.key));
+        let (strain, _, target) = allowed()
             .filter(|state| state.free(now))
-            .map(|state| (state.cost(ticket, now), state.info.key))
-            .min_by(|left, right| left.0.total_cmp(&right.0))
-            .map(|(_, key)| key)
+            .map(|state| (state.strain(waiting, now), state.cost(waiting, now), state.info.key))
+            .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
+        let tolerated = strain - waiting.worth * HOLD_PART;
+        let mut busy = allowed().filter(|state| state.usable(now) && !state.free(now));
+        let held = tolerated > 0.0 && busy.any(|s| s.least_strain(waiting, now) < tolerated);
+        (!held).then_some(target)
     }
 
     /// Expected wait of a request, in ms.
@@ -241,18 +284,30 @@
         self.queue.expected_wait_ms(waiting, self.free_pace_slots(now), now)
     }
 
-    /// Slots of the targets that may be used, as slots of pace 1.
+    /// Slots of the targets that may be used, as slots of the mean speed.
     fn free_pace_slots(&self, now: ClockTime) -> f64 {
+        let mean = self.mean_speed();
         let usable = self.targets.values().filter(|state| state.usable(now));
-        usable.map(|state| f64::from(state.info.slots) / state.work_pace).sum()
+        let slots = usable.map(|state| {
+            let (own, mean) = (self.usual_run_ms(state.speed()), self.usual_run_ms(&mean));
+            f64::from(state.info.slots) * mean / own.max(f64::EPSILON)
+        });
+        slots.sum()
     }
 
-    fn mean_pace(&self) -> f64 {
-        if self.targets.is_empty() {
-            return 1.0;
-        }
-        let sum: f64 = self.targets.values().map(|state| state.pace).sum();
-        sum / self.targets.len() as f64
+    /// Time that the usual request holds a slot, in ms.
+    fn usual_run_ms(&self, speed: &SpeedModel) -> f64 {
+        let (effort, output) = self.queue.usual_request();
+        speed.load_ms(effort, output, self.mean_slots())
+    }
+
+    fn mean_slots(&self) -> f64 {
+        let slots: u32 = self.targets.values().map(|state| state.info.slots).sum();
+        f64::from(slots) / (self.targets.len() as f64).max(1.0)
+    }
+
+    fn mean_speed(&self) -> SpeedModel {
+        SpeedModel::mean(self.targets.values().map(|state| *state.speed()))
     }
 }
 
--- a/crates/edge/src/placement/sizes.rs
+++ b/crates/edge/src/placement/sizes.rs
@@ -99,6 +99,12 @@
         RequestSize { band, worth: rank.worth(size), goes_short: rank.goes_short(band) }
     }
 
+    /// Size of a request that is not counted here.
+    pub fn size(&self, ticket: &PlacementTicket) -> RequestSize {
+        let worth = self.ranks.get(&ticket.rank).map_or(1.0, |r| r.worth(request_size(ticket)));
+        RequestSize { band: SizeBand::Usual, worth, goes_short: false }
+    }
+
     /// Counts a request that is granted a target.
     pub fn count_grant(&mut self, ticket: &PlacementTicket, band: SizeBand) {
         if let Some(rank) = self.ranks.get_mut(&ticket.rank) {
@@ -124,7 +130,7 @@
 
     fn worth(&self, size: f64) -> f64 {
         let mean = self.size_sum / self.total;
-        if size <= 0.0 || mean <= 0.0 {
+        if size <= 0.0 || mean.is_nan() || mean <= 0.0 {
             return 1.0;
         }
         (FIXED_WORTH + (1.0 - FIXED_WORTH) * size / mean).min(MAX_WORTH)
--- /dev/null
+++ b/crates/edge/src/placement/strain.rs
@@ -0,0 +1,79 @@
+//! What a placement breaks: the request's own objective or deadline, and the streams beside it.
+//!
+//! Answers long prompts among streams: a target reads prompts between the tokens of the streams that
+//! it runs, so that a prompt that takes longer than a stream may pause makes all of them late. On
+//! slow targets usual prompts suffice for that. Such requests wait for a target that can take them
+//! while they are on time, and smaller ones pass them.
+
+use super::queue::WaitingTicket;
+use super::target::TargetState;
+use burdockcleat_core::clock::ClockTime;
+
+/// Part of a stream's longest pause that reading prompts may take beside it: the rest is for the
+/// steps in between and for errors of the estimate.
+const PAUSE_PART: f64 = 0.9;
+/// Part of a stream's longest pause for which a prompt that was sent counts as read beside it.
+const LATELY_PART: f64 = 0.25;
+/// Part of the time left until the objective or the deadline that is planned with.
+const LEFT_PART: f64 = 0.9;
+/// Worth of a request of one rank in requests of the next one.
+const RANK_WORTH: f64 = 3.0;
+/// Ranks apart beyond which requests are not weighed against each other any more.
+const MAX_RANKS_APART: i64 = 8;
+
+impl TargetState {
+    /// Worth that is lost by sending a request here now, in usual requests of its rank.
+    pub(super) fn strain(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
+        let first_ms = self.expected_first_ms(waiting.effort, now);
+        self.own_loss(waiting, first_ms, now)
+            + self.stream_loss(waiting, self.reading_lately_ms(now), now)
+    }
+
+    /// The same if nothing were read here when the request is sent.
+    pub(super) fn least_strain(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
+        let first_ms = self.speed().first_event_ms(waiting.effort);
+        self.own_loss(waiting, first_ms, now) + self.stream_loss(waiting, 0.0, now)
+    }
+
+    /// What the request loses itself if its first event takes `first_ms`.
+    fn own_loss(&self, waiting: &WaitingTicket, first_ms: f64, now: ClockTime) -> f64 {
+        let waited_ms = now.since(waiting.arrived);
+        let ticket = &waiting.ticket;
+        let objective_ms = ticket.objective_left_ms - waited_ms.cast_signed();
+        let late = objective_ms > 0 && first_ms > objective_ms as f64 * LEFT_PART;
+        let answer_ms = ticket.answer_left_ms.saturating_sub(waited_ms) as f64;
+        let unfinished =
+            self.speed().run_ms(waiting.effort, ticket.output_tokens) > answer_ms * LEFT_PART;
+        if late || unfinished { waiting.worth } else { 0.0 }
+    }
+
+    /// What the streams that run here lose by the pause while the request's prompt is read, after
+    /// `reading_ms` of other prompts.
+    fn stream_loss(&self, waiting: &WaitingTicket, reading_ms: f64, now: ClockTime) -> f64 {
+        let pause_ms = reading_ms + self.speed().reading_ms(waiting.effort);
+        let broken = self.running.values().filter(|running| {
+            let begun = running.first.is_some_and(|first| first <= now);
+            begun && running.pause_ms.is_some_and(|longest| pause_ms > longest as f64 * PAUSE_PART)
+        });
+        let own_rank = i64::from(waiting.ticket.rank);
+        let worths = broken.map(|running| {
+            let apart =
+                (own_rank - i64::from(running.rank)).clamp(-MAX_RANKS_APART, MAX_RANKS_APART);
+            running.worth * RANK_WORTH.powi(apart as i32)
+        });
+        worths.sum()
+    }
+
+    /// Time in which prompts are read here within the longest pause of a stream, in ms: those sent
+    /// within it, and what is left of the others.
+    fn reading_lately_ms(&self, now: ClockTime) -> f64 {
+        let longest =
+            self.running.values().filter_map(|running| running.pause_ms).min().unwrap_or(0);
+        let sent = self
+            .lately
+            .iter()
+            .filter(|(at, _)| (now.since(*at) as f64) < longest as f64 * LATELY_PART);
+        let sent: f64 = sent.map(|(_, effort)| effort).sum();
+        self.speed().reading_ms(sent.max(self.unread_effort(now)))
+    }
+}
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -1,28 +1,18 @@
 //! What is known of one target: requests in flight, speed, failures.
 
-use super::{PlacementTicket, ProcessKey, TargetKey, TicketKey};
+use super::queue::WaitingTicket;
+use super::speed::{SpeedEstimate, SpeedModel};
+use super::{ProcessKey, TargetKey, TicketKey};
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
-/// Prompt tokens that a target of pace 1 reads in a ms; the pace of each target corrects it.
-const PREFILL_TOKENS_PER_MS: f64 = 40.0;
-/// Time to the first event beside the prompt, in ms, at pace 1.
-const FIRST_EVENT_MS: f64 = 30.0;
-/// Time for a token of output, in ms, at pace 1.
-const TOKEN_MS: f64 = 6.0;
-/// Expected time of a request without tokens, in ms, at pace 1.
-const PLAIN_MS: f64 = 20.0;
-/// Weight of a new observation in the pace.
-const PACE_WEIGHT: f64 = 0.2;
-/// Slot time that the assumption counts for in the first estimate of a target's slot time, in ms.
-const WORK_PRIOR_MS: f64 = 2_000.0;
-/// Part of the slot times that the next answer leaves in the estimate.
-const WORK_DECAY: f64 = 0.98;
-/// Bounds of the pace.
-const PACE_RANGE: (f64, f64) = (0.1, 20.0);
-/// Cost of each request that runs at the target, in ms at pace 1: it slows the others down.
-const SHARE_COST_MS: f64 = 4.0;
+/// Cost of each request that runs at the target, in tokens of its output: it slows the others down.
+const SHARE_COST_TOKENS: f64 = 1.0;
+/// Time for which the effort of a prompt is remembered, in ms: longer than streams may pause.
+const LATELY_MS: u64 = 1_000;
+/// Time by which a first event may be late before its target counts as held up, in ms.
+const OVERDUE_MS: f64 = 100.0;
 /// Cost of a target in another failure domain, in ms: a round trip and priced traffic.
 const FAR_COST_MS: f64 = 4.0;
 /// Cost of a target whose every request failed lately, in ms.
@@ -78,58 +68,46 @@
 pub(super) struct RunningTicket {
     pub(super) process: ProcessKey,
     pub(super) prompt_tokens: u32,
+    /// Effort of reading its prompt, in tokens of a short one.
+    pub(super) effort: f64,
+    /// The same for all prompts that were to be read until its first event.
+    pub(super) effort_ahead: f64,
     pub(super) granted: ClockTime,
-    pub(super) expected_first_ms: f64,
-    /// Expected slot time at pace 1, in ms; 0 if it is not known here.
-    pub(super) work_ms: f64,
+    /// What it is worth on time, in usual requests of its rank.
+    pub(super) worth: f64,
+    pub(super) rank: u32,
+    /// Expected tokens of the output; 0 if they are not known here.
+    pub(super) output_tokens: u32,
+    /// Longest pause of its stream on time, in ms; none if it is no stream.
+    pub(super) pause_ms: Option<u64>,
     pub(super) first: Option<ClockTime>,
     pub(super) seen: ClockTime,
     /// Whether its node has told that it runs.
     pub(super) reported: bool,
+    /// Whether its grant was made or seen here, so that its times tell the target's speed.
+    pub(super) measured: bool,
 }
 
 #[derive(Debug)]
 pub(super) struct TargetState {
     pub(super) info: TargetInfo,
     pub(super) running: BTreeMap<TicketKey, RunningTicket>,
-    /// Time to the first event, as a multiple of the assumed one.
-    pub(super) pace: f64,
-    /// Slot time, as a multiple of the assumed one.
-    pub(super) work_pace: f64,
-    /// Slot times that were needed and expected lately, in ms.
-    worked_ms: f64,
-    expected_ms: f64,
+    speed: SpeedEstimate,
+    /// Efforts of the prompts sent lately, with the time of each grant.
+    pub(super) lately: VecDeque<(ClockTime, f64)>,
     failure_share: f64,
     failure_counted: ClockTime,
     failures_in_row: u32,
     paused_until: ClockTime,
 }
 
-/// Time from the send of a request to its first event at an idle target of pace 1, in ms.
-pub(super) fn first_event_ms(ticket: &PlacementTicket) -> f64 {
-    if ticket.prompt_tokens == 0 {
-        return PLAIN_MS;
-    }
-    f64::from(ticket.prompt_tokens) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS
-}
-
-/// Time that a request takes at one slot of pace 1, in ms.
-pub(super) fn work_ms(ticket: &PlacementTicket) -> f64 {
-    if ticket.prompt_tokens == 0 {
-        return PLAIN_MS;
-    }
-    first_event_ms(ticket) + f64::from(ticket.output_tokens) * TOKEN_MS
-}
-
 impl TargetState {
-    pub(super) const fn new(info: TargetInfo, pace: f64) -> Self {
+    pub(super) fn new(info: TargetInfo, speed: SpeedModel) -> Self {
         Self {
             info,
             running: BTreeMap::new(),
-            pace,
-            work_pace: 1.0,
-            worked_ms: WORK_PRIOR_MS,
-            expected_ms: WORK_PRIOR_MS,
+            speed: SpeedEstimate::new(speed),
+            lately: VecDeque::new(),
             failure_share: 0.0,
             failure_counted: ClockTime::from_ms(0),
             failures_in_row: 0,
@@ -137,6 +115,11 @@
         }
     }
 
+    /// Speed as it is known now.
+    pub(super) const fn speed(&self) -> &SpeedModel {
+        self.speed.model()
+    }
+
     /// Whether the target is not paused after a failure.
     pub(super) fn usable(&self, now: ClockTime) -> bool {
         self.paused_until <= now
@@ -149,57 +132,92 @@
     }
 
     /// Cost of sending a request here, in ms.
-    pub(super) fn cost(&self, ticket: &PlacementTicket, now: ClockTime) -> f64 {
-        let far = if self.info.domain == ticket.domain { 0.0 } else { FAR_COST_MS };
-        self.expected_first_ms(ticket.prompt_tokens, now)
-            + self.running.len() as f64 * SHARE_COST_MS * self.pace
+    pub(super) fn cost(&self, ticket: &WaitingTicket, now: ClockTime) -> f64 {
+        let far = if self.info.domain == ticket.ticket.domain { 0.0 } else { FAR_COST_MS };
+        self.expected_first_ms(ticket.effort, now)
+            + self.running.len() as f64 * SHARE_COST_TOKENS * self.speed().token_ms
             + far
             + (self.failure_share(now) - FAILURE_TOLERANCE).max(0.0) * FAILURE_COST_MS
     }
 
     /// Expected time to the first event: the prompts ahead that are not read yet, and this one.
-    fn expected_first_ms(&self, prompt_tokens: u32, now: ClockTime) -> f64 {
-        if prompt_tokens == 0 {
-            return PLAIN_MS * self.pace;
-        }
-        let ahead = self.running.values().filter(|running| running.first.is_none());
-        let ahead: f64 = ahead.map(|running| running.prompt_left_ms(self.pace, now)).sum();
-        ahead + (f64::from(prompt_tokens) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS) * self.pace
+    pub(super) fn expected_first_ms(&self, effort: f64, now: ClockTime) -> f64 {
+        self.speed().first_event_ms(self.unread_effort(now) + effort) + self.overdue_ms(now)
     }
 
-    pub(super) fn grant(&mut self, ticket: &PlacementTicket, now: ClockTime) {
-        let expected_first_ms = self.expected_first_ms(ticket.prompt_tokens, now);
+    /// Effort of the prompts that are not read yet.
+    pub(super) fn unread_effort(&self, now: ClockTime) -> f64 {
+        let read_ms = self.speed().read_ms.max(f64::EPSILON);
+        let unread = self.running.values().filter(|running| running.first.is_none());
+        let efforts = unread.map(|running| {
+            let read = now.since(running.granted) as f64 / read_ms;
+            (running.effort_ahead - read).clamp(0.0, running.effort)
+        });
+        efforts.sum()
+    }
+
+    /// Time by which first events are overdue, in ms: what has been late for long stays late.
+    fn overdue_ms(&self, now: ClockTime) -> f64 {
+        let unread = self.running.values().filter(|running| running.first.is_none());
+        let overdue = unread.map(|running| {
+            let expected_ms = self.speed().first_event_ms(running.effort_ahead) + OVERDUE_MS;
+            now.since(running.granted) as f64 - expected_ms
+        });
+        overdue.fold(0.0, f64::max)
+    }
+
+    pub(super) fn grant(&mut self, waiting: &WaitingTicket, now: ClockTime) {
+        let ticket = &waiting.ticket;
         let running = RunningTicket {
             process: ticket.process,
             prompt_tokens: ticket.prompt_tokens,
+            effort: waiting.effort,
+            effort_ahead: self.unread_effort(now) + waiting.effort,
             granted: now,
-            expected_first_ms,
-            work_ms: work_ms(ticket),
+            worth: waiting.worth,
+            rank: ticket.rank,
+            output_tokens: ticket.output_tokens,
+            pause_ms: ticket.pause_ms,
             first: None,
             seen: now,
             reported: false,
+            measured: true,
         };
         self.running.insert(ticket.key, running);
+        self.lately.push_back((now, waiting.effort));
+        while self.lately.front().is_some_and(|(at, _)| now.since(*at) > LATELY_MS) {
+            self.lately.pop_front();
+        }
     }
 
-    pub(super) fn started(&mut self, key: TicketKey, now: ClockTime) {
-        let Some(running) = self.running.get_mut(&key) else { return };
+    /// Records the first event of a request. If its prompt was read alone, returns its length and the
+    /// effort that it took, both in tokens.
+    pub(super) fn started(&mut self, key: TicketKey, now: ClockTime) -> Option<(u32, f64)> {
+        let running = self.running.get_mut(&key)?;
         running.reported = true;
-        if running.first.replace(now).is_some() || running.expected_first_ms <= 0.0 {
-            return;
+        if running.first.replace(now).is_some() || !running.measured {
+            return None;
         }
-        let ratio = (now.since(running.granted) as f64 + 1.0) / running.expected_first_ms;
-        let (low, high) = PACE_RANGE;
-        self.pace = (self.pace * ratio.clamp(low, high).powf(PACE_WEIGHT)).clamp(low, high);
+        let took_ms = now.since(running.granted) as f64;
+        let (prompt_tokens, effort, ahead) =
+            (running.prompt_tokens, running.effort, running.effort_ahead);
+        self.speed.learn_first_event(ahead, took_ms);
         self.failures_in_row = 0;
+        let reading_ms = took_ms - self.speed().fixed_ms;
+        (effort >= ahead)
+            .then(|| (prompt_tokens, reading_ms / self.speed().read_ms.max(f64::EPSILON)))
     }
 
     pub(super) fn finished(&mut self, key: TicketKey, outcome: TicketOutcome, now: ClockTime) {
         let running = self.running.remove(&key);
         match outcome {
             TicketOutcome::Answered => {
-                if let Some(running) = running.filter(|running| running.work_ms > 0.0) {
-                    self.learn_work(now.since(running.granted) as f64, running.work_ms);
+                if let Some((running, first)) =
+                    running.and_then(|r| r.first.map(|first| (r, first)))
+                    && running.measured
+                {
+                    let tokens = f64::from(running.output_tokens);
+                    self.speed.learn_output(tokens, now.since(first) as f64);
                 }
                 self.count_outcome(0.0, FAILED_WEIGHT, now);
                 self.failures_in_row = 0;
@@ -230,31 +248,18 @@
         self.failure_counted = now;
     }
 
-    fn learn_work(&mut self, worked_ms: f64, expected_ms: f64) {
-        self.worked_ms = self.worked_ms * WORK_DECAY + worked_ms;
-        self.expected_ms = self.expected_ms * WORK_DECAY + expected_ms;
-        let (low, high) = PACE_RANGE;
-        self.work_pace = (self.worked_ms / self.expected_ms).clamp(low, high);
-    }
-
     pub(super) fn describe(&self, now: ClockTime) -> String {
         format!(
-            "target={:x} service={} running={} slots={} pace={:.2} work_pace={:.2} failures={:.2} paused_ms={}",
+            "target={:x} service={} running={} slots={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}",
             self.info.key.0,
             self.info.service,
             self.running.len(),
             self.info.slots,
-            self.pace,
-            self.work_pace,
+            self.speed().fixed_ms,
+            self.speed().read_ms * 1_000.0,
+            self.speed().token_ms,
             self.failure_share(now),
             self.paused_until.since(now)
         )
     }
 }
-
-impl RunningTicket {
-    fn prompt_left_ms(&self, pace: f64, now: ClockTime) -> f64 {
-        let full = f64::from(self.prompt_tokens) / PREFILL_TOKENS_PER_MS * pace;
-        (full - now.since(self.granted) as f64).max(0.0)
-    }
-}
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -1,5 +1,6 @@
 //! Calls between nodes over TCP: a length, then a message, one answer for each call.
 
+use crate::memory::RouteDeadline;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
 use crate::targets::AgedNotice;
 use serde::de::DeserializeOwned;
@@ -45,6 +46,7 @@
     Applied {
         value: Option<AcceptedValue>,
         targets: Vec<AgedNotice>,
+        deadlines: Vec<RouteDeadline>,
     },
     /// The register was changed, and this value is chosen.
     Changed(AcceptedValue),
--- a/crates/edge/src/slots.rs
+++ b/crates/edge/src/slots.rs
@@ -1,15 +1,19 @@
-//! Durable state of a replica: two files that are written in turn, so that one of them is whole
-//! after a crash or a loss of power.
+//! Durable state of a node: two files for each part of it that are written in turn, so that one of
+//! them is whole after a crash or a loss of power.
 
+use crate::memory::RecoveryMemory;
 use crate::register::ReplicaState;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use thiserror::Error;
 
-/// Names of the two files.
-const SLOT_NAMES: [&str; 2] = ["register-a", "register-b"];
+/// Names of the files of the replica.
+const REGISTER_NAMES: [&str; 2] = ["register-a", "register-b"];
+/// Names of the files of the memory.
+const MEMORY_NAMES: [&str; 2] = ["memory-a", "memory-b"];
 /// Name of the file with the number of the disk.
 const IDENTITY_NAME: &str = "identity";
 /// Length and checksum before the content of a slot, in bytes.
@@ -30,35 +34,31 @@
         source: std::io::Error,
     },
     /// The state could not be encoded.
-    #[error("encoding the state of the replica")]
+    #[error("encoding the state of the node")]
     Encode(#[from] postcard::Error),
 }
 
 /// Content of a slot.
 #[derive(Serialize, Deserialize)]
-struct SlotRecord {
+struct SlotRecord<T> {
     sequence: u64,
-    state: ReplicaState,
+    state: T,
 }
 
-/// The open files of a replica.
+/// Two open files that are written in turn.
 #[derive(Debug)]
-pub struct SlotStore {
+struct SlotPair {
     files: [(PathBuf, File); 2],
     sequence: u64,
-    disk: u64,
 }
 
-impl SlotStore {
-    /// Opens the folder and reads the newest whole state. An empty folder gets the number
-    /// `new_disk`.
-    ///
-    /// # Errors
-    /// Fails if a file cannot be created, read or synced.
-    pub fn open(folder: &Path, new_disk: u64) -> Result<(Self, ReplicaState), SlotError> {
-        fs::create_dir_all(folder).map_err(failed("creating the folder", folder))?;
-        let disk = open_identity(&folder.join(IDENTITY_NAME), new_disk)?;
-        let mut newest: Option<SlotRecord> = None;
+impl SlotPair {
+    /// Opens two files and reads the newest whole state.
+    fn open<T>(folder: &Path, names: [&str; 2]) -> Result<(Self, Option<T>), SlotError>
+    where
+        T: DeserializeOwned,
+    {
+        let mut newest: Option<SlotRecord<T>> = None;
         let mut open = |name: &str| -> Result<(PathBuf, File), SlotError> {
             let path = folder.join(name);
             let mut file = open_file(&path)?;
@@ -69,25 +69,18 @@
             }
             Ok((path, file))
         };
-        let files = [open(SLOT_NAMES[0])?, open(SLOT_NAMES[1])?];
-        let (sequence, state) =
-            newest.map_or_else(Default::default, |record| (record.sequence, record.state));
-        Ok((Self { files, sequence, disk }, state))
-    }
-
-    /// Number of the disk, drawn when it was empty.
-    pub const fn disk(&self) -> u64 {
-        self.disk
+        let files = [open(names[0])?, open(names[1])?];
+        let sequence = newest.as_ref().map_or(0, |record| record.sequence);
+        Ok((Self { files, sequence }, newest.map(|record| record.state)))
     }
 
     /// Writes and syncs a state. After an error the state on disk is the one before.
-    ///
-    /// # Errors
-    /// Fails if the file cannot be written or synced.
-    pub fn save(&mut self, state: &ReplicaState) -> Result<(), SlotError> {
+    fn save<T>(&mut self, state: &T) -> Result<(), SlotError>
+    where
+        T: Serialize,
+    {
         let sequence = self.sequence + 1;
-        let record = SlotRecord { sequence, state: state.clone() };
-        let content = postcard::to_stdvec(&record)?;
+        let content = postcard::to_stdvec(&SlotRecord { sequence, state })?;
         let mut bytes = Vec::with_capacity(HEAD_BYTES + content.len());
         bytes.extend((content.len() as u64).to_le_bytes());
         bytes.extend(crc32fast::hash(&content).to_le_bytes());
@@ -101,6 +94,56 @@
     }
 }
 
+/// The open files of a node with a disk.
+#[derive(Debug)]
+pub struct SlotStore {
+    register: SlotPair,
+    memory: SlotPair,
+    recalled: Option<RecoveryMemory>,
+    disk: u64,
+}
+
+impl SlotStore {
+    /// Opens the folder and reads the newest whole states. An empty folder gets the number
+    /// `new_disk`.
+    ///
+    /// # Errors
+    /// Fails if a file cannot be created, read or synced.
+    pub fn open(folder: &Path, new_disk: u64) -> Result<(Self, ReplicaState), SlotError> {
+        fs::create_dir_all(folder).map_err(failed("creating the folder", folder))?;
+        let disk = open_identity(&folder.join(IDENTITY_NAME), new_disk)?;
+        let (register, state) = SlotPair::open(folder, REGISTER_NAMES)?;
+        let (memory, recalled) = SlotPair::open(folder, MEMORY_NAMES)?;
+        Ok((Self { register, memory, recalled, disk }, state.unwrap_or_default()))
+    }
+
+    /// Number of the disk, drawn when it was empty.
+    pub const fn disk(&self) -> u64 {
+        self.disk
+    }
+
+    /// The memory that was on the disk when it was opened.
+    pub const fn recalled(&mut self) -> Option<RecoveryMemory> {
+        self.recalled.take()
+    }
+
+    /// Writes and syncs a state of the replica. After an error the state on disk is the one before.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written or synced.
+    pub fn save(&mut self, state: &ReplicaState) -> Result<(), SlotError> {
+        self.register.save(state)
+    }
+
+    /// Writes and syncs the memory. After an error the one on disk is the one before.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written or synced.
+    pub fn remember(&mut self, memory: &RecoveryMemory) -> Result<(), SlotError> {
+        self.memory.save(memory)
+    }
+}
+
 fn failed<'a>(
     action: &'static str,
     path: &'a Path,
@@ -142,7 +185,10 @@
 }
 
 /// Reads a slot; none if it is empty or torn.
-fn read_slot(path: &Path, file: &mut File) -> Result<Option<SlotRecord>, SlotError> {
+fn read_slot<T>(path: &Path, file: &mut File) -> Result<Option<SlotRecord<T>>, SlotError>
+where
+    T: DeserializeOwned,
+{
     let mut bytes = Vec::new();
     file.read_to_end(&mut bytes).map_err(failed("reading", path))?;
     let Some((head, content)) = bytes.split_at_checked(HEAD_BYTES) else { return Ok(None) };
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -43,6 +43,24 @@
     },
 }
 
+impl TargetNotice {
+    /// Whether the incarnation has left for good.
+    pub const fn left(&self) -> bool {
+        matches!(self, Self::Left { .. })
+    }
+
+    /// The notice without what changes with each announcement.
+    #[must_use]
+    pub fn timeless(&self) -> Self {
+        match self {
+            Self::Announced(announcement) => {
+                Self::Announced(TargetAnnouncement { sequence: 0, ..announcement.clone() })
+            }
+            Self::Left { .. } => self.clone(),
+        }
+    }
+}
+
 /// A notice that another node heard some time ago.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -88,7 +106,7 @@
 
 /// Longest time without an announcement after which a target is not used, in announcement
 /// intervals: announcements arrive up to a few seconds late.
-const FRESH_INTERVALS: u64 = 5;
+pub(crate) const FRESH_INTERVALS: u64 = 5;
 /// Time that the memory of a leave outlives the last announcement, in ms: longer than an
 /// announcement can be delayed.
 const KEEP_LEFT_MS: u64 = 120_000;
--- /dev/null
+++ b/crates/edge/tests/memory.rs
@@ -0,0 +1,110 @@
+//! What a node remembers over its restart.
+
+use burdockcleat_core::clock::ClockTime;
+use burdockcleat_edge::deadlines::DeadlineLedger;
+use burdockcleat_edge::memory::RecoveryMemory;
+use burdockcleat_edge::placement::{SpeedModel, TargetKey};
+use burdockcleat_edge::slots::SlotStore;
+use burdockcleat_edge::targets::{
+    AgedNotice, TargetAnnouncement, TargetChange, TargetNotice, TargetTable,
+};
+use std::fs;
+
+fn at(ms: u64) -> ClockTime {
+    ClockTime::from_ms(ms)
+}
+
+fn announcement(sequence: u64) -> TargetAnnouncement {
+    TargetAnnouncement {
+        id: "i-1".into(),
+        service: "engines".into(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        domain: "a".into(),
+        slots: 4,
+        draining: false,
+        incarnation: 7,
+        sequence,
+    }
+}
+
+fn memory(sequence: u64, written: u64) -> RecoveryMemory {
+    let notice = TargetNotice::Announced(announcement(sequence));
+    RecoveryMemory {
+        written: at(written),
+        targets: vec![AgedNotice { notice, age_ms: 300 }],
+        speeds: vec![(TargetKey(9), SpeedModel::PRIOR)],
+        deadlines: vec![("r".into(), 5_000)],
+    }
+}
+
+/// A loss of power in the middle of a write destroys the memory before it.
+#[test]
+fn a_torn_write_leaves_the_memory_before_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
+    assert_eq!(store.recalled(), None);
+    store.remember(&memory(1, 100)).unwrap();
+    store.remember(&memory(2, 200)).unwrap();
+    drop(store);
+    let path = folder.path().join("memory-a");
+    let bytes = fs::read(&path).unwrap();
+    fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
+    let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
+    assert_eq!(store.recalled(), Some(memory(1, 100)));
+}
+
+/// A memory that cannot be read keeps the node from starting.
+#[test]
+fn an_unreadable_memory_is_no_memory() {
+    let folder = tempfile::tempdir().unwrap();
+    fs::write(folder.path().join("memory-a"), [1; 300]).unwrap();
+    fs::write(folder.path().join("memory-b"), []).unwrap();
+    let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
+    assert_eq!(store.recalled(), None);
+    store.remember(&memory(1, 100)).unwrap();
+}
+
+/// Targets of an hour ago are used.
+#[test]
+fn an_old_memory_is_not_used() {
+    assert_eq!(memory(1, 10_000).age_ms(at(12_000)), Some(2_000));
+    assert_eq!(memory(1, 10_000).age_ms(at(3_610_000)), None);
+    // The time of day was set back.
+    assert_eq!(memory(1, 10_000).age_ms(at(9_000)), Some(0));
+}
+
+/// Each announcement of a target that is known causes a write.
+#[test]
+fn announcements_alone_change_no_memory() {
+    assert!(memory(1, 100).same_targets(&memory(8, 900)));
+    let left = TargetNotice::Left { id: "i-1".into(), incarnation: 7 };
+    let other =
+        RecoveryMemory { targets: vec![AgedNotice { notice: left, age_ms: 0 }], ..memory(1, 100) };
+    assert!(!memory(1, 100).same_targets(&other));
+}
+
+/// A remembered target counts as newer than its own announcements, or outlives its leave.
+#[test]
+fn announcements_and_leaves_replace_what_is_remembered() {
+    let remembered = TargetNotice::Announced(announcement(50)).timeless();
+    let mut table = TargetTable::default();
+    assert_eq!(table.apply(&remembered, at(0)), TargetChange::Joined);
+    assert_eq!(table.usable("engines", 1_200, at(100)).len(), 1);
+    let next = TargetNotice::Announced(announcement(51));
+    assert_eq!(table.apply(&next, at(200)), TargetChange::Refreshed);
+    assert_eq!(table.apply(&remembered, at(300)), TargetChange::Stale);
+    let leave = TargetNotice::Left { id: "i-1".into(), incarnation: 7 };
+    assert_eq!(table.apply(&leave, at(400)), TargetChange::Leaving);
+    assert_eq!(table.apply(&remembered, at(500)), TargetChange::Stale);
+    assert!(table.usable("engines", 1_200, at(500)).is_empty());
+}
+
+/// Pattern: all callers come back after a restart, and the first ones are taken for new ones.
+#[test]
+fn callers_that_came_back_are_told_from_new_ones_after_a_restart() {
+    let mut before = DeadlineLedger::default();
+    before.spent_ms("r", 10_000, at(500));
+    let mut after = DeadlineLedger::default();
+    after.recall(&before.longest(), at(10));
+    assert_eq!(after.spent_ms("r", 6_000, at(20)), 2_500);
+}
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -39,6 +39,8 @@
         output_tokens,
         objective_left_ms: 500,
         deadline_left_ms: 2_400,
+        answer_left_ms: 10_000,
+        pause_ms: None,
         excluded: Vec::new(),
     }
 }
