--- a/crates/edge/src/membership/serve.rs
+++ b/crates/edge/src/membership/serve.rs
@@ -2,6 +2,7 @@
 
 use super::AppliedValue;
 use super::store::StoreCall;
+use crate::memory::RecoveryMemory;
 use crate::node::NodeState;
 use crate::register::{AcceptedValue, PhaseReply, RegisterChange};
 use crate::rpc::{self, PeerCall, PeerReply};
@@ -19,12 +20,11 @@
 impl NodeState {
     /// Fetches the applied value of another node.
     pub(super) async fn fetch_applied(self: Rc<Self>, from: std::net::SocketAddrV4) {
-        let with_targets =
-            self.targets.borrow().is_empty() || !self.is_warm(ClockTime::monotonic());
-        match rpc::call(from, &PeerCall::ReadApplied { with_targets }).await {
-            Ok(PeerReply::Applied { value: Some(applied), targets, deadlines }) => {
-                self.apply_value(applied.ballot, &applied.value);
-                self.take_over(&targets, &deadlines);
+        let with_memory = self.targets.borrow().is_empty() || !self.is_warm(ClockTime::monotonic());
+        match rpc::call(from, &PeerCall::ReadApplied { with_memory }).await {
+            Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), memory }) => {
+                self.apply_value(ballot, &value);
+                self.take_over(&memory);
             }
             Ok(other) => {
                 log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
@@ -83,16 +83,11 @@
                     (Err(error), _) => PeerReply::Failed(error.to_string()),
                 };
             }
-            PeerCall::ReadApplied { with_targets } => {
+            PeerCall::ReadApplied { with_memory } => {
                 let applied = self.register.applied();
                 let value = applied.map(|a| AcceptedValue { ballot: a.ballot, value: a.value });
-                let (targets, deadlines) = if with_targets {
-                    let targets = self.targets.borrow().snapshot(ClockTime::monotonic());
-                    (targets, self.deadlines.borrow().longest())
-                } else {
-                    (Vec::new(), Vec::new())
-                };
-                return PeerReply::Applied { value, targets, deadlines };
+                let memory = if with_memory { self.memory() } else { RecoveryMemory::default() };
+                return PeerReply::Applied { value, memory };
             }
             PeerCall::ReadBallot { disk } => {
                 let Some(store) = store(disk) else { return PeerReply::WrongDisk };
--- a/crates/edge/src/membership/store.rs
+++ b/crates/edge/src/membership/store.rs
@@ -1,7 +1,7 @@
 //! The thread that owns the node's files: a slow or stalled disk holds up nothing else.
 
 use crate::datagram::ValueMark;
-use crate::memory::RecoveryMemory;
+use crate::memory::WrittenMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterValue, ReplicaState};
 use crate::slots::{SlotError, SlotStore};
 use std::cell::RefCell;
@@ -20,7 +20,7 @@
 
 enum StoreJob {
     Replica { call: StoreCall, reply: oneshot::Sender<Result<PhaseReply, SlotError>> },
-    Remember(RecoveryMemory),
+    Remember(WrittenMemory),
 }
 
 /// Running replica.
@@ -29,7 +29,7 @@
     accepted: Arc<Mutex<Option<AcceptedValue>>>,
     /// Whether a memory is still to be written.
     remembering: Arc<AtomicBool>,
-    recalled: RefCell<Option<RecoveryMemory>>,
+    recalled: RefCell<Option<WrittenMemory>>,
     disk: u64,
 }
 
@@ -60,12 +60,12 @@
     }
 
     /// The memory that was on the disk at the start, once.
-    pub(crate) fn recall(&self) -> Option<RecoveryMemory> {
+    pub(crate) fn recall(&self) -> Option<WrittenMemory> {
         self.recalled.take()
     }
 
     /// Has a memory written. Returns whether it will be: not while one before it is being written.
-    pub(crate) fn remember(&self, memory: RecoveryMemory) -> bool {
+    pub(crate) fn remember(&self, memory: WrittenMemory) -> bool {
         if self.remembering.swap(true, Ordering::AcqRel) {
             return false;
         }
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -16,13 +16,11 @@
 /// Longest deadline of a route, by its name, in ms.
 pub type RouteDeadline = (String, u64);
 
-/// What is remembered.
+/// What a node that has just started takes over, from its disk or from another node.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct RecoveryMemory {
-    /// Time of day at which it was written.
-    pub written: ClockTime,
-    /// Targets, as a node that has just started learns them.
+    /// Targets, and leaves of targets.
     pub targets: Vec<AgedNotice>,
     /// Speeds of targets.
     pub speeds: Vec<(TargetKey, SpeedModel)>,
@@ -30,13 +28,17 @@
     pub deadlines: Vec<RouteDeadline>,
 }
 
-impl RecoveryMemory {
-    /// Age at a time of day, in ms; none if it is too old to be used.
-    pub fn age_ms(&self, wall: ClockTime) -> Option<u64> {
-        // A clock that was set back makes it seem new, which costs a few sends in vain.
-        Some(wall.since(self.written)).filter(|age_ms| *age_ms <= MAX_AGE_MS)
-    }
+/// A memory as it is on a disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct WrittenMemory {
+    /// Time of day at which it was written.
+    pub written: ClockTime,
+    /// What is remembered.
+    pub memory: RecoveryMemory,
+}
 
+impl RecoveryMemory {
     /// Whether the other one names the same targets in the same state.
     pub fn same_targets(&self, other: &Self) -> bool {
         let notices = |memory: &Self| {
@@ -45,3 +47,23 @@
         notices(self) == notices(other)
     }
 }
+
+impl WrittenMemory {
+    /// Age at a time of day, in ms; none if it is too old to be used.
+    pub fn age_ms(&self, wall: ClockTime) -> Option<u64> {
+        // A clock that was set back makes it seem new, which costs a few sends in vain.
+        Some(wall.since(self.written)).filter(|age_ms| *age_ms <= MAX_AGE_MS)
+    }
+
+    /// The memory with the time since it was written added to the ages of its notices. Sequence
+    /// numbers are left out, so that any announcement of the same incarnation replaces a notice.
+    #[must_use]
+    pub fn aged(self, age_ms: u64) -> RecoveryMemory {
+        let mut memory = self.memory;
+        for aged in &mut memory.targets {
+            aged.notice = aged.notice.timeless();
+            aged.age_ms += age_ms;
+        }
+        memory
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -18,7 +18,7 @@
 use crate::dialect::WireDialect;
 use crate::logs;
 use crate::membership::RegisterService;
-use crate::memory::RecoveryMemory;
+use crate::memory::WrittenMemory;
 use crate::metrics::MetricSet;
 use crate::peers::PeerTable;
 use crate::placement::{ActiveTicket, PlacementBoard, ProcessKey, TargetKey, TicketKey};
@@ -104,7 +104,7 @@
     status_sequence: Cell<u64>,
     running: Cell<usize>,
     /// What was written down last for the next start.
-    remembered: RefCell<Option<RecoveryMemory>>,
+    remembered: RefCell<Option<WrittenMemory>>,
 }
 
 /// Counts a request as running until it is dropped.
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -67,8 +67,8 @@
             active.started = true;
         }
         let now = ClockTime::monotonic();
-        self.node.board.borrow_mut().started(self.target, self.key, now);
         let (key, target) = (self.key, self.target);
+        self.node.board.borrow_mut().started(target, key, now);
         self.node.tell_holder(&PeerDatagram::Started { key, target });
     }
 
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -133,7 +133,7 @@
 #[derive(Debug, Default)]
 pub struct PlacementBoard {
     services: BTreeMap<String, ServiceBoard>,
-    /// Speeds of targets that were known before the start.
+    /// Speeds of targets that are known from elsewhere.
     recalled: BTreeMap<TargetKey, SpeedModel>,
     outputs: Vec<PlacementOutput>,
 }
@@ -150,8 +150,13 @@
         board.place_waiting(now, &mut self.outputs);
     }
 
-    /// Takes over speeds that were known before the start, for targets that are still to be set.
+    /// Takes over speeds that are known from elsewhere, for targets that have not shown theirs here.
     pub fn recall_speeds(&mut self, speeds: &[(TargetKey, SpeedModel)]) {
+        for (target, speed) in speeds {
+            if let Some(board) = self.board_of(*target) {
+                board.recall_speed(*target, *speed);
+            }
+        }
         self.recalled.extend(speeds.iter().copied());
     }
 
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -5,7 +5,6 @@
 //! first, among them those that hold a slot for the shortest time, weighed by rank.
 
 use super::sizes::{RequestSize, SizeBand};
-use super::speed::SpeedModel;
 use super::{PlacementTicket, TicketKey};
 use burdockcleat_core::clock::ClockTime;
 
@@ -35,6 +34,17 @@
 /// Part of the slots that is taken as free for a request however much goes before it.
 const MIN_FREE_PART: f64 = 0.05;
 
+/// What a request needs of the targets.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RequestNeeds {
+    /// Effort of reading its prompt, in tokens of a short one.
+    pub(super) effort: f64,
+    /// Time to its first event at the fastest target, in ms.
+    pub(super) first_ms: f64,
+    /// Time of a target that it takes at the mean speed, in ms of one slot.
+    pub(super) load_ms: f64,
+}
+
 /// A request that waits for a target.
 #[derive(Clone, Debug)]
 pub(super) struct WaitingTicket {
@@ -51,8 +61,8 @@
     /// What it is worth on time, in usual requests of its rank.
     pub(super) worth: f64,
     weight: f64,
-    /// Time that it holds a slot at the mean speed, in ms.
-    run_ms: f64,
+    /// Time of a target that it takes at the mean speed, in ms of one slot.
+    load_ms: f64,
     /// Whether it was judged again after its objective could not be met any more.
     judged_late: bool,
 }
@@ -66,24 +76,22 @@
 }
 
 impl WaitingTicket {
-    /// Starts the wait of a request at targets of the given mean speed.
+    /// Starts the wait of a request.
     pub(super) fn new(
         ticket: PlacementTicket,
         size: RequestSize,
-        effort: f64,
-        speed: &SpeedModel,
-        slots: f64,
+        needs: RequestNeeds,
         now: ClockTime,
     ) -> Self {
-        let first_ms = speed.first_event_ms(effort) * FIRST_MARGIN + WAY_MS;
+        let RequestNeeds { effort, first_ms, load_ms } = needs;
+        let first_ms = first_ms * FIRST_MARGIN + WAY_MS;
         let sent_by = ticket.objective_left_ms - first_ms as i64;
         let due = u64::try_from(sent_by).ok().map(|left| now.plus(left));
         let expires = now.plus((ticket.deadline_left_ms as f64 * EXPIRE_PART) as u64);
         let rank = ticket.rank.min(MAX_RANK);
         let short = if size.goes_short { SHORT_FACTOR } else { 1.0 };
-        let run_ms = speed.load_ms(effort, f64::from(ticket.output_tokens), slots);
         let weight =
-            (run_ms / size.worth).powf(WORK_POWER) * RANK_FACTOR.powi(rank.cast_signed()) * short;
+            (load_ms / size.worth).powf(WORK_POWER) * RANK_FACTOR.powi(rank.cast_signed()) * short;
         let judged_late = due.is_none();
         let worth = size.worth;
         Self {
@@ -95,7 +103,7 @@
             effort,
             worth,
             weight,
-            run_ms,
+            load_ms,
             judged_late,
         }
     }
@@ -219,7 +227,7 @@
         for work in &mut self.inflow {
             *work *= decay;
         }
-        self.inflow[weight_class(waiting.weight)] += waiting.run_ms;
+        self.inflow[weight_class(waiting.weight)] += waiting.load_ms;
         self.arrivals = self.arrivals * decay + 1.0;
         self.effort = self.effort * decay + waiting.effort;
         self.output_tokens = self.output_tokens * decay + f64::from(waiting.ticket.output_tokens);
@@ -247,7 +255,7 @@
             .tickets
             .iter()
             .filter(|other| other.cost(now) <= cost)
-            .map(|other| other.run_ms)
+            .map(|other| other.load_ms)
             .sum();
         let class = weight_class(cost);
         let inflow: f64 = self.inflow[..class].iter().sum::<f64>() / INFLOW_MS;
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,6 +1,6 @@
 //! Targets and waiting requests of one service.
 
-use super::queue::{WaitingQueue, WaitingTicket};
+use super::queue::{RequestNeeds, WaitingQueue, WaitingTicket};
 use super::sizes::SizeLedger;
 use super::speed::{ReadingCurve, SpeedModel};
 use super::target::{RunningTicket, TargetInfo, TargetState, TicketOutcome};
@@ -62,6 +62,12 @@
         }
     }
 
+    pub(super) fn recall_speed(&mut self, target: TargetKey, speed: SpeedModel) {
+        if let Some(state) = self.targets.get_mut(&target) {
+            state.recall_speed(speed);
+        }
+    }
+
     pub(super) fn speeds(&self) -> impl Iterator<Item = (TargetKey, SpeedModel)> {
         self.targets.iter().map(|(key, state)| (*key, *state.speed()))
     }
@@ -78,9 +84,8 @@
         outputs: &mut Vec<PlacementOutput>,
     ) {
         let size = self.sizes.count_arrival(&ticket, now);
-        let effort = self.curve.effort(ticket.prompt_tokens);
-        let mut waiting =
-            WaitingTicket::new(ticket, size, effort, &self.mean_speed(), self.mean_slots(), now);
+        let needs = self.needs(&ticket);
+        let mut waiting = WaitingTicket::new(ticket, size, needs, now);
         if self.targets.is_empty() {
             // Targets announce themselves every second or so, also to nodes that have just started.
             waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
@@ -127,14 +132,12 @@
     }
 
     pub(super) fn adopt(&mut self, target: TargetKey, ticket: &PlacementTicket, now: ClockTime) {
+        let (size, needs) = (self.sizes.size(ticket), self.needs(ticket));
         if let Some(state) = self.targets.get_mut(&target)
             && !state.running.contains_key(&ticket.key)
             && !self.ended.contains_key(&ticket.key)
         {
-            let effort = self.curve.effort(ticket.prompt_tokens);
-            let size = self.sizes.size(ticket);
-            let waiting = WaitingTicket::new(ticket.clone(), size, effort, state.speed(), 1.0, now);
-            state.grant(&waiting, now);
+            state.grant(&WaitingTicket::new(ticket.clone(), size, needs, now), now);
         }
     }
 
@@ -273,12 +276,24 @@
             .filter(|state| state.free(now))
             .map(|state| (state.strain(waiting, now), state.cost(waiting, now), state.info.key))
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
-        let tolerated = strain - waiting.worth * HOLD_PART;
+        let tolerated = waiting.worth * HOLD_PART;
         let mut busy = allowed().filter(|state| state.usable(now) && !state.free(now));
-        let held = tolerated > 0.0 && busy.any(|s| s.least_strain(waiting, now) < tolerated);
+        let held = strain > tolerated && busy.any(|s| s.least_strain(waiting, now) <= tolerated);
         (!held).then_some(target)
     }
 
+    fn needs(&self, ticket: &PlacementTicket) -> RequestNeeds {
+        let effort = self.curve.effort(ticket.prompt_tokens);
+        let first_events = self.targets.values().map(|state| state.speed().first_event_ms(effort));
+        let fastest_ms = first_events.min_by(f64::total_cmp);
+        let mean = self.mean_speed();
+        RequestNeeds {
+            effort,
+            first_ms: fastest_ms.unwrap_or_else(|| mean.first_event_ms(effort)),
+            load_ms: mean.load_ms(effort, f64::from(ticket.output_tokens), self.mean_slots()),
+        }
+    }
+
     /// Expected wait of a request, in ms.
     fn expected_wait_ms(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
         self.queue.expected_wait_ms(waiting, self.free_pace_slots(now), now)
--- a/crates/edge/src/placement/speed.rs
+++ b/crates/edge/src/placement/speed.rs
@@ -185,6 +185,7 @@
     /// Time after the first event and tokens expected of late outputs.
     output_ms: f64,
     output_tokens: f64,
+    observed: bool,
 }
 
 impl SpeedEstimate {
@@ -194,7 +195,13 @@
         first_events.add(0.0, model.first_event_ms(0.0), PRIOR_WEIGHT);
         first_events.add(PRIOR_PROMPT, model.first_event_ms(PRIOR_PROMPT), PRIOR_WEIGHT);
         let output_tokens = PRIOR_TOKENS;
-        Self { model, first_events, output_ms: model.token_ms * output_tokens, output_tokens }
+        let output_ms = model.token_ms * output_tokens;
+        Self { model, first_events, output_ms, output_tokens, observed: false }
+    }
+
+    /// Whether a first event has been learned from.
+    pub const fn observed(&self) -> bool {
+        self.observed
     }
 
     /// The speed as it is known now.
@@ -206,6 +213,7 @@
     pub fn learn_first_event(&mut self, tokens: f64, took_ms: f64) {
         let expected = self.model.first_event_ms(tokens).max(OUTLIER_MS);
         let anchor_ms = self.model.first_event_ms(PRIOR_PROMPT);
+        self.observed = true;
         self.first_events.decay(READ_DECAY);
         self.first_events.add(PRIOR_PROMPT, anchor_ms, ANCHOR_WEIGHT);
         self.first_events.add(tokens, took_ms.min(expected * OUTLIER_FACTOR), 1.0);
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -120,6 +120,13 @@
         self.speed.model()
     }
 
+    /// Takes over a speed that is known from elsewhere, unless some requests have shown it here.
+    pub(super) fn recall_speed(&mut self, speed: SpeedModel) {
+        if !self.speed.observed() {
+            self.speed = SpeedEstimate::new(speed);
+        }
+    }
+
     /// Whether the target is not paused after a failure.
     pub(super) fn usable(&self, now: ClockTime) -> bool {
         self.paused_until <= now
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -1,8 +1,7 @@
 //! Calls between nodes over TCP: a length, then a message, one answer for each call.
 
-use crate::memory::RouteDeadline;
+use crate::memory::RecoveryMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
-use crate::targets::AgedNotice;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -29,8 +28,8 @@
     Accept { disk: u64, ballot: BallotNumber, value: RegisterValue },
     /// Ballot of the newest value that the replica has accepted.
     ReadBallot { disk: u64 },
-    /// Newest value that the node knows to be chosen, and its targets for a node that has none.
-    ReadApplied { with_targets: bool },
+    /// Newest value that the node knows to be chosen, and its memory for a node that has just started.
+    ReadApplied { with_memory: bool },
     /// Has the node change the register.
     Change(RegisterChange),
 }
@@ -45,8 +44,8 @@
     Ballot(Option<BallotNumber>),
     Applied {
         value: Option<AcceptedValue>,
-        targets: Vec<AgedNotice>,
-        deadlines: Vec<RouteDeadline>,
+        /// What a node that has just started takes over.
+        memory: RecoveryMemory,
     },
     /// The register was changed, and this value is chosen.
     Changed(AcceptedValue),
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -2,7 +2,7 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::deadlines::DeadlineLedger;
-use burdockcleat_edge::memory::RecoveryMemory;
+use burdockcleat_edge::memory::{RecoveryMemory, WrittenMemory};
 use burdockcleat_edge::placement::{SpeedModel, TargetKey};
 use burdockcleat_edge::slots::SlotStore;
 use burdockcleat_edge::targets::{
@@ -27,30 +27,33 @@
     }
 }
 
-fn memory(sequence: u64, written: u64) -> RecoveryMemory {
+fn memory(sequence: u64) -> RecoveryMemory {
     let notice = TargetNotice::Announced(announcement(sequence));
     RecoveryMemory {
-        written: at(written),
         targets: vec![AgedNotice { notice, age_ms: 300 }],
         speeds: vec![(TargetKey(9), SpeedModel::PRIOR)],
         deadlines: vec![("r".into(), 5_000)],
     }
 }
 
+fn written(sequence: u64, written: u64) -> WrittenMemory {
+    WrittenMemory { written: at(written), memory: memory(sequence) }
+}
+
 /// A loss of power in the middle of a write destroys the memory before it.
 #[test]
 fn a_torn_write_leaves_the_memory_before_it() {
     let folder = tempfile::tempdir().unwrap();
     let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
     assert_eq!(store.recalled(), None);
-    store.remember(&memory(1, 100)).unwrap();
-    store.remember(&memory(2, 200)).unwrap();
+    store.remember(&written(1, 100)).unwrap();
+    store.remember(&written(2, 200)).unwrap();
     drop(store);
     let path = folder.path().join("memory-a");
     let bytes = fs::read(&path).unwrap();
     fs::write(&path, &bytes[..bytes.len() / 2]).unwrap();
     let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
-    assert_eq!(store.recalled(), Some(memory(1, 100)));
+    assert_eq!(store.recalled(), Some(written(1, 100)));
 }
 
 /// A memory that cannot be read keeps the node from starting.
@@ -61,26 +64,26 @@
     fs::write(folder.path().join("memory-b"), []).unwrap();
     let (mut store, _) = SlotStore::open(folder.path(), 7).unwrap();
     assert_eq!(store.recalled(), None);
-    store.remember(&memory(1, 100)).unwrap();
+    store.remember(&written(1, 100)).unwrap();
 }
 
 /// Targets of an hour ago are used.
 #[test]
 fn an_old_memory_is_not_used() {
-    assert_eq!(memory(1, 10_000).age_ms(at(12_000)), Some(2_000));
-    assert_eq!(memory(1, 10_000).age_ms(at(3_610_000)), None);
+    assert_eq!(written(1, 10_000).age_ms(at(12_000)), Some(2_000));
+    assert_eq!(written(1, 10_000).age_ms(at(3_610_000)), None);
     // The time of day was set back.
-    assert_eq!(memory(1, 10_000).age_ms(at(9_000)), Some(0));
+    assert_eq!(written(1, 10_000).age_ms(at(9_000)), Some(0));
 }
 
 /// Each announcement of a target that is known causes a write.
 #[test]
 fn announcements_alone_change_no_memory() {
-    assert!(memory(1, 100).same_targets(&memory(8, 900)));
+    assert!(memory(1).same_targets(&memory(8)));
     let left = TargetNotice::Left { id: "i-1".into(), incarnation: 7 };
     let other =
-        RecoveryMemory { targets: vec![AgedNotice { notice: left, age_ms: 0 }], ..memory(1, 100) };
-    assert!(!memory(1, 100).same_targets(&other));
+        RecoveryMemory { targets: vec![AgedNotice { notice: left, age_ms: 0 }], ..memory(1) };
+    assert!(!memory(1).same_targets(&other));
 }
 
 /// A remembered target counts as newer than its own announcements, or outlives its leave.
--- a/crates/edge/tests/strain.rs
+++ b/crates/edge/tests/strain.rs
@@ -135,3 +135,18 @@
     }
     assert_eq!(placed, 2 * SLOTS);
 }
+
+/// Pattern: targets of unlike speed. A long prompt that only the fast ones read in time counts as late
+/// when it arrives, by their mean speed, and is refused in an overload.
+#[test]
+fn a_prompt_that_the_fastest_target_reads_in_time_is_not_late() {
+    let mut board = board();
+    fill(&mut board, &[]);
+    // Urgent work for seconds, so that late requests are refused on arrival.
+    for key in 50..90 {
+        board.submit(ticket(key, 4_000, 1_000), at(1_000));
+    }
+    // 300 ms at the fast target, 1,500 ms at the slow one, and an objective of 600 ms.
+    board.submit(ticket(20, 30_000, 100), at(1_010));
+    assert!(board.is_waiting(TicketKey(20)), "{:?}", board.take_outputs());
+}
