--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -316,7 +316,8 @@
     let target = attempts.last_target.as_deref().unwrap_or("-");
     log::info!(
         target: "burdockcleat",
-        "event=request.answered id={id} route={route} status={status} how={how} target={target} sends={sends} waited_ms={waited_ms} first_ms={first_ms} pause_ms={pause_ms} after_ms={after_ms} prompt={prompt} output={output} hint={hint}"
+        "event=request.answered id={id} route={route} status={status} how={how} target={target} sends={sends} waited_ms={waited_ms} first_ms={first_ms} pause_ms={pause_ms} after_ms={after_ms} prompt={prompt} output={output} hint={hint} rank={} objective_ms={} allowed_pause_ms={} spent_ms={}",
+        context.rank, context.route.objective_ms, context.route.pause_ms.unwrap_or(0), context.spent_ms
     );
     let mut metrics = context.node.metrics.borrow_mut();
     let on_time = status < 300 && first_ms <= context.route.objective_ms;
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -3,14 +3,14 @@
 use super::attempt::Attempts;
 use super::{RequestContext, streamed};
 use crate::events::EventSplitter;
-use crate::node::TicketGuard;
+use crate::node::{NodeState, TicketGuard};
 use crate::placement::TicketOutcome;
 use crate::reply::ReplyBody;
 use crate::request::{header_value, hop_by_hop};
 use crate::targets::TargetAnnouncement;
 use crate::upstream::{LinkGuard, SendFault};
 use burdockcleat_core::clock::ClockTime;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap};
@@ -30,7 +30,12 @@
 /// Silence of a plain target after which another one is tried, in latency objectives.
 const STALL_OBJECTIVES: u64 = 2;
 /// Largest answer that is read whole, in bytes.
-const MAX_WHOLE_BYTES: usize = 16 << 20;
+const MAX_WHOLE_BYTES: usize = 4 << 20;
+/// Bytes of answers that are being read whole at a node at most: a part of the memory of a small
+/// instance.
+const MAX_BUFFERED_BYTES: usize = 24 << 20;
+/// Bytes that a stream may bring without a whole event, frames of its chunks included.
+pub(super) const MAX_EVENT_FRAME_BYTES: u64 = 512 << 10;
 
 /// A target's answer that was read to its end.
 pub(crate) struct WholeAnswer {
@@ -169,25 +174,61 @@
     }
     let left_ms = context.left_ms(ClockTime::monotonic());
     let limit = Duration::from_millis(left_ms + ANSWER_MARGIN_MS);
-    let whole = http_body_util::Limited::new(body, MAX_WHOLE_BYTES).collect();
+    link.allow(2 * MAX_WHOLE_BYTES as u64);
+    let whole = read_whole(&context.node, body);
     match tokio::time::timeout(limit, whole).await {
         Err(_) => {
             ticket.finish(TicketOutcome::Broken);
             SendResult::Late
         }
-        Ok(Err(_)) => {
+        Ok(None) => {
             ticket.finish(TicketOutcome::Broken);
-            SendResult::Broken("the target broke off its answer")
+            SendResult::Broken("the target broke off its answer, or it is too long")
         }
-        Ok(Ok(body)) => {
+        Ok(Some(body)) => {
             link.release();
             let failed = parts.status.is_server_error();
             ticket.finish(if failed { TicketOutcome::Failed } else { TicketOutcome::Answered });
-            SendResult::Answer(OpenAnswer::Whole(WholeAnswer { parts, body: body.to_bytes() }))
+            SendResult::Answer(OpenAnswer::Whole(WholeAnswer { parts, body }))
         }
     }
 }
 
+/// Bytes of an answer that is being read, counted at its node until it is dropped.
+struct BufferGuard<'a> {
+    node: &'a NodeState,
+    bytes: usize,
+}
+
+impl BufferGuard<'_> {
+    fn grow(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let total = self.node.buffered.get() + bytes;
+        self.node.buffered.set(total);
+        self.bytes <= MAX_WHOLE_BYTES && total <= MAX_BUFFERED_BYTES
+    }
+}
+
+impl Drop for BufferGuard<'_> {
+    fn drop(&mut self) {
+        self.node.buffered.set(self.node.buffered.get() - self.bytes);
+    }
+}
+
+/// Reads a body to its end. None if it breaks off or is too long.
+async fn read_whole(node: &NodeState, mut body: Incoming) -> Option<Bytes> {
+    let mut guard = BufferGuard { node, bytes: 0 };
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.ok()?.into_data() else { continue };
+        if !guard.grow(data.len()) {
+            return None;
+        }
+        whole.extend_from_slice(&data);
+    }
+    Some(whole.freeze())
+}
+
 async fn read_first_event(
     context: &Rc<RequestContext>,
     ticket: TicketGuard,
@@ -196,6 +237,7 @@
     link: LinkGuard,
 ) -> SendResult {
     let mut splitter = EventSplitter::default();
+    link.allow(MAX_EVENT_FRAME_BYTES);
     loop {
         let left_ms = context.left_ms(ClockTime::monotonic());
         let limit = Duration::from_millis(left_ms + ANSWER_MARGIN_MS);
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -1,7 +1,7 @@
 //! Passes an event stream on as it arrives, and continues it at another target after a break.
 
 use super::attempt::{Attempts, open_answer};
-use super::send::{OpenAnswer, StreamSource, strip_headers};
+use super::send::{MAX_EVENT_FRAME_BYTES, OpenAnswer, StreamSource, strip_headers};
 use super::{RequestContext, log_answer};
 use crate::placement::TicketOutcome;
 use crate::reply::{ReplyBody, StreamBroken};
@@ -147,6 +147,7 @@
         match splitter.push(&data) {
             Ok(None) => {}
             Ok(Some(events)) => {
+                link.allow(MAX_EVENT_FRAME_BYTES);
                 let now = ClockTime::monotonic();
                 attempts.pause_ms = attempts.pause_ms.max(now.since(last_part));
                 last_part = now;
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -4,7 +4,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
 /// Largest event that is kept whole, in bytes; longer ones end the stream.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+const MAX_EVENT_BYTES: usize = 256 << 10;
 
 /// An event that was longer than the limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -12,10 +12,15 @@
 #[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
 pub struct EventTooLong;
 
+/// Bytes of the end of an event that may have arrived before its last one.
+const EVENT_END_BYTES: usize = 3;
+
 /// Collects bytes and hands out whole events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// Bytes at the start of the buffer in which no event ends.
+    searched: usize,
     last_id: Option<u64>,
 }
 
@@ -26,9 +31,12 @@
     /// Fails if an event is longer than the limit.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
         self.buffer.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.buffer) else {
+        let from = self.searched;
+        let Some(end) = last_event_end(&self.buffer[from..]).map(|end| from + end) else {
+            self.searched = self.buffer.len().saturating_sub(EVENT_END_BYTES);
             return if self.buffer.len() > MAX_EVENT_BYTES { Err(EventTooLong) } else { Ok(None) };
         };
+        self.searched = 0;
         let events = self.buffer.split_to(end).freeze();
         self.last_id = last_event_id(&events).or(self.last_id);
         Ok(Some(events))
@@ -46,11 +54,13 @@
 
     /// Takes the bytes that do not form a whole event.
     pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
         self.buffer.split().freeze()
     }
 
     /// Forgets an unfinished event, before the stream continues at another target.
     pub fn drop_rest(&mut self) {
+        self.searched = 0;
         self.buffer.clear();
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod logs;
 mod membership;
 pub mod memory;
+mod metered;
 pub mod metrics;
 mod node;
 mod peers;
--- /dev/null
+++ b/crates/edge/src/metered.rs
@@ -0,0 +1,87 @@
+//! A connection that ends once it has brought more bytes than its user allows.
+//!
+//! Answers targets in trouble that send bytes without end, in a head, in a body, between answers:
+//! limits of single parts of a message leave gaps, so the connection itself is bounded.
+
+use std::cell::Cell;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes that a connection may still bring. Shared by the connection and its user.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ReadAllowance(Rc<Cell<u64>>);
+
+impl ReadAllowance {
+    /// Sets what the connection may bring from now on, in bytes.
+    pub(crate) fn set(&self, bytes: u64) {
+        self.0.set(bytes);
+    }
+
+    fn take(&self, bytes: u64) -> bool {
+        let left = self.0.get().checked_sub(bytes);
+        self.0.set(left.unwrap_or(0));
+        left.is_some()
+    }
+}
+
+/// A connection with an allowance.
+pub(crate) struct MeteredStream {
+    inner: TcpStream,
+    allowance: ReadAllowance,
+}
+
+impl MeteredStream {
+    pub(crate) const fn new(inner: TcpStream, allowance: ReadAllowance) -> Self {
+        Self { inner, allowance }
+    }
+}
+
+impl AsyncRead for MeteredStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+        let read = buffer.filled().len() - before;
+        if self.allowance.take(read as u64) {
+            return Poll::Ready(Ok(()));
+        }
+        Poll::Ready(Err(io::Error::other("the target sent more bytes than an answer may have")))
+    }
+}
+
+impl AsyncWrite for MeteredStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+}
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -103,6 +103,8 @@
     next_ticket: Cell<u64>,
     status_sequence: Cell<u64>,
     running: Cell<usize>,
+    /// Bytes of answers that are being read whole.
+    pub(crate) buffered: Cell<usize>,
     /// What was written down last for the next start.
     remembered: RefCell<Option<WrittenMemory>>,
 }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -91,6 +91,7 @@
             next_ticket: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
             running: Cell::new(0),
+            buffered: Cell::new(0),
             remembered: RefCell::default(),
             settings,
             dialect,
@@ -112,7 +113,8 @@
         let settings = &node.settings;
         log::info!(
             target: "burdockcleat",
-            "event=node.started process={:x} domain={} callers={} peers={} disk={:?} first_start={} seeds={:?}",
+            "event=node.started wall_ms={} process={:x} domain={} callers={} peers={} disk={:?} first_start={} seeds={:?}",
+            ClockTime::wall().as_ms(),
             node.process.0, settings.domain, settings.caller_address, settings.peer_address,
             node.register.disk(), settings.first_start, settings.seeds
         );
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Connections to targets: kept while idle, one request at a time, closed when a request is dropped.
 
+use crate::metered::{MeteredStream, ReadAllowance};
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -28,6 +29,8 @@
 const IDLE_MARGIN_MS: u64 = 1_000;
 /// Idle connections kept for a target at most.
 const MAX_IDLE_LINKS: usize = 8;
+/// Largest head of an answer with all interim ones before it, in bytes.
+const MAX_HEAD_BYTES: u64 = 64 << 10;
 /// Part of the connections that a target accepts which the nodes together may keep idle.
 const IDLE_LIMIT_PART: usize = 3;
 
@@ -57,6 +60,7 @@
 
 struct UpstreamLink {
     sender: SendRequest<Full<Bytes>>,
+    allowance: ReadAllowance,
     connection: AbortHandle,
 }
 
@@ -75,6 +79,11 @@
 }
 
 impl LinkGuard {
+    /// Sets how many bytes of the answer the connection may still bring.
+    pub(crate) fn allow(&self, bytes: u64) {
+        self.link.allowance.set(bytes);
+    }
+
     /// Keeps the connection for another request, after the answer was read to its end.
     pub(crate) fn release(self) {
         if self.idle_ms == 0 || self.link.sender.is_closed() {
@@ -100,6 +109,7 @@
             if link.sender.ready().await.is_err() {
                 continue;
             }
+            link.allowance.set(MAX_HEAD_BYTES);
             match link.sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.opened(address, link, response, false)),
                 Err(mut fault) => match fault.take_message() {
@@ -174,6 +184,9 @@
         .map_err(|_| SendFault::NotSent(format!("no connection within {CONNECT_MS} ms")))?
         .map_err(|error| SendFault::NotSent(error.to_string()))?;
     stream.set_nodelay(true).map_err(|error| SendFault::NotSent(error.to_string()))?;
+    let allowance = ReadAllowance::default();
+    allowance.set(MAX_HEAD_BYTES);
+    let stream = MeteredStream::new(stream, allowance.clone());
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
@@ -183,7 +196,7 @@
             log::debug!(target: "burdockcleat", "event=target.connection_ended cause=\"{error}\"");
         }
     });
-    Ok(UpstreamLink { sender, connection: task.abort_handle() })
+    Ok(UpstreamLink { sender, allowance, connection: task.abort_handle() })
 }
 
 /// Text of an error with its cause, which hyper keeps apart.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Everything here listens on and connects to loopback addresses only.
 
+pub mod account;
 pub mod announce;
 pub mod capacity;
 pub mod command;
