--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -10,6 +10,7 @@
 mod sizes;
 mod speed;
 mod strain;
+mod summary;
 mod target;
 
 pub use sizes::{RequestSize, SizeBand, SizeLedger};
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -7,6 +7,8 @@
 use super::sizes::{RequestSize, SizeBand};
 use super::{PlacementTicket, TicketKey};
 use burdockcleat_core::clock::ClockTime;
+use std::cmp::{Ordering, Reverse};
+use std::collections::BinaryHeap;
 
 /// Part of the time left at arrival after which a waiting request is refused, so that its caller
 /// still has time to come back.
@@ -67,6 +69,33 @@
     judged_late: bool,
 }
 
+/// A waiting request in the order of the queue.
+struct RankedTicket<'a> {
+    cost: f64,
+    waiting: &'a WaitingTicket,
+}
+
+impl Ord for RankedTicket<'_> {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let expires = |ranked: &Self| ranked.waiting.expires;
+        self.cost.total_cmp(&other.cost).then(expires(self).cmp(&expires(other)))
+    }
+}
+
+impl PartialOrd for RankedTicket<'_> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl PartialEq for RankedTicket<'_> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for RankedTicket<'_> {}
+
 /// A waiting request that is given up.
 #[derive(Debug)]
 pub(super) struct HopelessTicket {
@@ -151,19 +180,12 @@
         self.tickets.push(waiting);
     }
 
-    /// Keys of the waiting requests, the most worthwhile first.
-    pub(super) fn in_order(&self, now: ClockTime) -> Vec<TicketKey> {
-        let mut order: Vec<_> = self
-            .tickets
-            .iter()
-            .map(|waiting| (waiting.cost(now), waiting.expires, waiting.ticket.key))
-            .collect();
-        order.sort_by(|left, right| left.0.total_cmp(&right.0).then(left.1.cmp(&right.1)));
-        order.into_iter().map(|(_, _, key)| key).collect()
-    }
-
-    pub(super) fn get(&self, key: TicketKey) -> Option<&WaitingTicket> {
-        self.tickets.iter().find(|waiting| waiting.ticket.key == key)
+    /// The waiting requests, the most worthwhile first. Mostly only the first few are looked at.
+    pub(super) fn in_order(&self, now: ClockTime) -> impl Iterator<Item = &WaitingTicket> {
+        let ranked =
+            |waiting| Reverse(RankedTicket { cost: WaitingTicket::cost(waiting, now), waiting });
+        let mut heap: BinaryHeap<_> = self.tickets.iter().map(ranked).collect();
+        std::iter::from_fn(move || heap.pop().map(|Reverse(ranked)| ranked.waiting))
     }
 
     pub(super) fn take(&mut self, key: TicketKey) -> Option<WaitingTicket> {
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -3,6 +3,7 @@
 use super::queue::{RequestNeeds, WaitingQueue, WaitingTicket};
 use super::sizes::SizeLedger;
 use super::speed::{ReadingCurve, SpeedModel};
+use super::summary::TargetSummary;
 use super::target::{RunningTicket, TargetInfo, TargetState, TicketOutcome};
 use super::{
     ActiveTicket, PlacementOutput, PlacementTicket, ProcessKey, RefusalReason, TargetKey, TicketKey,
@@ -28,7 +29,7 @@
 /// Part of a request's own worth that must be lost for it to wait for a better target.
 const HOLD_PART: f64 = 0.25;
 /// Waiting requests that are passed over for others in one placement at most, which bounds its time.
-const MAX_PASSED_OVER: usize = 64;
+const MAX_PASSED_OVER: usize = 16;
 /// Time to keep a request whose node went silent, in ms.
 const SILENT_MS: u64 = 3_000;
 
@@ -39,6 +40,7 @@
     queue: WaitingQueue,
     sizes: SizeLedger,
     curve: ReadingCurve,
+    summary: TargetSummary,
     /// Requests that ended lately, with the time of their end.
     ended: HashMap<TicketKey, ClockTime>,
 }
@@ -49,8 +51,12 @@
         infos: &[TargetInfo],
         recalled: &BTreeMap<TargetKey, SpeedModel>,
     ) {
+        let before = self.targets.len();
         self.targets.retain(|key, _| infos.iter().any(|info| info.key == *key));
-        let speed = self.mean_speed();
+        let speed = SpeedModel::mean(self.targets.values().map(|state| *state.speed()));
+        if self.targets.len() != before || infos.len() != before {
+            self.summary.expire();
+        }
         for info in infos {
             self.targets
                 .entry(info.key)
@@ -65,6 +71,7 @@
     pub(super) fn recall_speed(&mut self, target: TargetKey, speed: SpeedModel) {
         if let Some(state) = self.targets.get_mut(&target) {
             state.recall_speed(speed);
+            self.summary.expire();
         }
     }
 
@@ -83,6 +90,7 @@
         now: ClockTime,
         outputs: &mut Vec<PlacementOutput>,
     ) {
+        self.refresh_summary(now);
         let size = self.sizes.count_arrival(&ticket, now);
         let needs = self.needs(&ticket);
         let mut waiting = WaitingTicket::new(ticket, size, needs, now);
@@ -90,10 +98,12 @@
             // Targets announce themselves every second or so, also to nodes that have just started.
             waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
         }
-        let wait_ms = self.expected_wait_ms(&waiting, now);
-        if waiting.due.is_none() && wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
-            outputs.push(refusal(&waiting.ticket, RefusalReason::WaitTooLong, wait_ms as u64));
-            return;
+        if waiting.due.is_none() {
+            let wait_ms = self.queue.expected_wait_ms(&waiting, self.summary.capacity, now);
+            if wait_ms > waiting.ticket.deadline_left_ms as f64 * WAIT_PART {
+                outputs.push(refusal(&waiting.ticket, RefusalReason::WaitTooLong, wait_ms as u64));
+                return;
+            }
         }
         self.queue.count_arrival(&waiting, now);
         self.queue.push(waiting);
@@ -132,6 +142,7 @@
     }
 
     pub(super) fn adopt(&mut self, target: TargetKey, ticket: &PlacementTicket, now: ClockTime) {
+        self.refresh_summary(now);
         let (size, needs) = (self.sizes.size(ticket), self.needs(ticket));
         if let Some(state) = self.targets.get_mut(&target)
             && !state.running.contains_key(&ticket.key)
@@ -192,8 +203,8 @@
             state.running.retain(|_, running| now.since(running.seen) < SILENT_MS);
         }
         self.place_waiting(now, outputs);
-        let slots = self.free_pace_slots(now);
-        for hopeless in self.queue.take_hopeless(slots, WAIT_PART, now) {
+        self.refresh_summary(now);
+        for hopeless in self.queue.take_hopeless(self.summary.capacity, WAIT_PART, now) {
             let (ticket, wait_ms) = (&hopeless.waiting.ticket, hopeless.wait_ms as u64);
             if self.targets.is_empty() {
                 outputs.push(refusal(ticket, RefusalReason::NoTarget, NO_TARGET_RETRY_MS));
@@ -217,7 +228,7 @@
         let slots: u32 = states.clone().map(|state| state.info.slots).sum();
         let running: usize = states.clone().map(|state| state.running.len()).sum();
         let usable = states.clone().filter(|state| state.usable(now)).count();
-        let speed = self.mean_speed();
+        let speed = SpeedModel::mean(states.clone().map(|state| *state.speed()));
         let fastest = states.clone().map(|s| s.speed().token_ms).fold(f64::MAX, f64::min);
         let slowest = states.clone().map(|s| s.speed().token_ms).fold(0.0, f64::max);
         format!(
@@ -237,22 +248,10 @@
 
     /// Places waiting requests while targets are free.
     pub(super) fn place_waiting(&mut self, now: ClockTime, outputs: &mut Vec<PlacementOutput>) {
-        if self.queue.len() == 0 || !self.targets.values().any(|state| state.free(now)) {
-            return;
-        }
-        let mut passed_over = 0;
-        for key in self.queue.in_order(now) {
-            let Some(waiting) = self.queue.get(key) else { continue };
-            let Some(target) = self.pick_target(waiting, now) else {
-                // A request that waits for a better target does not hold up the others.
-                passed_over += 1;
-                if passed_over >= MAX_PASSED_OVER {
-                    break;
-                }
-                continue;
-            };
-            let Some(waiting) = self.queue.take(key) else { continue };
-            let Some(state) = self.targets.get_mut(&target) else { continue };
+        while self.queue.len() > 0 && self.targets.values().any(|state| state.free(now)) {
+            let Some((key, target)) = self.pick_request(now) else { break };
+            let Some(waiting) = self.queue.take(key) else { break };
+            let Some(state) = self.targets.get_mut(&target) else { break };
             state.grant(&waiting, now);
             self.sizes.count_grant(&waiting.ticket, waiting.band);
             outputs.push(PlacementOutput::Grant {
@@ -261,12 +260,16 @@
                 target,
                 waited_ms: now.since(waiting.arrived),
             });
-            if !self.targets.values().any(|state| state.free(now)) {
-                break;
-            }
         }
     }
 
+    /// Picks the most worthwhile request that does not wait for a better target, with its target.
+    fn pick_request(&self, now: ClockTime) -> Option<(TicketKey, TargetKey)> {
+        self.queue.in_order(now).take(MAX_PASSED_OVER).find_map(|waiting| {
+            self.pick_target(waiting, now).map(|target| (waiting.ticket.key, target))
+        })
+    }
+
     /// Picks the free target at which least is lost, and among these the one with the lowest cost. None
     /// if none is free, or if another one would lose less once it has a free slot.
     fn pick_target(&self, waiting: &WaitingTicket, now: ClockTime) -> Option<TargetKey> {
@@ -277,52 +280,29 @@
             .map(|state| (state.strain(waiting, now), state.cost(waiting, now), state.info.key))
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         let tolerated = waiting.worth * HOLD_PART;
+        if strain <= tolerated || !self.summary.fastest.can_pause_for(waiting) {
+            return Some(target);
+        }
         let mut busy = allowed().filter(|state| state.usable(now) && !state.free(now));
-        let held = strain > tolerated && busy.any(|s| s.least_strain(waiting, now) <= tolerated);
+        let held = busy.any(|state| state.least_strain(waiting, now) <= tolerated);
         (!held).then_some(target)
     }
 
     fn needs(&self, ticket: &PlacementTicket) -> RequestNeeds {
         let effort = self.curve.effort(ticket.prompt_tokens);
-        let first_events = self.targets.values().map(|state| state.speed().first_event_ms(effort));
-        let fastest_ms = first_events.min_by(f64::total_cmp);
-        let mean = self.mean_speed();
+        let TargetSummary { mean, fastest, slots, .. } = self.summary;
         RequestNeeds {
             effort,
-            first_ms: fastest_ms.unwrap_or_else(|| mean.first_event_ms(effort)),
-            load_ms: mean.load_ms(effort, f64::from(ticket.output_tokens), self.mean_slots()),
+            first_ms: fastest.first_event_ms(effort),
+            load_ms: mean.load_ms(effort, f64::from(ticket.output_tokens), slots),
         }
     }
 
-    /// Expected wait of a request, in ms.
-    fn expected_wait_ms(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
-        self.queue.expected_wait_ms(waiting, self.free_pace_slots(now), now)
-    }
-
-    /// Slots of the targets that may be used, as slots of the mean speed.
-    fn free_pace_slots(&self, now: ClockTime) -> f64 {
-        let mean = self.mean_speed();
-        let usable = self.targets.values().filter(|state| state.usable(now));
-        let slots = usable.map(|state| {
-            let (own, mean) = (self.usual_run_ms(state.speed()), self.usual_run_ms(&mean));
-            f64::from(state.info.slots) * mean / own.max(f64::EPSILON)
-        });
-        slots.sum()
-    }
-
-    /// Time that the usual request holds a slot, in ms.
-    fn usual_run_ms(&self, speed: &SpeedModel) -> f64 {
-        let (effort, output) = self.queue.usual_request();
-        speed.load_ms(effort, output, self.mean_slots())
-    }
-
-    fn mean_slots(&self) -> f64 {
-        let slots: u32 = self.targets.values().map(|state| state.info.slots).sum();
-        f64::from(slots) / (self.targets.len() as f64).max(1.0)
-    }
-
-    fn mean_speed(&self) -> SpeedModel {
-        SpeedModel::mean(self.targets.values().map(|state| *state.speed()))
+    fn refresh_summary(&mut self, now: ClockTime) {
+        if !self.summary.holds(now) {
+            let usual = self.queue.usual_request();
+            self.summary = TargetSummary::collect(self.targets.values(), usual, now);
+        }
     }
 }
 
--- a/crates/edge/src/placement/strain.rs
+++ b/crates/edge/src/placement/strain.rs
@@ -6,6 +6,7 @@
 //! while they are on time, and smaller ones pass them.
 
 use super::queue::WaitingTicket;
+use super::speed::SpeedModel;
 use super::target::TargetState;
 use burdockcleat_core::clock::ClockTime;
 
@@ -21,6 +22,14 @@
 /// Ranks apart beyond which requests are not weighed against each other any more.
 const MAX_RANKS_APART: i64 = 8;
 
+impl SpeedModel {
+    /// Whether a target of this speed could read the request's prompt within a pause of a stream.
+    pub(super) fn can_pause_for(&self, waiting: &WaitingTicket) -> bool {
+        let pause_ms = waiting.ticket.pause_ms.map_or(f64::MAX, |pause| pause as f64 * PAUSE_PART);
+        self.reading_ms(waiting.effort) <= pause_ms
+    }
+}
+
 impl TargetState {
     /// Worth that is lost by sending a request here now, in usual requests of its rank.
     pub(super) fn strain(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
--- a/crates/edge/tests/strain.rs
+++ b/crates/edge/tests/strain.rs
@@ -5,6 +5,8 @@
     PlacementBoard, PlacementOutput, PlacementTicket, ProcessKey, SpeedModel, TargetInfo,
     TargetKey, TicketKey, TicketOutcome,
 };
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
 
 const FAST: TargetKey = TargetKey(0);
 const SLOW: TargetKey = TargetKey(1);
@@ -150,3 +152,51 @@
     board.submit(ticket(20, 30_000, 100), at(1_010));
     assert!(board.is_waiting(TicketKey(20)), "{:?}", board.take_outputs());
 }
+
+/// Shortest time of three rounds of requests in an overload, at so many targets.
+fn time_of_overload(targets: u64) -> Duration {
+    /// Requests of a round.
+    const ROUND: u64 = 60;
+    let mut board = PlacementBoard::default();
+    let infos: Vec<_> = (0..targets)
+        .map(|key| TargetInfo {
+            key: TargetKey(key),
+            service: "engines".into(),
+            domain: "a".into(),
+            slots: SLOTS,
+        })
+        .collect();
+    board.set_targets("engines", &infos, at(0));
+    let slots = targets * u64::from(SLOTS);
+    let mut running = VecDeque::new();
+    for key in 0..slots {
+        board.submit(ticket(key, 500, 200), at(key));
+        running.extend(granted(&mut board));
+    }
+    let mut next = slots;
+    let mut shortest = Duration::MAX;
+    for _ in 0..3 {
+        let started = Instant::now();
+        for _ in 0..ROUND {
+            let now = next * 2;
+            let prompt = if next.is_multiple_of(20) { 60_000 } else { 2_000 };
+            board.submit(ticket(next, prompt, 200), at(now));
+            let (key, target) = running.pop_front().expect("a running request");
+            board.started(target, TicketKey(key), at(now));
+            board.finished(target, TicketKey(key), TicketOutcome::Answered, at(now));
+            running.extend(granted(&mut board));
+            next += 1;
+        }
+        shortest = shortest.min(started.elapsed());
+    }
+    shortest
+}
+
+/// Pattern: a large deployment in an overload. Each decision works out figures over all targets for
+/// each of them, and the placing node has no time left (grown further customer, scale-1).
+#[test]
+fn placements_at_many_targets_take_little_time() {
+    // Ten times as many targets may cost some tens of times as much, but not the square.
+    let (few, many) = (time_of_overload(20), time_of_overload(200));
+    assert!(many < few * 60, "{few:?} and {many:?}");
+}
