--- a/crates/edge/tests/strain.rs
+++ b/crates/edge/tests/strain.rs
@@ -171,7 +171,10 @@
     let mut running = VecDeque::new();
     for key in 0..slots {
         board.submit(ticket(key, 500, 200), at(key));
-        running.extend(granted(&mut board));
+        for (key, target) in granted(&mut board) {
+            board.started(target, TicketKey(key), at(key));
+            running.push_back((key, target));
+        }
     }
     let mut next = slots;
     let mut shortest = Duration::MAX;
@@ -182,9 +185,11 @@
             let prompt = if next.is_multiple_of(20) { 60_000 } else { 2_000 };
             board.submit(ticket(next, prompt, 200), at(now));
             let (key, target) = running.pop_front().expect("a running request");
-            board.started(target, TicketKey(key), at(now));
             board.finished(target, TicketKey(key), TicketOutcome::Answered, at(now));
-            running.extend(granted(&mut board));
+            for (key, target) in granted(&mut board) {
+                board.started(target, TicketKey(key), at(now));
+                running.push_back((key, target));
+            }
             next += 1;
         }
         shortest = shortest.min(started.elapsed());
@@ -196,7 +201,8 @@
 /// each of them, and the placing node has no time left (grown further customer, scale-1).
 #[test]
 fn placements_at_many_targets_take_little_time() {
-    // Ten times as many targets may cost some tens of times as much, but not the square.
+    // Ten times as many targets may cost ten times as much, with room for a busy machine, but not the
+    // square of it.
     let (few, many) = (time_of_overload(20), time_of_overload(200));
-    assert!(many < few * 60, "{few:?} and {many:?}");
+    assert!(many < few * 20, "{few:?} and {many:?}");
 }
