--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,7 @@
 //! Requests are placed by the node that read them, over views that all nodes share in datagrams,
 //! so that service continues while the replicated configuration register has no quorum. The pure
 //! modules ([`config`], [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`cadence`], [`deadlines`],
-//! [`submission`],
-//! [`suspects`], [`events`]) contain no socket, clock or thread.
+//! [`memory`], [`submission`], [`suspects`], [`events`]) contain no socket, clock or thread.
 
 pub mod allowance;
 pub mod budget;
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -16,7 +16,7 @@
 /// Power of the work for each unit of worth in the order: below 1, so that ranks go before sizes.
 const WORK_POWER: f64 = 0.7;
 /// Slot time that a request of one rank may hold for each unit of the next rank.
-const RANK_FACTOR: f64 = 3.0;
+pub(super) const RANK_FACTOR: f64 = 3.0;
 /// Ranks beyond which requests are not told apart, to keep the weight finite.
 const MAX_RANK: u32 = 400;
 /// Factor by which a request falls back that cannot meet its objective any more: behind the next
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -280,7 +280,7 @@
             .map(|state| (state.strain(waiting, now), state.cost(waiting, now), state.info.key))
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         let tolerated = waiting.worth * HOLD_PART;
-        if strain <= tolerated || !self.summary.fastest.can_pause_for(waiting) {
+        if strain <= tolerated || !self.summary.fastest.reads_within_pause(waiting) {
             return Some(target);
         }
         let mut busy = allowed().filter(|state| state.usable(now) && !state.free(now));
--- a/crates/edge/src/placement/speed.rs
+++ b/crates/edge/src/placement/speed.rs
@@ -49,7 +49,7 @@
 pub struct SpeedModel {
     /// Time to the first event beside the prompt, in ms.
     pub fixed_ms: f64,
-    /// Time to read a token of a prompt, in ms.
+    /// Time to read a token of a short prompt, in ms.
     pub read_ms: f64,
     /// Time for a token of the expected output, in ms.
     pub token_ms: f64,
@@ -60,14 +60,15 @@
     pub const PRIOR: Self =
         Self { fixed_ms: PRIOR_FIXED_MS, read_ms: PRIOR_READ_MS, token_ms: PRIOR_TOKEN_MS };
 
-    /// Time to read `tokens` of prompts, in ms.
-    pub fn reading_ms(&self, tokens: f64) -> f64 {
-        self.read_ms * tokens
+    /// Time to read prompts of an effort, in ms. Efforts are in tokens of a short prompt
+    /// ([`ReadingCurve`]).
+    pub fn reading_ms(&self, effort: f64) -> f64 {
+        self.read_ms * effort
     }
 
-    /// Time from the send to the first event with `tokens` of prompts to read, in ms.
-    pub fn first_event_ms(&self, tokens: f64) -> f64 {
-        self.fixed_ms + self.reading_ms(tokens)
+    /// Time from the send to the first event with prompts of an effort to read, in ms.
+    pub fn first_event_ms(&self, effort: f64) -> f64 {
+        self.fixed_ms + self.reading_ms(effort)
     }
 
     /// Time that a request holds a slot, in ms.
@@ -209,14 +210,14 @@
         &self.model
     }
 
-    /// Learns from a first event that came after `took_ms`, with `tokens` of prompts to read.
-    pub fn learn_first_event(&mut self, tokens: f64, took_ms: f64) {
-        let expected = self.model.first_event_ms(tokens).max(OUTLIER_MS);
+    /// Learns from a first event that came after `took_ms`, with prompts of an effort to read.
+    pub fn learn_first_event(&mut self, effort: f64, took_ms: f64) {
+        let expected = self.model.first_event_ms(effort).max(OUTLIER_MS);
         let anchor_ms = self.model.first_event_ms(PRIOR_PROMPT);
         self.observed = true;
         self.first_events.decay(READ_DECAY);
         self.first_events.add(PRIOR_PROMPT, anchor_ms, ANCHOR_WEIGHT);
-        self.first_events.add(tokens, took_ms.min(expected * OUTLIER_FACTOR), 1.0);
+        self.first_events.add(effort, took_ms.min(expected * OUTLIER_FACTOR), 1.0);
         let (fixed_ms, read_ms) = self.first_events.solve(self.model.read_ms);
         (self.model.fixed_ms, self.model.read_ms) = (fixed_ms, read_ms);
     }
--- a/crates/edge/src/placement/strain.rs
+++ b/crates/edge/src/placement/strain.rs
@@ -5,7 +5,7 @@
 //! slow targets usual prompts suffice for that. Such requests wait for a target that can take them
 //! while they are on time, and smaller ones pass them.
 
-use super::queue::WaitingTicket;
+use super::queue::{RANK_FACTOR, WaitingTicket};
 use super::speed::SpeedModel;
 use super::target::TargetState;
 use burdockcleat_core::clock::ClockTime;
@@ -17,14 +17,12 @@
 const LATELY_PART: f64 = 0.25;
 /// Part of the time left until the objective or the deadline that is planned with.
 const LEFT_PART: f64 = 0.9;
-/// Worth of a request of one rank in requests of the next one.
-const RANK_WORTH: f64 = 3.0;
 /// Ranks apart beyond which requests are not weighed against each other any more.
 const MAX_RANKS_APART: i64 = 8;
 
 impl SpeedModel {
     /// Whether a target of this speed could read the request's prompt within a pause of a stream.
-    pub(super) fn can_pause_for(&self, waiting: &WaitingTicket) -> bool {
+    pub(super) fn reads_within_pause(&self, waiting: &WaitingTicket) -> bool {
         let pause_ms = waiting.ticket.pause_ms.map_or(f64::MAX, |pause| pause as f64 * PAUSE_PART);
         self.reading_ms(waiting.effort) <= pause_ms
     }
@@ -35,13 +33,13 @@
     pub(super) fn strain(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
         let first_ms = self.expected_first_ms(waiting.effort, now);
         self.own_loss(waiting, first_ms, now)
-            + self.stream_loss(waiting, self.reading_lately_ms(now), now)
+            + self.stream_loss(waiting, self.reading_lately_ms(now))
     }
 
     /// The same if nothing were read here when the request is sent.
     pub(super) fn least_strain(&self, waiting: &WaitingTicket, now: ClockTime) -> f64 {
         let first_ms = self.speed().first_event_ms(waiting.effort);
-        self.own_loss(waiting, first_ms, now) + self.stream_loss(waiting, 0.0, now)
+        self.own_loss(waiting, first_ms, now) + self.stream_loss(waiting, 0.0)
     }
 
     /// What the request loses itself if its first event takes `first_ms`.
@@ -58,23 +56,23 @@
 
     /// What the streams that run here lose by the pause while the request's prompt is read, after
     /// `reading_ms` of other prompts.
-    fn stream_loss(&self, waiting: &WaitingTicket, reading_ms: f64, now: ClockTime) -> f64 {
+    fn stream_loss(&self, waiting: &WaitingTicket, reading_ms: f64) -> f64 {
         let pause_ms = reading_ms + self.speed().reading_ms(waiting.effort);
         let broken = self.running.values().filter(|running| {
-            let begun = running.first.is_some_and(|first| first <= now);
-            begun && running.pause_ms.is_some_and(|longest| pause_ms > longest as f64 * PAUSE_PART)
+            running.first.is_some()
+                && running.pause_ms.is_some_and(|longest| pause_ms > longest as f64 * PAUSE_PART)
         });
         let own_rank = i64::from(waiting.ticket.rank);
         let worths = broken.map(|running| {
             let apart =
                 (own_rank - i64::from(running.rank)).clamp(-MAX_RANKS_APART, MAX_RANKS_APART);
-            running.worth * RANK_WORTH.powi(apart as i32)
+            running.worth * RANK_FACTOR.powi(apart as i32)
         });
         worths.sum()
     }
 
-    /// Time in which prompts are read here within the longest pause of a stream, in ms: those sent
-    /// within it, and what is left of the others.
+    /// Time that prompts which are read beside the streams here take, in ms: those sent just now, or
+    /// all that are not read yet if that is more.
     fn reading_lately_ms(&self, now: ClockTime) -> f64 {
         let longest =
             self.running.values().filter_map(|running| running.pause_ms).min().unwrap_or(0);
