--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -19,8 +19,9 @@
 const USED_PART: f64 = 0.87;
 /// Time constant of the rate at which the others use an allowance, in ms: a few reports.
 const RATE_MS: f64 = 600.0;
-/// Part of the limit that a restarted node takes as used, since it does not know what was.
-const START_PART: f64 = 0.4;
+/// Part of the limit that a restarted node takes as used, since it does not know what was: what a
+/// workspace uses that is always at its limit, but for the time in which all nodes were down.
+const START_PART: f64 = 0.65;
 /// Length of the steps in which usage leaves the window, in ms.
 const BIN_MS: u64 = 250;
 
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -115,6 +115,38 @@
     assert!(ledger.take(KEY, 100, 1.0, 200, at(9_000)).is_ok());
 }
 
+/// Pattern: all nodes lose power while a workspace is at its limit, and its callers come back at once.
+/// What was used before the loss and after it exceeds the allowance (hunt-c959-3).
+#[test]
+fn a_loss_of_all_nodes_does_not_double_the_allowance() {
+    /// All nodes are down for so long at least, with their start, in ms.
+    const DOWN_MS: u64 = 1_700;
+    const LOST_AT_MS: u64 = 20_000;
+    let mut amounts = Vec::new();
+    let mut use_up = |ledger: &mut AllowanceLedger, start_ms: u64, from: u64, to: u64| {
+        for now in (from..to).step_by(20) {
+            while ledger.take(KEY, 100, 1.0, 200, at(now - start_ms)).is_ok() {
+                ledger.confirm(KEY, 100, at(now - start_ms));
+                amounts.push((now, 100.0));
+                // A steady caller uses no more than the rate of the window before the loss.
+                if now < LOST_AT_MS && amounts.len() as f64 * 100.0 > now as f64 * AGREED / 8_000.0
+                {
+                    break;
+                }
+            }
+        }
+    };
+    let mut before = AllowanceLedger::new(RULE, true);
+    before.configure(KEY, RATE, RATE, at(0));
+    use_up(&mut before, 0, 0, LOST_AT_MS);
+    let started = LOST_AT_MS + DOWN_MS;
+    let mut after = AllowanceLedger::new(RULE, false);
+    after.configure(KEY, RATE, RATE, at(0));
+    use_up(&mut after, started, started, 40_000);
+    let most = most_in_a_window(&amounts);
+    assert!(most <= AGREED, "{most} of {AGREED}");
+}
+
 /// A refusal names a time at which the request is refused again.
 #[test]
 fn the_time_to_come_back_is_when_room_is_expected() {
