--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -156,7 +156,7 @@
     pub fn confirm(&mut self, key: WorkspaceKey, amount: u64, now: ClockTime) {
         if let Some(window) = self.windows.get_mut(&key) {
             window.pending = window.pending.saturating_sub(amount);
-            window.add(amount as f64, now);
+            window.add(amount as f64, &self.rule, now);
             window.used += amount;
         }
     }
@@ -184,7 +184,7 @@
         let Some(window) = self.windows.get_mut(&key) else { return };
         let used = taken.used.saturating_sub(base.used) as f64;
         let pending = taken.pending as f64 - base.pending as f64;
-        window.add(used, now);
+        window.add(used, &self.rule, now);
         window.pending_elsewhere = (window.pending_elsewhere + pending).max(0.0);
         window.reported = (window.reported_rate(now) * RATE_MS + used + pending).max(0.0);
         window.reported_at = now;
@@ -215,6 +215,12 @@
     }
 }
 
+/// Number of the bin of a time. The clock starts with the process, so bins are counted from one window
+/// before that.
+fn bin_number(rule: &AllowanceRule, now: ClockTime) -> u64 {
+    (now.as_ms() + rule.window_ms) / BIN_MS
+}
+
 impl WorkspaceWindow {
     fn limit(&self, rule: &AllowanceRule) -> f64 {
         let seconds = rule.window_ms as f64 / 1_000.0;
@@ -228,8 +234,11 @@
         (self.reported * decay / RATE_MS).max(0.0)
     }
 
-    fn add(&mut self, amount: f64, now: ClockTime) {
-        let bin = now.as_ms() / BIN_MS;
+    fn add(&mut self, amount: f64, rule: &AllowanceRule, now: ClockTime) {
+        self.add_to_bin(amount, bin_number(rule, now));
+    }
+
+    fn add_to_bin(&mut self, amount: f64, bin: u64) {
         self.sum += amount;
         match self.bins.back_mut() {
             Some((last, sum)) if *last == bin => *sum += amount,
@@ -240,17 +249,15 @@
     /// Spreads an amount over the window before `now`.
     fn fill(&mut self, amount: f64, rule: &AllowanceRule, now: ClockTime) {
         let steps = (rule.window_ms / BIN_MS).max(1);
-        for step in 0..steps {
-            // The clock starts with the process: bins are counted from one window before it.
-            let at =
-                ClockTime::from_ms((now.as_ms() + step * BIN_MS).saturating_sub(rule.window_ms));
-            self.add(amount / steps as f64, at);
+        let last = bin_number(rule, now);
+        for bin in last.saturating_sub(steps) + 1..=last {
+            self.add_to_bin(amount / steps as f64, bin);
         }
     }
 
     fn expire(&mut self, rule: &AllowanceRule, now: ClockTime) {
         let window_bins = rule.window_ms / BIN_MS + 1;
-        let now_bin = now.as_ms() / BIN_MS;
+        let now_bin = bin_number(rule, now);
         while let Some((bin, amount)) = self.bins.front()
             && bin + window_bins <= now_bin
         {
@@ -268,7 +275,7 @@
         for (bin, amount) in &self.bins {
             left -= amount;
             if left <= 0.0 {
-                let leaves = (bin + 1) * BIN_MS + rule.window_ms;
+                let leaves = (bin + 1) * BIN_MS;
                 return leaves.saturating_sub(now.as_ms()).max(BIN_MS);
             }
         }
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -147,6 +147,19 @@
     assert!(most <= AGREED, "{most} of {AGREED}");
 }
 
+/// Pattern: a restart, after which a workspace sends its usual, half of its limit. What was taken as
+/// used leaves the window only at its end, and requests are refused for seconds before.
+#[test]
+fn what_is_taken_as_used_leaves_the_window_little_by_little() {
+    let mut ledger = AllowanceLedger::new(RULE, false);
+    ledger.configure(KEY, RATE, RATE, at(0));
+    for now in (0..10_000).step_by(20) {
+        let amount = (AGREED / 8.0 * 0.5 * 0.02) as u64;
+        assert!(ledger.take(KEY, amount, 1.0, 200, at(now)).is_ok(), "{now} ms");
+        ledger.confirm(KEY, amount, at(now));
+    }
+}
+
 /// A refusal names a time at which the request is refused again.
 #[test]
 fn the_time_to_come_back_is_when_room_is_expected() {
