Log the usage of allowances once a second

Cause: an exceeded limit cannot be traced from the logs. They tell refusals but not what was sent, so they cannot tell nodes that admit too much from nodes that know too little.

Change: the housekeeping task logs, for each workspace that has used a twentieth of its limit, what this process used since its start and what it knows of the others. The growth over all nodes is what was used.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -103,6 +103,19 @@
     pub amounts: Vec<(u32, f64)>,
 }
 
+/// Usage of a workspace as this process knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct KnownUsage {
+    /// Used by this process since its start.
+    pub own: u64,
+    /// Used by all nodes within the window.
+    pub window: f64,
+    /// Reserved by all nodes for requests that are not sent yet.
+    pub pending: f64,
+    /// Amount up to which requests are admitted.
+    pub limit: f64,
+}
+
 /// Where the usage from before the start of a process comes from, least reliable source first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -291,6 +304,18 @@
         window.reported_at = now;
     }
 
+    /// Returns the usage of a workspace, for logs. `None` if it is not configured.
+    pub fn known_usage(&mut self, key: WorkspaceKey, now: ClockTime) -> Option<KnownUsage> {
+        let window = self.windows.get_mut(&key)?;
+        window.expire(&self.rule, now);
+        Some(KnownUsage {
+            own: window.used,
+            window: window.sum,
+            pending: window.pending as f64 + window.pending_elsewhere,
+            limit: window.limit(&self.rule),
+        })
+    }
+
     /// Returns the usage by this node, for its own reports.
     pub fn totals(&self) -> Vec<(WorkspaceKey, AllowanceUsage)> {
         self.windows
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -43,6 +43,8 @@
 const SCHEDULER_TICK_MS: u64 = 25;
 /// Interval of the housekeeping task, in ms.
 const HOUSEKEEPING_INTERVAL_MS: u64 = 1_000;
+/// Fraction of an allowance from which its usage is logged by the housekeeping task.
+const LOGGED_USAGE_FRACTION: f64 = 0.05;
 /// Pauses before the repetitions of a notice about a target that joins or leaves, in ms.
 const NOTICE_REPEATS_MS: [u64; 3] = [60, 250, 700];
 
@@ -283,6 +285,7 @@
             self.deliver_decisions();
             self.save_memory();
             self.set_gauges(now);
+            self.log_allowances(now);
             if self.is_coordinator(now) {
                 for line in self.scheduler.borrow().summarize(now) {
                     log::info!(target: "burdockcleat", "event=placement.state {line}");
@@ -291,6 +294,26 @@
         }
     }
 
+    /// Logs the usage of the workspaces that have used a large part of their allowance. The amounts
+    /// of all nodes together are the usage of the deployment.
+    fn log_allowances(&self, now: ClockTime) {
+        let Some(config) = self.config() else { return };
+        let mut tracker = self.allowances.borrow_mut();
+        for workspace in config.workspaces.iter().flatten() {
+            let key = crate::dispatch::workspace_key(&workspace.name);
+            let usage = tracker.known_usage(key, now);
+            if let Some(usage) =
+                usage.filter(|usage| usage.window > usage.limit * LOGGED_USAGE_FRACTION)
+            {
+                log::info!(
+                    target: "burdockcleat",
+                    "event=allowance.state workspace={} own={} window={:.0} pending={:.0} limit={:.0}",
+                    workspace.name, usage.own, usage.window, usage.pending, usage.limit
+                );
+            }
+        }
+    }
+
     fn set_gauges(&self, now: ClockTime) {
         let (alive, expected) = self.peers.borrow().node_counts(now);
         let mut metrics = self.metrics.borrow_mut();
