Guarantee each node a part of the allowances while it is not heard

Cause: a node divided the limit by an assumption about the nodes that it did not hear. Only silent nodes with a disk were taken off, and a group of a quarter of the nodes or more took itself for the whole. Until silence was noticed, the estimate of the others' usage faded within 0.6 s.

Change: an equal part of each limit is guaranteed to each node. The others leave what silent nodes may use unheard; a node that hears less than the nodes it hears may use only its part, and says so in its status. Usage between reports is extrapolated for each process without fading. Reporters are kept while their node is remembered, so that a regained process does not count twice.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -47,6 +47,10 @@
     /// Requests of this node that run at targets. Omitted for receivers that are unlikely to become
     /// the placement coordinator.
     pub(crate) active: Option<Vec<ActiveRequest>>,
+    /// Whether the node reaches most of the nodes with a disk.
+    pub(crate) disk_majority: bool,
+    /// Whether the node admits only its guaranteed part of the allowances.
+    pub(crate) restricted: bool,
     /// Usage of the allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
 }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -234,14 +234,13 @@
             let tokens = request.charged_tokens().unwrap_or(workspace.default_tokens);
             let amount = if workspace.counts_tokens { tokens } else { 1 };
             let key = workspace_key(&workspace.name);
-            let fraction = node.admitted_fraction(now);
-            let lag_ms = node.status_interval_ms(now);
-            let reserved = node.allowances.borrow_mut().reserve(key, amount, fraction, lag_ms, now);
+            let view = node.node_view(now);
+            let reserved = node.allowances.borrow_mut().reserve(key, amount, &view, now);
             reserved.map_err(|retry_after_ms| {
                 log::info!(
                     target: "burdockcleat",
-                    "event=allowance.exceeded id={} workspace={} amount={amount} admitted_part={fraction:.2} retry_after_ms={retry_after_ms}",
-                    request.attempt, workspace.name
+                    "event=allowance.exceeded id={} workspace={} amount={amount} restricted={} absent={} retry_after_ms={retry_after_ms}",
+                    request.attempt, workspace.name, view.is_restricted(), view.absent()
                 );
                 Refusal::OverAllowance { retry_after_ms }
             })?;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -10,7 +10,7 @@
 pub(crate) use placing::{ActiveRequestGuard, Placement};
 pub use server::NodeServer;
 
-use crate::allowance::{AllowanceTracker, admitted_fraction};
+use crate::allowance::{AllowanceTracker, NodeView};
 use crate::budget::RetryBudget;
 use crate::config::{RequestLimits, RouteConfig};
 use crate::datagram::PeerDatagram;
@@ -148,11 +148,9 @@
         alive as f64 / expected.max(1) as f64
     }
 
-    /// Returns the fraction of each allowance that this node may admit.
-    pub(crate) fn admitted_fraction(&self, now: ClockTime) -> f64 {
-        let peers = self.peers.borrow();
-        let (reachable, expected) = peers.node_counts(now);
-        admitted_fraction(reachable, expected, peers.down_disk_count(now))
+    /// Returns what this node knows about the others, to admit requests within the allowances.
+    pub(crate) fn node_view(&self, now: ClockTime) -> NodeView {
+        self.peers.borrow().node_view(self.register.disk().is_some(), now)
     }
 
     /// Returns the expected number of nodes.
@@ -267,7 +265,7 @@
                 self.coordinator_changed.notify_waiters();
             }
             let peers = self.peers.borrow();
-            let kept = |process| peers.address_of(ProcessKey(process), now).is_some();
+            let kept = |process| peers.is_last_process(ProcessKey(process));
             self.allowances.borrow_mut().retain_reporters(kept);
             drop(peers);
             self.targets.borrow_mut().prune(now);
@@ -307,7 +305,7 @@
             {
                 log::info!(
                     target: "burdockcleat",
-                    "event=allowance.state workspace={} own={} window={:.0} pending={:.0} limit={:.0}",
+                    "event=allowance.state workspace={} own={} window={:.0} pending={} limit={:.0}",
                     workspace.name, usage.own, usage.window, usage.pending, usage.limit
                 );
             }
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -63,6 +63,7 @@
         self.reconcile(self.process, &active, now);
         let sequence = self.status_sequence.get() + 1;
         self.status_sequence.set(sequence);
+        let view = self.node_view(now);
         NodeStatus {
             process: self.process,
             sequence,
@@ -75,12 +76,14 @@
             accepted: self.register.accepted_id(),
             peers: self.peers.borrow().gossip_sample(sequence, now),
             active: Some(active),
+            disk_majority: view.disk_majority,
+            restricted: view.is_restricted(),
             used: self.allowances.borrow().totals(),
         }
     }
 
     pub(super) fn handle_status(self: &Rc<Self>, status: NodeStatus, now: ClockTime) {
-        let (process, address) = (status.process, status.address);
+        let (process, address, restricted) = (status.process, status.address, status.restricted);
         if process == self.process {
             return;
         }
@@ -101,7 +104,7 @@
         // Totals of processes that are older than this one include usage from before its start.
         let from_start = now.since(self.started) > STATUS_INTERVAL_MS * 5;
         for (workspace, used) in used {
-            tracker.apply_report(process.0, workspace, used, from_start, now);
+            tracker.apply_report(process.0, workspace, used, from_start, restricted, now);
         }
         drop(tracker);
         if self.register.applied_id().is_none() {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -1,9 +1,10 @@
 //! Table of the other nodes. They are discovered from seeds and gossip, and tracked by their status
 //! datagrams.
 
+use crate::allowance::NodeView;
 use crate::datagram::NodeStatus;
 use crate::placement::ProcessKey;
-use crate::status_timing::failure_timeout_ms;
+use crate::status_timing::{failure_timeout_ms, status_interval_ms};
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -125,14 +126,46 @@
         newly_down.collect()
     }
 
-    /// Returns the number of expected nodes with a disk that are down.
-    pub(crate) fn down_disk_count(&self, now: ClockTime) -> usize {
-        let timeout_ms = self.failure_timeout_ms();
-        let down = self.records.values().filter(|record| {
-            let silence = now.since(record.last_seen);
-            silence > timeout_ms && silence <= EXPECTED_FOR_MS && !record.status.leaving
-        });
-        down.filter(|record| record.status.disk.is_some()).count()
+    /// Returns what this node knows about the others, to admit requests within the allowances.
+    /// `own_disk` tells whether this node has a disk.
+    pub(crate) fn node_view(&self, own_disk: bool, now: ClockTime) -> NodeView {
+        let reachable = self.alive(now).count() + 1;
+        let silence_ms = self.failure_timeout_ms();
+        // Silent nodes count for as long as they are remembered, so that a long partition does not
+        // look like the removal of the other nodes.
+        let expected = self
+            .records
+            .values()
+            .filter(|record| !record.status.leaving || now.since(record.last_seen) <= silence_ms);
+        let expected = expected.count() + 1;
+        let alive = || self.alive(now).map(|record| &record.status);
+        let report_interval_ms = status_interval_ms(expected);
+        let own_disk = usize::from(own_disk);
+        let disks_within = |age_ms: u64| {
+            let heard = self.records.values().filter(|record| {
+                record.status.disk.is_some()
+                    && !record.status.leaving
+                    && now.since(record.last_seen) <= age_ms
+            });
+            heard.count() + own_disk
+        };
+        let disks = disks_within(EXPECTED_FOR_MS);
+        let lost_ms = NodeView::lost_majority_ms(silence_ms, report_interval_ms);
+        NodeView {
+            expected,
+            reachable,
+            restricted_peers: alive().filter(|status| status.restricted).count(),
+            disk_majority: disks_within(silence_ms) * 2 > disks,
+            recent_disk_majority: disks_within(lost_ms) * 2 > disks,
+            peer_disk_majority: alive().any(|status| status.disk_majority),
+            report_interval_ms,
+            silence_ms,
+        }
+    }
+
+    /// Returns whether a process is the last one that was heard from its node.
+    pub(crate) fn is_last_process(&self, process: ProcessKey) -> bool {
+        self.records.values().any(|record| record.status.process == process)
     }
 
     /// Returns the addresses that statuses are sent to.
