Log the shared prompt parts of failed sends

Cause: when targets crash under requests that are no two alike, the logs do not tell what these have in common.

Change: nodes decode the parts of a prompt that other requests may share. The line of a failed send tells their hashes and the target's incarnation.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -174,7 +174,8 @@
     let after_ms = ClockTime::monotonic().since(context.request.received);
     log::info!(
         target: "burdockcleat",
-        "event=request.send_failed id={id} target={target} cause=\"{cause}\" after_ms={after_ms}"
+        "event=request.send_failed id={id} target={target} incarnation={} cause=\"{cause}\" after_ms={after_ms} parts={}",
+        announcement.incarnation, context.request.describe_parts()
     );
     context.node.metrics.borrow_mut().count("sends_failed", cause, 1);
 }
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -34,6 +34,9 @@
     pub token_counts: HeaderName,
     /// Caller's estimate of the number of output tokens.
     pub length_hint: HeaderName,
+    /// Parts of the prompt in order, separated by commas, each an id and a number of tokens
+    /// separated by a colon. The last part belongs to the request itself.
+    pub prompt_parts: HeaderName,
     /// Workspace of the credential, set on requests to targets.
     pub workspace: HeaderName,
     /// Id of the only target that may run the request, set on requests to targets.
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -11,6 +11,12 @@
 use std::time::Duration;
 use thiserror::Error;
 
+/// Hash of the id of a prompt part.
+pub(crate) type PromptPart = u64;
+
+/// Maximum number of prompt parts of a request that are told apart.
+const MAX_SHARED_PARTS: usize = 16;
+
 /// Timeout for the body of a request, in ms; equal to the default idle timeout of a connection.
 const BODY_TIMEOUT_MS: u64 = 15_000;
 
@@ -48,6 +54,8 @@
     pub(crate) max_output_tokens: Option<u64>,
     pub(crate) output_hint: Option<u64>,
     pub(crate) last_event: Option<u64>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub(crate) shared_parts: Vec<PromptPart>,
 }
 
 impl CallerRequest {
@@ -79,6 +87,9 @@
             max_output_tokens,
             output_hint: number(&names.length_hint),
             last_event: number(&names.last_event),
+            shared_parts: text(&parts.headers, &names.prompt_parts)
+                .map(shared_parts)
+                .unwrap_or_default(),
             headers: forwarded_headers(&parts.headers, names),
             method: parts.method,
             body,
@@ -91,6 +102,12 @@
         Some(self.prompt_tokens? + self.max_output_tokens?)
     }
 
+    /// Formats the shared parts of the prompt, for log lines.
+    pub(crate) fn describe_parts(&self) -> String {
+        let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{part:x}")).collect();
+        parts.join(",")
+    }
+
     /// Returns a hash of path, credential and body. It identifies repetitions of a request that
     /// crashes targets.
     pub(crate) fn fingerprint(&self) -> u64 {
@@ -133,6 +150,17 @@
     (prompt.trim().parse().ok(), output.trim().parse().ok())
 }
 
+/// Decodes the parts of a prompt without the last one, which belongs to the request itself.
+fn shared_parts(list: &str) -> Vec<PromptPart> {
+    let ids = list.split(',').map(|part| part.split(':').next().unwrap_or(part).trim());
+    let mut parts: Vec<_> = ids
+        .map(|id| xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
+        .take(MAX_SHARED_PARTS + 1)
+        .collect();
+    parts.pop();
+    parts
+}
+
 /// Returns whether a header applies only to one connection.
 pub(crate) fn is_hop_by_hop(name: &HeaderName) -> bool {
     [
