Block what requests that crash targets have in common

What callers saw: requests with one part in their prompts, no two alike, crashed one target after the other, and most targets were down for 20 s.

Cause: crashes were joined by path, credential and body only, so that no count went beyond one request's sends. Counts never fell: a request beside the culprit was blamed for good, and answers said nothing.

Ruled out: counting crashes by part alone. The requests with the part also share the first part of their prompts with sound ones, and the requests beside them crash too.

Change: everything that requests have in common is a suspect, shared parts as well as the whole request. An answer voids the crashes so far. What is needed to explain the rest is blocked: first what was never answered, then what explains most, then what is most specific. Something answered before needs six crashes over a second, since many targets may fail at once. Reports can be merged in any order; statuses have a digest, so that nodes fetch what they missed. Nodes with a disk store what is blocked.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -7,7 +7,7 @@
     TargetKey,
 };
 use crate::register::BallotNumber;
-use crate::suspects::FingerprintKey;
+use crate::suspects::SuspectReport;
 use crate::targets::TargetNotice;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -51,6 +51,8 @@
     pub(crate) disk_majority: bool,
     /// Whether the node admits only its guaranteed part of the allowances.
     pub(crate) restricted: bool,
+    /// Digest of what the node knows about suspects.
+    pub(crate) suspects: u64,
     /// Usage of the allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
 }
@@ -74,11 +76,8 @@
     Status(NodeStatus),
     /// A target announced itself or left.
     Notice(TargetNotice),
-    /// A target failed while it ran a request.
-    Suspect {
-        fingerprint: FingerprintKey,
-        incarnation: String,
-    },
+    /// Targets crashed under requests, or requests were answered that have a suspect.
+    Suspects(Vec<SuspectReport>),
     /// The placement coordinator is to place the request.
     Submit(PlacementRequest),
     /// Reply of the placement coordinator to a submitted request.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
 use crate::request::{CallerRequest, RequestError};
+use crate::suspects::RequestTrait;
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
@@ -24,6 +25,8 @@
 /// Longest wait of a request for the first configuration, in ms. A node that has just started
 /// learns the configuration within a few round trips, or within a second if all nodes were down.
 const CONFIG_WAIT_MS: u64 = 1_000;
+/// Reason for refusing a request that has what crashes targets.
+const CRASHES_TARGETS: &str = "requests like this one crash targets";
 /// Divisor of a request's deadline that gives its longest wait for the configuration. It leaves the
 /// caller time to retry.
 const CONFIG_WAIT_DIVISOR: u64 = 3;
@@ -87,7 +90,8 @@
     pub(crate) rank: u32,
     /// Minimum time for which the caller waited before this attempt, in ms.
     pub(crate) spent_ms: u64,
-    pub(crate) fingerprint: u64,
+    /// What the request may have in common with others that crash targets.
+    pub(crate) traits: Vec<RequestTrait>,
     pub(crate) reservation: Option<AllowanceReservation>,
 }
 
@@ -221,10 +225,9 @@
         let credential = request.credential.as_deref().ok_or(unknown)?;
         Some(config.find_workspace(credential).ok_or(unknown)?)
     };
-    let fingerprint = request.fingerprint();
-    if node.suspects.borrow().is_blocked(fingerprint, now) {
-        let reason = "the request broke several targets";
-        return Err(Refusal::NotRun { reason, retry_after_ms: None });
+    let traits = request.traits();
+    if node.suspects.borrow().find_blocked(&traits).is_some() {
+        return Err(Refusal::NotRun { reason: CRASHES_TARGETS, retry_after_ms: None });
     }
     let service = route.pick_service(rand::random()).unwrap_or_default().to_owned();
     let route_rank = route.priority.min(ROUTE_RANKS - 1);
@@ -262,7 +265,7 @@
         workspace,
         rank,
         spent_ms,
-        fingerprint,
+        traits,
         reservation,
     })
 }
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -112,6 +112,9 @@
         SendResult::Response(TargetResponse::Complete(response)) => {
             history.sends += 1;
             history.may_have_run = true;
+            if response.parts.status.is_success() {
+                context.node.clear_suspects(&context.traits);
+            }
             if !response.parts.status.is_server_error() || !repeatable {
                 return Ok(TargetResponse::Complete(response));
             }
@@ -121,6 +124,7 @@
         SendResult::Response(stream @ TargetResponse::Stream(_)) => {
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
+            context.node.clear_suspects(&context.traits);
             history.sends += 1;
             history.may_have_run = true;
             return Ok(stream);
@@ -141,7 +145,7 @@
         SendResult::Broken(cause) => {
             history.sends += 1;
             history.may_have_run = true;
-            context.node.suspect(context.fingerprint, announcement);
+            context.node.suspect(&context.traits, announcement);
             context.count_wasted_prefill(cause);
             cause
         }
--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -7,6 +7,7 @@
 
 use crate::allowance::WorkspaceUsage;
 use crate::placement::{SpeedModel, TargetKey};
+use crate::suspects::SuspectReport;
 use crate::targets::AgedNotice;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
@@ -31,6 +32,8 @@
     pub speeds: Vec<(TargetKey, SpeedModel)>,
     /// Longest deadline of each route.
     pub deadlines: Vec<RouteDeadline>,
+    /// Suspects that are blocked.
+    pub suspects: Vec<SuspectReport>,
 }
 
 /// Recovery memory with the time of its write, as stored on disk.
@@ -44,13 +47,15 @@
 }
 
 impl RecoveryMemory {
-    /// Returns whether both memories contain the same targets in the same state. Ages and sequence
-    /// numbers are ignored.
-    pub fn same_targets(&self, other: &Self) -> bool {
+    /// Returns whether both memories contain the same targets in the same state, and the same
+    /// suspects. Ages, sequence numbers, speeds and deadlines are ignored.
+    pub fn is_current(&self, other: &Self) -> bool {
+        let suspects =
+            |memory: &Self| memory.suspects.iter().map(|report| report.key).collect::<Vec<_>>();
         let notices = |memory: &Self| {
             memory.targets.iter().map(|aged| aged.notice.without_sequence()).collect::<Vec<_>>()
         };
-        notices(self) == notices(other)
+        notices(self) == notices(other) && suspects(self) == suspects(other)
     }
 }
 
@@ -71,6 +76,10 @@
             aged.notice = aged.notice.without_sequence();
             aged.age_ms += age_ms;
         }
+        for suspect in &mut memory.suspects {
+            suspect.first_age_ms += age_ms;
+            suspect.last_age_ms += age_ms;
+        }
         memory
     }
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -5,6 +5,7 @@
 mod recovery;
 mod server;
 mod status;
+mod suspects;
 mod targets;
 
 pub(crate) use placing::{ActiveRequestGuard, Placement};
@@ -112,6 +113,8 @@
     last_saved_memory: RefCell<Option<StoredMemory>>,
     /// Whether the usage of allowances is being fetched from another node.
     fetching_usage: Cell<bool>,
+    /// Whether the suspects are being fetched from another node.
+    fetching_suspects: Cell<bool>,
 }
 
 /// Counts a request as running until it is dropped.
@@ -210,18 +213,6 @@
         self.refresh_targets();
     }
 
-    /// Records that a target failed while it ran a request, here and at the other nodes.
-    pub(crate) fn suspect(&self, fingerprint: u64, announcement: &TargetAnnouncement) {
-        let incarnation = format!("{}/{}", announcement.id, announcement.incarnation);
-        let now = ClockTime::monotonic();
-        let count = self.suspects.borrow_mut().record(fingerprint, &incarnation, now);
-        log::info!(
-            target: "burdockcleat",
-            "event=request.suspected fingerprint={fingerprint:x} target={incarnation} targets={count}"
-        );
-        self.broadcast(&PeerDatagram::Suspect { fingerprint, incarnation });
-    }
-
     /// Applies a new configuration: the allowances and the targets of its services.
     pub(crate) fn apply_config(&self) {
         let Some(config) = self.config() else { return };
@@ -281,6 +272,7 @@
             }
             self.scheduler.borrow_mut().advance(now);
             self.deliver_decisions();
+            self.update_blocked(now);
             self.save_memory();
             self.set_gauges(now);
             self.log_allowances(now);
@@ -323,6 +315,9 @@
         for (service, age_ms) in self.scheduler.borrow().queue_ages(now) {
             metrics.set("queue_age_ms", service, age_ms as f64);
         }
+        let (suspects, blocked) = self.suspects.borrow().counts();
+        metrics.set("suspects", "known", suspects as f64);
+        metrics.set("suspects", "blocked", blocked as f64);
         metrics.set("log_lines", "dropped", logs::dropped_lines() as f64);
         if let Some(config) = self.config() {
             metrics.set("config", "version", config.version as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -59,9 +59,7 @@
         match datagram {
             PeerDatagram::Status(status) => self.handle_status(status, now),
             PeerDatagram::Notice(notice) => self.apply_notice(&notice, false),
-            PeerDatagram::Suspect { fingerprint, incarnation } => {
-                self.suspects.borrow_mut().record(fingerprint, &incarnation, now);
-            }
+            PeerDatagram::Suspects(reports) => self.merge_suspects(&reports),
             PeerDatagram::Submit(request) => self.handle_submit(from, request, now),
             PeerDatagram::Decision { key, decision } => self.handle_decision(from, key, decision),
             PeerDatagram::Withdraw(key) => self.scheduler.borrow_mut().withdraw(key),
--- a/crates/edge/src/node/recovery.rs
+++ b/crates/edge/src/node/recovery.rs
@@ -112,6 +112,7 @@
             table.apply(notice, received_at);
         }
         drop(table);
+        self.merge_suspects(&memory.suspects);
         self.refresh_targets();
     }
 
@@ -121,6 +122,7 @@
             targets: self.targets.borrow().snapshot(ClockTime::monotonic()),
             speeds: self.scheduler.borrow().speeds(),
             deadlines: self.deadlines.borrow().longest_deadlines(),
+            suspects: self.suspects.borrow().blocked_reports(ClockTime::monotonic()),
         }
     }
 
@@ -133,7 +135,7 @@
         memory.targets.retain(|aged| aged.age_ms <= fresh_ms || aged.notice.is_leave());
         let mut last = self.last_saved_memory.borrow_mut();
         let current = last.as_ref().is_some_and(|last| {
-            last.memory.same_targets(&memory)
+            last.memory.is_current(&memory)
                 && last.written.plus(UNCHANGED_SAVE_INTERVAL_MS) > written
         });
         let memory = StoredMemory { written, memory };
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -76,6 +76,7 @@
             )),
             budget: RefCell::new(RetryBudget::new(rule)),
             suspects: RefCell::default(),
+            fetching_suspects: Cell::new(false),
             deadlines: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
--- /dev/null
+++ b/crates/edge/src/node/suspects.rs
@@ -0,0 +1,87 @@
+//! Records crashes of targets and answers, and exchanges them with the other nodes.
+
+use super::{NodeState, target_key};
+use crate::datagram::PeerDatagram;
+use crate::rpc::{self, PeerCall, PeerReply};
+use crate::suspects::{RequestTrait, SuspectReport};
+use crate::targets::TargetAnnouncement;
+use burdockcleat_core::clock::ClockTime;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause after the suspects were fetched from another node, in ms.
+const FETCH_PAUSE_MS: u64 = 500;
+
+impl NodeState {
+    /// Records that a target crashed before it began to answer a request, here and at the other
+    /// nodes.
+    pub(crate) fn suspect(&self, traits: &[RequestTrait], announcement: &TargetAnnouncement) {
+        let now = ClockTime::monotonic();
+        let target = target_key(announcement);
+        let reports = self.suspects.borrow_mut().record_crash(traits, target, now);
+        let keys: Vec<_> = traits.iter().map(|suspect| format!("{:x}", suspect.key.0)).collect();
+        log::info!(
+            target: "burdockcleat",
+            "event=request.suspected target={} incarnation={} suspects={}",
+            announcement.id, announcement.incarnation, keys.join(",")
+        );
+        self.broadcast(&PeerDatagram::Suspects(reports));
+        self.update_blocked(now);
+    }
+
+    /// Records that a target began to answer a request.
+    pub(crate) fn clear_suspects(&self, traits: &[RequestTrait]) {
+        let now = ClockTime::monotonic();
+        let reports = self.suspects.borrow_mut().record_answer(traits, now);
+        if !reports.is_empty() {
+            self.broadcast(&PeerDatagram::Suspects(reports));
+            self.update_blocked(now);
+        }
+    }
+
+    /// Adds what another node has seen, or what was known before a restart.
+    pub(crate) fn merge_suspects(&self, reports: &[SuspectReport]) {
+        if !reports.is_empty() {
+            let now = ClockTime::monotonic();
+            self.suspects.borrow_mut().merge(reports, now);
+            self.update_blocked(now);
+        }
+    }
+
+    /// Decides anew which requests are blocked, and remembers it over a restart.
+    pub(super) fn update_blocked(&self, now: ClockTime) {
+        let changes = self.suspects.borrow_mut().update_blocked(now);
+        if changes.is_empty() {
+            return;
+        }
+        for change in &changes {
+            let event = if change.blocked { "suspect.blocked" } else { "suspect.released" };
+            log::info!(target: "burdockcleat", "event={event} suspect={:x}", change.key.0);
+        }
+        self.save_memory();
+    }
+
+    /// Fetches the suspects from a node whose digest differs. Reports of crashes may have been lost
+    /// on their way, or this node was down or cut off.
+    pub(super) fn learn_suspects(self: &Rc<Self>, digest: u64, from: SocketAddrV4) {
+        let differs = digest != 0 && digest != self.suspects.borrow().digest();
+        if differs && !self.fetching_suspects.replace(true) {
+            tokio::task::spawn_local(self.clone().fetch_suspects(from));
+        }
+    }
+
+    async fn fetch_suspects(self: Rc<Self>, from: SocketAddrV4) {
+        match rpc::call(from, &PeerCall::ReadSuspects).await {
+            Ok(PeerReply::Suspects(reports)) => self.merge_suspects(&reports),
+            Ok(other) => {
+                log::debug!(target: "burdockcleat", "event=suspect.fetch_failed peer={from} reply={other:?}");
+            }
+            Err(error) => {
+                log::info!(target: "burdockcleat", "event=suspect.fetch_failed peer={from} cause=\"{error}\"");
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(FETCH_PAUSE_MS)).await;
+        self.fetching_suspects.set(false);
+    }
+}
--- a/crates/edge/src/register_service/serve.rs
+++ b/crates/edge/src/register_service/serve.rs
@@ -90,6 +90,10 @@
                 let memory = if with_memory { self.memory() } else { RecoveryMemory::default() };
                 return PeerReply::Applied { value, memory };
             }
+            PeerCall::ReadSuspects => {
+                let now = ClockTime::monotonic();
+                return PeerReply::Suspects(self.suspects.borrow().reports(now));
+            }
             PeerCall::ReadUsage => {
                 let now = ClockTime::monotonic();
                 let source = self.usage_source(now);
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::config::RequestLimits;
 use crate::http_api::{HeaderNames, HttpApi};
+use crate::suspects::{RequestTrait, SuspectKey};
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -11,9 +12,6 @@
 use std::time::Duration;
 use thiserror::Error;
 
-/// Hash of the id of a prompt part.
-pub(crate) type PromptPart = u64;
-
 /// Maximum number of prompt parts of a request that are told apart.
 const MAX_SHARED_PARTS: usize = 16;
 
@@ -55,7 +53,7 @@
     pub(crate) output_hint: Option<u64>,
     pub(crate) last_event: Option<u64>,
     /// Parts of the prompt that other requests may share, in order.
-    pub(crate) shared_parts: Vec<PromptPart>,
+    pub(crate) shared_parts: Vec<SuspectKey>,
 }
 
 impl CallerRequest {
@@ -104,20 +102,23 @@
 
     /// Formats the shared parts of the prompt, for log lines.
     pub(crate) fn describe_parts(&self) -> String {
-        let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{part:x}")).collect();
+        let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{:x}", part.0)).collect();
         parts.join(",")
     }
 
-    /// Returns a hash of path, credential and body. It identifies repetitions of a request that
-    /// crashes targets.
-    pub(crate) fn fingerprint(&self) -> u64 {
+    /// Returns what the request may have in common with others, most general first: the shared
+    /// parts of its prompt, and path, credential and body together.
+    pub(crate) fn traits(&self) -> Vec<RequestTrait> {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
         for part in [self.uri.as_bytes(), self.credential.as_deref().unwrap_or("").as_bytes()] {
             hash.update(part);
             hash.update(&[0]);
         }
         hash.update(&self.body);
-        hash.digest()
+        let whole = RequestTrait { key: SuspectKey(hash.digest()), rank: u8::MAX };
+        let parts =
+            self.shared_parts.iter().zip(0..).map(|(key, rank)| RequestTrait { key: *key, rank });
+        parts.chain([whole]).collect()
     }
 }
 
@@ -151,10 +152,10 @@
 }
 
 /// Decodes the parts of a prompt without the last one, which belongs to the request itself.
-fn shared_parts(list: &str) -> Vec<PromptPart> {
+fn shared_parts(list: &str) -> Vec<SuspectKey> {
     let ids = list.split(',').map(|part| part.split(':').next().unwrap_or(part).trim());
     let mut parts: Vec<_> = ids
-        .map(|id| xxhash_rust::xxh3::xxh3_64(id.as_bytes()))
+        .map(|id| SuspectKey(xxhash_rust::xxh3::xxh3_64(id.as_bytes())))
         .take(MAX_SHARED_PARTS + 1)
         .collect();
     parts.pop();
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -4,6 +4,7 @@
 use crate::allowance::{UsageSource, WorkspaceUsage};
 use crate::memory::RecoveryMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
+use crate::suspects::SuspectReport;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -38,6 +39,8 @@
     Change(RegisterChange),
     /// Reads the usage of allowances, for a caller that has just started.
     ReadUsage,
+    /// Reads what the node knows about suspects.
+    ReadSuspects,
 }
 
 /// Reply to a call.
@@ -64,6 +67,7 @@
         source: UsageSource,
         usage: Vec<WorkspaceUsage>,
     },
+    Suspects(Vec<SuspectReport>),
 }
 
 /// Error of a call.
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -1,48 +1,191 @@
-//! Tracks requests that are suspected of crashing the targets that run them.
+//! Finds out what crashes targets, and blocks requests that have it.
+//!
+//! Requests may have something in common: path, credential and body, if they are repeated, or parts
+//! of their prompts. All of it is suspected when a target crashes before it begins to answer a
+//! request, as is that of the requests beside it. An answer clears what its request has. What
+//! targets crash under again and again, without an answer in between, is blocked, unless something
+//! else explains the same crashes ([`verdict`]).
+//!
+//! Every node sees a share of the crashes and answers. Nodes exchange [`SuspectReport`]s, which can
+//! be merged in any order and more than once.
 
+mod record;
+mod verdict;
+
+use record::SuspectRecord;
+pub use record::SuspectReport;
+
+use crate::placement::TargetKey;
 use burdockcleat_core::clock::ClockTime;
-use std::collections::{BTreeMap, BTreeSet};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-/// Hash that identifies equal requests by path, credential and body.
-pub type FingerprintKey = u64;
+/// Time for which crashes are remembered after the last one, in ms.
+const CRASH_RETENTION_MS: u64 = 120_000;
+/// Time for which something stays blocked after the last crash, in ms.
+const BLOCK_RETENTION_MS: u64 = 600_000;
+/// Maximum number of suspects that are remembered.
+const MAX_RECORDS: usize = 4_096;
+/// Maximum number of suspects in the reports for another node.
+const MAX_REPORTS: usize = 256;
+/// Number of crashes from which a suspect is reported again to nodes that may have missed them, and
+/// from which answers are reported. It bounds the traffic when many targets fail at once.
+const REPORTED_CRASHES: usize = 2;
+/// Number of recent answers after which the older half is forgotten.
+const MAX_ANSWERED: usize = 2_048;
 
-/// Number of different target incarnations that must fail while running a request before it is
-/// blocked. A harmless request that runs on the same target as a crashing one fails with it once,
-/// or twice if the crashing request is then also sent to the harmless one's second target.
-const BLOCK_THRESHOLD: usize = 3;
-/// Time for which a fingerprint is kept after its last failure, in ms.
-const RETENTION_MS: u64 = 120_000;
-/// Maximum number of fingerprints that are kept.
-const MAX_FINGERPRINTS: usize = 4_096;
+/// Hash of something that requests have in common.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct SuspectKey(pub u64);
+
+/// Something that a request may have in common with others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RequestTrait {
+    /// Hash of it.
+    pub key: SuspectKey,
+    /// How specific it is to the request. Of several suspects that explain the same crashes, the
+    /// most specific one is blocked.
+    pub rank: u8,
+}
 
-/// Records the target incarnations that failed while running a request, by fingerprint.
+/// Change of what is blocked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BlockChange {
+    /// What is blocked or no longer blocked.
+    pub key: SuspectKey,
+    /// Whether it is blocked now.
+    pub blocked: bool,
+}
+
+/// Tracks the crashes under everything that requests have in common.
 #[derive(Debug, Default)]
 pub struct SuspectTracker {
-    crashes: BTreeMap<FingerprintKey, (BTreeSet<String>, ClockTime)>,
+    records: BTreeMap<SuspectKey, SuspectRecord>,
+    blocked: BTreeSet<SuspectKey>,
+    /// What was answered here recently, in two halves of increasing age.
+    answered: [HashSet<SuspectKey>; 2],
 }
 
 impl SuspectTracker {
-    /// Records that a target failed while it ran the request. Returns the number of different
-    /// incarnations that failed so far.
-    pub fn record(&mut self, key: FingerprintKey, incarnation: &str, now: ClockTime) -> usize {
-        if self.crashes.len() >= MAX_FINGERPRINTS {
-            self.crashes.retain(|_, (_, last)| now.since(*last) <= RETENTION_MS);
+    /// Records that a target crashed before it began to answer a request. Returns the reports for
+    /// the other nodes.
+    pub fn record_crash(
+        &mut self,
+        traits: &[RequestTrait],
+        target: TargetKey,
+        now: ClockTime,
+    ) -> Vec<SuspectReport> {
+        let reports: Vec<_> = traits
+            .iter()
+            .map(|suspect| {
+                let record = self.records.get(&suspect.key);
+                SuspectReport {
+                    key: suspect.key,
+                    rank: suspect.rank,
+                    generation: record.map_or(0, |record| record.generation),
+                    answered: self.was_answered(suspect.key),
+                    crashes: vec![target],
+                    first_age_ms: 0,
+                    last_age_ms: 0,
+                }
+            })
+            .collect();
+        self.merge(&reports, now);
+        reports
+    }
+
+    /// Records that a target began to answer a request. Returns the reports for the other nodes.
+    pub fn record_answer(&mut self, traits: &[RequestTrait], now: ClockTime) -> Vec<SuspectReport> {
+        let mut reports = Vec::new();
+        for suspect in traits {
+            if self.answered[0].len() >= MAX_ANSWERED {
+                self.answered.swap(0, 1);
+                self.answered[0].clear();
+            }
+            self.answered[0].insert(suspect.key);
+            let Some(record) = self.records.get_mut(&suspect.key) else { continue };
+            record.answered = true;
+            if record.crashes.len() >= REPORTED_CRASHES {
+                record.clear();
+                reports.push(record.report(suspect.key, now));
+            }
+        }
+        reports
+    }
+
+    /// Adds what other nodes have seen, or what was known before a restart.
+    pub fn merge(&mut self, reports: &[SuspectReport], now: ClockTime) {
+        for report in reports {
+            let answered = self.was_answered(report.key);
+            let record = self.records.entry(report.key).or_insert_with(|| SuspectRecord::new(now));
+            record.merge(report, now);
+            record.answered |= answered;
+        }
+        while self.records.len() > MAX_RECORDS {
+            let unblocked = self.records.iter().filter(|(key, _)| !self.blocked.contains(key));
+            let oldest = unblocked.min_by_key(|(_, record)| record.last).map(|(key, _)| *key);
+            let Some(oldest) = oldest else { break };
+            self.records.remove(&oldest);
         }
-        if self.crashes.len() >= MAX_FINGERPRINTS {
-            let oldest =
-                self.crashes.iter().min_by_key(|(_, (_, last))| *last).map(|(key, _)| *key);
-            oldest.and_then(|key| self.crashes.remove(&key));
+    }
+
+    /// Decides anew what is blocked. Returns the changes.
+    pub fn update_blocked(&mut self, now: ClockTime) -> Vec<BlockChange> {
+        let before = std::mem::take(&mut self.blocked);
+        self.records.retain(|key, record| {
+            let blocked = before.contains(key);
+            let kept_ms = if blocked { BLOCK_RETENTION_MS } else { CRASH_RETENTION_MS };
+            now.since(record.last) <= kept_ms
+        });
+        self.blocked = verdict::blocked(&self.records);
+        let changed = before.symmetric_difference(&self.blocked);
+        changed.map(|key| BlockChange { key: *key, blocked: !before.contains(key) }).collect()
+    }
+
+    /// Returns what a request has that is blocked. `None` if the request may be sent.
+    pub fn find_blocked(&self, traits: &[RequestTrait]) -> Option<SuspectKey> {
+        traits.iter().map(|suspect| suspect.key).find(|key| self.blocked.contains(key))
+    }
+
+    /// Returns the number of suspects and the number of those that are blocked.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.records.len(), self.blocked.len())
+    }
+
+    /// Returns a hash of what other nodes should know. Nodes that know the same have the same hash;
+    /// it is 0 if there is nothing to know.
+    pub fn digest(&self) -> u64 {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        let mut any = false;
+        for (key, record) in self.reported_records() {
+            any = true;
+            for part in [key.0, record.generation.into(), record.crashes.len() as u64] {
+                hash.update(&part.to_le_bytes());
+            }
         }
-        let (incarnations, last) = self.crashes.entry(key).or_default();
-        incarnations.insert(incarnation.to_owned());
-        *last = now;
-        incarnations.len()
+        if any { hash.digest() } else { 0 }
+    }
+
+    /// Returns what other nodes should know.
+    pub fn reports(&self, now: ClockTime) -> Vec<SuspectReport> {
+        let mut records: Vec<_> = self.reported_records().collect();
+        records.sort_by_key(|(key, record)| (!self.blocked.contains(key), now.since(record.last)));
+        let newest = records.iter().take(MAX_REPORTS);
+        newest.map(|(key, record)| record.report(**key, now)).collect()
+    }
+
+    /// Returns what has to be known after a restart: the suspects that are blocked.
+    pub fn blocked_reports(&self, now: ClockTime) -> Vec<SuspectReport> {
+        let blocked = self.blocked.iter().filter_map(|key| self.records.get_key_value(key));
+        blocked.map(|(key, record)| record.report(*key, now)).collect()
+    }
+
+    fn reported_records(&self) -> impl Iterator<Item = (&SuspectKey, &SuspectRecord)> {
+        self.records.iter().filter(|(_, record)| record.crashes.len() >= REPORTED_CRASHES)
     }
 
-    /// Returns whether the request must not be sent to any target.
-    pub fn is_blocked(&self, key: FingerprintKey, now: ClockTime) -> bool {
-        self.crashes.get(&key).is_some_and(|(incarnations, last)| {
-            incarnations.len() >= BLOCK_THRESHOLD && now.since(*last) <= RETENTION_MS
-        })
+    fn was_answered(&self, key: SuspectKey) -> bool {
+        self.answered.iter().any(|half| half.contains(&key))
     }
 }
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -1,9 +1,8 @@
-//! Limits shared by all nodes: allowances, retry budget and crash suspects.
+//! Limits shared by all nodes: allowances and retry budget.
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::allowance::{AllowanceRule, AllowanceTracker, AllowanceUsage, NodeView};
 use burdockcleat_edge::budget::{BudgetRule, RetryBudget};
-use burdockcleat_edge::suspects::SuspectTracker;
 
 const RULE: AllowanceRule = AllowanceRule { window_ms: 8_000, overshoot: 0.1, tolerance: 10_000.0 };
 const RATE: f64 = 10_000.0;
@@ -285,20 +284,3 @@
         assert!(retried as f64 <= asked as f64 * 0.2 + 60.0, "{retried} retries of {asked}");
     }
 }
-
-/// Guards against blocking a request that only shared a target with the culprit, and against never
-/// blocking the culprit.
-#[test]
-fn a_request_is_refused_after_three_different_targets() {
-    let mut tracker = SuspectTracker::default();
-    for _ in 0..5 {
-        tracker.record(7, "i-1/1", at(0));
-    }
-    assert!(!tracker.is_blocked(7, at(0)), "one target that breaks again says nothing");
-    tracker.record(7, "i-2/1", at(10));
-    assert!(!tracker.is_blocked(7, at(10)));
-    tracker.record(7, "i-3/1", at(20));
-    assert!(tracker.is_blocked(7, at(20)));
-    assert!(!tracker.is_blocked(8, at(20)));
-    assert!(!tracker.is_blocked(7, at(200_000)), "a suspicion ends");
-}
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -34,6 +34,7 @@
         targets: vec![AgedNotice { notice, age_ms: 300 }],
         speeds: vec![(TargetKey(9), SpeedModel::PRIOR)],
         deadlines: vec![("r".into(), 5_000)],
+        suspects: vec![],
     }
 }
 
@@ -101,11 +102,11 @@
 /// Guards against a disk write for each announcement of a known target.
 #[test]
 fn repeated_announcements_do_not_change_the_memory() {
-    assert!(memory(1).same_targets(&memory(8)));
+    assert!(memory(1).is_current(&memory(8)));
     let left = TargetNotice::Left { id: "i-1".into(), incarnation: 7 };
     let other =
         RecoveryMemory { targets: vec![AgedNotice { notice: left, age_ms: 0 }], ..memory(1) };
-    assert!(!memory(1).same_targets(&other));
+    assert!(!memory(1).is_current(&other));
 }
 
 /// Guards against a remembered target that takes precedence over its own announcements or leave.
