Refuse a waiting request when its suspect is blocked

What callers saw: a request that waits for a target, or for its next send after a crash, was sent although the node had blocked what it has, since suspects were looked up only when a request was read. It crashed one more target, and its caller waited for that.

Change: placing a request ends as soon as it is blocked. It is withdrawn from the queue, and the caller gets the final answer at once: 503 if it was never sent, 502 otherwise.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one target after another until one responds or no retry is left.
 
 use super::send::{CompleteResponse, SendResult, TargetResponse, send_once};
-use super::{Refusal, RequestContext};
+use super::{CRASHES_TARGETS, Refusal, RequestContext};
 use crate::node::{ActiveRequestGuard, Placement};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey};
 use crate::targets::TargetAnnouncement;
@@ -220,7 +220,14 @@
         excluded: history.excluded.clone(),
     };
     let placement = node.place(request);
-    match tokio::time::timeout(Duration::from_millis(left_ms), placement).await {
+    let placed = tokio::select! {
+        biased;
+        () = node.until_blocked(&context.traits) => {
+            return Err(history.give_up(CRASHES_TARGETS, None));
+        }
+        placed = tokio::time::timeout(Duration::from_millis(left_ms), placement) => placed,
+    };
+    match placed {
         Ok(Placement::Granted(guard)) => Ok(guard),
         Ok(Placement::Refused { reason, retry_after_ms }) => {
             let reason = match reason {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -115,6 +115,8 @@
     fetching_usage: Cell<bool>,
     /// Whether the suspects are being fetched from another node.
     fetching_suspects: Cell<bool>,
+    /// Notified when the blocked suspects have changed.
+    suspects_changed: Notify,
 }
 
 /// Counts a request as running until it is dropped.
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -77,6 +77,7 @@
             budget: RefCell::new(RetryBudget::new(rule)),
             suspects: RefCell::default(),
             fetching_suspects: Cell::new(false),
+            suspects_changed: Notify::new(),
             deadlines: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
--- a/crates/edge/src/node/suspects.rs
+++ b/crates/edge/src/node/suspects.rs
@@ -59,9 +59,21 @@
             let event = if change.blocked { "suspect.blocked" } else { "suspect.released" };
             log::info!(target: "burdockcleat", "event={event} suspect={:x}", change.key.0);
         }
+        self.suspects_changed.notify_waiters();
         self.save_memory();
     }
 
+    /// Waits until a request is blocked.
+    pub(crate) async fn until_blocked(&self, traits: &[RequestTrait]) {
+        loop {
+            let changed = self.suspects_changed.notified();
+            if self.suspects.borrow().find_blocked(traits).is_some() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Fetches the suspects from a node whose digest differs. Reports of crashes may have been lost
     /// on their way, or this node was down or cut off.
     pub(super) fn learn_suspects(self: &Rc<Self>, digest: u64, from: SocketAddrV4) {
