--- a/crates/edge/tests/allowance_partitions.rs
+++ b/crates/edge/tests/allowance_partitions.rs
@@ -2,10 +2,13 @@
 //!
 //! Load: a workspace that begins to send many times its usual amount, beside a steady one.
 
+mod support;
+
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::allowance::{AllowanceRule, AllowanceTracker, NodeView, WorkspaceKey};
 use burdockcleat_edge::status_timing::{failure_timeout_ms, status_interval_ms};
 use std::collections::BTreeMap;
+use support::connected_view;
 
 const RULE: AllowanceRule = AllowanceRule { window_ms: 8_000, overshoot: 0.1, tolerance: 10_000.0 };
 const RATE: f64 = 10_000.0;
@@ -140,19 +143,6 @@
     }
 }
 
-fn all_heard(scenario: &Scenario) -> NodeView {
-    NodeView {
-        expected: scenario.nodes,
-        reachable: scenario.nodes,
-        restricted_peers: 0,
-        disk_majority: true,
-        recent_disk_majority: true,
-        peer_disk_majority: true,
-        report_interval_ms: status_interval_ms(scenario.nodes),
-        silence_ms: failure_timeout_ms(scenario.nodes),
-    }
-}
-
 fn play(scenario: &Scenario) -> Tally {
     let mut nodes: Vec<_> = (0..scenario.nodes)
         .map(|own| {
@@ -160,7 +150,17 @@
             tracker.configure(HOT, RATE, RATE, ClockTime::from_ms(0));
             tracker.configure(STEADY, RATE, RATE, ClockTime::from_ms(0));
             let others = (0..scenario.nodes).filter(|other| *other != own);
-            Node { tracker, heard: others.map(|other| (other, (0, all_heard(scenario)))).collect() }
+            Node {
+                tracker,
+                heard: others
+                    .map(|other| {
+                        (
+                            other,
+                            (0, connected_view(scenario.nodes, status_interval_ms(scenario.nodes))),
+                        )
+                    })
+                    .collect(),
+            }
         })
         .collect();
     let mut tally = Tally::default();
--- a/crates/edge/tests/allowance_recovery.rs
+++ b/crates/edge/tests/allowance_recovery.rs
@@ -3,11 +3,14 @@
 //! Load: a workspace that begins to send many times its usual amount seconds before all nodes lose
 //! power, beside one that sends steadily.
 
+mod support;
+
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::allowance::{
-    AllowanceRule, AllowanceTracker, NodeView, UsageSource, WorkspaceKey, WorkspaceUsage,
+    AllowanceRule, AllowanceTracker, UsageSource, WorkspaceKey, WorkspaceUsage,
 };
 use burdockcleat_edge::memory::StoredUsage;
+use support::connected_view;
 
 const RULE: AllowanceRule = AllowanceRule { window_ms: 8_000, overshoot: 0.1, tolerance: 10_000.0 };
 const RATE: f64 = 10_000.0;
@@ -27,20 +30,6 @@
     ClockTime::from_ms(ms)
 }
 
-/// Returns the view of a node that hears all others every `report_interval_ms`.
-fn view(report_interval_ms: u64) -> NodeView {
-    NodeView {
-        expected: NODES,
-        reachable: NODES,
-        restricted_peers: 0,
-        disk_majority: true,
-        recent_disk_majority: true,
-        peer_disk_majority: true,
-        report_interval_ms,
-        silence_ms: 1_000,
-    }
-}
-
 /// What became of the requests of one workspace.
 #[derive(Default)]
 struct Tally {
@@ -104,7 +93,7 @@
         let local = at(now - self.started);
         for number in 0..(amount / AMOUNT as f64).round() as usize {
             let node = &mut self.nodes[(now as usize / 10 + number) % NODES];
-            if node.reserve(key, AMOUNT, &view(self.lag_ms), local).is_ok() {
+            if node.reserve(key, AMOUNT, &connected_view(NODES, self.lag_ms), local).is_ok() {
                 node.commit(key, AMOUNT, local);
                 tally.sent.push((now, AMOUNT as f64));
             } else {
@@ -184,21 +173,21 @@
 fn usage_counted_by_a_running_node_replaces_stored_usage() {
     let mut running = AllowanceTracker::new(RULE, true);
     running.configure(HOT, RATE, RATE, at(0));
-    while running.reserve(HOT, AMOUNT, &view(200), at(9_000)).is_ok() {
+    while running.reserve(HOT, AMOUNT, &connected_view(NODES, 200), at(9_000)).is_ok() {
         running.commit(HOT, AMOUNT, at(9_000));
     }
     let mut restarted = AllowanceTracker::new(RULE, false);
     restarted.restore(&[], UsageSource::Stored, at(0));
     restarted.configure(HOT, RATE, RATE, at(0));
     assert_eq!(restarted.source(), UsageSource::Stored);
-    assert!(restarted.reserve(HOT, AMOUNT, &view(200), at(10)).is_ok());
+    assert!(restarted.reserve(HOT, AMOUNT, &connected_view(NODES, 200), at(10)).is_ok());
     restarted.commit(HOT, AMOUNT, at(10));
     restarted.restore(&running.usage(at(9_500)), UsageSource::Counted, at(50));
-    assert!(restarted.reserve(HOT, AMOUNT, &view(200), at(60)).is_err());
+    assert!(restarted.reserve(HOT, AMOUNT, &connected_view(NODES, 200), at(60)).is_err());
     assert_eq!(restarted.source(), UsageSource::Counted);
     // The usage leaves the window 8 s after it was counted, and not when the process started.
-    assert!(restarted.reserve(HOT, AMOUNT, &view(200), at(7_000)).is_err());
-    assert!(restarted.reserve(HOT, AMOUNT, &view(200), at(7_900)).is_ok());
+    assert!(restarted.reserve(HOT, AMOUNT, &connected_view(NODES, 200), at(7_000)).is_err());
+    assert!(restarted.reserve(HOT, AMOUNT, &connected_view(NODES, 200), at(7_900)).is_ok());
 }
 
 /// Guards against usage that is lost on its way to a node without a disk, because the node that has
@@ -216,7 +205,7 @@
     let mut other = AllowanceTracker::new(RULE, false);
     other.restore(&passed, UsageSource::Stored, at(0));
     other.configure(HOT, RATE, RATE, at(0));
-    assert!(other.reserve(HOT, 40_000, &view(200), at(10)).is_err());
+    assert!(other.reserve(HOT, 40_000, &connected_view(NODES, 200), at(10)).is_err());
 }
 
 /// Guards against usage that expires early because the wall clock was set forward between the loss
@@ -238,7 +227,7 @@
     tracker.configure(HOT, RATE, RATE, at(0));
     let mut writes = 0;
     for now in (0..10_000).step_by(20) {
-        if tracker.reserve(HOT, 2 * AMOUNT, &view(200), at(now)).is_ok() {
+        if tracker.reserve(HOT, 2 * AMOUNT, &connected_view(NODES, 200), at(now)).is_ok() {
             tracker.commit(HOT, 2 * AMOUNT, at(now));
         }
         writes += usize::from(tracker.usage_to_store(at(now)).is_some());
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -1,8 +1,11 @@
 //! Limits shared by all nodes: allowances and retry budget.
 
+mod support;
+
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::allowance::{AllowanceRule, AllowanceTracker, AllowanceUsage, NodeView};
 use burdockcleat_edge::budget::{BudgetRule, RetryBudget};
+use support::connected_view;
 
 const RULE: AllowanceRule = AllowanceRule { window_ms: 8_000, overshoot: 0.1, tolerance: 10_000.0 };
 const RATE: f64 = 10_000.0;
@@ -15,20 +18,6 @@
     ClockTime::from_ms(ms)
 }
 
-/// Returns the view of a node that hears all `nodes` every `report_interval_ms`.
-fn view(nodes: usize, report_interval_ms: u64) -> NodeView {
-    NodeView {
-        expected: nodes,
-        reachable: nodes,
-        restricted_peers: 0,
-        disk_majority: true,
-        recent_disk_majority: true,
-        peer_disk_majority: true,
-        report_interval_ms,
-        silence_ms: 1_000,
-    }
-}
-
 /// Guards against a workspace that exceeds its allowance in some window, or gets much less than it,
 /// when it sends many times its usual amount. Nodes receive each other's reports 200 ms late (12
 /// nodes) or 400 ms late (76 nodes).
@@ -51,7 +40,7 @@
         let now = tick * TICK_MS;
         for tracker in &mut trackers {
             let amount = ASKED / nodes as u64;
-            if tracker.reserve(KEY, amount, &view(nodes, lag_ms), at(now)).is_ok() {
+            if tracker.reserve(KEY, amount, &connected_view(nodes, lag_ms), at(now)).is_ok() {
                 tracker.commit(KEY, amount, at(now));
                 admitted.push((now, amount as f64));
             }
@@ -90,7 +79,7 @@
 #[test]
 fn nodes_that_hear_nobody_share_the_allowance() {
     const NODES: usize = 10;
-    let alone = NodeView { reachable: 1, ..view(NODES, 200) };
+    let alone = NodeView { reachable: 1, ..connected_view(NODES, 200) };
     let mut sum = 0.0;
     for _ in 0..NODES {
         let mut tracker = AllowanceTracker::new(RULE, true);
@@ -108,7 +97,7 @@
 /// hear, and shares what they use without knowing it.
 #[test]
 fn a_node_is_restricted_if_others_hear_what_it_does_not() {
-    let all = view(10, 200);
+    let all = connected_view(10, 200);
     assert!(!all.is_restricted());
     // Four nodes with a disk are partitioned into halves; the six others hear all of them.
     let half = NodeView { reachable: 8, recent_disk_majority: false, ..all };
@@ -128,12 +117,12 @@
     let mut tracker = AllowanceTracker::new(RULE, false);
     tracker.configure(KEY, RATE, RATE, at(0));
     let mut sum = 0.0;
-    while tracker.reserve(KEY, 100, &view(12, 200), at(0)).is_ok() {
+    while tracker.reserve(KEY, 100, &connected_view(12, 200), at(0)).is_ok() {
         tracker.commit(KEY, 100, at(0));
         sum += 100.0;
     }
     assert!(sum < AGREED * 0.6, "{sum}");
-    assert!(tracker.reserve(KEY, 100, &view(12, 200), at(9_000)).is_ok());
+    assert!(tracker.reserve(KEY, 100, &connected_view(12, 200), at(9_000)).is_ok());
 }
 
 /// Guards against usage before and after a power loss of all nodes that together exceeds the
@@ -147,7 +136,7 @@
     let mut amounts = Vec::new();
     let mut use_up = |tracker: &mut AllowanceTracker, start_ms: u64, from: u64, to: u64| {
         for now in (from..to).step_by(20) {
-            while tracker.reserve(KEY, 100, &view(12, 200), at(now - start_ms)).is_ok() {
+            while tracker.reserve(KEY, 100, &connected_view(12, 200), at(now - start_ms)).is_ok() {
                 tracker.commit(KEY, 100, at(now - start_ms));
                 amounts.push((now, 100.0));
                 // Before the loss, a steady caller uses no more than the rate of the window.
@@ -178,7 +167,10 @@
     tracker.configure(KEY, RATE, RATE, at(0));
     for now in (0..10_000).step_by(20) {
         let amount = (AGREED / 8.0 * 0.5 * 0.02) as u64;
-        assert!(tracker.reserve(KEY, amount, &view(12, 200), at(now)).is_ok(), "{now} ms");
+        assert!(
+            tracker.reserve(KEY, amount, &connected_view(12, 200), at(now)).is_ok(),
+            "{now} ms"
+        );
         tracker.commit(KEY, amount, at(now));
     }
 }
@@ -188,12 +180,12 @@
 fn the_retry_time_is_when_capacity_is_expected() {
     let mut tracker = AllowanceTracker::new(RULE, true);
     tracker.configure(KEY, RATE, RATE, at(0));
-    while tracker.reserve(KEY, 1_000, &view(12, 200), at(0)).is_ok() {
+    while tracker.reserve(KEY, 1_000, &connected_view(12, 200), at(0)).is_ok() {
         tracker.commit(KEY, 1_000, at(0));
     }
-    let wait_ms = tracker.reserve(KEY, 1_000, &view(12, 200), at(2_000)).unwrap_err();
+    let wait_ms = tracker.reserve(KEY, 1_000, &connected_view(12, 200), at(2_000)).unwrap_err();
     assert!(
-        tracker.reserve(KEY, 1_000, &view(12, 200), at(2_000 + wait_ms + 250)).is_ok(),
+        tracker.reserve(KEY, 1_000, &connected_view(12, 200), at(2_000 + wait_ms + 250)).is_ok(),
         "{wait_ms}"
     );
 }
@@ -204,7 +196,7 @@
     let mut tracker = AllowanceTracker::new(RULE, true);
     tracker.configure(KEY, RATE, RATE, at(0));
     for _ in 0..10_000 {
-        tracker.reserve(KEY, 1_000, &view(12, 200), at(0)).unwrap();
+        tracker.reserve(KEY, 1_000, &connected_view(12, 200), at(0)).unwrap();
         tracker.release(KEY, 1_000);
     }
     assert!(tracker.totals().is_empty());
@@ -227,7 +219,7 @@
     let mut sent: Vec<(u64, f64)> = Vec::new();
     for now in (0..40_000_u64).step_by(10) {
         for (node, tracker) in trackers.iter_mut().enumerate() {
-            if tracker.reserve(KEY, 150, &view(12, 200), at(now)).is_ok() {
+            if tracker.reserve(KEY, 150, &connected_view(12, 200), at(now)).is_ok() {
                 let served = now > OVERLOAD_MS || (now / 10 + node as u64).is_multiple_of(2);
                 waiting.push((now + WAIT_MS, node, served));
             }
@@ -256,9 +248,9 @@
     tracker.configure(KEY, RATE, RATE, at(0));
     let taken = AllowanceUsage { used: 0, pending: 1_000_000 };
     tracker.apply_report(9, KEY, taken, true, false, at(0));
-    assert!(tracker.reserve(KEY, 100, &view(12, 200), at(0)).is_err());
+    assert!(tracker.reserve(KEY, 100, &connected_view(12, 200), at(0)).is_err());
     tracker.retain_reporters(|_| false);
-    assert!(tracker.reserve(KEY, 100, &view(12, 200), at(10_000)).is_ok());
+    assert!(tracker.reserve(KEY, 100, &connected_view(12, 200), at(10_000)).is_ok());
 }
 
 /// Guards against all nodes together exceeding the retry budget.
