Tell suspects by the ids of prompt parts in logs and dumps

Cause: logs told hashes only, from which an operator cannot find the part of a prompt that is blocked. The state dump did not tell suspects at all.

Change: a failed send tells each part's id with its hash; ids are cut and stripped of what would break a line. /state lists suspects with two crashes or more. The digest is computed when suspects change, not for each status.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -126,8 +126,9 @@
 ) -> Response<ReplyBody> {
     if path == "/state" {
         let now = ClockTime::monotonic();
-        let lines = node.scheduler.borrow().describe(now).join("\n");
-        return text_reply(StatusCode::OK, lines);
+        let mut lines = node.scheduler.borrow().describe(now);
+        lines.extend(node.suspects.borrow().describe(now));
+        return text_reply(StatusCode::OK, lines.join("\n"));
     }
     text_reply(StatusCode::OK, metrics.borrow().render())
 }
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -14,7 +14,8 @@
 
 /// Maximum number of prompt parts of a request that are told apart.
 const MAX_SHARED_PARTS: usize = 16;
-
+/// Maximum number of characters of a part's id in log lines.
+const MAX_LOGGED_ID_CHARS: usize = 24;
 /// Timeout for the body of a request, in ms; equal to the default idle timeout of a connection.
 const BODY_TIMEOUT_MS: u64 = 15_000;
 
@@ -34,6 +35,21 @@
     BodyRead(String),
 }
 
+/// Part of a prompt that other requests may share.
+pub(crate) struct PromptPart {
+    /// Start of the part's id, without characters that would break a log line.
+    id: String,
+    key: SuspectKey,
+}
+
+impl PromptPart {
+    fn new(id: &str) -> Self {
+        let readable = id.chars().filter(char::is_ascii_alphanumeric).take(MAX_LOGGED_ID_CHARS);
+        let key = SuspectKey(xxhash_rust::xxh3::xxh3_64(id.as_bytes()));
+        Self { id: readable.collect(), key }
+    }
+}
+
 /// Request of a caller, read completely.
 pub(crate) struct CallerRequest {
     pub(crate) attempt: String,
@@ -53,7 +69,7 @@
     pub(crate) output_hint: Option<u64>,
     pub(crate) last_event: Option<u64>,
     /// Parts of the prompt that other requests may share, in order.
-    pub(crate) shared_parts: Vec<SuspectKey>,
+    pub(crate) shared_parts: Vec<PromptPart>,
 }
 
 impl CallerRequest {
@@ -100,10 +116,10 @@
         Some(self.prompt_tokens? + self.max_output_tokens?)
     }
 
-    /// Formats the shared parts of the prompt, for log lines.
+    /// Formats the shared parts of the prompt with their hashes, for log lines.
     pub(crate) fn describe_parts(&self) -> String {
-        let parts: Vec<_> = self.shared_parts.iter().map(|part| format!("{:x}", part.0)).collect();
-        parts.join(",")
+        let part = |part: &PromptPart| format!("{}={:x}", part.id, part.key.0);
+        self.shared_parts.iter().map(part).collect::<Vec<_>>().join(",")
     }
 
     /// Returns what the request may have in common with others, most general first: the shared
@@ -116,8 +132,8 @@
         }
         hash.update(&self.body);
         let whole = RequestTrait { key: SuspectKey(hash.digest()), rank: u8::MAX };
-        let parts =
-            self.shared_parts.iter().zip(0..).map(|(key, rank)| RequestTrait { key: *key, rank });
+        let parts = self.shared_parts.iter().zip(0..);
+        let parts = parts.map(|(part, rank)| RequestTrait { key: part.key, rank });
         parts.chain([whole]).collect()
     }
 }
@@ -152,12 +168,9 @@
 }
 
 /// Decodes the parts of a prompt without the last one, which belongs to the request itself.
-fn shared_parts(list: &str) -> Vec<SuspectKey> {
+fn shared_parts(list: &str) -> Vec<PromptPart> {
     let ids = list.split(',').map(|part| part.split(':').next().unwrap_or(part).trim());
-    let mut parts: Vec<_> = ids
-        .map(|id| SuspectKey(xxhash_rust::xxh3::xxh3_64(id.as_bytes())))
-        .take(MAX_SHARED_PARTS + 1)
-        .collect();
+    let mut parts: Vec<_> = ids.take(MAX_SHARED_PARTS + 1).map(PromptPart::new).collect();
     parts.pop();
     parts
 }
--- a/crates/edge/src/suspects.rs
+++ b/crates/edge/src/suspects.rs
@@ -63,6 +63,7 @@
 pub struct SuspectTracker {
     records: BTreeMap<SuspectKey, SuspectRecord>,
     blocked: BTreeSet<SuspectKey>,
+    digest: u64,
     /// What was answered here recently, in two halves of increasing age.
     answered: [HashSet<SuspectKey>; 2],
 }
@@ -139,6 +140,7 @@
             now.since(record.last) <= kept_ms
         });
         self.blocked = verdict::blocked(&self.records);
+        self.digest = self.compute_digest();
         let changed = before.symmetric_difference(&self.blocked);
         changed.map(|key| BlockChange { key: *key, blocked: !before.contains(key) }).collect()
     }
@@ -153,9 +155,13 @@
         (self.records.len(), self.blocked.len())
     }
 
-    /// Returns a hash of what other nodes should know. Nodes that know the same have the same hash;
-    /// it is 0 if there is nothing to know.
-    pub fn digest(&self) -> u64 {
+    /// Returns a hash of what other nodes should know, as of the last decision. Nodes that know the
+    /// same have the same hash; it is 0 if there is nothing to know.
+    pub const fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    fn compute_digest(&self) -> u64 {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
         let mut any = false;
         for (key, record) in self.reported_records() {
@@ -181,6 +187,23 @@
         blocked.map(|(key, record)| record.report(*key, now)).collect()
     }
 
+    /// Returns one line per suspect that other nodes should know, for state dumps.
+    pub fn describe(&self, now: ClockTime) -> Vec<String> {
+        let lines = self.reported_records().map(|(key, record)| {
+            format!(
+                "suspect={:x} blocked={} rank={} generation={} answered={} crashes={} last_ms={}",
+                key.0,
+                self.blocked.contains(key),
+                record.rank,
+                record.generation,
+                record.answered,
+                record.crashes.len(),
+                now.since(record.last)
+            )
+        });
+        lines.collect()
+    }
+
     fn reported_records(&self) -> impl Iterator<Item = (&SuspectKey, &SuspectRecord)> {
         self.records.iter().filter(|(_, record)| record.crashes.len() >= REPORTED_CRASHES)
     }
