Give back the guaranteed parts of nodes that left

Cause: reports of a process are kept while its node is remembered, so that a silent node keeps its part. A process that announced its end is not silent; its node no longer counts as expected, but its part was kept back.

Change: one rule tells which nodes may run, for the number of parts and for the reports that are kept. Processes are looked up in a set, not by walking the table of nodes for each report.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -257,10 +257,9 @@
             if !lost.is_empty() {
                 self.coordinator_changed.notify_waiters();
             }
-            let peers = self.peers.borrow();
-            let kept = |process| peers.is_last_process(ProcessKey(process));
+            let processes = self.peers.borrow().admitting_processes(now);
+            let kept = |process| processes.contains(&ProcessKey(process));
             self.allowances.borrow_mut().retain_reporters(kept);
-            drop(peers);
             self.targets.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -6,7 +6,7 @@
 use crate::placement::ProcessKey;
 use crate::status_timing::{failure_timeout_ms, status_interval_ms};
 use burdockcleat_core::clock::ClockTime;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddrV4;
 
 /// Time after its last status for which a node counts as expected, in ms.
@@ -131,13 +131,7 @@
     pub(crate) fn node_view(&self, own_disk: bool, now: ClockTime) -> NodeView {
         let reachable = self.alive(now).count() + 1;
         let silence_ms = self.failure_timeout_ms();
-        // Silent nodes count for as long as they are remembered, so that a long partition does not
-        // look like the removal of the other nodes.
-        let expected = self
-            .records
-            .values()
-            .filter(|record| !record.status.leaving || now.since(record.last_seen) <= silence_ms);
-        let expected = expected.count() + 1;
+        let expected = self.records.values().filter(|record| self.may_run(record, now)).count() + 1;
         let alive = || self.alive(now).map(|record| &record.status);
         let report_interval_ms = status_interval_ms(expected);
         let own_disk = usize::from(own_disk);
@@ -163,9 +157,17 @@
         }
     }
 
-    /// Returns whether a process is the last one that was heard from its node.
-    pub(crate) fn is_last_process(&self, process: ProcessKey) -> bool {
-        self.records.values().any(|record| record.status.process == process)
+    /// Returns the processes that may admit requests, heard or not.
+    pub(crate) fn admitting_processes(&self, now: ClockTime) -> HashSet<ProcessKey> {
+        let records = self.records.values().filter(|record| self.may_run(record, now));
+        records.map(|record| record.status.process).collect()
+    }
+
+    /// Returns whether a node may run, heard or not. Silent nodes count for as long as they are
+    /// remembered, unless they announced that they leave, so that a long partition does not look
+    /// like the removal of the other nodes.
+    fn may_run(&self, record: &PeerRecord, now: ClockTime) -> bool {
+        !record.status.leaving || now.since(record.last_seen) <= self.failure_timeout_ms()
     }
 
     /// Returns the addresses that statuses are sent to.
