Estimate unreported usage from all reports together

Change: the sum over the other processes is estimated from all their reports: the highest of the last rates, the recent reports and the mean of the window, none of which fades while no reports arrive. Only overdue processes add what they may have used since. Silence for allowances is one and a half status intervals and 300 ms. Windows of idle processes use no memory.

--- a/crates/edge/src/allowance.rs
+++ b/crates/edge/src/allowance.rs
@@ -180,7 +180,7 @@
             (window.rate_per_s, window.burst) = (rate_per_s, burst);
             return changed;
         }
-        let mut window = WorkspaceWindow::new(rate_per_s, burst);
+        let mut window = WorkspaceWindow::new(rate_per_s, burst, now);
         match self.restored.remove(&key) {
             Some(bins) => window.all = WindowSum::new(bins),
             None if self.source == UsageSource::Assumed => {
@@ -212,19 +212,25 @@
             return Err(BIN_MS);
         }
         let interval_ms = view.report_interval_ms;
-        let (mut outstanding, mut unreported, mut unheard) = (0.0, 0.0, view.absent());
+        let (mut outstanding, mut last_rate, mut heard) = (0.0, 0.0, false);
+        let (mut unreported, mut unheard) = (0.0, view.absent());
         for (_, reporter) in self.reporters.range_mut(reporter_range(key)) {
             reporter.expire(&self.rule, now);
             let silent = reporter.age_ms(now) > view.silence_ms;
             if silent || reporter.restricted {
                 let unheard_ms = if silent { view.silence_ms } else { interval_ms };
-                unreported +=
-                    reporter.unreported(guaranteed, unheard_ms, interval_ms, &self.rule, now);
+                unreported += reporter.unreported(guaranteed, unheard_ms, &self.rule, now);
                 unheard = unheard.saturating_sub(1);
             } else {
-                outstanding += reporter.outstanding(interval_ms, &self.rule, now);
+                heard = true;
+                last_rate += reporter.last_rate();
+                outstanding += reporter.usage.pending as f64;
+                outstanding += reporter.overdue(interval_ms, &self.rule, now);
             }
         }
+        if heard {
+            outstanding += window.outstanding(last_rate, interval_ms, &self.rule, now);
+        }
         unreported += guaranteed * unheard as f64;
         let taken = window.all.sum + own_pending + outstanding;
         let excess = taken + unreported + amount as f64 - limit;
@@ -268,9 +274,9 @@
             let used = if from_start { 0 } else { usage.used };
             UsageReporter::new(AllowanceUsage { used, pending: 0 }, now)
         });
-        let used = reporter.update(usage, restricted, &self.rule, now);
+        let change = reporter.update(usage, restricted, &self.rule, now);
         if let Some(window) = self.windows.get_mut(&key) {
-            window.add(used, &self.rule, now);
+            window.add_reported(change, &self.rule, now);
         }
     }
 
@@ -299,9 +305,13 @@
             .collect()
     }
 
-    /// Drops the reports of processes that are gone, including their reservations.
-    pub fn retain_reporters<K: Fn(ReporterKey) -> bool>(&mut self, keep: K) {
-        self.reporters.retain(|(_, from), _| keep(*from));
+    /// Drops the reports of processes that are gone, including their reservations, and what has left
+    /// the windows of the others.
+    pub fn retain_reporters<K: Fn(ReporterKey) -> bool>(&mut self, keep: K, now: ClockTime) {
+        self.reporters.retain(|(_, from), reporter| {
+            reporter.expire(&self.rule, now);
+            keep(*from)
+        });
     }
 }
 
--- a/crates/edge/src/allowance/window.rs
+++ b/crates/edge/src/allowance/window.rs
@@ -1,11 +1,14 @@
 //! Sliding window of one workspace.
 
 use super::AllowanceRule;
+use super::reporter::UsageChange;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::VecDeque;
 
 /// Fraction of the limit that is handed out. The rest covers rates that grow between two reports.
 const USABLE_FRACTION: f64 = 0.87;
+/// Time constant of the estimated rate of the other nodes, in ms. It spans a few reports.
+const RATE_TIME_CONSTANT_MS: f64 = 600.0;
 /// Length of the bins in which usage expires from the window, in ms.
 pub(super) const BIN_MS: u64 = 250;
 
@@ -27,6 +30,9 @@
     pub(super) all: WindowSum,
     /// Used by this process.
     pub(super) own: WindowSum,
+    /// Recent usage and reservations reported by all other nodes, decayed exponentially.
+    reported: f64,
+    reported_at: ClockTime,
     /// Reserved by this node for requests that are not sent yet.
     pub(super) pending: u64,
     /// Used by this node since its start.
@@ -70,7 +76,8 @@
             self.bins.pop_front();
         }
         if self.bins.is_empty() {
-            self.sum = 0.0;
+            // Most pairs of a node and a workspace are idle in a large deployment.
+            *self = Self::default();
         }
     }
 
@@ -89,12 +96,14 @@
 }
 
 impl WorkspaceWindow {
-    pub(super) fn new(rate_per_s: f64, burst: f64) -> Self {
+    pub(super) fn new(rate_per_s: f64, burst: f64, now: ClockTime) -> Self {
         Self {
             rate_per_s,
             burst,
             all: WindowSum::default(),
             own: WindowSum::default(),
+            reported: 0.0,
+            reported_at: now,
             pending: 0,
             used: 0,
             unsaved: 0.0,
@@ -114,6 +123,37 @@
         self.all.add(amount, bin_number(rule, now));
     }
 
+    /// Adds what another node has reported.
+    pub(super) fn add_reported(
+        &mut self,
+        change: UsageChange,
+        rule: &AllowanceRule,
+        now: ClockTime,
+    ) {
+        self.add(change.used, rule, now);
+        let decay = (-(now.since(self.reported_at) as f64) / RATE_TIME_CONSTANT_MS).exp();
+        self.reported = (self.reported * decay + change.used + change.pending).max(0.0);
+        self.reported_at = now;
+    }
+
+    /// Returns the amount that the other nodes are expected to have used since their reports, which
+    /// arrive every `report_interval_ms`. `last_rate` is the sum of their rates between the last
+    /// two reports. The highest of three estimates counts: a rise shows in the last rates, or in
+    /// the recent reports if the interval is long, and usage that is limited by the window returns
+    /// to its mean. None of them fades while no reports arrive.
+    pub(super) fn outstanding(
+        &self,
+        last_rate: f64,
+        report_interval_ms: u64,
+        rule: &AllowanceRule,
+        now: ClockTime,
+    ) -> f64 {
+        let age_ms = now.since(self.reported_at).max(report_interval_ms);
+        let mean_rate = (self.all.sum - self.own.sum).max(0.0) / rule.window_ms as f64;
+        let recent_rate = self.reported / RATE_TIME_CONSTANT_MS;
+        last_rate.max(recent_rate).max(mean_rate) * age_ms as f64
+    }
+
     /// Adds an amount that this process has used.
     pub(super) fn add_own(&mut self, amount: u64, rule: &AllowanceRule, now: ClockTime) {
         self.add(amount as f64, rule, now);
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -259,7 +259,7 @@
             }
             let processes = self.peers.borrow().admitting_processes(now);
             let kept = |process| processes.contains(&ProcessKey(process));
-            self.allowances.borrow_mut().retain_reporters(kept);
+            self.allowances.borrow_mut().retain_reporters(kept, now);
             self.targets.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
--- a/crates/edge/src/status_timing.rs
+++ b/crates/edge/src/status_timing.rs
@@ -16,16 +16,17 @@
     STATUS_INTERVAL_MS * nodes.div_ceil(BASE_INTERVAL_MAX_NODES).max(1) as u64
 }
 
-/// Status intervals and additional time in ms after which a node counts as silent for limits that
-/// all nodes share. One status may be lost; the additional time covers its way.
-const SILENCE_STATUSES: u64 = 2;
-const SILENCE_MARGIN_MS: u64 = 200;
+/// Half status intervals after which a node counts as silent for limits that all nodes share, beside
+/// [`SILENCE_MARGIN_MS`].
+const SILENCE_HALF_INTERVALS: u64 = 3;
+/// Additional time for a status that is late, in ms.
+const SILENCE_MARGIN_MS: u64 = 300;
 
 /// Returns the time without a status after which a node counts as silent for limits that all nodes
-/// share, in ms. It is shorter than the failure timeout, since the limit that silent nodes might
-/// exceed is at stake, but not their requests.
+/// share, in ms. It is shorter than the failure timeout, since a wrong guess costs only a small part
+/// of a limit.
 pub fn silence_ms(nodes: usize) -> u64 {
-    status_interval_ms(nodes) * SILENCE_STATUSES + SILENCE_MARGIN_MS
+    status_interval_ms(nodes) * SILENCE_HALF_INTERVALS / 2 + SILENCE_MARGIN_MS
 }
 
 /// Returns the time without a status after which a node counts as down, in ms.
--- a/crates/edge/tests/limits.rs
+++ b/crates/edge/tests/limits.rs
@@ -249,7 +249,7 @@
     let taken = AllowanceUsage { used: 0, pending: 1_000_000 };
     tracker.apply_report(9, KEY, taken, true, false, at(0));
     assert!(tracker.reserve(KEY, 100, &connected_view(12, 200), at(0)).is_err());
-    tracker.retain_reporters(|_| false);
+    tracker.retain_reporters(|_| false, at(0));
     assert!(tracker.reserve(KEY, 100, &connected_view(12, 200), at(10_000)).is_ok());
 }
 
