--- a/crates/testbed/tests/bad_input.rs
+++ b/crates/testbed/tests/bad_input.rs
@@ -248,5 +248,5 @@
     let running = running.join().unwrap();
     assert!(running.answer.done, "{running:?}");
     assert_eq!(stage.inconsistencies(&[running, forged, other]), Vec::<String>::new());
-    assert_eq!(stage.dispatch_count(), 3);
+    assert_eq!(stage.dispatch_count(), 3, "{text}");
 }
