Log which replicas do not answer a round of the register

A round without a majority said only that none answered in time, so a set with a replica that never returns, nodes that do not find each other and a replica that is alive but does not vote looked the same. register.round_timed_out names the replicas without an answer and whether their nodes are heard; the metrics count voters, reachable ones and other disks.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -307,7 +307,14 @@
 
     fn set_gauges(&self, now: ClockTime) {
         let (alive, expected) = self.peers.borrow().node_counts(now);
+        let heard = self.reachable_disks(now);
         let mut metrics = self.metrics.borrow_mut();
+        if let Some(applied) = self.register.applied() {
+            let voters = applied.value.voters();
+            metrics.set("replicas", "voters", voters.len() as f64);
+            metrics.set("replicas", "reachable", voters.intersection(&heard).count() as f64);
+            metrics.set("replicas", "standby", heard.difference(&voters).count() as f64);
+        }
         metrics.set("nodes", "alive", alive as f64);
         metrics.set("nodes", "expected", expected as f64);
         metrics.set("targets", "known", self.targets.borrow().len() as f64);
--- a/crates/edge/src/register.rs
+++ b/crates/edge/src/register.rs
@@ -214,6 +214,11 @@
         self.ballot
     }
 
+    /// Returns the number of replicas that have replied in the current phase.
+    pub fn reply_count(&self) -> usize {
+        self.replies.len()
+    }
+
     /// Returns the replicas that have not replied in the current phase.
     pub fn pending(&self) -> Vec<ReplicaKey> {
         let voters = match (&self.phase, &self.newest) {
--- a/crates/edge/src/register_service/proposer.rs
+++ b/crates/edge/src/register_service/proposer.rs
@@ -43,6 +43,15 @@
     NoQuorum,
 }
 
+/// How a round ended.
+enum RoundEnd {
+    Chosen(RegisterValue),
+    /// A round with a higher ballot preempted it.
+    Preempted,
+    /// No quorum answered in time.
+    TimedOut,
+}
+
 impl NodeState {
     /// Changes the register and waits until the result is chosen.
     ///
@@ -126,23 +135,23 @@
                 return Err(RoundError::NoQuorum);
             }
             attempts += 1;
-            let round = self.run_round(change);
-            let limit = Duration::from_millis(left_ms.min(ROUND_TIMEOUT_MS));
-            let pause_ms = match tokio::time::timeout(limit, round).await {
-                Ok(Ok(Some(value))) => return Ok(value),
-                Ok(Ok(None)) => rand::random_range(1..=BACKOFF_STEP_MS * attempts.min(8)),
-                Ok(Err(error)) => return Err(error),
-                Err(_) => NO_QUORUM_BACKOFF_MS,
+            let pause_ms = match self.run_round(change, left_ms.min(ROUND_TIMEOUT_MS)).await? {
+                RoundEnd::Chosen(value) => return Ok(value),
+                RoundEnd::Preempted => rand::random_range(1..=BACKOFF_STEP_MS * attempts.min(8)),
+                RoundEnd::TimedOut => NO_QUORUM_BACKOFF_MS,
             };
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
-    /// Runs one round. Returns `None` if a round with a higher ballot preempted it.
+    /// Runs one round for at most `limit_ms`.
     async fn run_round(
         self: &Rc<Self>,
         change: &RegisterChange,
-    ) -> Result<Option<RegisterValue>, RoundError> {
+        limit_ms: u64,
+    ) -> Result<RoundEnd, RoundError> {
+        let limit = tokio::time::sleep(Duration::from_millis(limit_ms));
+        tokio::pin!(limit);
         let known = self.known_voters();
         if known.is_empty() {
             return Err(RoundError::NoRegister);
@@ -159,11 +168,11 @@
                     calls.detach_all();
                     self.apply_value(ballot, &value);
                     self.send_status();
-                    return Ok(Some(value));
+                    return Ok(RoundEnd::Chosen(value));
                 }
                 RoundPhase::Preempted(higher) => {
                     self.register.observe_counter(higher.counter);
-                    return Ok(None);
+                    return Ok(RoundEnd::Preempted);
                 }
                 RoundPhase::Accept(_) if !phase_is_accept => {
                     phase_is_accept = true;
@@ -180,15 +189,42 @@
                     );
                 }
             }
-            match calls.join_next().await {
-                Some(Ok((key, Some(reply)))) => round.handle_reply(key, reply),
-                Some(Ok((_, None)) | Err(_)) => {}
-                // All calls have ended without a quorum. The caller's timeout ends the round.
-                None => std::future::pending().await,
+            let joined = tokio::select! {
+                joined = calls.join_next(), if !calls.is_empty() => joined,
+                () = &mut limit => {
+                    self.log_timeout(&round);
+                    return Ok(RoundEnd::TimedOut);
+                }
+            };
+            if let Some(Ok((key, Some(reply)))) = joined {
+                round.handle_reply(key, reply);
             }
         }
     }
 
+    /// Logs which replicas did not answer a round, and whether their nodes are heard.
+    fn log_timeout(&self, round: &ProposerRound) {
+        let phase = if matches!(round.phase(), RoundPhase::Prepare) { "prepare" } else { "accept" };
+        let now = ClockTime::monotonic();
+        let heard = self.reachable_disks(now);
+        let missing = round.pending().into_iter().map(|key| {
+            let state = if heard.contains(&key) {
+                "heard"
+            } else if heard.iter().any(|disk| disk.address == key.address) {
+                "other_disk"
+            } else {
+                "silent"
+            };
+            format!("{}/{:x}:{state}", key.address, key.disk)
+        });
+        log::info!(
+            target: "burdockcleat",
+            "event=register.round_timed_out phase={phase} ballot={}.{:x} answered={} missing={}",
+            round.ballot().counter, round.ballot().proposer, round.reply_count(),
+            missing.collect::<Vec<_>>().join(",")
+        );
+    }
+
     async fn call_replica(
         &self,
         key: ReplicaKey,
--- a/crates/edge/src/register_service/repair.rs
+++ b/crates/edge/src/register_service/repair.rs
@@ -59,7 +59,7 @@
     }
 
     /// Returns the replica keys of all reachable disks, including the local one.
-    fn reachable_disks(&self, now: ClockTime) -> BTreeSet<ReplicaKey> {
+    pub(crate) fn reachable_disks(&self, now: ClockTime) -> BTreeSet<ReplicaKey> {
         let peers = self.peers.borrow();
         let reachable = peers.alive(now).filter_map(|record| {
             record.status.disk.map(|disk| ReplicaKey { address: record.status.address, disk })
