Keep an odd number of replicas and replace those that leave

What callers saw: after a replica was replaced and another disk was lost, no node had a configuration and every request was refused (CONFIG, RECOVER).

Cause: a new disk was added to the set at once, so it was no longer a replacement when the old replica left or fell silent. That one kept its place for 15 s more, in a set of four, which needs three answers.

Change: the set is planned by a pure function. Its size is odd, since an even set needs one more answer than the set without one of its members and bears no more losses. Further disks stand by; a replica that leaves, or whose disk is gone, is replaced at once by one of them, a silent one after 2 s. So the set never holds a replaced replica beside its successor.

Ruled out: nodes that do not find each other.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -31,6 +31,8 @@
     /// Sequence number, increased with each status of the process.
     pub(crate) sequence: u64,
     pub(crate) address: SocketAddrV4,
+    /// Failure domain of the node.
+    pub(crate) domain: String,
     /// Identifier of the disk, if the node has one.
     pub(crate) disk: Option<u64>,
     /// Whether this process belongs to the first start of the whole deployment.
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -68,6 +68,7 @@
             process: self.process,
             sequence,
             address: self.settings.peer_address,
+            domain: self.settings.domain.clone(),
             disk: self.register.disk(),
             first_start: self.settings.first_start,
             warm: self.is_warm(now),
--- a/crates/edge/src/register.rs
+++ b/crates/edge/src/register.rs
@@ -5,6 +5,10 @@
 //! to accept the result. The set of replicas is part of the value: until a change of the set is
 //! settled, a quorum needs majorities of the old and of the new set.
 
+mod replica_plan;
+
+pub use replica_plan::{DiskPresence, DiskReport, plan_replicas};
+
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
--- a/crates/edge/src/register_service/repair.rs
+++ b/crates/edge/src/register_service/repair.rs
@@ -2,7 +2,10 @@
 //! initializes the register and replaces failed replicas.
 
 use crate::node::NodeState;
-use crate::register::{RegisterChange, RegisterValue, ReplicaKey, find_chosen};
+use crate::register::{
+    DiskPresence, DiskReport, RegisterChange, ReplicaKey, find_chosen, plan_replicas,
+};
+use crate::shutdown::ShutdownStage;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeSet;
 use std::rc::Rc;
@@ -18,14 +21,6 @@
 /// Time after the start for the nodes to discover each other before the register is initialized, in
 /// ms.
 const DISCOVERY_WAIT_MS: u64 = 1_500;
-/// Time that a new disk must be reachable before it becomes a replica, in ms.
-const MIN_NEW_DISK_UPTIME_MS: u64 = 400;
-/// Time without a status after which a replica may be replaced by a new disk, in ms.
-const REPLACE_AFTER_SILENCE_MS: u64 = 2_000;
-/// Time without a status after which a replica is removed without a replacement, in ms.
-const REMOVE_AFTER_SILENCE_MS: u64 = 15_000;
-/// Minimum number of replicas, new disks included, after an unreachable one is removed.
-const MIN_REPLICAS: usize = 3;
 /// Timeout of each proposal of the maintenance, in ms.
 const REPAIR_TIMEOUT_MS: u64 = 2_500;
 
@@ -37,7 +32,8 @@
             tokio::time::sleep(Duration::from_millis(MAINTENANCE_INTERVAL_MS)).await;
             let now = ClockTime::monotonic();
             if !initialized && self.initializes_register(now) {
-                let replicas = self.reachable_disks(now);
+                let none = BTreeSet::new();
+                let replicas = plan_replicas(&none, &self.report_disks(&none, now));
                 initialized = !replicas.is_empty() && self.initialize_register(&replicas).await;
             }
             self.learn_from_peers(now);
@@ -128,7 +124,7 @@
         }
     }
 
-    /// Starts the replacement of failed replicas by new disks. Only the lowest reachable replica
+    /// Starts the change to the planned set of replicas, or settles the last change. Only the lowest reachable replica
     /// does so. If two nodes do it at the same time, the ballots of the rounds resolve the
     /// conflict.
     fn repair_replicas(self: &Rc<Self>, now: ClockTime) {
@@ -139,11 +135,12 @@
             return;
         }
         let change = if applied.value.settled() {
-            let wanted = self.wanted_replicas(&applied.value, &disks, now);
-            if wanted == applied.value.replicas {
+            let replicas = &applied.value.replicas;
+            let planned = plan_replicas(replicas, &self.report_disks(replicas, now));
+            if planned == *replicas {
                 return;
             }
-            RegisterChange::Replicas { from: applied.value.replicas.clone(), to: wanted }
+            RegisterChange::Replicas { from: replicas.clone(), to: planned }
         } else {
             RegisterChange::Settle(applied.value.replicas.clone())
         };
@@ -168,41 +165,30 @@
         Ok(())
     }
 
-    /// Returns the set of replicas that the register should have.
-    fn wanted_replicas(
-        &self,
-        value: &RegisterValue,
-        disks: &BTreeSet<ReplicaKey>,
-        now: ClockTime,
-    ) -> BTreeSet<ReplicaKey> {
-        let new_disks: BTreeSet<_> = disks
-            .difference(&value.replicas)
-            .filter(|key| self.uptime_ms(**key, now) >= MIN_NEW_DISK_UPTIME_MS)
-            .copied()
-            .collect();
-        let mut wanted = value.replicas.clone();
-        wanted.retain(|key| new_disks.iter().all(|new_disk| new_disk.address != key.address));
-        let limit_ms =
-            if new_disks.is_empty() { REMOVE_AFTER_SILENCE_MS } else { REPLACE_AFTER_SILENCE_MS };
-        for key in &value.replicas {
-            let left = wanted.len() + new_disks.len();
-            if !disks.contains(key) && self.silence_ms(*key, now) >= limit_ms && left > MIN_REPLICAS
-            {
-                wanted.remove(key);
-            }
-        }
-        wanted.extend(new_disks);
-        wanted
-    }
-
-    fn uptime_ms(&self, key: ReplicaKey, now: ClockTime) -> u64 {
+    /// Returns what is known of the given replicas and of all disks that are heard.
+    fn report_disks(&self, replicas: &BTreeSet<ReplicaKey>, now: ClockTime) -> Vec<DiskReport> {
+        let heard = self.reachable_disks(now);
         let peers = self.peers.borrow();
-        peers.get(key.address).map_or(u64::MAX, |record| now.since(record.first_seen))
-    }
-
-    fn silence_ms(&self, key: ReplicaKey, now: ClockTime) -> u64 {
-        let peers = self.peers.borrow();
-        let last_seen = peers.get(key.address).map(|record| record.last_seen);
-        now.since(last_seen.unwrap_or(self.started))
+        let report = |key: &ReplicaKey| {
+            let key = *key;
+            if self.register.local_key() == Some(key) {
+                let leaving = *self.stage.borrow() != ShutdownStage::Running;
+                let presence = DiskPresence::Heard { uptime_ms: now.since(self.started), leaving };
+                return DiskReport { key, domain: self.settings.domain.clone(), presence };
+            }
+            let record = peers.get(key.address);
+            let last_seen = record.map_or(self.started, |record| record.last_seen);
+            let presence = match record.filter(|_| heard.contains(&key)) {
+                Some(record) => DiskPresence::Heard {
+                    uptime_ms: now.since(record.first_seen),
+                    leaving: record.status.leaving,
+                },
+                None if heard.iter().any(|disk| disk.address == key.address) => DiskPresence::Gone,
+                None => DiskPresence::Silent { silence_ms: now.since(last_seen) },
+            };
+            let domain = record.map_or_else(String::new, |record| record.status.domain.clone());
+            DiskReport { key, domain, presence }
+        };
+        replicas.union(&heard).map(report).collect()
     }
 }
