Log the limits that targets name in their answers

Logs did not tell which nodes had been told a limit, so a limit that nobody reads, one that only some nodes know and one that each node keeps by itself looked the same. target.limit is logged by each node whose knowledge of a target's limit changes. Nothing depends on it yet.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -112,6 +112,7 @@
     };
     context.commit_reservation();
     let node = &context.node;
+    let sent_at = ClockTime::monotonic();
     let exchange = async {
         let (response, connection, _) =
             match node.upstreams.send(announcement.address, request).await {
@@ -143,6 +144,7 @@
         }
         Ok(Ok(sent)) => sent,
     };
+    node.observe_limit(announcement, response.headers(), sent_at);
     read_response(context, guard, announcement, response, connection).await
 }
 
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -45,6 +45,8 @@
     pub signature: HeaderName,
     /// Marks responses to requests that did not run.
     pub not_run: HeaderName,
+    /// Requests per second that a target takes from all nodes together, in its responses.
+    pub target_limit: HeaderName,
     /// Id of the last stream event that the caller received.
     pub last_event: HeaderName,
     /// Headers that only nodes may set. They are removed from callers' requests.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`events`]) contain no socket, clock or
+//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`]) contain no socket, clock or
 //! thread.
 
 pub mod allowance;
@@ -36,6 +36,7 @@
 pub mod status_timing;
 pub mod submission;
 pub mod suspects;
+pub mod target_limits;
 pub mod targets;
 mod upstream;
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,6 +6,7 @@
 mod server;
 mod status;
 mod suspects;
+mod target_limits;
 mod targets;
 
 pub(crate) use placing::{ActiveRequestGuard, Placement};
@@ -27,6 +28,7 @@
 use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
 use crate::suspects::SuspectTracker;
+use crate::target_limits::LimitTable;
 use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
@@ -84,6 +86,7 @@
     pub(crate) http_api: HttpApi,
     pub(crate) process: ProcessKey,
     pub(crate) targets: RefCell<TargetTable>,
+    pub(crate) limits: RefCell<LimitTable>,
     pub(crate) scheduler: RefCell<PlacementScheduler>,
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) allowances: RefCell<AllowanceTracker>,
