Keep the limits that targets name over all nodes

Cause: nothing that a target says in an answer reached the placement. Arrivals did not fall at any time after the first answer with a limit, so no node kept to it by itself either.

Change: nodes read limits from answers and exchange them in any order (a version for each change, a digest in the statuses). The placement coordinator is the one place that spaces out the requests to such a target; requests of other schedulers count when a report or their end is heard. A coordinator that hears a part of the nodes uses that part of the limit. A share for each node was ruled out: it wastes the limit under uneven load and lets each of hundreds of nodes send one at once.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -8,6 +8,7 @@
 };
 use crate::register::BallotNumber;
 use crate::suspects::SuspectReport;
+use crate::target_limits::LimitReport;
 use crate::targets::TargetNotice;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -55,6 +56,8 @@
     pub(crate) restricted: bool,
     /// Digest of what the node knows about suspects.
     pub(crate) suspects: u64,
+    /// Digest of the limits of targets that the node knows.
+    pub(crate) limits: u64,
     /// Usage of the allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
 }
@@ -80,6 +83,8 @@
     Notice(TargetNotice),
     /// Targets crashed under requests, or requests were answered that have a suspect.
     Suspects(Vec<SuspectReport>),
+    /// Targets changed the limits that they name.
+    Limits(Vec<LimitReport>),
     /// The placement coordinator is to place the request.
     Submit(PlacementRequest),
     /// Reply of the placement coordinator to a submitted request.
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -118,6 +118,8 @@
     fetching_usage: Cell<bool>,
     /// Whether the suspects are being fetched from another node.
     fetching_suspects: Cell<bool>,
+    /// Whether the limits of targets are being fetched from another node.
+    fetching_limits: Cell<bool>,
     /// Notified when the blocked suspects have changed.
     suspects_changed: Notify,
 }
@@ -242,6 +244,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(SCHEDULER_TICK_MS)).await;
             self.save_usage();
+            self.apply_limits(ClockTime::monotonic());
             if self.scheduler.borrow().waiting_count() > 0 {
                 self.scheduler.borrow_mut().advance(ClockTime::monotonic());
                 self.deliver_decisions();
@@ -264,6 +267,7 @@
             let kept = |process| processes.contains(&ProcessKey(process));
             self.allowances.borrow_mut().retain_reporters(kept, now);
             self.targets.borrow_mut().prune(now);
+            self.prune_limits(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
                 .borrow_mut()
@@ -327,6 +331,7 @@
             metrics.set("queue_age_ms", service, age_ms as f64);
         }
         let (suspects, blocked) = self.suspects.borrow().counts();
+        metrics.set("targets", "limited", self.limits.borrow().rates().len() as f64);
         metrics.set("suspects", "known", suspects as f64);
         metrics.set("suspects", "blocked", blocked as f64);
         metrics.set("log_lines", "dropped", logs::dropped_lines() as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -60,6 +60,7 @@
             PeerDatagram::Status(status) => self.handle_status(status, now),
             PeerDatagram::Notice(notice) => self.apply_notice(&notice, false),
             PeerDatagram::Suspects(reports) => self.merge_suspects(&reports),
+            PeerDatagram::Limits(reports) => self.merge_limits(&reports),
             PeerDatagram::Submit(request) => self.handle_submit(from, request, now),
             PeerDatagram::Decision { key, decision } => self.handle_decision(from, key, decision),
             PeerDatagram::Withdraw(key) => self.scheduler.borrow_mut().withdraw(key),
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -78,6 +78,7 @@
             budget: RefCell::new(RetryBudget::new(rule)),
             suspects: RefCell::default(),
             fetching_suspects: Cell::new(false),
+            fetching_limits: Cell::new(false),
             suspects_changed: Notify::new(),
             deadlines: RefCell::default(),
             metrics: RefCell::default(),
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -80,6 +80,7 @@
             disk_majority: view.disk_majority,
             restricted: view.is_restricted(),
             suspects: self.suspects.borrow().digest(),
+            limits: self.limits.borrow().digest(),
             used: self.allowances.borrow().totals(),
         }
     }
@@ -92,6 +93,7 @@
         let (active, used) = (status.active.clone(), status.used.clone());
         self.learn_usage(&status, now);
         self.learn_suspects(status.suspects, address);
+        self.learn_limits(status.limits, address);
         let Some(change) = self.peers.borrow_mut().record_status(status, now) else { return };
         if change == PeerChange::New {
             // Spares a node that has just started the wait for the next status.
--- a/crates/edge/src/node/target_limits.rs
+++ b/crates/edge/src/node/target_limits.rs
@@ -1,10 +1,23 @@
-//! Learns the limits that targets name in their answers.
+//! Learns the limits that targets name in their answers, exchanges them with the other nodes and
+//! applies them to the placement.
 
 use super::{NodeState, target_key};
-use crate::target_limits::RequestRate;
+use crate::datagram::PeerDatagram;
+use crate::placement::TargetKey;
+use crate::rpc::{self, PeerCall, PeerReply};
+use crate::target_limits::{LimitReport, RequestRate};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use hyper::header::HeaderMap;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Pause after the limits were fetched from another node, in ms.
+const FETCH_PAUSE_MS: u64 = 500;
+/// Time after its start during which a node accepts limits of targets that it does not know yet, in
+/// ms. Later, these are targets that it has forgotten.
+const UNKNOWN_TARGETS_MS: u64 = 10_000;
 
 impl NodeState {
     /// Records the limit that a target names, or no longer names, in an answer to a request that was
@@ -25,15 +38,95 @@
                 Some(rate)
             }
         };
-        let target = target_key(announcement);
-        if !self.limits.borrow_mut().observe(target, rate, sent, ClockTime::monotonic()) {
+        let now = ClockTime::monotonic();
+        let report = self.limits.borrow_mut().observe(target_key(announcement), rate, sent, now);
+        if let Some(report) = report {
+            self.log_limit(&report, "answer");
+            self.apply_limits(now);
+            self.broadcast(&PeerDatagram::Limits(vec![report]));
+        }
+    }
+
+    /// Adds the limits that another node knows.
+    pub(super) fn merge_limits(&self, reports: &[LimitReport]) {
+        let now = ClockTime::monotonic();
+        let accepts_unknown = now.since(self.started) < UNKNOWN_TARGETS_MS;
+        let reports = reports
+            .iter()
+            .filter(|report| self.knows_target(report.target).unwrap_or(accepts_unknown));
+        let reports: Vec<_> = reports.copied().collect();
+        let changed = self.limits.borrow_mut().merge(&reports, now);
+        for report in &changed {
+            self.log_limit(report, "node");
+        }
+        if !changed.is_empty() {
+            self.apply_limits(now);
+        }
+    }
+
+    /// Applies the known limits to the placement.
+    ///
+    /// Only the placement coordinator places requests on targets with a limit, so that the sum over
+    /// all nodes is known in one place. While some nodes are not heard, another coordinator may
+    /// place their requests, so it uses only the part of the nodes that it hears.
+    pub(super) fn apply_limits(&self, now: ClockTime) {
+        let rates = self.limits.borrow().rates();
+        let share = if rates.is_empty() || !self.is_coordinator(now) {
+            0.0
+        } else {
+            self.reachable_fraction(now)
+        };
+        self.scheduler.borrow_mut().set_limits(rates, share, now);
+        self.deliver_decisions();
+    }
+
+    /// Removes the limits of targets that have left or are forgotten.
+    pub(super) fn prune_limits(&self, now: ClockTime) {
+        if now.since(self.started) < UNKNOWN_TARGETS_MS {
             return;
         }
-        let per_s = rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        self.limits.borrow_mut().retain(|target| self.knows_target(target) == Some(true));
+    }
+
+    /// Returns whether an incarnation of a target still counts, or `None` if it was never known.
+    fn knows_target(&self, target: TargetKey) -> Option<bool> {
+        let announcements = self.announcements.borrow();
+        let announcement = announcements.get(&target)?;
+        Some(self.targets.borrow().holds(announcement))
+    }
+
+    /// Fetches the limits from a node whose digest differs. Reports may have been lost on their way,
+    /// or this node was down or cut off.
+    pub(super) fn learn_limits(self: &Rc<Self>, digest: u64, from: SocketAddrV4) {
+        let differs = digest != 0 && digest != self.limits.borrow().digest();
+        if differs && !self.fetching_limits.replace(true) {
+            tokio::task::spawn_local(self.clone().fetch_limits(from));
+        }
+    }
+
+    async fn fetch_limits(self: Rc<Self>, from: SocketAddrV4) {
+        match rpc::call(from, &PeerCall::ReadLimits).await {
+            Ok(PeerReply::Limits(reports)) => self.merge_limits(&reports),
+            Ok(other) => {
+                log::debug!(target: "burdockcleat", "event=target.limits_not_fetched peer={from} reply={other:?}");
+            }
+            Err(error) => {
+                log::info!(target: "burdockcleat", "event=target.limits_not_fetched peer={from} cause=\"{error}\"");
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(FETCH_PAUSE_MS)).await;
+        self.fetching_limits.set(false);
+    }
+
+    fn log_limit(&self, report: &LimitReport, from: &str) {
+        let per_s = report.rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
+        let announcements = self.announcements.borrow();
+        let announcement = announcements.get(&report.target);
         log::info!(
             target: "burdockcleat",
-            "event=target.limit target={} incarnation={} per_s={per_s} from=answer",
-            announcement.id, announcement.incarnation
+            "event=target.limit target={} incarnation={} per_s={per_s} version={} from={from}",
+            announcement.map_or("unknown", |announcement| &announcement.id),
+            announcement.map_or(0, |announcement| announcement.incarnation), report.version
         );
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -8,6 +8,7 @@
 //! on every other node as a fallback. The fallback has an older view of the requests of other nodes.
 
 mod loss;
+mod pacer;
 mod queue;
 mod service;
 mod size_rule;
@@ -21,9 +22,10 @@
 pub use speed::{SpeedEstimate, SpeedModel};
 pub use target::{AttemptOutcome, TargetInfo};
 
+use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
-use service::ServiceScheduler;
+use service::{RateLimits, ServiceScheduler};
 use std::collections::BTreeMap;
 
 /// Key of one placement of a request; unique across nodes and restarts.
@@ -142,6 +144,7 @@
     size_rule: SizeRule,
     /// Speeds that were measured by another node or before a restart.
     restored_speeds: BTreeMap<TargetKey, SpeedModel>,
+    limits: RateLimits,
     outputs: Vec<PlacementOutput>,
 }
 
@@ -159,10 +162,27 @@
         let rule = self.size_rule;
         let scheduler =
             self.services.entry(service.to_owned()).or_insert_with(|| ServiceScheduler::new(rule));
-        scheduler.set_targets(infos, &self.restored_speeds);
+        scheduler.set_targets(infos, &self.restored_speeds, &self.limits, now);
         scheduler.place_waiting(now, &mut self.outputs);
     }
 
+    /// Sets the limits of the request rates of targets and the part of them, 0 to 1, that this
+    /// scheduler may use. Requests that other schedulers placed count when they are reported.
+    pub fn set_limits(
+        &mut self,
+        rates: BTreeMap<TargetKey, RequestRate>,
+        share: f64,
+        now: ClockTime,
+    ) {
+        if self.limits.rates == rates && self.limits.share == share {
+            return;
+        }
+        self.limits = RateLimits { rates, share };
+        for scheduler in self.services.values_mut() {
+            scheduler.apply_limits(&self.limits, now);
+        }
+    }
+
     /// Sets the speeds of targets that were measured elsewhere. Targets whose speed was already
     /// measured here keep it.
     pub fn restore_speeds(&mut self, speeds: &[(TargetKey, SpeedModel)]) {
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! Scheduler of one service: its targets, their running requests and the waiting requests.
 
+use super::pacer::RatePacer;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
 use super::size_rule::SizeRule;
 use super::sizes::SizeStatistics;
@@ -10,6 +11,7 @@
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey,
 };
+use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, HashMap};
 
@@ -38,6 +40,20 @@
 /// Time after which the requests of a node that sends no reports are removed, in ms.
 const NODE_TIMEOUT_MS: u64 = 3_000;
 
+/// Limits of the request rates of targets, and the part of them that this scheduler may use.
+#[derive(Debug, Default)]
+pub(super) struct RateLimits {
+    pub(super) rates: BTreeMap<TargetKey, RequestRate>,
+    pub(super) share: f64,
+}
+
+impl RateLimits {
+    fn pacer(&self, target: TargetKey, now: ClockTime) -> Option<RatePacer> {
+        let rate = self.rates.get(&target)?;
+        Some(RatePacer::new(*rate, self.share, now))
+    }
+}
+
 /// Targets, running requests and waiting requests of one service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
@@ -58,6 +74,8 @@
         &mut self,
         infos: &[TargetInfo],
         restored_speeds: &BTreeMap<TargetKey, SpeedModel>,
+        limits: &RateLimits,
+        now: ClockTime,
     ) {
         let before = self.targets.len();
         self.targets.retain(|key, _| infos.iter().any(|info| info.key == *key));
@@ -71,11 +89,25 @@
                 .and_modify(|state| state.info = info.clone())
                 .or_insert_with(|| {
                     let speed = restored_speeds.get(&info.key).copied().unwrap_or(speed);
-                    TargetState::new(info.clone(), speed)
+                    let mut state = TargetState::new(info.clone(), speed);
+                    state.pacer = limits.pacer(info.key, now);
+                    state
                 });
         }
     }
 
+    /// Applies the limits of the request rates.
+    pub(super) fn apply_limits(&mut self, limits: &RateLimits, now: ClockTime) {
+        for (key, state) in &mut self.targets {
+            match (&mut state.pacer, limits.rates.get(key)) {
+                (Some(pacer), Some(rate)) => pacer.set_rate(*rate, limits.share, now),
+                (None, Some(_)) => state.pacer = limits.pacer(*key, now),
+                (_, None) => state.pacer = None,
+            }
+        }
+        self.summary.invalidate();
+    }
+
     pub(super) fn restore_speed(&mut self, target: TargetKey, speed: SpeedModel) {
         if let Some(state) = self.targets.get_mut(&target) {
             state.restore_speed(speed);
@@ -144,6 +176,10 @@
         now: ClockTime,
     ) {
         let Some(state) = self.targets.get_mut(&target) else { return };
+        if !state.running.contains_key(&key) && !self.recently_ended.contains_key(&key) {
+            // Another scheduler granted the request, and no report has listed it.
+            state.count_request(now);
+        }
         state.finished(key, outcome, now);
         self.recently_ended.insert(key, now);
     }
@@ -180,6 +216,9 @@
                 continue;
             }
             let Some(state) = self.targets.get_mut(&active.target) else { continue };
+            if !state.running.contains_key(&active.key) {
+                state.count_request(now);
+            }
             let running = state.running.entry(active.key).or_insert_with(|| RunningRequest {
                 process,
                 prompt_tokens: active.prompt_tokens,
@@ -293,7 +332,9 @@
         {
             return Some(target);
         }
-        let mut busy = allowed().filter(|state| state.usable(now) && !state.has_free_slot(now));
+        let mut busy = allowed().filter(|state| {
+            state.usable(now) && state.within_rate(now) && !state.has_free_slot(now)
+        });
         let better_target_expected =
             busy.any(|state| state.min_placement_loss(waiting, now) <= tolerated_loss);
         (!better_target_expected).then_some(target)
--- a/crates/edge/src/placement/summary.rs
+++ b/crates/edge/src/placement/summary.rs
@@ -62,7 +62,11 @@
         let capacity = usable.map(|state| {
             let relative =
                 mean_request_ms(&mean) / mean_request_ms(state.speed()).max(f64::EPSILON);
-            f64::from(state.info.slots) * relative
+            let slots = f64::from(state.info.slots);
+            let used = state.pacer.map_or(slots, |pacer| {
+                (pacer.rate_per_ms() * mean_request_ms(state.speed())).min(slots)
+            });
+            used * relative
         });
         let capacity = capacity.sum();
         Self { mean, fastest: fastest.unwrap_or(mean), slots, capacity, computed_at: Some(now) }
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -1,5 +1,6 @@
 //! State of one target: running requests, speed estimate and failures.
 
+use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
 use super::{PlacementKey, ProcessKey, TargetKey};
@@ -106,6 +107,8 @@
     failure_rate_at: ClockTime,
     consecutive_failures: u32,
     backoff_until: ClockTime,
+    /// Spaces out the requests if the target limits their rate.
+    pub(super) pacer: Option<RatePacer>,
 }
 
 impl TargetState {
@@ -119,6 +122,7 @@
             failure_rate_at: ClockTime::from_ms(0),
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
+            pacer: None,
         }
     }
 
@@ -143,7 +147,19 @@
     /// runs at a time.
     pub(super) fn has_free_slot(&self, now: ClockTime) -> bool {
         let limit = if self.consecutive_failures > 0 { 1 } else { self.info.slots as usize };
-        self.running.len() < limit.max(1) && self.usable(now)
+        self.running.len() < limit.max(1) && self.usable(now) && self.within_rate(now)
+    }
+
+    /// Returns whether the target's limit of the request rate admits another request.
+    pub(super) fn within_rate(&self, now: ClockTime) -> bool {
+        self.pacer.is_none_or(|pacer| pacer.is_ready(now))
+    }
+
+    /// Counts a request towards the limit of the request rate.
+    pub(super) fn count_request(&mut self, now: ClockTime) {
+        if let Some(pacer) = &mut self.pacer {
+            pacer.count_request(now);
+        }
     }
 
     /// Returns the cost of sending the request to this target, in ms.
@@ -186,6 +202,7 @@
     }
 
     pub(super) fn grant(&mut self, waiting: &WaitingRequest, now: ClockTime) {
+        self.count_request(now);
         let request = &waiting.request;
         let running = RunningRequest {
             process: request.process,
@@ -263,11 +280,15 @@
 
     pub(super) fn describe(&self, now: ClockTime) -> String {
         format!(
-            "target={:x} service={} running={} slots={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}",
+            "target={:x} service={} running={} slots={} limit_per_s={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}",
             self.info.key.0,
             self.info.service,
             self.running.len(),
             self.info.slots,
+            self.pacer.map_or_else(
+                || "none".to_owned(),
+                |pacer| { format!("{:.3}", pacer.rate_per_ms() * 1_000.0) }
+            ),
             self.speed().fixed_ms,
             self.speed().read_ms * 1_000.0,
             self.speed().token_ms,
--- a/crates/edge/src/register_service/serve.rs
+++ b/crates/edge/src/register_service/serve.rs
@@ -94,6 +94,7 @@
                 let now = ClockTime::monotonic();
                 return PeerReply::Suspects(self.suspects.borrow().reports(now));
             }
+            PeerCall::ReadLimits => return PeerReply::Limits(self.limits.borrow().reports()),
             PeerCall::ReadUsage => {
                 let now = ClockTime::monotonic();
                 let source = self.usage_source(now);
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -5,6 +5,7 @@
 use crate::memory::RecoveryMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
 use crate::suspects::SuspectReport;
+use crate::target_limits::LimitReport;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -41,6 +42,8 @@
     ReadUsage,
     /// Reads what the node knows about suspects.
     ReadSuspects,
+    /// Reads the limits of targets that the node knows.
+    ReadLimits,
 }
 
 /// Reply to a call.
@@ -68,6 +71,7 @@
         usage: Vec<WorkspaceUsage>,
     },
     Suspects(Vec<SuspectReport>),
+    Limits(Vec<LimitReport>),
 }
 
 /// Error of a call.
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -193,6 +193,13 @@
         }
     }
 
+    /// Returns whether an incarnation is known and has not left.
+    pub fn holds(&self, announcement: &TargetAnnouncement) -> bool {
+        self.records.get(&announcement.id).is_some_and(|record| {
+            record.announcement.incarnation == announcement.incarnation && !record.left
+        })
+    }
+
     /// Returns the record of a target.
     pub fn get(&self, id: &str) -> Option<&TargetRecord> {
         self.records.get(id)
