Stop sending to targets that say in an answer that they leave

Nodes read only announcements. The node that reads the mark now tells the others by a notice that is final for the incarnation.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -145,6 +145,7 @@
         Ok(Ok(sent)) => sent,
     };
     node.observe_limit(announcement, response.headers(), sent_at);
+    node.observe_leaving(announcement, response.headers());
     read_response(context, guard, announcement, response, connection).await
 }
 
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -47,6 +47,8 @@
     pub not_run: HeaderName,
     /// Requests per second that a target takes from all nodes together, in its responses.
     pub target_limit: HeaderName,
+    /// Marks responses of a target that is leaving, with the value 1.
+    pub target_leaving: HeaderName,
     /// Id of the last stream event that the caller received.
     pub last_event: HeaderName,
     /// Headers that only nodes may set. They are removed from callers' requests.
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -2,9 +2,14 @@
 
 use super::{NodeState, target_key};
 use crate::placement::{TargetInfo, TargetKey};
-use crate::targets::TargetAnnouncement;
+use crate::targets::{TargetAnnouncement, TargetNotice};
 use burdockcleat_core::clock::ClockTime;
+use hyper::header::HeaderMap;
 use std::collections::BTreeSet;
+use std::rc::Rc;
+
+/// Value of the header that marks answers of a target that is leaving.
+const LEAVING_VALUE: &str = "1";
 
 impl NodeState {
     /// Updates the placement scheduler with the targets that may be used now.
@@ -42,6 +47,19 @@
         self.deliver_decisions();
     }
 
+    /// Records that a target says in an answer that it is leaving.
+    pub(crate) fn observe_leaving(
+        self: &Rc<Self>,
+        announcement: &TargetAnnouncement,
+        headers: &HeaderMap,
+    ) {
+        let value = headers.get(&self.http_api.headers.target_leaving);
+        if value.is_some_and(|value| value == LEAVING_VALUE) {
+            let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
+            self.apply_notice(&TargetNotice::Draining { id, incarnation }, true);
+        }
+    }
+
     /// Returns the announcement of a target if the target may still be used.
     pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
         let announcement = self.announcements.borrow().get(&target).cloned()?;
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -34,6 +34,13 @@
 pub enum TargetNotice {
     /// The target is alive.
     Announced(TargetAnnouncement),
+    /// The incarnation said in an answer that it is leaving.
+    Draining {
+        /// Id of the target.
+        id: String,
+        /// Incarnation that is leaving.
+        incarnation: u64,
+    },
     /// The incarnation has left permanently.
     Left {
         /// Id of the target.
@@ -56,7 +63,7 @@
             Self::Announced(announcement) => {
                 Self::Announced(TargetAnnouncement { sequence: 0, ..announcement.clone() })
             }
-            Self::Left { .. } => self.clone(),
+            Self::Draining { .. } | Self::Left { .. } => self.clone(),
         }
     }
 }
@@ -126,10 +133,21 @@
     pub fn apply(&mut self, notice: &TargetNotice, now: ClockTime) -> TargetChange {
         match notice {
             TargetNotice::Announced(announcement) => self.announce(announcement, now),
+            TargetNotice::Draining { id, incarnation } => self.drain(id, *incarnation),
             TargetNotice::Left { id, incarnation } => self.leave(id, *incarnation, now),
         }
     }
 
+    fn drain(&mut self, id: &str, incarnation: u64) -> TargetChange {
+        let Some(record) = self.records.get_mut(id) else { return TargetChange::Stale };
+        let known = &mut record.announcement;
+        if known.incarnation != incarnation || known.draining || record.left {
+            return TargetChange::Stale;
+        }
+        known.draining = true;
+        TargetChange::Leaving
+    }
+
     fn announce(&mut self, announcement: &TargetAnnouncement, now: ClockTime) -> TargetChange {
         let order = (announcement.incarnation, announcement.sequence);
         if self
--- a/crates/edge/tests/targets.rs
+++ b/crates/edge/tests/targets.rs
@@ -45,6 +45,23 @@
     assert_eq!(usable(&table, 300), [("i".into(), 11)]);
 }
 
+/// Guards against announcements that revive a target which said in an answer that it is leaving, and
+/// against taking the answer of an earlier incarnation for that of the present one.
+#[test]
+fn a_target_that_said_it_is_leaving_is_not_used_again() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    let leaving = |incarnation| TargetNotice::Draining { id: "i".into(), incarnation };
+    let mut apply = |notice: &TargetNotice| table.apply(notice, ClockTime::from_ms(100));
+    assert_eq!(apply(&leaving(9)), TargetChange::Stale);
+    assert_eq!(apply(&leaving(10)), TargetChange::Leaving);
+    assert_eq!(apply(&leaving(10)), TargetChange::Stale);
+    announced(&mut table, announcement("i", 10, 2), 200);
+    assert!(usable(&table, 200).is_empty());
+    announced(&mut table, announcement("i", 11, 1), 300);
+    assert_eq!(usable(&table, 300), [("i".into(), 11)]);
+}
+
 /// Guards against forgetting a leave that arrives before any announcement.
 #[test]
 fn a_leave_of_an_unknown_target_blocks_its_announcements() {
