Send nothing to a target within the time that it named with a rejection

The header of targets was not read: with one target 402 to 408 requests reached it within a pause of 3 s.

A node now names such targets as excluded in each placement, does not send what was granted before, and while all targets of a service are excluded a request waits half of its time at most.

The three tests of paused_targets failed before and pass.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -15,6 +15,14 @@
 /// Retry-after time when the targets were full or unreachable, in ms.
 const FULL_RETRY_MS: u64 = 300;
 
+/// Divisor of the time left that gives the longest wait for a target that wants no requests. It
+/// leaves the caller time to retry at another node.
+const PAUSE_WAIT_DIVISOR: u64 = 2;
+/// Interval at which a request that waits for such a target looks for another one, in ms.
+const PAUSE_CHECK_MS: u64 = 100;
+/// Longest retry-after time while the targets want no requests, in ms. Other nodes may send to them.
+const MAX_PAUSE_RETRY_MS: u64 = 2_000;
+
 /// State of a request over all of its sends.
 #[derive(Default)]
 pub(crate) struct SendHistory {
@@ -48,6 +56,16 @@
         node.budget.borrow_mut().try_take(&context.service, node.node_count(now), now)
     }
 
+    /// Returns the time left until the caller stops waiting for the next part of the response, in ms.
+    fn left_ms(&self, context: &RequestContext, now: ClockTime) -> u64 {
+        if !self.streaming {
+            return context.first_response_left_ms(now);
+        }
+        // The caller of a resumed stream waits for the next event from now on.
+        let gap_timeout_ms = context.route.stream_gap_timeout_ms().unwrap_or(u64::MAX);
+        context.left_ms(now).min(gap_timeout_ms)
+    }
+
     /// Returns the refusal for a request that is not sent again. It depends on whether a target may
     /// have run the request.
     fn give_up(&self, reason: &'static str, retry_after_ms: Option<u64>) -> Refusal {
@@ -85,11 +103,15 @@
     last_event: Option<u64>,
 ) -> Result<TargetResponse, Option<Refusal>> {
     let started = ClockTime::monotonic();
-    let guard = match place(context, history).await {
-        Ok(guard) => guard,
-        Err(refusal) => return Err(Some(refusal)),
-    };
-    history.waited_ms = ClockTime::monotonic().since(started);
+    await_pause_end(context, history).await.map_err(Some)?;
+    let guard = place(context, history).await.map_err(Some)?;
+    let now = ClockTime::monotonic();
+    history.waited_ms = now.since(started);
+    if context.node.paused_targets(now).contains(&guard.target()) {
+        // The target turned another request away while this one waited.
+        guard.finish(AttemptOutcome::Dropped);
+        return Err(None);
+    }
     history.excluded.push(guard.target());
     let Some(announcement) = context.node.announcement(guard.target()) else {
         guard.finish(AttemptOutcome::Dropped);
@@ -184,20 +206,34 @@
     context.node.metrics.borrow_mut().count("sends_failed", cause, 1);
 }
 
+/// Waits while all targets that the request may go to want nothing from this node.
+async fn await_pause_end(context: &RequestContext, history: &SendHistory) -> Result<(), Refusal> {
+    let node = &context.node;
+    loop {
+        let now = ClockTime::monotonic();
+        let Some(end) = node.pause_end(&context.service, &history.excluded, now) else {
+            return Ok(());
+        };
+        let wait_ms = end.since(now);
+        if wait_ms > history.left_ms(context, now) / PAUSE_WAIT_DIVISOR {
+            let reason = "the targets of the service want no requests now";
+            return Err(history.give_up(reason, Some(wait_ms.min(MAX_PAUSE_RETRY_MS))));
+        }
+        // Another target may become usable meanwhile.
+        tokio::time::sleep(Duration::from_millis(wait_ms.min(PAUSE_CHECK_MS))).await;
+    }
+}
+
 /// Waits until a target is chosen for the request.
 async fn place(
     context: &Rc<RequestContext>,
     history: &SendHistory,
 ) -> Result<ActiveRequestGuard, Refusal> {
     let now = ClockTime::monotonic();
-    // The caller of a resumed stream waits for the next event from now on. Such a request has the
-    // highest priority, since a refusal would waste the work of its earlier targets.
-    let (rank, left_ms) = if history.streaming {
-        let gap_timeout_ms = context.route.stream_gap_timeout_ms().unwrap_or(u64::MAX);
-        (0, context.left_ms(now).min(gap_timeout_ms))
-    } else {
-        (context.rank, context.first_response_left_ms(now))
-    };
+    // A resumed stream has the highest priority, since a refusal would waste the work of its earlier
+    // targets.
+    let rank = if history.streaming { 0 } else { context.rank };
+    let left_ms = history.left_ms(context, now);
     if left_ms == 0 {
         return Err(history.give_up("no time is left", None));
     }
@@ -217,7 +253,7 @@
         deadline_left_ms: left_ms,
         answer_left_ms: context.left_ms(now),
         pause_ms: context.route.pause_ms,
-        excluded: history.excluded.clone(),
+        excluded: [history.excluded.clone(), node.paused_targets(now)].concat(),
     };
     let placement = node.place(request);
     let placed = tokio::select! {
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -146,6 +146,9 @@
     };
     node.observe_limit(announcement, response.headers(), sent_at);
     node.observe_leaving(announcement, response.headers());
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        node.observe_pause(announcement, response.headers());
+    }
     read_response(context, guard, announcement, response, connection).await
 }
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,6 +1,7 @@
 //! State and background tasks of a node.
 
 mod datagrams;
+mod pauses;
 mod placing;
 mod recovery;
 mod server;
@@ -107,6 +108,8 @@
     active: RefCell<BTreeMap<PlacementKey, ActiveRequest>>,
     announcements: RefCell<HashMap<TargetKey, TargetAnnouncement>>,
     usable_targets: RefCell<BTreeSet<TargetKey>>,
+    /// Targets that want no requests from this node, with the end of that time.
+    pauses: RefCell<BTreeMap<TargetKey, ClockTime>>,
     next_placement_key: Cell<u64>,
     status_sequence: Cell<u64>,
     running: Cell<usize>,
@@ -268,6 +271,7 @@
             self.allowances.borrow_mut().retain_reporters(kept, now);
             self.targets.borrow_mut().prune(now);
             self.prune_limits(now);
+            self.prune_pauses(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
                 .borrow_mut()
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -93,6 +93,7 @@
             active: RefCell::default(),
             announcements: RefCell::default(),
             usable_targets: RefCell::default(),
+            pauses: RefCell::default(),
             next_placement_key: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
             running: Cell::new(0),
