Believe a rejection only if it echoes the id of its request

It happens here too: a rejection or a misdirected answer was believed before the echoed id was looked at, so an order that ran was answered 503, and a repeatable one ran elsewhere.

a_repeated_rejection_is_not_the_answer_to_the_next_request failed before ("it ran and the answer is 503"). Now the id comes first; an answer without it has an unknown outcome. What a target says of itself is read only from answers that pass this.

Two older tests sent rejections without the id, which no target does by the users' page: they now echo it, with the same assertions.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -144,12 +144,37 @@
         }
         Ok(Ok(sent)) => sent,
     };
+    let names = &node.http_api.headers;
+    let echoed = response.headers().get(&names.attempt).and_then(|value| value.to_str().ok());
+    if echoed != Some(context.request.attempt.as_str()) {
+        // A rejection may be that of an earlier request, so this one may have run.
+        log::info!(
+            target: "burdockcleat",
+            "event=target.answered_another id={} target={} status={} echoed={}",
+            context.request.attempt, announcement.id, response.status().as_u16(),
+            echoed.unwrap_or("-")
+        );
+        guard.finish(AttemptOutcome::Broken);
+        return SendResult::Broken("the target answered another request");
+    }
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        observe_target(node, announcement, &response, sent_at);
+    }
+    read_response(context, guard, announcement, response, connection).await
+}
+
+/// Records what a target says of itself in an answer.
+fn observe_target(
+    node: &Rc<NodeState>,
+    announcement: &TargetAnnouncement,
+    response: &Response<Incoming>,
+    sent_at: ClockTime,
+) {
     node.observe_limit(announcement, response.headers(), sent_at);
     node.observe_leaving(announcement, response.headers());
     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
         node.observe_pause(announcement, response.headers());
     }
-    read_response(context, guard, announcement, response, connection).await
 }
 
 async fn read_response(
@@ -169,9 +194,7 @@
         guard.finish(if misdirected { AttemptOutcome::Unreachable } else { AttemptOutcome::Full });
         return SendResult::NotRun;
     }
-    let echoed = parts.headers.get(&names.attempt).and_then(|value| value.to_str().ok());
-    let unexpected = echoed != Some(context.request.attempt.as_str())
-        || (parts.status.is_success() && !parts.headers.contains_key(&names.signature))
+    let unexpected = (parts.status.is_success() && !parts.headers.contains_key(&names.signature))
         || parts.headers.contains_key(CONTENT_ENCODING);
     if unexpected {
         guard.finish(AttemptOutcome::Broken);
