Reject announcements with values that no target has

Reported by other operators (LOST): an odd entry of another writer, deeply nested, with a number too large or a port out of range, ended the processes or stopped them from following the list. Deep nesting does not end a node here: typed fields stop at the first bracket, others are skipped without recursion. But entries with port 0, 4,294,967,295 slots or a start in the far future became targets, and the last one hid every target at its address.

Multiplications of numbers from outside saturate.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -219,9 +219,9 @@
     /// first event. `None` for routes without streams, whose callers wait until their deadline.
     pub fn stream_gap_timeout_ms(&self) -> Option<u64> {
         (self.kind == RequestKind::Stream).then(|| {
-            let pause_ms = self.pause_ms.unwrap_or(0) * GAP_TIMEOUT_PAUSE_FACTOR;
+            let pause_ms = self.pause_ms.unwrap_or(0).saturating_mul(GAP_TIMEOUT_PAUSE_FACTOR);
             MIN_STREAM_GAP_TIMEOUT_MS
-                .max(self.objective_ms * GAP_TIMEOUT_OBJECTIVE_FACTOR)
+                .max(self.objective_ms.saturating_mul(GAP_TIMEOUT_OBJECTIVE_FACTOR))
                 .max(pause_ms)
         })
     }
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -6,7 +6,7 @@
 use crate::register::RegisterChange;
 use crate::reply::{ReplyBody, json_reply, refusal_reply, text_reply};
 use crate::shutdown::ShutdownStage;
-use crate::targets::TargetNotice;
+use crate::targets::{AnnouncementError, TargetNotice};
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -32,6 +32,11 @@
 /// Longest time after the start that a node waits for targets before it is ready, in ms. Each
 /// target announces itself twice within it.
 const TARGET_DISCOVERY_WAIT_MS: u64 = 3_000;
+/// Size limit of an announcement, in bytes.
+const MAX_ANNOUNCEMENT_BYTES: usize = 16 << 10;
+/// Largest difference between the start of a target and the wall clock of this node, in ms. An entry
+/// of the far future would count as the successor of every target at its address.
+const MAX_CLOCK_AHEAD_MS: u64 = 24 * 3_600_000;
 /// Announcements and leaves are acknowledged only if more than this fraction of the expected nodes
 /// is reachable, including this one.
 const MIN_REACHABLE_FRACTION: f64 = 0.5;
@@ -136,11 +141,12 @@
 async fn answer_control(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
-    let body = match Limited::new(body, MAX_DOCUMENT_BYTES).collect().await {
+    let paths = &node.http_api.paths;
+    let limit = if path == paths.config { MAX_DOCUMENT_BYTES } else { MAX_ANNOUNCEMENT_BYTES };
+    let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
     };
-    let paths = &node.http_api.paths;
     if path == paths.config {
         return match parts.method {
             Method::PUT => put_config(&node, body).await,
@@ -170,7 +176,14 @@
 }
 
 fn announce(node: &Rc<NodeState>, id: &str, body: &[u8]) -> Response<ReplyBody> {
-    let announcement = match (node.http_api.decode_announcement)(id, body) {
+    let decoded = (node.http_api.decode_announcement)(id, body).and_then(|announcement| {
+        let latest = ClockTime::wall().plus(MAX_CLOCK_AHEAD_MS).as_ms();
+        if announcement.incarnation > latest {
+            return Err(AnnouncementError::FarFuture(announcement.incarnation));
+        }
+        Ok(announcement)
+    });
+    let announcement = match decoded {
         Ok(announcement) => announcement,
         Err(error) => {
             log::info!(target: "burdockcleat", "event=target.unreadable target={id} cause=\"{error}\"");
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -231,7 +231,8 @@
     }
     let service = route.pick_service(rand::random()).unwrap_or_default().to_owned();
     let route_rank = route.priority.min(ROUTE_RANKS - 1);
-    let rank = workspace.and_then(|w| w.priority).unwrap_or(0) * ROUTE_RANKS + route_rank;
+    let workspace_rank = workspace.and_then(|workspace| workspace.priority).unwrap_or(0);
+    let rank = workspace_rank.saturating_mul(ROUTE_RANKS).saturating_add(route_rank);
     let reservation = match workspace {
         Some(workspace) if workspace.rate_per_s > 0.0 => {
             let tokens = request.charged_tokens().unwrap_or(workspace.default_tokens);
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -271,7 +271,7 @@
 
     pub(super) fn summarize(&self, service: &str, now: ClockTime) -> String {
         let states = self.targets.values();
-        let slots: u32 = states.clone().map(|state| state.info.slots).sum();
+        let slots: u64 = states.clone().map(|state| u64::from(state.info.slots)).sum();
         let running: usize = states.clone().map(|state| state.running.len()).sum();
         let usable = states.clone().filter(|state| state.usable(now)).count();
         let speed = SpeedModel::mean(states.clone().map(|state| *state.speed()));
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -85,6 +85,9 @@
     /// The body could not be read, or a field is missing or of another type.
     #[error("reading the announcement: {0}")]
     Unreadable(String),
+    /// The start of the target, in ms since the Unix epoch, lies in the far future.
+    #[error("the target started at {0} ms, which is in the far future")]
+    FarFuture(u64),
 }
 
 /// Last known state of a target.
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -222,6 +222,6 @@
         .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
         .and_then(|seconds| seconds.trim().parse::<u64>().ok());
     stated.map_or(DEFAULT_IDLE_MS, |seconds| {
-        (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS).min(MAX_IDLE_MS)
+        seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS).min(MAX_IDLE_MS)
     })
 }
