Find the other nodes after a restart without the seeds

With seeds that are gone for good no node got a document, for as long as the settings stay as they are.

--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -11,6 +11,7 @@
 use crate::targets::AgedNotice;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddrV4;
 
 /// Maximum age of a usable memory, in ms. Most targets still run within this time.
 const MAX_AGE_MS: u64 = 60_000;
@@ -34,6 +35,8 @@
     pub deadlines: Vec<RouteDeadline>,
     /// Suspects that are blocked.
     pub suspects: Vec<SuspectReport>,
+    /// Peer addresses of the other nodes, in ascending order.
+    pub nodes: Vec<SocketAddrV4>,
 }
 
 /// Recovery memory with the time of its write, as stored on disk.
@@ -47,15 +50,17 @@
 }
 
 impl RecoveryMemory {
-    /// Returns whether both memories contain the same targets in the same state, and the same
-    /// suspects. Ages, sequence numbers, speeds and deadlines are ignored.
+    /// Returns whether both memories contain the same targets in the same state, the same suspects and
+    /// the same nodes. Ages, sequence numbers, speeds and deadlines are ignored.
     pub fn is_current(&self, other: &Self) -> bool {
         let suspects =
             |memory: &Self| memory.suspects.iter().map(|report| report.key).collect::<Vec<_>>();
         let notices = |memory: &Self| {
             memory.targets.iter().map(|aged| aged.notice.without_sequence()).collect::<Vec<_>>()
         };
-        notices(self) == notices(other) && suspects(self) == suspects(other)
+        notices(self) == notices(other)
+            && suspects(self) == suspects(other)
+            && self.nodes == other.nodes
     }
 }
 
--- a/crates/edge/src/node/recovery.rs
+++ b/crates/edge/src/node/recovery.rs
@@ -21,6 +21,10 @@
         else {
             return;
         };
+        // The seeds in the settings may all be gone. Nodes keep their addresses for longer than the
+        // rest of the memory is of use.
+        let now = ClockTime::monotonic();
+        self.peers.borrow_mut().add_contacts(written.memory.nodes.iter().copied(), now);
         let age_ms = written.age_ms(ClockTime::wall());
         log::info!(
             target: "burdockcleat",
@@ -112,6 +116,7 @@
             table.apply(notice, received_at);
         }
         drop(table);
+        self.peers.borrow_mut().add_contacts(memory.nodes.iter().copied(), now);
         self.merge_suspects(&memory.suspects);
         self.refresh_targets();
     }
@@ -123,6 +128,7 @@
             speeds: self.scheduler.borrow().speeds(),
             deadlines: self.deadlines.borrow().longest_deadlines(),
             suspects: self.suspects.borrow().blocked_reports(ClockTime::monotonic()),
+            nodes: self.peers.borrow().addresses(),
         }
     }
 
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -60,9 +60,7 @@
         status: NodeStatus,
         now: ClockTime,
     ) -> Option<PeerChange> {
-        for peer in &status.peers {
-            self.contacts.entry(*peer).or_insert(now);
-        }
+        self.add_contacts(status.peers.iter().copied(), now);
         let address = status.address;
         self.contacts.insert(address, now);
         let known = self.records.get(&address).filter(|r| r.status.process == status.process);
@@ -103,6 +101,22 @@
         heard.filter_map(|record| Some((record.status.address, record.status.disk?)))
     }
 
+    /// Adds addresses that statuses are sent to until they answer or are forgotten.
+    pub(crate) fn add_contacts(
+        &mut self,
+        addresses: impl IntoIterator<Item = SocketAddrV4>,
+        now: ClockTime,
+    ) {
+        for address in addresses {
+            self.contacts.entry(address).or_insert(now);
+        }
+    }
+
+    /// Returns the addresses of all known nodes, in ascending order.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddrV4> {
+        self.records.keys().copied().collect()
+    }
+
     /// Returns the addresses of all known nodes with a disk.
     pub(crate) fn disk_addresses(&self) -> Vec<SocketAddrV4> {
         let disks = self.records.values().filter(|record| record.status.disk.is_some());
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -35,6 +35,7 @@
         speeds: vec![(TargetKey(9), SpeedModel::PRIOR)],
         deadlines: vec![("r".into(), 5_000)],
         suspects: vec![],
+        nodes: vec!["10.0.0.2:7600".parse().expect("an address")],
     }
 }
 
