Name only the excluded targets of a request's own service

A submission named all targets that want nothing from the node, whatever their service: 8 bytes each in every datagram, with hundreds of targets more than the request itself. Behaviour is the same; tests of paused_targets pass.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -107,7 +107,7 @@
     let guard = place(context, history).await.map_err(Some)?;
     let now = ClockTime::monotonic();
     history.waited_ms = now.since(started);
-    if context.node.paused_targets(now).contains(&guard.target()) {
+    if context.node.is_paused(guard.target(), now) {
         // The target turned another request away while this one waited.
         guard.finish(AttemptOutcome::Dropped);
         return Err(None);
@@ -253,7 +253,7 @@
         deadline_left_ms: left_ms,
         answer_left_ms: context.left_ms(now),
         pause_ms: context.route.pause_ms,
-        excluded: [history.excluded.clone(), node.paused_targets(now)].concat(),
+        excluded: [history.excluded.clone(), node.paused_targets(&context.service, now)].concat(),
     };
     let placement = node.place(request);
     let placed = tokio::select! {
--- a/crates/edge/src/node/pauses.rs
+++ b/crates/edge/src/node/pauses.rs
@@ -29,10 +29,21 @@
         );
     }
 
-    /// Returns the targets that want no requests from this node now.
-    pub(crate) fn paused_targets(&self, now: ClockTime) -> Vec<TargetKey> {
+    /// Returns whether a target wants no requests from this node now.
+    pub(crate) fn is_paused(&self, target: TargetKey, now: ClockTime) -> bool {
+        self.pauses.borrow().get(&target).is_some_and(|until| *until > now)
+    }
+
+    /// Returns the targets of a service that want no requests from this node now.
+    pub(crate) fn paused_targets(&self, service: &str, now: ClockTime) -> Vec<TargetKey> {
         let pauses = self.pauses.borrow();
-        pauses.iter().filter(|(_, until)| **until > now).map(|(target, _)| *target).collect()
+        let paused = pauses.iter().filter(|(_, until)| **until > now).map(|(target, _)| *target);
+        paused.filter(|target| self.serves(*target, service)).collect()
+    }
+
+    fn serves(&self, target: TargetKey, service: &str) -> bool {
+        let announcements = self.announcements.borrow();
+        announcements.get(&target).is_some_and(|target| target.service == service)
     }
 
     /// Returns the end of the first pause if a request can be sent to no usable target of its service
@@ -47,11 +58,8 @@
         if pauses.is_empty() {
             return None;
         }
-        let announcements = self.announcements.borrow();
         let usable = self.usable_targets.borrow();
-        let targets = usable.iter().filter(|target| {
-            announcements.get(target).is_some_and(|target| target.service == service)
-        });
+        let targets = usable.iter().filter(|target| self.serves(**target, service));
         let mut first = None;
         for target in targets.filter(|target| !excluded.contains(target)) {
             let until = *pauses.get(target).filter(|until| **until > now)?;
