Tell the software version of targets in logs and to the placement

The version was dropped when an announcement was decoded, so neither logs nor the placement could tell targets of two versions apart. Announcements, target infos and placement requests now have it; no decision uses it yet. Nodes of earlier builds cannot read the announcements.

--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -38,9 +38,9 @@
             let heard_ms = targets.get(&announcement.id).map(|record| now.since(record.last_seen));
             log::info!(
                 target: "burdockcleat",
-                "event=target.usable usable={} target={} incarnation={} service={} heard_ms={}",
+                "event=target.usable usable={} target={} incarnation={} service={} version={:?} heard_ms={}",
                 usable_keys.contains(key), announcement.id, announcement.incarnation,
-                announcement.service, heard_ms.unwrap_or(0)
+                announcement.service, announcement.version, heard_ms.unwrap_or(0)
             );
         }
         drop((targets, announcements));
@@ -75,6 +75,7 @@
         key: target_key(announcement),
         service: announcement.service.clone(),
         domain: announcement.domain.clone(),
+        version: announcement.version_key(),
         slots: announcement.slots,
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -43,6 +43,23 @@
 #[derive(Serialize, Deserialize)]
 pub struct ProcessKey(pub u64);
 
+/// Key of a software version of the targets of a service. What targets of two versions write does
+/// not fit together, so a stream ends at the version at which it began.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct VersionKey(pub u32);
+
+impl VersionKey {
+    /// Returns the key of the version with the given name.
+    pub fn new(service: &str, version: &str) -> Self {
+        let mut hash = xxhash_rust::xxh3::Xxh3::new();
+        hash.update(service.as_bytes());
+        hash.update(&[0]);
+        hash.update(version.as_bytes());
+        Self((hash.digest() >> 32) as u32)
+    }
+}
+
 /// A request to be placed on a target.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -55,6 +72,8 @@
     pub service: String,
     /// Failure domain of that node.
     pub domain: String,
+    /// Only version whose targets may run the request; `None` if all may.
+    pub version: Option<VersionKey>,
     /// Rank of the request; lower ranks go first.
     pub rank: u32,
     /// Length of the prompt, in tokens; 0 for services without prompts.
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -3,7 +3,7 @@
 use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
-use super::{PlacementKey, ProcessKey, TargetKey};
+use super::{PlacementKey, ProcessKey, TargetKey, VersionKey};
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -45,6 +45,8 @@
     pub service: String,
     /// Failure domain of the target.
     pub domain: String,
+    /// Software version of the target.
+    pub version: VersionKey,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
 }
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -1,5 +1,6 @@
 //! Table of announced targets and their incarnations.
 
+use crate::placement::VersionKey;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -18,6 +19,8 @@
     pub address: SocketAddrV4,
     /// Failure domain.
     pub domain: String,
+    /// Software version; empty if the target states none.
+    pub version: String,
     /// Maximum number of requests that the target runs concurrently.
     pub slots: u32,
     /// Whether the target is leaving.
@@ -28,6 +31,13 @@
     pub sequence: u64,
 }
 
+impl TargetAnnouncement {
+    /// Returns the key of the target's software version.
+    pub fn version_key(&self) -> VersionKey {
+        VersionKey::new(&self.service, &self.version)
+    }
+}
+
 /// Announcement or final leave of a target.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -21,6 +21,7 @@
         service: "engines".into(),
         address: "10.0.0.1:80".parse().expect("an address"),
         domain: "a".into(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
         incarnation: 7,
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -4,7 +4,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
     ActiveRequest, AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest,
-    PlacementScheduler, ProcessKey, RefusalReason, TargetInfo, TargetKey,
+    PlacementScheduler, ProcessKey, RefusalReason, TargetInfo, TargetKey, VersionKey,
 };
 
 const PROCESS: ProcessKey = ProcessKey(1);
@@ -22,6 +22,7 @@
             key: TargetKey(target),
             service: "engines".into(),
             domain: "a".into(),
+            version: VersionKey(0),
             slots,
         })
         .collect();
@@ -35,6 +36,7 @@
         process: PROCESS,
         service: "engines".into(),
         domain: "a".into(),
+        version: None,
         rank,
         prompt_tokens: 1_000,
         output_tokens,
@@ -252,8 +254,13 @@
     let mut scheduler = PlacementScheduler::default();
     scheduler.submit(request(1, 0, 20), at(0));
     assert!(scheduler.is_waiting(PlacementKey(1)));
-    let info =
-        TargetInfo { key: TargetKey(7), service: "engines".into(), domain: "a".into(), slots: 1 };
+    let info = TargetInfo {
+        key: TargetKey(7),
+        service: "engines".into(),
+        domain: "a".into(),
+        version: VersionKey(0),
+        slots: 1,
+    };
     scheduler.set_targets("engines", &[info], at(600));
     assert_eq!(grants(&mut scheduler), [(1, TargetKey(7))]);
     let mut empty = PlacementScheduler::default();
--- a/crates/edge/tests/placement_loss.rs
+++ b/crates/edge/tests/placement_loss.rs
@@ -4,7 +4,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
     AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest, PlacementScheduler,
-    ProcessKey, SpeedModel, TargetInfo, TargetKey,
+    ProcessKey, SpeedModel, TargetInfo, TargetKey, VersionKey,
 };
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -22,8 +22,13 @@
     let mut scheduler = PlacementScheduler::default();
     let speed = |read_ms, token_ms| SpeedModel { fixed_ms: 10.0, read_ms, token_ms };
     scheduler.restore_speeds(&[(FAST, speed(0.01, 2.0)), (SLOW, speed(0.05, 8.0))]);
-    let info =
-        |key| TargetInfo { key, service: "engines".into(), domain: "a".into(), slots: SLOTS };
+    let info = |key| TargetInfo {
+        key,
+        service: "engines".into(),
+        domain: "a".into(),
+        version: VersionKey(0),
+        slots: SLOTS,
+    };
     scheduler.set_targets("engines", &[info(FAST), info(SLOW)], at(0));
     scheduler
 }
@@ -34,6 +39,7 @@
         process: ProcessKey(1),
         service: "engines".into(),
         domain: "a".into(),
+        version: None,
         rank: 0,
         prompt_tokens,
         output_tokens,
@@ -128,8 +134,13 @@
     let mut scheduler = PlacementScheduler::default();
     let speed = SpeedModel { fixed_ms: 10.0, read_ms: 0.5, token_ms: 8.0 };
     scheduler.restore_speeds(&[(FAST, speed), (SLOW, speed)]);
-    let info =
-        |key| TargetInfo { key, service: "engines".into(), domain: "a".into(), slots: SLOTS };
+    let info = |key| TargetInfo {
+        key,
+        service: "engines".into(),
+        domain: "a".into(),
+        version: VersionKey(0),
+        slots: SLOTS,
+    };
     scheduler.set_targets("engines", &[info(FAST), info(SLOW)], at(0));
     let mut placed = 0;
     for key in 0..u64::from(2 * SLOTS) {
@@ -170,6 +181,7 @@
             key: TargetKey(key),
             service: "engines".into(),
             domain: "a".into(),
+            version: VersionKey(0),
             slots: SLOTS,
         })
         .collect();
--- a/crates/edge/tests/target_limits.rs
+++ b/crates/edge/tests/target_limits.rs
@@ -4,7 +4,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
     ActiveRequest, AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest,
-    PlacementScheduler, ProcessKey, TargetInfo, TargetKey,
+    PlacementScheduler, ProcessKey, TargetInfo, TargetKey, VersionKey,
 };
 use burdockcleat_edge::target_limits::{LimitTable, RequestRate};
 use rand::rngs::StdRng;
@@ -87,6 +87,7 @@
         process: ProcessKey(process),
         service: "s".into(),
         domain: "a".into(),
+        version: None,
         rank: 0,
         prompt_tokens: 100,
         output_tokens: 10,
@@ -109,6 +110,7 @@
         key: *key,
         service: "s".into(),
         domain: "a".into(),
+        version: VersionKey(0),
         slots: 8,
     };
     targets.iter().map(info).collect()
--- a/crates/edge/tests/targets.rs
+++ b/crates/edge/tests/targets.rs
@@ -12,6 +12,7 @@
         service: "engines".into(),
         address: "10.0.0.1:8000".parse().expect("an address"),
         domain: "a".into(),
+        version: "v1".into(),
         slots: 4,
         draining: false,
         incarnation,
