Wait for a silent target until another one has taken the request

What callers saw: a stream that ended in the middle, or 502, though its target was sound and went on after a second of silence. Cause: after the silence the node dropped the target first and then looked for another one. If the budget was used up, no slot was free, no other target was left or the next one rejected, there was nobody to answer any more. If the silent target goes on, the search is withdrawn and the target keeps its record.

--- a/crates/edge/src/budget.rs
+++ b/crates/edge/src/budget.rs
@@ -45,6 +45,11 @@
         budget.level += f64::from(rule.percent) / 100.0 * USABLE_FRACTION;
     }
 
+    /// Returns whether a retry is left.
+    pub fn has_retry(&mut self, service: &str, nodes: usize, now: ClockTime) -> bool {
+        self.refilled(service, nodes, now).level >= 1.0
+    }
+
     /// Takes one retry from the budget. Returns false if none is left.
     pub fn try_take(&mut self, service: &str, nodes: usize, now: ClockTime) -> bool {
         let budget = self.refilled(service, nodes, now);
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -3,6 +3,7 @@
 
 mod retry;
 mod send;
+mod silence;
 mod stream;
 
 use crate::config::{RequestKind, RouteRule};
@@ -197,7 +198,7 @@
     };
     let mut history = SendHistory::default();
     let last_event = context.request.last_event;
-    match retry::send_until_answered(&context, &mut history, last_event).await {
+    match retry::send_until_answered(&context, &mut history, last_event, None).await {
         Ok(TargetResponse::Complete(response)) => {
             log_response(&context, &history, response.parts.status, "whole");
             response.into_response(&context)
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -1,6 +1,7 @@
 //! Sends a request to one target after another until one responds or no retry is left.
 
-use super::send::{CompleteResponse, SendResult, TargetResponse, send_once};
+use super::send::{CompleteResponse, PendingSend, SendResult, TargetResponse};
+use super::silence::{replace_silent, response_stall_ms};
 use super::{CRASHES_TARGETS, Refusal, RequestContext};
 use crate::node::{ActiveRequestGuard, Placement};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey};
@@ -26,7 +27,7 @@
 /// State of a request over all of its sends.
 #[derive(Default)]
 pub(crate) struct SendHistory {
-    /// Number of sends that reached a target.
+    /// Number of sends, without those that did not reach their target.
     pub(crate) sends: u32,
     /// Whether a target may have run the request.
     pub(crate) may_have_run: bool,
@@ -42,18 +43,42 @@
     unreachable: u32,
     excluded: Vec<TargetKey>,
     /// Error response of a target, returned to the caller if no other send succeeds.
-    failure: Option<CompleteResponse>,
+    pub(super) failure: Option<CompleteResponse>,
+}
+
+/// Target that was granted to a request.
+pub(super) struct GrantedTarget {
+    pub(super) announcement: TargetAnnouncement,
+    pub(super) guard: ActiveRequestGuard,
+    /// Time that the request waited for the grant, in ms.
+    pub(super) waited_ms: u64,
+}
+
+/// Reason why a request got no response from a target.
+pub(super) enum SendFailure {
+    /// The request reached no target, so it may be sent again without a retry of the budget.
+    Free,
+    /// The request may be sent again within the budget. Carries the refusal in case it is not.
+    Retry(Refusal),
+    /// The request may not be sent again.
+    Final(Refusal),
 }
 
 impl SendHistory {
-    /// Returns whether the request may be sent again, and takes a retry from the budget if so.
-    pub(crate) fn may_retry(&self, context: &RequestContext) -> bool {
-        if self.sends >= context.route.max_attempts.max(1) {
-            return false;
-        }
+    /// Returns whether the request may be sent again.
+    pub(super) fn can_retry(&self, context: &RequestContext) -> bool {
+        let node = &context.node;
         let now = ClockTime::monotonic();
+        self.sends < context.route.max_attempts.max(1)
+            && node.budget.borrow_mut().has_retry(&context.service, node.node_count(now), now)
+    }
+
+    /// Takes a retry from the budget. Returns false if the request may not be sent again.
+    pub(super) fn take_retry(&self, context: &RequestContext) -> bool {
         let node = &context.node;
-        node.budget.borrow_mut().try_take(&context.service, node.node_count(now), now)
+        let now = ClockTime::monotonic();
+        self.sends < context.route.max_attempts.max(1)
+            && node.budget.borrow_mut().try_take(&context.service, node.node_count(now), now)
     }
 
     /// Returns the time left until the caller stops waiting for the next part of the response, in ms.
@@ -78,47 +103,103 @@
 }
 
 /// Sends a request until a target responds. `last_event` is the last event that the caller has
-/// received.
+/// received. `pending` is the first send if it was already started.
 pub(crate) async fn send_until_answered(
     context: &Rc<RequestContext>,
     history: &mut SendHistory,
     last_event: Option<u64>,
+    mut pending: Option<PendingSend>,
 ) -> Result<TargetResponse, Refusal> {
     loop {
-        match place_and_send(context, history, last_event).await {
+        let started = match pending.take() {
+            Some(send) => Ok(send),
+            None => find_target(context, history)
+                .await
+                .and_then(|target| start_send(context, history, target, last_event)),
+        };
+        let result = match started {
+            Ok(send) => await_response(context, history, send, last_event).await,
+            Err(failure) => Err(failure),
+        };
+        let refusal = match result {
             Ok(response) => return Ok(response),
-            Err(Some(refusal)) => {
-                // An error response of a target takes precedence over our own refusal.
-                return history.failure.take().map(TargetResponse::Complete).ok_or(refusal);
-            }
-            Err(None) => {}
-        }
+            Err(SendFailure::Free) => continue,
+            Err(SendFailure::Retry(_)) if history.take_retry(context) => continue,
+            Err(SendFailure::Retry(refusal) | SendFailure::Final(refusal)) => refusal,
+        };
+        // An error response of a target takes precedence over our own refusal.
+        return history.failure.take().map(TargetResponse::Complete).ok_or(refusal);
     }
 }
 
-/// Places and sends a request once. Returns `Err(None)` if the request may be placed again.
-async fn place_and_send(
+/// Waits until a target is granted that wants requests.
+pub(super) async fn find_target(
     context: &Rc<RequestContext>,
     history: &mut SendHistory,
-    last_event: Option<u64>,
-) -> Result<TargetResponse, Option<Refusal>> {
+) -> Result<GrantedTarget, SendFailure> {
     let started = ClockTime::monotonic();
-    await_pause_end(context, history).await.map_err(Some)?;
-    let guard = place(context, history).await.map_err(Some)?;
+    await_pause_end(context, history).await.map_err(SendFailure::Final)?;
+    let guard = place(context, history).await.map_err(SendFailure::Final)?;
     let now = ClockTime::monotonic();
-    history.waited_ms = now.since(started);
     if context.node.is_paused(guard.target(), now) {
         // The target turned another request away while this one waited.
         guard.finish(AttemptOutcome::Dropped);
-        return Err(None);
+        return Err(SendFailure::Free);
     }
-    history.excluded.push(guard.target());
     let Some(announcement) = context.node.announcement(guard.target()) else {
+        history.excluded.push(guard.target());
         guard.finish(AttemptOutcome::Dropped);
-        return Err(None);
+        return Err(SendFailure::Free);
     };
-    history.last_target = Some(announcement.id.clone());
-    let result = send_once(context, history, guard, &announcement, last_event).await;
+    Ok(GrantedTarget { announcement, guard, waited_ms: now.since(started) })
+}
+
+/// Sends a request to the target that it was granted.
+pub(super) fn start_send(
+    context: &Rc<RequestContext>,
+    history: &mut SendHistory,
+    target: GrantedTarget,
+    last_event: Option<u64>,
+) -> Result<PendingSend, SendFailure> {
+    history.excluded.push(target.guard.target());
+    history.sends += 1;
+    let reason = "the request could not be encoded";
+    PendingSend::start(context, target, last_event)
+        .ok_or_else(|| SendFailure::Final(history.give_up(reason, None)))
+}
+
+/// Waits for the response to a request. If the target is silent, another one replaces it once it has
+/// taken the request.
+async fn await_response(
+    context: &Rc<RequestContext>,
+    history: &mut SendHistory,
+    mut send: PendingSend,
+    last_event: Option<u64>,
+) -> Result<TargetResponse, SendFailure> {
+    loop {
+        history.last_target = Some(send.announcement.id.clone());
+        history.waited_ms = send.waited_ms;
+        let stall_ms = response_stall_ms(context, history);
+        let next = tokio::select! {
+            biased;
+            () = send.receive_head() => return finish_send(context, history, send).await,
+            next = replace_silent(context, history, stall_ms, last_event) => next,
+        };
+        let cause = "the target is silent";
+        history.may_have_run = true;
+        context.count_wasted_prefill(cause);
+        log_send(context, &send.announcement, cause);
+        std::mem::replace(&mut send, next).abandon();
+    }
+}
+
+/// Reads the response to a request and decides whether to respond, retry or refuse.
+pub(super) async fn finish_send(
+    context: &RequestContext,
+    history: &mut SendHistory,
+    send: PendingSend,
+) -> Result<TargetResponse, SendFailure> {
+    let (announcement, result) = send.receive().await;
     handle_send_result(context, history, &announcement, result)
 }
 
@@ -128,11 +209,10 @@
     history: &mut SendHistory,
     announcement: &TargetAnnouncement,
     result: SendResult,
-) -> Result<TargetResponse, Option<Refusal>> {
+) -> Result<TargetResponse, SendFailure> {
     let repeatable = context.route.repeatable();
     let cause = match result {
         SendResult::Response(TargetResponse::Complete(response)) => {
-            history.sends += 1;
             history.may_have_run = true;
             if response.parts.status.is_success() {
                 context.node.clear_suspects(&context.traits);
@@ -147,51 +227,40 @@
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
             context.node.clear_suspects(&context.traits);
-            history.sends += 1;
             history.may_have_run = true;
             return Ok(stream);
         }
-        SendResult::NotRun => {
-            history.sends += 1;
-            "the target did not run the request"
-        }
+        SendResult::NotRun => "the target did not run the request",
         SendResult::Unreachable => {
+            history.sends -= 1;
             history.unreachable += 1;
             log_send(context, announcement, "the target could not be reached");
             if history.unreachable >= MAX_UNREACHABLE {
                 let reason = "several targets could not be reached";
-                return Err(Some(history.give_up(reason, Some(FULL_RETRY_MS))));
+                return Err(SendFailure::Final(history.give_up(reason, Some(FULL_RETRY_MS))));
             }
-            return Err(None);
+            return Err(SendFailure::Free);
         }
         SendResult::Broken(cause) => {
-            history.sends += 1;
             history.may_have_run = true;
             context.node.suspect(&context.traits, announcement);
             context.count_wasted_prefill(cause);
             cause
         }
-        SendResult::Stalled => {
-            history.sends += 1;
-            history.may_have_run = true;
-            let cause = "the target is silent";
-            context.count_wasted_prefill(cause);
-            cause
-        }
         SendResult::DeadlinePassed => {
-            history.sends += 1;
             let reason = "the target did not answer in time";
             log_send(context, announcement, reason);
             context.count_wasted_prefill(reason);
             let status = StatusCode::GATEWAY_TIMEOUT;
-            return Err(Some(Refusal::Failed { status, reason }));
+            return Err(SendFailure::Final(Refusal::Failed { status, reason }));
         }
     };
     log_send(context, announcement, cause);
-    if (history.may_have_run && !repeatable) || !history.may_retry(context) {
-        return Err(Some(history.give_up(cause, Some(FULL_RETRY_MS))));
+    let refusal = history.give_up(cause, Some(FULL_RETRY_MS));
+    if history.may_have_run && !repeatable {
+        return Err(SendFailure::Final(refusal));
     }
-    Err(None)
+    Err(SendFailure::Retry(refusal))
 }
 
 fn log_send(context: &RequestContext, announcement: &TargetAnnouncement, cause: &str) {
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one target and reads the response until it can be forwarded.
 
-use super::retry::SendHistory;
+use super::retry::GrantedTarget;
 use super::{RequestContext, is_streamed};
 use crate::events::EventSplitter;
 use crate::node::{ActiveRequestGuard, NodeState};
@@ -16,20 +16,14 @@
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap};
 use hyper::http::response::Parts;
 use hyper::{Method, Request, Response, StatusCode};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::error::Elapsed;
 
 /// Time to wait for the target's own response after the deadline, in ms. The target stops at the
 /// deadline that it was given.
 const DEADLINE_MARGIN_MS: u64 = 60;
-/// Silence before the first event after which another target is tried, in ms, in addition to the
-/// time for the prompt. It is several times the silence of a busy target.
-const FIRST_EVENT_STALL_MS: u64 = 700;
-/// Prompt tokens per ms that the slowest target processes under load.
-const STALL_TOKENS_PER_MS: u64 = 8;
-/// Silence without streaming after which another target is tried, as a multiple of the route's
-/// latency objective.
-const STALL_OBJECTIVE_FACTOR: u64 = 2;
 /// Size limit of a response that is buffered completely, in bytes.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Total size limit of the responses that a node is buffering, in bytes. It leaves memory for the
@@ -72,8 +66,22 @@
     Broken(&'static str),
     /// No response arrived before the deadline.
     DeadlinePassed,
-    /// The target was silent for so long that another one is tried.
-    Stalled,
+}
+
+/// Head of a response or the reason why there is none.
+type ResponseHead = Result<Result<(Response<Incoming>, ConnectionGuard), SendError>, Elapsed>;
+
+/// Request that was sent to a target. Dropping it closes the connection, which makes the target stop
+/// its work.
+pub(super) struct PendingSend {
+    context: Rc<RequestContext>,
+    pub(super) announcement: TargetAnnouncement,
+    guard: ActiveRequestGuard,
+    /// Time that the request waited for its placement, in ms.
+    pub(super) waited_ms: u64,
+    sent_at: ClockTime,
+    exchange: Pin<Box<dyn Future<Output = ResponseHead>>>,
+    head: Option<ResponseHead>,
 }
 
 impl CompleteResponse {
@@ -97,39 +105,68 @@
     }
 }
 
-/// Sends the request to one target and reads its response: streams up to the first event, all
-/// others to the end.
-pub(super) async fn send_once(
+impl PendingSend {
+    /// Sends a request to one target. Returns `None` if the request cannot be encoded.
+    pub(super) fn start(
+        context: &Rc<RequestContext>,
+        target: GrantedTarget,
+        last_event: Option<u64>,
+    ) -> Option<Self> {
+        let GrantedTarget { announcement, guard, waited_ms } = target;
+        let sent_at = ClockTime::monotonic();
+        let left_ms = context.left_ms(sent_at);
+        let request = build_request(context, &announcement, last_event, left_ms)?;
+        context.commit_reservation();
+        let (node, address) = (context.node.clone(), announcement.address);
+        let exchange = Box::pin(async move {
+            let limit = Duration::from_millis(left_ms + DEADLINE_MARGIN_MS);
+            let sent = tokio::time::timeout(limit, node.upstreams.send(address, request)).await?;
+            Ok(sent.map(|(response, connection, _)| (response, connection)))
+        });
+        let context = context.clone();
+        Some(Self { context, announcement, guard, waited_ms, sent_at, exchange, head: None })
+    }
+
+    /// Waits until the head of the response has arrived or the send has failed. May be dropped and
+    /// called again.
+    pub(super) async fn receive_head(&mut self) {
+        if self.head.is_none() {
+            self.head = Some((&mut self.exchange).await);
+        }
+    }
+
+    /// Returns whether the head of a successful response has arrived.
+    pub(super) fn has_succeeded(&self) -> bool {
+        matches!(&self.head, Some(Ok(Ok((response, _)))) if response.status().is_success())
+    }
+
+    /// Closes the connection to a target that is silent.
+    pub(super) fn abandon(self) {
+        self.guard.finish(AttemptOutcome::Stalled);
+    }
+
+    /// Reads the response: streams up to the first event, all others to the end.
+    pub(super) async fn receive(mut self) -> (TargetAnnouncement, SendResult) {
+        self.receive_head().await;
+        let Self { context, announcement, guard, sent_at, head, .. } = self;
+        let Some(head) = head else { return (announcement, SendResult::DeadlinePassed) };
+        let result = read_exchange(&context, guard, &announcement, head, sent_at).await;
+        (announcement, result)
+    }
+}
+
+async fn read_exchange(
     context: &Rc<RequestContext>,
-    history: &SendHistory,
     guard: ActiveRequestGuard,
     announcement: &TargetAnnouncement,
-    last_event: Option<u64>,
+    head: ResponseHead,
+    sent_at: ClockTime,
 ) -> SendResult {
-    let left_ms = context.left_ms(ClockTime::monotonic());
-    let Some(request) = build_request(context, announcement, last_event, left_ms) else {
-        return SendResult::Broken("the request could not be encoded");
-    };
-    context.commit_reservation();
     let node = &context.node;
-    let sent_at = ClockTime::monotonic();
-    let exchange = async {
-        let (response, connection, _) =
-            match node.upstreams.send(announcement.address, request).await {
-                Ok(sent) => sent,
-                Err(error) => return Err(error),
-            };
-        guard.started();
-        Ok((response, connection))
-    };
-    let stall_ms = response_stall_ms(context, history);
-    let limit_ms = stall_ms.unwrap_or(u64::MAX).min(left_ms + DEADLINE_MARGIN_MS);
-    let sent = tokio::time::timeout(Duration::from_millis(limit_ms), exchange).await;
-    let (response, connection) = match sent {
+    let (response, connection) = match head {
         Err(_) => {
             guard.finish(AttemptOutcome::Stalled);
-            let stalled = stall_ms == Some(limit_ms);
-            return if stalled { SendResult::Stalled } else { SendResult::DeadlinePassed };
+            return SendResult::DeadlinePassed;
         }
         Ok(Err(SendError::NotSent(cause))) => {
             log::debug!(target: "burdockcleat", "event=target.unreachable target={} cause=\"{cause}\"", announcement.id);
@@ -144,6 +181,7 @@
         }
         Ok(Ok(sent)) => sent,
     };
+    guard.started();
     let names = &node.http_api.headers;
     let echoed = response.headers().get(&names.attempt).and_then(|value| value.to_str().ok());
     if echoed != Some(context.request.attempt.as_str()) {
@@ -304,20 +342,6 @@
     }
 }
 
-/// Returns the silence, in ms, after which a request goes to another target, or `None` if it may
-/// not be sent again.
-fn response_stall_ms(context: &RequestContext, history: &SendHistory) -> Option<u64> {
-    let route = &context.route;
-    if !route.repeatable() || history.sends + 1 >= route.max_attempts {
-        return None;
-    }
-    Some(if is_streamed(route) {
-        FIRST_EVENT_STALL_MS + u64::from(context.prompt_tokens()) / STALL_TOKENS_PER_MS
-    } else {
-        route.objective_ms * STALL_OBJECTIVE_FACTOR
-    })
-}
-
 fn build_request(
     context: &RequestContext,
     announcement: &TargetAnnouncement,
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -1,7 +1,10 @@
 //! Forwards an event stream as it arrives and resumes it at another target after a failure.
 
 use super::retry::{SendHistory, send_until_answered};
-use super::send::{MAX_EVENT_FRAME_BYTES, StreamSource, TargetResponse, strip_headers};
+use super::send::{
+    MAX_EVENT_FRAME_BYTES, PendingSend, StreamSource, TargetResponse, strip_headers,
+};
+use super::silence::{replace_silent, stream_stall_ms};
 use super::{RequestContext, log_response};
 use crate::placement::AttemptOutcome;
 use crate::reply::{ReplyBody, StreamBroken};
@@ -18,18 +21,14 @@
 
 /// Longest wait for a slow caller to take the events of a stream that broke off, in ms.
 const MAX_DRAIN_MS: u64 = 1_000;
-/// Minimum silence in the middle of a stream after which it is resumed at another target, in ms. A
-/// target that processes long prompts of other requests pauses for some hundreds of ms.
-const MIN_STREAM_STALL_MS: u64 = 800;
-/// Silence in the middle of a stream after which it is resumed at another target, as a multiple of
-/// the route's longest pause. Callers abandon a stream after eight times that pause.
-const STALL_PAUSE_FACTOR: u64 = 3;
 
 /// Reason why the stream of one target ended.
 enum StreamEnd {
     Complete,
-    /// The connection broke, or the target stalled or sent an invalid stream.
+    /// The connection broke, or the target sent an invalid stream.
     Broken,
+    /// The target was silent, and another one has taken the stream.
+    Replaced(Box<PendingSend>),
     /// The caller closed its connection.
     CallerDisconnected,
     /// The route's timeout or the deadline has passed.
@@ -61,9 +60,10 @@
     let status = source.parts.status;
     history.streaming = true;
     loop {
-        let (end, last_id) = forward_from_target(&context, &mut history, source, &sender).await;
+        let (end, last_id) =
+            forward_from_target(&context, &mut history, source, &sender, last_event).await;
         last_event = last_id.or(last_event);
-        match end {
+        let (cause, next) = match end {
             StreamEnd::Complete => return log_response(&context, &history, status, "stream"),
             StreamEnd::CallerDisconnected => {
                 context.count_wasted_prefill("the caller left");
@@ -74,15 +74,16 @@
                 log_stream_end(&context, &history, "out of time");
                 break;
             }
-            StreamEnd::Broken => {}
-        }
-        context.count_wasted_prefill("the target broke off");
-        log_stream_end(&context, &history, "the target broke off");
+            StreamEnd::Broken => ("the target broke off", None),
+            StreamEnd::Replaced(next) => ("the target is silent", Some(*next)),
+        };
+        context.count_wasted_prefill(cause);
+        log_stream_end(&context, &history, cause);
         if !context.route.resumable {
             break;
         }
         let resumed = tokio::select! {
-            resumed = resume(&context, &mut history, last_event) => resumed,
+            resumed = resume(&context, &mut history, last_event, next) => resumed,
             () = sender.closed() => return log_stream_end(&context, &history, "the caller left"),
         };
         let Some(next) = resumed else { break };
@@ -96,16 +97,18 @@
     let _ = sender.send(Err(StreamBroken)).await;
 }
 
-/// Resumes a stream at another target after the last complete event.
+/// Resumes a stream after the last complete event, at the target of `next` if it was already sent
+/// to one.
 async fn resume(
     context: &Rc<RequestContext>,
     history: &mut SendHistory,
     last_event: Option<u64>,
+    next: Option<PendingSend>,
 ) -> Option<Box<StreamSource>> {
-    if !history.may_retry(context) {
+    if next.is_none() && !history.take_retry(context) {
         return None;
     }
-    match send_until_answered(context, history, last_event).await {
+    match send_until_answered(context, history, last_event, next).await {
         Ok(TargetResponse::Stream(source)) => Some(source),
         Ok(TargetResponse::Complete(_)) => None,
         Err(refusal) => {
@@ -116,11 +119,13 @@
 }
 
 /// Forwards the stream of one target. Returns how it ended and the id of the last complete event.
+/// `last_event` is the last event before this stream.
 async fn forward_from_target(
-    context: &RequestContext,
+    context: &Rc<RequestContext>,
     history: &mut SendHistory,
     source: Box<StreamSource>,
     sender: &Sender<Result<Bytes, StreamBroken>>,
+    last_event: Option<u64>,
 ) -> (StreamEnd, Option<u64>) {
     let StreamSource { mut body, connection, guard, mut splitter, first, ended, .. } = *source;
     if !first.is_empty() && sender.send(Ok(first)).await.is_err() {
@@ -130,18 +135,19 @@
     let mut last_chunk = ClockTime::monotonic();
     while !ended {
         let left_ms = context.left_ms(ClockTime::monotonic());
-        let stall_ms = stream_stall_ms(context, history).unwrap_or(u64::MAX);
+        let stall_ms = stream_stall_ms(context, history);
+        let last_id = splitter.last_id();
         let frame = tokio::select! {
+            biased;
             frame = body.frame() => frame,
-            () = sender.closed() => return (StreamEnd::CallerDisconnected, splitter.last_id()),
-            () = tokio::time::sleep(Duration::from_millis(left_ms.min(stall_ms))) => {
+            () = sender.closed() => return (StreamEnd::CallerDisconnected, last_id),
+            () = tokio::time::sleep(Duration::from_millis(left_ms)) => {
                 guard.finish(AttemptOutcome::Stalled);
-                let end = if stall_ms < left_ms {
-                    StreamEnd::Broken
-                } else {
-                    StreamEnd::DeadlinePassed
-                };
-                return (end, splitter.last_id());
+                return (StreamEnd::DeadlinePassed, last_id);
+            }
+            next = replace_silent(context, history, stall_ms, last_id.or(last_event)) => {
+                guard.finish(AttemptOutcome::Stalled);
+                return (StreamEnd::Replaced(Box::new(next)), last_id);
             }
         };
         let data = match frame {
@@ -182,14 +188,6 @@
     (StreamEnd::Complete, splitter.last_id())
 }
 
-/// Returns the silence, in ms, after which a stream is resumed at another target, or `None` if it
-/// may not be resumed.
-fn stream_stall_ms(context: &RequestContext, history: &SendHistory) -> Option<u64> {
-    let route = &context.route;
-    let may_resume = route.resumable && history.sends < route.max_attempts;
-    may_resume.then(|| MIN_STREAM_STALL_MS.max(route.pause_ms.unwrap_or(0) * STALL_PAUSE_FACTOR))
-}
-
 fn log_stream_end(context: &RequestContext, history: &SendHistory, cause: &str) {
     let id = &context.request.attempt;
     let target = history.last_target.as_deref().unwrap_or("-");
