Examine only the waiting requests for which an allowed target is free

A placement examines the first 16 waiting requests. Those whose free targets were all excluded counted, so 16 of them left the free targets unused and all requests behind them waiting.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -7,6 +7,7 @@
 //! The same scheduler runs on the placement coordinator, which places requests for all nodes, and
 //! on every other node as a fallback. The fallback has an older view of the requests of other nodes.
 
+mod free_targets;
 mod loss;
 mod pacer;
 mod queue;
@@ -94,6 +95,11 @@
 }
 
 impl PlacementRequest {
+    /// Returns whether the request may be sent to a target.
+    pub fn allows(&self, target: &TargetInfo) -> bool {
+        !self.excluded.contains(&target.key)
+    }
+
     /// Returns the request as it is after waiting for another `ms`.
     #[must_use]
     pub fn aged(&self, ms: u64) -> Self {
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -192,12 +192,20 @@
         self.requests.push(waiting);
     }
 
-    /// Returns the waiting requests in order of cost. Built lazily on a heap, since callers mostly
-    /// need the first few only.
-    pub(super) fn in_order(&self, now: ClockTime) -> impl Iterator<Item = &WaitingRequest> {
+    /// Returns the waiting requests that `selects` selects, in order of cost. Built lazily on a
+    /// heap, since callers mostly need the first few only.
+    pub(super) fn in_order<F>(
+        &self,
+        now: ClockTime,
+        selects: F,
+    ) -> impl Iterator<Item = &WaitingRequest>
+    where
+        F: Fn(&PlacementRequest) -> bool,
+    {
         let ordered =
             |waiting| Reverse(OrderedRequest { cost: WaitingRequest::cost(waiting, now), waiting });
-        let mut heap: BinaryHeap<_> = self.requests.iter().map(ordered).collect();
+        let selected = self.requests.iter().filter(|waiting| selects(&waiting.request));
+        let mut heap: BinaryHeap<_> = selected.map(ordered).collect();
         std::iter::from_fn(move || heap.pop().map(|Reverse(ordered)| ordered.waiting))
     }
 
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! Scheduler of one service: its targets, their running requests and the waiting requests.
 
+use super::free_targets::FreeTargets;
 use super::pacer::RatePacer;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
 use super::size_rule::SizeRule;
@@ -35,7 +36,8 @@
 /// Largest loss at which a request is placed without waiting for a better target, as a fraction of
 /// its own value.
 const TOLERATED_LOSS_FRACTION: f64 = 0.25;
-/// Maximum number of waiting requests that are examined per placement; bounds its time.
+/// Maximum number of waiting requests with a free target that are examined per placement; bounds
+/// its time.
 const MAX_EXAMINED: usize = 16;
 /// Time after which the requests of a node that sends no reports are removed, in ms.
 const NODE_TIMEOUT_MS: u64 = 3_000;
@@ -293,8 +295,9 @@
 
     /// Places waiting requests while any target has a free slot.
     pub(super) fn place_waiting(&mut self, now: ClockTime, outputs: &mut Vec<PlacementOutput>) {
-        while self.queue.len() > 0 && self.targets.values().any(|state| state.has_free_slot(now)) {
-            let Some((key, target)) = self.pick_request(now) else { break };
+        while self.queue.len() > 0 {
+            let free = FreeTargets::collect(self.targets.values(), now);
+            let Some((key, target)) = self.pick_request(&free, now) else { break };
             let Some(waiting) = self.queue.take(key) else { break };
             let Some(state) = self.targets.get_mut(&target) else { break };
             state.grant(&waiting, now);
@@ -309,8 +312,13 @@
     }
 
     /// Returns the first request in queue order that should be placed now, with its target.
-    fn pick_request(&self, now: ClockTime) -> Option<(PlacementKey, TargetKey)> {
-        self.queue.in_order(now).take(MAX_EXAMINED).find_map(|waiting| {
+    fn pick_request(
+        &self,
+        free: &FreeTargets,
+        now: ClockTime,
+    ) -> Option<(PlacementKey, TargetKey)> {
+        let placeable = self.queue.in_order(now, |request| free.any_allowed(request));
+        placeable.take(MAX_EXAMINED).find_map(|waiting| {
             self.pick_target(waiting, now).map(|target| (waiting.request.key, target))
         })
     }
@@ -319,8 +327,7 @@
     /// Returns `None` if no target is free, or if the request should wait because a busy target
     /// would have a tolerable loss once it has a free slot.
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
-        let excluded = &waiting.request.excluded;
-        let allowed = || self.targets.values().filter(|s| !excluded.contains(&s.info.key));
+        let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
         let (placement_loss, _, target) = allowed()
             .filter(|state| state.has_free_slot(now))
             .map(|state| {
