Place bound requests on targets of their version only

A request that names the software version of its targets was sent to any free target. Now only targets of that version count as allowed, in every choice of a target and when a better busy one is expected. Requests of a version without a free slot are not examined, so they hold up no others, and requests of any version do not pass a bound one that comes first in the queue. Failed before: a_bound_request_goes_to_no_other_version (two of two bound requests went to the other version), requests_of_a_full_version_hold_up_no_others, a_bound_request_gets_the_next_slot_of_its_version and every_order_of_events_keeps_versions_and_uses_free_targets. The other placement tests pass unchanged.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -97,7 +97,12 @@
 impl PlacementRequest {
     /// Returns whether the request may be sent to a target.
     pub fn allows(&self, target: &TargetInfo) -> bool {
-        !self.excluded.contains(&target.key)
+        self.allows_version(target.version) && !self.excluded.contains(&target.key)
+    }
+
+    /// Returns whether the request may be sent to targets of a software version.
+    pub fn allows_version(&self, version: VersionKey) -> bool {
+        self.version.is_none_or(|only| only == version)
     }
 
     /// Returns the request as it is after waiting for another `ms`.
--- a/crates/edge/src/placement/free_targets.rs
+++ b/crates/edge/src/placement/free_targets.rs
@@ -4,12 +4,13 @@
 //! per placement, rather than for each waiting request.
 
 use super::target::TargetState;
-use super::{PlacementRequest, TargetKey};
+use super::{PlacementRequest, TargetKey, VersionKey};
 use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
 
-/// Targets that may be sent another request.
-#[derive(Debug)]
-pub(super) struct FreeTargets(Vec<TargetKey>);
+/// Targets that may be sent another request, by software version.
+#[derive(Debug, Default)]
+pub(super) struct FreeTargets(BTreeMap<VersionKey, Vec<TargetKey>>);
 
 impl FreeTargets {
     /// Returns those of the targets that have a free slot.
@@ -17,11 +18,16 @@
         states: impl Iterator<Item = &'a TargetState>,
         now: ClockTime,
     ) -> Self {
-        Self(states.filter(|state| state.has_free_slot(now)).map(|state| state.info.key).collect())
+        let mut free = Self::default();
+        for state in states.filter(|state| state.has_free_slot(now)) {
+            free.0.entry(state.info.version).or_default().push(state.info.key);
+        }
+        free
     }
 
     /// Returns whether the request may be sent to any of them.
     pub(super) fn any_allowed(&self, request: &PlacementRequest) -> bool {
-        self.0.iter().any(|target| !request.excluded.contains(target))
+        let mut allowed = self.0.iter().filter(|(version, _)| request.allows_version(**version));
+        allowed.any(|(_, targets)| targets.iter().any(|key| !request.excluded.contains(key)))
     }
 }
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -3,9 +3,13 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
-    PlacementKey, PlacementOutput, PlacementRequest, PlacementScheduler, ProcessKey, TargetInfo,
-    TargetKey, VersionKey,
+    AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest, PlacementScheduler,
+    ProcessKey, TargetInfo, TargetKey, VersionKey,
 };
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
 
 const OLD: VersionKey = VersionKey(1);
 const NEW: VersionKey = VersionKey(2);
@@ -70,3 +74,172 @@
     scheduler.submit(PlacementRequest { rank: 1, ..request(41, None) }, at(0));
     assert_eq!(granted(&mut scheduler), [(41, 2)]);
 }
+
+/// Guards against a stream that goes on at a target of another version than it began at: one that is
+/// free, the only one that is not excluded, or a successor under the same id.
+#[test]
+fn a_bound_request_goes_to_no_other_version() {
+    let mut scheduler = scheduler(&[(1, OLD, 1), (2, NEW, 4)]);
+    scheduler.submit(request(1, Some(OLD)), at(0));
+    assert_eq!(granted(&mut scheduler), [(1, 1)]);
+    scheduler.submit(request(2, Some(OLD)), at(10));
+    let excluded = vec![TargetKey(1)];
+    scheduler.submit(PlacementRequest { excluded, ..request(3, Some(OLD)) }, at(10));
+    // Target 3 starts where target 1 was.
+    set_targets(&mut scheduler, &[(2, NEW, 4), (3, NEW, 4)], 20);
+    scheduler.advance(at(100));
+    assert_eq!(granted(&mut scheduler), []);
+    set_targets(&mut scheduler, &[(2, NEW, 4), (3, NEW, 4), (4, OLD, 1)], 200);
+    scheduler.finished(TargetKey(4), PlacementKey(2), AttemptOutcome::Answered, at(210));
+    let mut both = granted(&mut scheduler);
+    both.sort_unstable();
+    assert_eq!(both, [(2, 4), (3, 4)]);
+}
+
+/// Guards against waiting requests of a version without a free slot that hold up others.
+#[test]
+fn requests_of_a_full_version_hold_up_no_others() {
+    let mut scheduler = scheduler(&[(1, OLD, 1), (2, NEW, 1)]);
+    for key in 0..=40 {
+        scheduler.submit(request(key, Some(OLD)), at(0));
+    }
+    assert_eq!(granted(&mut scheduler), [(0, 1)]);
+    scheduler.submit(PlacementRequest { rank: 1, ..request(41, None) }, at(0));
+    assert_eq!(granted(&mut scheduler), [(41, 2)]);
+}
+
+/// Guards against a bound request that gets no slot of its version since requests of any version take
+/// them.
+#[test]
+fn a_bound_request_gets_the_next_slot_of_its_version() {
+    let mut scheduler = scheduler(&[(1, OLD, 1), (2, NEW, 1)]);
+    scheduler.submit(request(0, Some(OLD)), at(0));
+    scheduler.submit(request(1, Some(NEW)), at(0));
+    for key in 2..60 {
+        scheduler.submit(PlacementRequest { rank: 1, ..request(key, None) }, at(0));
+    }
+    scheduler.submit(request(60, Some(OLD)), at(0));
+    assert_eq!(granted(&mut scheduler), [(0, 1), (1, 2)]);
+    scheduler.finished(TargetKey(2), PlacementKey(1), AttemptOutcome::Answered, at(50));
+    let unbound = granted(&mut scheduler);
+    assert!(matches!(unbound[..], [(2..60, 2)]), "{unbound:?}");
+    scheduler.finished(TargetKey(1), PlacementKey(0), AttemptOutcome::Answered, at(100));
+    assert_eq!(granted(&mut scheduler), [(60, 1)]);
+}
+
+fn allowed(request: &PlacementRequest, target: u64, version: VersionKey) -> bool {
+    request.version.is_none_or(|only| only == version)
+        && !request.excluded.contains(&TargetKey(target))
+}
+
+/// A scheduler under random events, and what its grants left in use.
+struct RandomSchedule {
+    random: StdRng,
+    scheduler: PlacementScheduler,
+    /// Version and slots of each target.
+    targets: BTreeMap<u64, (VersionKey, u32)>,
+    submitted: BTreeMap<u64, PlacementRequest>,
+    /// Running requests with their targets.
+    running: Vec<(u64, u64)>,
+    next_key: u64,
+}
+
+impl RandomSchedule {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: StdRng::seed_from_u64(seed),
+            scheduler: PlacementScheduler::default(),
+            targets: BTreeMap::new(),
+            submitted: BTreeMap::new(),
+            running: Vec::new(),
+            next_key: 0,
+        }
+    }
+
+    fn version(&mut self) -> VersionKey {
+        VersionKey(self.random.random_range(1..=3))
+    }
+
+    /// Replaces some of the targets by others, perhaps of another version.
+    fn change_targets(&mut self, ms: u64) {
+        let random = &mut self.random;
+        self.targets.retain(|_, _| random.random_bool(0.8));
+        while self.targets.len() < 8 {
+            self.next_key += 1;
+            let target = (self.version(), self.random.random_range(1..4));
+            self.targets.insert(self.next_key, target);
+        }
+        let targets = &self.targets;
+        self.running.retain(|(_, target)| targets.contains_key(target));
+        let targets: Vec<_> =
+            targets.iter().map(|(key, target)| (*key, target.0, target.1)).collect();
+        set_targets(&mut self.scheduler, &targets, ms);
+    }
+
+    fn submit(&mut self, ms: u64) {
+        self.next_key += 1;
+        let version = self.random.random_bool(0.6).then(|| self.version());
+        let keys: Vec<_> = self.targets.keys().collect();
+        let excluded = keys.choose_multiple(&mut self.random, 2).map(|key| TargetKey(**key));
+        let rank = u32::from(self.random.random_bool(0.5));
+        let request = PlacementRequest {
+            rank,
+            excluded: excluded.collect(),
+            ..request(self.next_key, version)
+        };
+        self.submitted.insert(self.next_key, request.clone());
+        self.scheduler.submit(request, at(ms));
+    }
+
+    fn finish(&mut self, ms: u64) {
+        if !self.running.is_empty() {
+            let index = self.random.random_range(0..self.running.len());
+            let (key, target) = self.running.swap_remove(index);
+            let (target, key) = (TargetKey(target), PlacementKey(key));
+            self.scheduler.finished(target, key, AttemptOutcome::Answered, at(ms));
+        }
+    }
+
+    fn used(&self, target: u64) -> u32 {
+        self.running.iter().filter(|(_, used)| *used == target).count() as u32
+    }
+
+    /// Checks that all grants were allowed, and that no free target is left to a waiting request.
+    fn check(&mut self) {
+        for (key, target) in granted(&mut self.scheduler) {
+            let request = &self.submitted[&key];
+            let (version, slots) = self.targets[&target];
+            assert!(allowed(request, target, version), "{key} on {target}");
+            self.running.push((key, target));
+            assert!(self.used(target) <= slots, "{key} on {target}");
+        }
+        self.submitted.retain(|key, _| self.scheduler.is_waiting(PlacementKey(*key)));
+        for (key, (version, slots)) in &self.targets {
+            if self.used(*key) < *slots {
+                let left = self.submitted.values().find(|r| allowed(r, *key, *version));
+                assert_eq!(left, None, "{key} is free");
+            }
+        }
+    }
+}
+
+/// Guards against grants beyond the version or the slots of a target, and against free targets that
+/// are left unused while a request waits that may go there, whatever the order of events.
+#[test]
+fn every_order_of_events_keeps_versions_and_uses_free_targets() {
+    for seed in 0..20 {
+        let mut schedule = RandomSchedule::new(seed);
+        let mut most_waiting = 0;
+        for ms in 0..600 {
+            match schedule.random.random_range(0..100) {
+                0..2 => schedule.change_targets(ms),
+                2..65 => schedule.submit(ms),
+                65..95 => schedule.finish(ms),
+                _ => schedule.scheduler.advance(at(ms)),
+            }
+            schedule.check();
+            most_waiting = most_waiting.max(schedule.scheduler.waiting_count());
+        }
+        assert!(most_waiting > 32, "seed {seed}: {most_waiting}");
+    }
+}
