Let requests wait for a first target, and for one of their version

A bound request whose version had lost its targets (a crashed one comes back within seconds) was kept as if its targets were busy and refused for the wait at 60% of its deadline. On a service without any target, requests were to wait 1.2 s, but those that became late were refused at once, since no slot makes any expected wait infinite; a request that got a target within that time kept the short limit. Now each request knows since when no known target may run it: it is refused after 1.2 s of that, with the reason "no target", and its wait is estimated only while a target is known. requests_without_any_target_wait_for_one failed before: three bound requests were refused at 2.4 s for the wait; alone with a service without targets (trial), at 0.425, 0.925 and 1.2 s. The other placement tests pass unchanged.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -27,7 +27,7 @@
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use service::{RateLimits, ServiceScheduler};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Key of one placement of a request; unique across nodes and restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -105,6 +105,11 @@
         self.version.is_none_or(|only| only == version)
     }
 
+    /// Returns whether the request may be sent to targets of any of the software versions.
+    pub fn allows_any(&self, versions: &BTreeSet<VersionKey>) -> bool {
+        versions.iter().any(|version| self.allows_version(*version))
+    }
+
     /// Returns the request as it is after waiting for another `ms`.
     #[must_use]
     pub fn aged(&self, ms: u64) -> Self {
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -13,6 +13,9 @@
 /// Fraction of the time left at arrival after which a waiting request is refused. The rest leaves
 /// the caller time to retry.
 const EXPIRY_FRACTION: f64 = 0.6;
+/// Longest wait of a request while no known target may run it, in ms. Targets announce themselves
+/// about every second, also to nodes that have just started.
+const NO_TARGET_WAIT_MS: u64 = 1_200;
 /// Exponent of the slot time per unit of value in the weight. Below 1, so that the rank counts for
 /// more than the size.
 const SLOT_TIME_EXPONENT: f64 = 0.7;
@@ -65,6 +68,8 @@
     pub(super) send_by: Option<ClockTime>,
     /// Time at which the request is refused.
     pub(super) expires: ClockTime,
+    /// Time since which no known target may run the request; `None` if one may.
+    pub(super) targetless_since: Option<ClockTime>,
     /// Work to prefill the prompt, in tokens.
     pub(super) prefill_work: f64,
     /// Value of serving the request on time, relative to the mean request of its rank.
@@ -138,6 +143,7 @@
             arrived: now,
             send_by,
             expires,
+            targetless_since: None,
             prefill_work,
             value,
             weight,
@@ -150,6 +156,18 @@
         self.send_by.is_some_and(|send_by| send_by > now)
     }
 
+    /// Returns whether the request has waited for too long. While no known target may run it, its
+    /// wait cannot be expected, and one is waited for.
+    fn expired(&self, now: ClockTime) -> bool {
+        self.expires <= now
+            || self.targetless_since.is_some_and(|since| now.since(since) >= NO_TARGET_WAIT_MS)
+    }
+
+    /// Returns whether the request has become late since its expected wait was checked.
+    fn newly_late(&self, now: ClockTime) -> bool {
+        self.targetless_since.is_none() && !self.late_checked && !self.on_time(now)
+    }
+
     /// Returns the cost of the request in the order of the queue; lower costs go first.
     fn cost(&self, now: ClockTime) -> f64 {
         if self.on_time(now) { self.weight } else { self.weight * LATE_FACTOR }
@@ -218,6 +236,20 @@
         self.requests.retain(|waiting| waiting.request.key != key);
     }
 
+    /// Records which requests a known target may run.
+    pub(super) fn mark_targetless<F>(&mut self, has_target: F, now: ClockTime)
+    where
+        F: Fn(&PlacementRequest) -> bool,
+    {
+        for waiting in &mut self.requests {
+            if !has_target(&waiting.request) {
+                waiting.targetless_since.get_or_insert(now);
+            } else if waiting.targetless_since.take().is_some() {
+                waiting.late_checked = false;
+            }
+        }
+    }
+
     pub(super) fn contains(&self, key: PlacementKey) -> bool {
         self.requests.iter().any(|waiting| waiting.request.key == key)
     }
@@ -244,9 +276,8 @@
         let mut index = 0;
         while index < self.requests.len() {
             let waiting = &self.requests[index];
-            let expired = waiting.expires <= now;
-            let late = !waiting.late_checked && !waiting.on_time(now);
-            if !expired && !late {
+            let expired = waiting.expired(now);
+            if !expired && !waiting.newly_late(now) {
                 index += 1;
                 continue;
             }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -10,19 +10,17 @@
 use super::target::{AttemptOutcome, RunningRequest, TargetInfo, TargetState};
 use super::{
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
-    TargetKey,
+    TargetKey, VersionKey,
 };
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Largest fraction of the time left until the deadline that a request may spend waiting. A refused
 /// caller retries within a third of the time that it has left.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Retry delay while no target is usable, in ms. Targets announce themselves every second.
 const NO_TARGET_RETRY_MS: u64 = 500;
-/// Longest wait of a request while the service has no known target, in ms.
-const NO_TARGET_WAIT_MS: u64 = 1_200;
 /// Shortest retry delay, in ms.
 const MIN_RETRY_MS: u64 = 100;
 /// Longest retry delay, in ms.
@@ -60,6 +58,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
     targets: BTreeMap<TargetKey, TargetState>,
+    /// Software versions of the targets.
+    versions: BTreeSet<VersionKey>,
     queue: WaitingQueue,
     sizes: SizeStatistics,
     summary: TargetSummary,
@@ -96,6 +96,9 @@
                     state
                 });
         }
+        self.versions = infos.iter().map(|info| info.version).collect();
+        let versions = &self.versions;
+        self.queue.mark_targetless(|request| request.allows_any(versions), now);
     }
 
     /// Applies the limits of the request rates.
@@ -136,11 +139,9 @@
         let size = self.sizes.count_arrival(&request, now);
         let estimate = self.estimate(&request);
         let mut waiting = WaitingRequest::new(request, size, estimate, now);
-        if self.targets.is_empty() {
-            // Targets announce themselves about every second, also to nodes that have just started.
-            waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
-        }
-        if waiting.send_by.is_none() {
+        let has_target = waiting.request.allows_any(&self.versions);
+        waiting.targetless_since = (!has_target).then_some(now);
+        if waiting.send_by.is_none() && has_target {
             let wait_ms = self.queue.expected_wait_ms(&waiting, self.summary.capacity, now);
             if wait_ms > waiting.request.deadline_left_ms as f64 * MAX_WAIT_FRACTION {
                 outputs.push(refusal(&waiting.request, RefusalReason::WaitTooLong, wait_ms as u64));
@@ -254,7 +255,7 @@
         self.refresh_summary(now);
         for refused in self.queue.take_refused(self.summary.capacity, MAX_WAIT_FRACTION, now) {
             let (request, wait_ms) = (&refused.waiting.request, refused.wait_ms as u64);
-            if self.targets.is_empty() {
+            if refused.waiting.targetless_since.is_some() {
                 outputs.push(refusal(request, RefusalReason::NoTarget, NO_TARGET_RETRY_MS));
             } else {
                 outputs.push(refusal(request, RefusalReason::WaitTooLong, wait_ms));
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -4,7 +4,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
     AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest, PlacementScheduler,
-    ProcessKey, TargetInfo, TargetKey, VersionKey,
+    ProcessKey, RefusalReason, TargetInfo, TargetKey, VersionKey,
 };
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -127,6 +127,56 @@
     assert_eq!(granted(&mut scheduler), [(60, 1)]);
 }
 
+/// Advances every 25 ms until `end_ms`. Returns the requests refused meanwhile, with the time and
+/// the reason.
+fn refused(
+    scheduler: &mut PlacementScheduler,
+    start_ms: u64,
+    end_ms: u64,
+) -> Vec<(u64, u64, RefusalReason)> {
+    let mut refused = Vec::new();
+    for ms in (start_ms..end_ms).step_by(25) {
+        scheduler.advance(at(ms));
+        for output in scheduler.take_outputs() {
+            if let PlacementOutput::Refuse { key, reason, .. } = output {
+                refused.push((key.0, ms, reason));
+            }
+        }
+    }
+    refused.sort_unstable_by_key(|(key, ..)| *key);
+    refused
+}
+
+/// Guards against refusals as soon as requests are late while a crashed target is away, and against
+/// requests that wait for one that does not come back.
+#[test]
+fn requests_without_any_target_wait_for_one() {
+    for (version, others) in [(Some(OLD), vec![(2, NEW, 8)]), (None, Vec::new())] {
+        let mut scheduler = scheduler(&others);
+        for key in 0..3 {
+            let objective_left_ms = 500 * key as i64;
+            scheduler
+                .submit(PlacementRequest { objective_left_ms, ..request(key, version) }, at(0));
+        }
+        let refusals = refused(&mut scheduler, 0, 3_000);
+        let no_target = |key| (key, 1_200, RefusalReason::NoTarget);
+        assert_eq!(refusals, [0, 1, 2].map(no_target), "{version:?}");
+        // A target that comes back is used, and the wait without one no longer counts.
+        scheduler.submit(request(3, version), at(3_000));
+        let patient = PlacementRequest { rank: 1, deadline_left_ms: 8_000, ..request(4, version) };
+        scheduler.submit(patient, at(3_000));
+        assert_eq!(refused(&mut scheduler, 3_000, 4_100), []);
+        set_targets(&mut scheduler, &[others.clone(), vec![(1, OLD, 1)]].concat(), 4_100);
+        assert_eq!(granted(&mut scheduler), [(3, 1)]);
+        assert_eq!(refused(&mut scheduler, 4_100, 4_300), []);
+        assert!(scheduler.is_waiting(PlacementKey(4)), "{version:?}");
+        // When it is lost, the other one waits as if it had just arrived.
+        set_targets(&mut scheduler, &others, 4_300);
+        let refusals = refused(&mut scheduler, 4_300, 6_000);
+        assert_eq!(refusals, [(4, 5_500, RefusalReason::NoTarget)], "{version:?}");
+    }
+}
+
 fn allowed(request: &PlacementRequest, target: u64, version: VersionKey) -> bool {
     request.version.is_none_or(|only| only == version)
         && !request.excluded.contains(&TargetKey(target))
