--- /dev/null
+++ b/crates/edge/src/placement/arrivals.rs
@@ -0,0 +1,62 @@
+//! Load of the requests that arrived at a service recently.
+
+use super::queue::WaitingRequest;
+use burdockcleat_core::clock::ClockTime;
+
+/// Time constant of the arrival statistics, in ms; short enough to follow bursts of a few seconds.
+const ARRIVAL_TIME_CONSTANT_MS: f64 = 1_000.0;
+/// Number of weight classes in the arrival statistics; each class covers twice the weight of the
+/// one before.
+const WEIGHT_CLASSES: usize = 64;
+
+/// Exponentially decayed sums over the arrivals of one service.
+#[derive(Debug)]
+pub(super) struct ArrivalStatistics {
+    /// Slot time of the requests that arrived during the last second or so, in ms, by weight class.
+    loads: [f64; WEIGHT_CLASSES],
+    /// Time to which the sums are decayed.
+    decayed_at: ClockTime,
+    count: f64,
+    prefill_work: f64,
+    /// Expected output tokens.
+    output_tokens: f64,
+}
+
+impl Default for ArrivalStatistics {
+    fn default() -> Self {
+        let loads = [0.0; WEIGHT_CLASSES];
+        let decayed_at = ClockTime::default();
+        Self { loads, decayed_at, count: 0.0, prefill_work: 0.0, output_tokens: 0.0 }
+    }
+}
+
+impl ArrivalStatistics {
+    /// Adds a request.
+    pub(super) fn count(&mut self, waiting: &WaitingRequest, now: ClockTime) {
+        let decay = (-(now.since(self.decayed_at) as f64) / ARRIVAL_TIME_CONSTANT_MS).exp();
+        self.decayed_at = now;
+        for load in &mut self.loads {
+            *load *= decay;
+        }
+        self.loads[weight_class(waiting.weight)] += waiting.load_ms;
+        self.count = self.count * decay + 1.0;
+        self.prefill_work = self.prefill_work * decay + waiting.prefill_work;
+        self.output_tokens = self.output_tokens * decay + f64::from(waiting.request.output_tokens);
+    }
+
+    /// Returns the mean prefill work and the mean expected output tokens.
+    pub(super) fn mean_request(&self) -> (f64, f64) {
+        let count = self.count.max(1.0);
+        (self.prefill_work / count, self.output_tokens / count)
+    }
+
+    /// Returns the number of slots of mean speed that arrivals take ahead of a request, given its
+    /// cost in the order of the queue.
+    pub(super) fn slots_ahead(&self, cost: f64) -> f64 {
+        self.loads[..weight_class(cost)].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS
+    }
+}
+
+fn weight_class(weight: f64) -> usize {
+    (weight.max(1.0).log2() as usize).min(WEIGHT_CLASSES - 1)
+}
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -4,6 +4,7 @@
 //! until it is just too late. Requests that can still meet their objective therefore go first.
 //! Among these, requests that need less slot time for their value go first, weighted by rank.
 
+use super::arrivals::ArrivalStatistics;
 use super::sizes::{RequestSize, SizeBand};
 use super::{PlacementKey, PlacementRequest};
 use burdockcleat_core::clock::ClockTime;
@@ -35,11 +36,6 @@
 const FIRST_EVENT_MARGIN: f64 = 1.5;
 /// Allowance for the network between caller and node and for the placement datagrams, in ms.
 const NETWORK_DELAY_MS: f64 = 25.0;
-/// Time constant of the arrival statistics, in ms; short enough to follow bursts of a few seconds.
-const ARRIVAL_TIME_CONSTANT_MS: f64 = 1_000.0;
-/// Number of weight classes in the arrival statistics; each class covers twice the weight of the
-/// one before.
-const WEIGHT_CLASSES: usize = 64;
 /// Minimum fraction of the slots that is assumed free for a request, however much load goes ahead
 /// of it.
 const MIN_FREE_FRACTION: f64 = 0.05;
@@ -75,9 +71,9 @@
     /// Value of serving the request on time, relative to the mean request of its rank.
     pub(super) value: f64,
     /// Cost in the order of the queue while the request is on time.
-    weight: f64,
+    pub(super) weight: f64,
     /// Slot time on a target of mean speed, in ms.
-    load_ms: f64,
+    pub(super) load_ms: f64,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -176,33 +172,11 @@
 
 /// The waiting requests of one service. As excess requests are refused, there are a few hundred at
 /// most. A scan is cheaper than an index, since costs change with time.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct WaitingQueue {
     requests: Vec<WaitingRequest>,
-    /// Slot time of the requests that arrived during the last second or so, in ms, by weight class.
-    /// Decays exponentially.
-    arriving_load: [f64; WEIGHT_CLASSES],
-    /// Time to which the arrival statistics are decayed.
-    decayed_at: ClockTime,
-    /// Exponentially decayed count of arrivals, and sums of their prefill work and expected output
-    /// tokens.
-    arrival_count: f64,
-    prefill_work_sum: f64,
-    output_token_sum: f64,
-}
-
-impl Default for WaitingQueue {
-    fn default() -> Self {
-        let arriving_load = [0.0; WEIGHT_CLASSES];
-        Self {
-            requests: Vec::new(),
-            arriving_load,
-            decayed_at: ClockTime::default(),
-            arrival_count: 0.0,
-            prefill_work_sum: 0.0,
-            output_token_sum: 0.0,
-        }
-    }
+    /// Requests that arrived recently, whether they still wait or not.
+    pub(super) arrivals: ArrivalStatistics,
 }
 
 impl WaitingQueue {
@@ -295,26 +269,6 @@
         refused
     }
 
-    /// Adds a request to the arrival statistics.
-    pub(super) fn count_arrival(&mut self, waiting: &WaitingRequest, now: ClockTime) {
-        let decay = (-(now.since(self.decayed_at) as f64) / ARRIVAL_TIME_CONSTANT_MS).exp();
-        self.decayed_at = now;
-        for load in &mut self.arriving_load {
-            *load *= decay;
-        }
-        self.arriving_load[weight_class(waiting.weight)] += waiting.load_ms;
-        self.arrival_count = self.arrival_count * decay + 1.0;
-        self.prefill_work_sum = self.prefill_work_sum * decay + waiting.prefill_work;
-        self.output_token_sum =
-            self.output_token_sum * decay + f64::from(waiting.request.output_tokens);
-    }
-
-    /// Returns the mean prefill work and the mean expected output tokens of recent arrivals.
-    pub(super) fn mean_request(&self) -> (f64, f64) {
-        let arrival_count = self.arrival_count.max(1.0);
-        (self.prefill_work_sum / arrival_count, self.output_token_sum / arrival_count)
-    }
-
     /// Returns the expected wait of a request, in ms, given `slots` slots of mean speed. This is
     /// the load of the waiting requests ahead of it, divided by the slots that are not taken by new
     /// arrivals that go ahead of it.
@@ -334,14 +288,8 @@
             .filter(|other| other.cost(now) <= cost)
             .map(|other| other.load_ms)
             .sum();
-        let class = weight_class(cost);
-        let arriving_slots: f64 =
-            self.arriving_load[..class].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS;
+        let arriving_slots = self.arrivals.slots_ahead(cost);
         let free_slots = (slots - arriving_slots).max(slots * MIN_FREE_FRACTION);
         load_ahead_ms / free_slots.max(f64::EPSILON)
     }
 }
-
-fn weight_class(weight: f64) -> usize {
-    (weight.max(1.0).log2() as usize).min(WEIGHT_CLASSES - 1)
-}
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -148,7 +148,7 @@
                 return;
             }
         }
-        self.queue.count_arrival(&waiting, now);
+        self.queue.arrivals.count(&waiting, now);
         self.queue.push(waiting);
         self.place_waiting(now, outputs);
     }
@@ -360,7 +360,7 @@
 
     fn refresh_summary(&mut self, now: ClockTime) {
         if !self.summary.is_current(now) {
-            let mean_request = self.queue.mean_request();
+            let mean_request = self.queue.arrivals.mean_request();
             self.summary = TargetSummary::compute(self.targets.values(), mean_request, now);
         }
     }
