Expect the wait for a target by software version

The wait was the whole load ahead over all slots. A request bound to a version with few slots was accepted for a wait that it could not survive; any other was refused for load that does not compete for its slots. Now load and recent arrivals are counted by the version that they are bound to. Bound load takes the slots of its version; load bound to none fills the versions with the shortest waits up to the same wait. With one version this is the same wait as before. waits_are_expected_by_version failed before: behind 40 requests bound to a full version of one slot, requests for the other version (19 slots) were refused like all others. The other placement tests pass unchanged.

--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -18,6 +18,7 @@
 mod speed;
 mod summary;
 mod target;
+mod version_slots;
 
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
--- a/crates/edge/src/placement/arrivals.rs
+++ b/crates/edge/src/placement/arrivals.rs
@@ -1,19 +1,25 @@
 //! Load of the requests that arrived at a service recently.
 
+use super::VersionKey;
 use super::queue::WaitingRequest;
+use super::version_slots::VersionLoads;
 use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
 
 /// Time constant of the arrival statistics, in ms; short enough to follow bursts of a few seconds.
 const ARRIVAL_TIME_CONSTANT_MS: f64 = 1_000.0;
 /// Number of weight classes in the arrival statistics; each class covers twice the weight of the
 /// one before.
 const WEIGHT_CLASSES: usize = 64;
+/// Slot time below which the arrivals of a version are forgotten, in ms; versions come and go.
+const MIN_LOAD_MS: f64 = 0.001;
 
 /// Exponentially decayed sums over the arrivals of one service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct ArrivalStatistics {
-    /// Slot time of the requests that arrived during the last second or so, in ms, by weight class.
-    loads: [f64; WEIGHT_CLASSES],
+    /// Slot time of the requests that arrived during the last second or so, in ms, by the version
+    /// that they are bound to and by weight class.
+    loads: BTreeMap<Option<VersionKey>, [f64; WEIGHT_CLASSES]>,
     /// Time to which the sums are decayed.
     decayed_at: ClockTime,
     count: f64,
@@ -22,23 +28,17 @@
     output_tokens: f64,
 }
 
-impl Default for ArrivalStatistics {
-    fn default() -> Self {
-        let loads = [0.0; WEIGHT_CLASSES];
-        let decayed_at = ClockTime::default();
-        Self { loads, decayed_at, count: 0.0, prefill_work: 0.0, output_tokens: 0.0 }
-    }
-}
-
 impl ArrivalStatistics {
     /// Adds a request.
     pub(super) fn count(&mut self, waiting: &WaitingRequest, now: ClockTime) {
         let decay = (-(now.since(self.decayed_at) as f64) / ARRIVAL_TIME_CONSTANT_MS).exp();
         self.decayed_at = now;
-        for load in &mut self.loads {
+        for load in self.loads.values_mut().flatten() {
             *load *= decay;
         }
-        self.loads[weight_class(waiting.weight)] += waiting.load_ms;
+        self.loads.retain(|_, loads| loads.iter().any(|load| *load > MIN_LOAD_MS));
+        let loads = self.loads.entry(waiting.request.version).or_insert([0.0; WEIGHT_CLASSES]);
+        loads[weight_class(waiting.weight)] += waiting.load_ms;
         self.count = self.count * decay + 1.0;
         self.prefill_work = self.prefill_work * decay + waiting.prefill_work;
         self.output_tokens = self.output_tokens * decay + f64::from(waiting.request.output_tokens);
@@ -50,10 +50,12 @@
         (self.prefill_work / count, self.output_tokens / count)
     }
 
-    /// Returns the number of slots of mean speed that arrivals take ahead of a request, given its
-    /// cost in the order of the queue.
-    pub(super) fn slots_ahead(&self, cost: f64) -> f64 {
-        self.loads[..weight_class(cost)].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS
+    /// Returns the slots of mean speed that arrivals take ahead of a request, given its cost in the
+    /// order of the queue.
+    pub(super) fn slots_ahead(&self, cost: f64) -> VersionLoads {
+        let classes = ..weight_class(cost);
+        let ahead = |loads: &[f64]| loads[classes].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS;
+        self.loads.iter().map(|(version, loads)| (*version, ahead(loads))).collect()
     }
 }
 
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -6,6 +6,7 @@
 
 use super::arrivals::ArrivalStatistics;
 use super::sizes::{RequestSize, SizeBand};
+use super::version_slots::{VersionLoads, VersionSlots};
 use super::{PlacementKey, PlacementRequest};
 use burdockcleat_core::clock::ClockTime;
 use std::cmp::{Ordering, Reverse};
@@ -36,10 +37,6 @@
 const FIRST_EVENT_MARGIN: f64 = 1.5;
 /// Allowance for the network between caller and node and for the placement datagrams, in ms.
 const NETWORK_DELAY_MS: f64 = 25.0;
-/// Minimum fraction of the slots that is assumed free for a request, however much load goes ahead
-/// of it.
-const MIN_FREE_FRACTION: f64 = 0.05;
-
 /// Estimated cost of serving a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestEstimate {
@@ -242,7 +239,7 @@
     /// left.
     pub(super) fn take_refused(
         &mut self,
-        slots: f64,
+        slots: &VersionSlots,
         max_wait_fraction: f64,
         now: ClockTime,
     ) -> Vec<RefusedRequest> {
@@ -269,27 +266,24 @@
         refused
     }
 
-    /// Returns the expected wait of a request, in ms, given `slots` slots of mean speed. This is
-    /// the load of the waiting requests ahead of it, divided by the slots that are not taken by new
-    /// arrivals that go ahead of it.
+    /// Returns the expected wait of a request, in ms, given the slots of the usable targets. This
+    /// follows from the load of the waiting requests ahead of it and from the slots that are not
+    /// taken by new arrivals that go ahead of it.
     pub(super) fn expected_wait_ms(
         &self,
         waiting: &WaitingRequest,
-        slots: f64,
+        slots: &VersionSlots,
         now: ClockTime,
     ) -> f64 {
         if self.requests.is_empty() {
             return 0.0;
         }
         let cost = waiting.cost(now);
-        let load_ahead_ms: f64 = self
-            .requests
-            .iter()
-            .filter(|other| other.cost(now) <= cost)
-            .map(|other| other.load_ms)
-            .sum();
-        let arriving_slots = self.arrivals.slots_ahead(cost);
-        let free_slots = (slots - arriving_slots).max(slots * MIN_FREE_FRACTION);
-        load_ahead_ms / free_slots.max(f64::EPSILON)
+        let mut loads_ahead = VersionLoads::new();
+        for other in self.requests.iter().filter(|other| other.cost(now) <= cost) {
+            *loads_ahead.entry(other.request.version).or_default() += other.load_ms;
+        }
+        let free_slots = slots.left_by(&self.arrivals.slots_ahead(cost));
+        free_slots.wait_ms(waiting.request.version, &loads_ahead)
     }
 }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -142,7 +142,7 @@
         let has_target = waiting.request.allows_any(&self.versions);
         waiting.targetless_since = (!has_target).then_some(now);
         if waiting.send_by.is_none() && has_target {
-            let wait_ms = self.queue.expected_wait_ms(&waiting, self.summary.capacity, now);
+            let wait_ms = self.queue.expected_wait_ms(&waiting, &self.summary.capacity, now);
             if wait_ms > waiting.request.deadline_left_ms as f64 * MAX_WAIT_FRACTION {
                 outputs.push(refusal(&waiting.request, RefusalReason::WaitTooLong, wait_ms as u64));
                 return;
@@ -253,7 +253,7 @@
         }
         self.place_waiting(now, outputs);
         self.refresh_summary(now);
-        for refused in self.queue.take_refused(self.summary.capacity, MAX_WAIT_FRACTION, now) {
+        for refused in self.queue.take_refused(&self.summary.capacity, MAX_WAIT_FRACTION, now) {
             let (request, wait_ms) = (&refused.waiting.request, refused.wait_ms as u64);
             if refused.waiting.targetless_since.is_some() {
                 outputs.push(refusal(request, RefusalReason::NoTarget, NO_TARGET_RETRY_MS));
--- a/crates/edge/src/placement/summary.rs
+++ b/crates/edge/src/placement/summary.rs
@@ -5,6 +5,7 @@
 
 use super::speed::SpeedModel;
 use super::target::TargetState;
+use super::version_slots::VersionSlots;
 use burdockcleat_core::clock::ClockTime;
 
 /// Time for which a summary is used, in ms. Speed estimates change over several requests only.
@@ -13,7 +14,7 @@
 const LONG_PROMPT_FACTOR: f64 = 4.0;
 
 /// Speeds and slots of the targets of a service.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct TargetSummary {
     /// Mean speed of all targets.
     pub(super) mean: SpeedModel,
@@ -21,8 +22,8 @@
     pub(super) fastest: SpeedModel,
     /// Mean number of slots per target.
     pub(super) slots: f64,
-    /// Number of slots of the usable targets, converted to slots of mean speed.
-    pub(super) capacity: f64,
+    /// Slots of the usable targets.
+    pub(super) capacity: VersionSlots,
     /// Time of the computation; `None` if the summary must be recomputed.
     computed_at: Option<ClockTime>,
 }
@@ -30,7 +31,8 @@
 impl Default for TargetSummary {
     fn default() -> Self {
         let prior = SpeedModel::PRIOR;
-        Self { mean: prior, fastest: prior, slots: 0.0, capacity: 0.0, computed_at: None }
+        let capacity = VersionSlots::default();
+        Self { mean: prior, fastest: prior, slots: 0.0, capacity, computed_at: None }
     }
 }
 
@@ -58,17 +60,16 @@
         let slots = states.clone().map(|state| f64::from(state.info.slots)).sum::<f64>() / count;
         let mean_request_ms =
             |speed: &SpeedModel| speed.load_ms(prefill_work, output_tokens, slots);
-        let usable = states.filter(|state| state.usable(now));
-        let capacity = usable.map(|state| {
+        let mut capacity = VersionSlots::default();
+        for state in states {
             let relative =
                 mean_request_ms(&mean) / mean_request_ms(state.speed()).max(f64::EPSILON);
-            let slots = f64::from(state.info.slots);
+            let slots = if state.usable(now) { f64::from(state.info.slots) } else { 0.0 };
             let used = state.pacer.map_or(slots, |pacer| {
                 (pacer.rate_per_ms() * mean_request_ms(state.speed())).min(slots)
             });
-            used * relative
-        });
-        let capacity = capacity.sum();
+            capacity.add(state.info.version, used * relative);
+        }
         Self { mean, fastest: fastest.unwrap_or(mean), slots, capacity, computed_at: Some(now) }
     }
 }
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -177,6 +177,47 @@
     }
 }
 
+/// Submits a request that is late on arrival, so that its wait is checked. Returns whether it waits,
+/// and withdraws it.
+fn late_request_waits(
+    scheduler: &mut PlacementScheduler,
+    version: Option<VersionKey>,
+    ms: u64,
+) -> bool {
+    let (objective_left_ms, deadline_left_ms) = (0, 2_000);
+    let late = PlacementRequest { objective_left_ms, deadline_left_ms, ..request(999, version) };
+    scheduler.submit(late, at(ms));
+    let waits = scheduler.is_waiting(PlacementKey(999));
+    scheduler.withdraw(PlacementKey(999));
+    waits
+}
+
+/// Guards against refusals for the wait of another version, and against accepting requests that their
+/// own version cannot serve in time: right after a burst of them, and long after.
+#[test]
+fn waits_are_expected_by_version() {
+    let mut scheduler = scheduler(&[(1, OLD, 1), (2, NEW, 19)]);
+    let patient = |key, version| PlacementRequest {
+        objective_left_ms: 20_000,
+        deadline_left_ms: 40_000,
+        ..request(key, version)
+    };
+    for key in 0..60 {
+        scheduler.submit(patient(key, Some(if key < 19 { NEW } else { OLD })), at(0));
+    }
+    for ms in [1, 5_000] {
+        let waits = [None, Some(NEW), Some(OLD)].map(|v| late_request_waits(&mut scheduler, v, ms));
+        assert_eq!(waits, [true, true, false], "at {ms}");
+    }
+    // Requests for any target take those of each version.
+    (20..60).for_each(|key| scheduler.withdraw(PlacementKey(key)));
+    assert!(late_request_waits(&mut scheduler, Some(OLD), 5_000));
+    (100..200).for_each(|key| scheduler.submit(patient(key, None), at(5_000)));
+    for version in [None, Some(NEW), Some(OLD)] {
+        assert!(!late_request_waits(&mut scheduler, version, 9_000), "{version:?}");
+    }
+}
+
 fn allowed(request: &PlacementRequest, target: u64, version: VersionKey) -> bool {
     request.version.is_none_or(|only| only == version)
         && !request.excluded.contains(&TargetKey(target))
