--- a/crates/edge/src/placement/free_targets.rs
+++ b/crates/edge/src/placement/free_targets.rs
@@ -3,7 +3,7 @@
 //! Hundreds of requests may wait for targets that are busy. Which targets are free is found once
 //! per placement, rather than for each waiting request.
 
-use super::target::TargetState;
+use super::target::{TargetInfo, TargetState};
 use super::{PlacementRequest, TargetKey, VersionKey};
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
@@ -25,6 +25,20 @@
         free
     }
 
+    /// Removes a target that has no free slot any more.
+    pub(super) fn remove(&mut self, target: &TargetInfo) {
+        if let Some(keys) = self.0.get_mut(&target.version) {
+            keys.retain(|key| *key != target.key);
+            if keys.is_empty() {
+                self.0.remove(&target.version);
+            }
+        }
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns whether the request may be sent to any of them.
     pub(super) fn any_allowed(&self, request: &PlacementRequest) -> bool {
         let mut allowed = self.0.iter().filter(|(version, _)| request.allows_version(**version));
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -296,12 +296,18 @@
 
     /// Places waiting requests while any target has a free slot.
     pub(super) fn place_waiting(&mut self, now: ClockTime, outputs: &mut Vec<PlacementOutput>) {
-        while self.queue.len() > 0 {
-            let free = FreeTargets::collect(self.targets.values(), now);
+        if self.queue.len() == 0 {
+            return;
+        }
+        let mut free = FreeTargets::collect(self.targets.values(), now);
+        while !free.is_empty() {
             let Some((key, target)) = self.pick_request(&free, now) else { break };
             let Some(waiting) = self.queue.take(key) else { break };
             let Some(state) = self.targets.get_mut(&target) else { break };
             state.grant(&waiting, now);
+            if !state.has_free_slot(now) {
+                free.remove(&state.info);
+            }
             self.sizes.count_grant(&waiting.request, waiting.band);
             outputs.push(PlacementOutput::Grant {
                 key: waiting.request.key,
