Judge bound requests by the fastest target of their version

Whether a request can still meet its objective, and whether it may hope for a better target, followed from the fastest target of the service, also if the request may not be sent to it. Now a bound request is judged by the fastest target of its version. a_bound_prompt_is_judged_by_the_targets_of_its_version failed before: a prompt that takes 1 s on the only target of its version, with an objective of 500 ms, went ahead of one that could still meet its objective. The other placement tests pass unchanged.

--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -342,7 +342,8 @@
             })
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
-        if placement_loss <= tolerated_loss || !self.summary.fastest.prefills_within_pause(waiting)
+        if placement_loss <= tolerated_loss
+            || !self.summary.fastest(&waiting.request).prefills_within_pause(waiting)
         {
             return Some(target);
         }
@@ -356,10 +357,10 @@
 
     fn estimate(&self, request: &PlacementRequest) -> RequestEstimate {
         let prefill_work = f64::from(request.prompt_tokens);
-        let TargetSummary { mean, fastest, slots, .. } = self.summary;
+        let TargetSummary { mean, slots, .. } = self.summary;
         RequestEstimate {
             prefill_work,
-            first_ms: fastest.first_event_ms(prefill_work),
+            first_ms: self.summary.fastest(request).first_event_ms(prefill_work),
             load_ms: mean.load_ms(prefill_work, f64::from(request.output_tokens), slots),
         }
     }
--- a/crates/edge/src/placement/summary.rs
+++ b/crates/edge/src/placement/summary.rs
@@ -6,7 +6,9 @@
 use super::speed::SpeedModel;
 use super::target::TargetState;
 use super::version_slots::VersionSlots;
+use super::{PlacementRequest, VersionKey};
 use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
 
 /// Time for which a summary is used, in ms. Speed estimates change over several requests only.
 const MAX_AGE_MS: u64 = 50;
@@ -18,8 +20,11 @@
 pub(super) struct TargetSummary {
     /// Mean speed of all targets.
     pub(super) mean: SpeedModel,
-    /// Speed of the target with the shortest time to the first event for a long prompt.
-    pub(super) fastest: SpeedModel,
+    /// Speed of the target of each version with the shortest time to the first event for a long
+    /// prompt.
+    fastest: BTreeMap<VersionKey, SpeedModel>,
+    /// Speed of the fastest of these.
+    fastest_of_all: SpeedModel,
     /// Mean number of slots per target.
     pub(super) slots: f64,
     /// Slots of the usable targets.
@@ -32,7 +37,8 @@
     fn default() -> Self {
         let prior = SpeedModel::PRIOR;
         let capacity = VersionSlots::default();
-        Self { mean: prior, fastest: prior, slots: 0.0, capacity, computed_at: None }
+        let (fastest, fastest_of_all) = (BTreeMap::new(), prior);
+        Self { mean: prior, fastest, fastest_of_all, slots: 0.0, capacity, computed_at: None }
     }
 }
 
@@ -46,6 +52,13 @@
         self.computed_at.is_some_and(|computed_at| now.since(computed_at) < MAX_AGE_MS)
     }
 
+    /// Returns the speed of the fastest target that the request may be sent to, or of all targets if
+    /// its version has none.
+    pub(super) fn fastest(&self, request: &PlacementRequest) -> SpeedModel {
+        let of_version = request.version.and_then(|version| self.fastest.get(&version));
+        of_version.copied().unwrap_or(self.fastest_of_all)
+    }
+
     /// Computes the summary. The mean request is given by its prefill work and its output tokens.
     pub(super) fn compute<'a>(
         states: impl Iterator<Item = &'a TargetState> + Clone,
@@ -54,8 +67,13 @@
     ) -> Self {
         let mean = SpeedModel::mean(states.clone().map(|state| *state.speed()));
         let long = |speed: &SpeedModel| speed.first_event_ms(prefill_work * LONG_PROMPT_FACTOR);
-        let speeds = states.clone().map(|state| *state.speed());
-        let fastest = speeds.min_by(|left, right| long(left).total_cmp(&long(right)));
+        let faster = |left: &SpeedModel, right: &SpeedModel| long(left).total_cmp(&long(right));
+        let mut fastest = BTreeMap::new();
+        for state in states.clone() {
+            let best = fastest.entry(state.info.version).or_insert(*state.speed());
+            *best = std::cmp::min_by(*best, *state.speed(), faster);
+        }
+        let fastest_of_all = fastest.values().copied().min_by(faster).unwrap_or(mean);
         let count = states.clone().count().max(1) as f64;
         let slots = states.clone().map(|state| f64::from(state.info.slots)).sum::<f64>() / count;
         let mean_request_ms =
@@ -70,6 +88,6 @@
             });
             capacity.add(state.info.version, used * relative);
         }
-        Self { mean, fastest: fastest.unwrap_or(mean), slots, capacity, computed_at: Some(now) }
+        Self { mean, fastest, fastest_of_all, slots, capacity, computed_at: Some(now) }
     }
 }
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -4,7 +4,7 @@
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::{
     AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest, PlacementScheduler,
-    ProcessKey, RefusalReason, TargetInfo, TargetKey, VersionKey,
+    ProcessKey, RefusalReason, SpeedModel, TargetInfo, TargetKey, VersionKey,
 };
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -218,6 +218,33 @@
     }
 }
 
+/// Guards against judging a bound request by a fast target of another version. Its prompt would count
+/// as on time until its objective has passed, and go ahead of those that can still meet theirs.
+#[test]
+fn a_bound_prompt_is_judged_by_the_targets_of_its_version() {
+    let mut scheduler = PlacementScheduler::default();
+    let speed = |read_ms| SpeedModel { fixed_ms: 10.0, read_ms, token_ms: 2.0 };
+    scheduler.restore_speeds(&[(TargetKey(1), speed(0.5)), (TargetKey(2), speed(0.01))]);
+    set_targets(&mut scheduler, &[(1, OLD, 1), (2, NEW, 1)], 0);
+    scheduler.submit(request(0, Some(OLD)), at(0));
+    scheduler.submit(request(1, Some(NEW)), at(0));
+    // The prefill takes 1 s on the target of the old version and 20 ms on the other one; the
+    // objective is 500 ms.
+    let long = |key, version| PlacementRequest { prompt_tokens: 2_000, ..request(key, version) };
+    let short =
+        |key, version| PlacementRequest { prompt_tokens: 300, rank: 1, ..request(key, version) };
+    scheduler.submit(long(2, Some(OLD)), at(100));
+    scheduler.submit(short(3, Some(OLD)), at(100));
+    scheduler.submit(long(4, Some(NEW)), at(100));
+    scheduler.submit(short(5, Some(NEW)), at(100));
+    granted(&mut scheduler);
+    for target in [1, 2] {
+        let key = PlacementKey(target - 1);
+        scheduler.finished(TargetKey(target), key, AttemptOutcome::Answered, at(200));
+    }
+    assert_eq!(granted(&mut scheduler), [(3, 1), (4, 2)]);
+}
+
 fn allowed(request: &PlacementRequest, target: u64, version: VersionKey) -> bool {
     request.version.is_none_or(|only| only == version)
         && !request.excluded.contains(&TargetKey(target))
