--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -7,6 +7,8 @@
 //! The same scheduler runs on the placement coordinator, which places requests for all nodes, and
 //! on every other node as a fallback. The fallback has an older view of the requests of other nodes.
 
+mod arrivals;
+mod free_targets;
 mod loss;
 mod pacer;
 mod queue;
@@ -16,6 +18,7 @@
 mod speed;
 mod summary;
 mod target;
+mod version_slots;
 
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
@@ -26,7 +29,7 @@
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use service::{RateLimits, ServiceScheduler};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Key of one placement of a request; unique across nodes and restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -94,6 +97,21 @@
 }
 
 impl PlacementRequest {
+    /// Returns whether the request may be sent to a target.
+    pub fn allows(&self, target: &TargetInfo) -> bool {
+        self.allows_version(target.version) && !self.excluded.contains(&target.key)
+    }
+
+    /// Returns whether the request may be sent to targets of a software version.
+    pub fn allows_version(&self, version: VersionKey) -> bool {
+        self.version.is_none_or(|only| only == version)
+    }
+
+    /// Returns whether the request may be sent to targets of any of the software versions.
+    pub fn allows_any(&self, versions: &BTreeSet<VersionKey>) -> bool {
+        versions.iter().any(|version| self.allows_version(*version))
+    }
+
     /// Returns the request as it is after waiting for another `ms`.
     #[must_use]
     pub fn aged(&self, ms: u64) -> Self {
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -4,7 +4,9 @@
 //! until it is just too late. Requests that can still meet their objective therefore go first.
 //! Among these, requests that need less slot time for their value go first, weighted by rank.
 
+use super::arrivals::ArrivalStatistics;
 use super::sizes::{RequestSize, SizeBand};
+use super::version_slots::{VersionLoads, VersionSlots};
 use super::{PlacementKey, PlacementRequest};
 use burdockcleat_core::clock::ClockTime;
 use std::cmp::{Ordering, Reverse};
@@ -13,6 +15,9 @@
 /// Fraction of the time left at arrival after which a waiting request is refused. The rest leaves
 /// the caller time to retry.
 const EXPIRY_FRACTION: f64 = 0.6;
+/// Longest wait of a request while no known target may run it, in ms. Targets announce themselves
+/// about every second, also to nodes that have just started.
+const NO_TARGET_WAIT_MS: u64 = 1_200;
 /// Exponent of the slot time per unit of value in the weight. Below 1, so that the rank counts for
 /// more than the size.
 const SLOT_TIME_EXPONENT: f64 = 0.7;
@@ -32,15 +37,6 @@
 const FIRST_EVENT_MARGIN: f64 = 1.5;
 /// Allowance for the network between caller and node and for the placement datagrams, in ms.
 const NETWORK_DELAY_MS: f64 = 25.0;
-/// Time constant of the arrival statistics, in ms; short enough to follow bursts of a few seconds.
-const ARRIVAL_TIME_CONSTANT_MS: f64 = 1_000.0;
-/// Number of weight classes in the arrival statistics; each class covers twice the weight of the
-/// one before.
-const WEIGHT_CLASSES: usize = 64;
-/// Minimum fraction of the slots that is assumed free for a request, however much load goes ahead
-/// of it.
-const MIN_FREE_FRACTION: f64 = 0.05;
-
 /// Estimated cost of serving a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RequestEstimate {
@@ -65,14 +61,16 @@
     pub(super) send_by: Option<ClockTime>,
     /// Time at which the request is refused.
     pub(super) expires: ClockTime,
+    /// Time since which no known target may run the request; `None` if one may.
+    pub(super) targetless_since: Option<ClockTime>,
     /// Work to prefill the prompt, in tokens.
     pub(super) prefill_work: f64,
     /// Value of serving the request on time, relative to the mean request of its rank.
     pub(super) value: f64,
     /// Cost in the order of the queue while the request is on time.
-    weight: f64,
+    pub(super) weight: f64,
     /// Slot time on a target of mean speed, in ms.
-    load_ms: f64,
+    pub(super) load_ms: f64,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -138,6 +136,7 @@
             arrived: now,
             send_by,
             expires,
+            targetless_since: None,
             prefill_work,
             value,
             weight,
@@ -150,6 +149,18 @@
         self.send_by.is_some_and(|send_by| send_by > now)
     }
 
+    /// Returns whether the request has waited for too long. While no known target may run it, its
+    /// wait cannot be expected, and one is waited for.
+    fn expired(&self, now: ClockTime) -> bool {
+        self.expires <= now
+            || self.targetless_since.is_some_and(|since| now.since(since) >= NO_TARGET_WAIT_MS)
+    }
+
+    /// Returns whether the request has become late since its expected wait was checked.
+    fn newly_late(&self, now: ClockTime) -> bool {
+        self.targetless_since.is_none() && !self.late_checked && !self.on_time(now)
+    }
+
     /// Returns the cost of the request in the order of the queue; lower costs go first.
     fn cost(&self, now: ClockTime) -> f64 {
         if self.on_time(now) { self.weight } else { self.weight * LATE_FACTOR }
@@ -158,33 +169,11 @@
 
 /// The waiting requests of one service. As excess requests are refused, there are a few hundred at
 /// most. A scan is cheaper than an index, since costs change with time.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct WaitingQueue {
     requests: Vec<WaitingRequest>,
-    /// Slot time of the requests that arrived during the last second or so, in ms, by weight class.
-    /// Decays exponentially.
-    arriving_load: [f64; WEIGHT_CLASSES],
-    /// Time to which the arrival statistics are decayed.
-    decayed_at: ClockTime,
-    /// Exponentially decayed count of arrivals, and sums of their prefill work and expected output
-    /// tokens.
-    arrival_count: f64,
-    prefill_work_sum: f64,
-    output_token_sum: f64,
-}
-
-impl Default for WaitingQueue {
-    fn default() -> Self {
-        let arriving_load = [0.0; WEIGHT_CLASSES];
-        Self {
-            requests: Vec::new(),
-            arriving_load,
-            decayed_at: ClockTime::default(),
-            arrival_count: 0.0,
-            prefill_work_sum: 0.0,
-            output_token_sum: 0.0,
-        }
-    }
+    /// Requests that arrived recently, whether they still wait or not.
+    pub(super) arrivals: ArrivalStatistics,
 }
 
 impl WaitingQueue {
@@ -192,12 +181,20 @@
         self.requests.push(waiting);
     }
 
-    /// Returns the waiting requests in order of cost. Built lazily on a heap, since callers mostly
-    /// need the first few only.
-    pub(super) fn in_order(&self, now: ClockTime) -> impl Iterator<Item = &WaitingRequest> {
+    /// Returns the waiting requests that `selects` selects, in order of cost. Built lazily on a
+    /// heap, since callers mostly need the first few only.
+    pub(super) fn in_order<F>(
+        &self,
+        now: ClockTime,
+        selects: F,
+    ) -> impl Iterator<Item = &WaitingRequest>
+    where
+        F: Fn(&PlacementRequest) -> bool,
+    {
         let ordered =
             |waiting| Reverse(OrderedRequest { cost: WaitingRequest::cost(waiting, now), waiting });
-        let mut heap: BinaryHeap<_> = self.requests.iter().map(ordered).collect();
+        let selected = self.requests.iter().filter(|waiting| selects(&waiting.request));
+        let mut heap: BinaryHeap<_> = selected.map(ordered).collect();
         std::iter::from_fn(move || heap.pop().map(|Reverse(ordered)| ordered.waiting))
     }
 
@@ -210,6 +207,20 @@
         self.requests.retain(|waiting| waiting.request.key != key);
     }
 
+    /// Records which requests a known target may run.
+    pub(super) fn mark_targetless<F>(&mut self, has_target: F, now: ClockTime)
+    where
+        F: Fn(&PlacementRequest) -> bool,
+    {
+        for waiting in &mut self.requests {
+            if !has_target(&waiting.request) {
+                waiting.targetless_since.get_or_insert(now);
+            } else if waiting.targetless_since.take().is_some() {
+                waiting.late_checked = false;
+            }
+        }
+    }
+
     pub(super) fn contains(&self, key: PlacementKey) -> bool {
         self.requests.iter().any(|waiting| waiting.request.key == key)
     }
@@ -228,7 +239,7 @@
     /// left.
     pub(super) fn take_refused(
         &mut self,
-        slots: f64,
+        slots: &VersionSlots,
         max_wait_fraction: f64,
         now: ClockTime,
     ) -> Vec<RefusedRequest> {
@@ -236,9 +247,8 @@
         let mut index = 0;
         while index < self.requests.len() {
             let waiting = &self.requests[index];
-            let expired = waiting.expires <= now;
-            let late = !waiting.late_checked && !waiting.on_time(now);
-            if !expired && !late {
+            let expired = waiting.expired(now);
+            if !expired && !waiting.newly_late(now) {
                 index += 1;
                 continue;
             }
@@ -256,53 +266,24 @@
         refused
     }
 
-    /// Adds a request to the arrival statistics.
-    pub(super) fn count_arrival(&mut self, waiting: &WaitingRequest, now: ClockTime) {
-        let decay = (-(now.since(self.decayed_at) as f64) / ARRIVAL_TIME_CONSTANT_MS).exp();
-        self.decayed_at = now;
-        for load in &mut self.arriving_load {
-            *load *= decay;
-        }
-        self.arriving_load[weight_class(waiting.weight)] += waiting.load_ms;
-        self.arrival_count = self.arrival_count * decay + 1.0;
-        self.prefill_work_sum = self.prefill_work_sum * decay + waiting.prefill_work;
-        self.output_token_sum =
-            self.output_token_sum * decay + f64::from(waiting.request.output_tokens);
-    }
-
-    /// Returns the mean prefill work and the mean expected output tokens of recent arrivals.
-    pub(super) fn mean_request(&self) -> (f64, f64) {
-        let arrival_count = self.arrival_count.max(1.0);
-        (self.prefill_work_sum / arrival_count, self.output_token_sum / arrival_count)
-    }
-
-    /// Returns the expected wait of a request, in ms, given `slots` slots of mean speed. This is
-    /// the load of the waiting requests ahead of it, divided by the slots that are not taken by new
-    /// arrivals that go ahead of it.
+    /// Returns the expected wait of a request, in ms, given the slots of the usable targets. This
+    /// follows from the load of the waiting requests ahead of it and from the slots that are not
+    /// taken by new arrivals that go ahead of it.
     pub(super) fn expected_wait_ms(
         &self,
         waiting: &WaitingRequest,
-        slots: f64,
+        slots: &VersionSlots,
         now: ClockTime,
     ) -> f64 {
         if self.requests.is_empty() {
             return 0.0;
         }
         let cost = waiting.cost(now);
-        let load_ahead_ms: f64 = self
-            .requests
-            .iter()
-            .filter(|other| other.cost(now) <= cost)
-            .map(|other| other.load_ms)
-            .sum();
-        let class = weight_class(cost);
-        let arriving_slots: f64 =
-            self.arriving_load[..class].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS;
-        let free_slots = (slots - arriving_slots).max(slots * MIN_FREE_FRACTION);
-        load_ahead_ms / free_slots.max(f64::EPSILON)
+        let mut loads_ahead = VersionLoads::new();
+        for other in self.requests.iter().filter(|other| other.cost(now) <= cost) {
+            *loads_ahead.entry(other.request.version).or_default() += other.load_ms;
+        }
+        let free_slots = slots.left_by(&self.arrivals.slots_ahead(cost));
+        free_slots.wait_ms(waiting.request.version, &loads_ahead)
     }
 }
-
-fn weight_class(weight: f64) -> usize {
-    (weight.max(1.0).log2() as usize).min(WEIGHT_CLASSES - 1)
-}
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! Scheduler of one service: its targets, their running requests and the waiting requests.
 
+use super::free_targets::FreeTargets;
 use super::pacer::RatePacer;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
 use super::size_rule::SizeRule;
@@ -9,19 +10,17 @@
 use super::target::{AttemptOutcome, RunningRequest, TargetInfo, TargetState};
 use super::{
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
-    TargetKey,
+    TargetKey, VersionKey,
 };
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// Largest fraction of the time left until the deadline that a request may spend waiting. A refused
 /// caller retries within a third of the time that it has left.
 const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Retry delay while no target is usable, in ms. Targets announce themselves every second.
 const NO_TARGET_RETRY_MS: u64 = 500;
-/// Longest wait of a request while the service has no known target, in ms.
-const NO_TARGET_WAIT_MS: u64 = 1_200;
 /// Shortest retry delay, in ms.
 const MIN_RETRY_MS: u64 = 100;
 /// Longest retry delay, in ms.
@@ -35,7 +34,8 @@
 /// Largest loss at which a request is placed without waiting for a better target, as a fraction of
 /// its own value.
 const TOLERATED_LOSS_FRACTION: f64 = 0.25;
-/// Maximum number of waiting requests that are examined per placement; bounds its time.
+/// Maximum number of waiting requests with a free target that are examined per placement; bounds
+/// its time.
 const MAX_EXAMINED: usize = 16;
 /// Time after which the requests of a node that sends no reports are removed, in ms.
 const NODE_TIMEOUT_MS: u64 = 3_000;
@@ -58,6 +58,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
     targets: BTreeMap<TargetKey, TargetState>,
+    /// Software versions of the targets.
+    versions: BTreeSet<VersionKey>,
     queue: WaitingQueue,
     sizes: SizeStatistics,
     summary: TargetSummary,
@@ -94,6 +96,9 @@
                     state
                 });
         }
+        self.versions = infos.iter().map(|info| info.version).collect();
+        let versions = &self.versions;
+        self.queue.mark_targetless(|request| request.allows_any(versions), now);
     }
 
     /// Applies the limits of the request rates.
@@ -134,18 +139,16 @@
         let size = self.sizes.count_arrival(&request, now);
         let estimate = self.estimate(&request);
         let mut waiting = WaitingRequest::new(request, size, estimate, now);
-        if self.targets.is_empty() {
-            // Targets announce themselves about every second, also to nodes that have just started.
-            waiting.expires = waiting.expires.min(now.plus(NO_TARGET_WAIT_MS));
-        }
-        if waiting.send_by.is_none() {
-            let wait_ms = self.queue.expected_wait_ms(&waiting, self.summary.capacity, now);
+        let has_target = waiting.request.allows_any(&self.versions);
+        waiting.targetless_since = (!has_target).then_some(now);
+        if waiting.send_by.is_none() && has_target {
+            let wait_ms = self.queue.expected_wait_ms(&waiting, &self.summary.capacity, now);
             if wait_ms > waiting.request.deadline_left_ms as f64 * MAX_WAIT_FRACTION {
                 outputs.push(refusal(&waiting.request, RefusalReason::WaitTooLong, wait_ms as u64));
                 return;
             }
         }
-        self.queue.count_arrival(&waiting, now);
+        self.queue.arrivals.count(&waiting, now);
         self.queue.push(waiting);
         self.place_waiting(now, outputs);
     }
@@ -250,9 +253,9 @@
         }
         self.place_waiting(now, outputs);
         self.refresh_summary(now);
-        for refused in self.queue.take_refused(self.summary.capacity, MAX_WAIT_FRACTION, now) {
+        for refused in self.queue.take_refused(&self.summary.capacity, MAX_WAIT_FRACTION, now) {
             let (request, wait_ms) = (&refused.waiting.request, refused.wait_ms as u64);
-            if self.targets.is_empty() {
+            if refused.waiting.targetless_since.is_some() {
                 outputs.push(refusal(request, RefusalReason::NoTarget, NO_TARGET_RETRY_MS));
             } else {
                 outputs.push(refusal(request, RefusalReason::WaitTooLong, wait_ms));
@@ -293,11 +296,18 @@
 
     /// Places waiting requests while any target has a free slot.
     pub(super) fn place_waiting(&mut self, now: ClockTime, outputs: &mut Vec<PlacementOutput>) {
-        while self.queue.len() > 0 && self.targets.values().any(|state| state.has_free_slot(now)) {
-            let Some((key, target)) = self.pick_request(now) else { break };
+        if self.queue.len() == 0 {
+            return;
+        }
+        let mut free = FreeTargets::collect(self.targets.values(), now);
+        while !free.is_empty() {
+            let Some((key, target)) = self.pick_request(&free, now) else { break };
             let Some(waiting) = self.queue.take(key) else { break };
             let Some(state) = self.targets.get_mut(&target) else { break };
             state.grant(&waiting, now);
+            if !state.has_free_slot(now) {
+                free.remove(&state.info);
+            }
             self.sizes.count_grant(&waiting.request, waiting.band);
             outputs.push(PlacementOutput::Grant {
                 key: waiting.request.key,
@@ -309,8 +319,13 @@
     }
 
     /// Returns the first request in queue order that should be placed now, with its target.
-    fn pick_request(&self, now: ClockTime) -> Option<(PlacementKey, TargetKey)> {
-        self.queue.in_order(now).take(MAX_EXAMINED).find_map(|waiting| {
+    fn pick_request(
+        &self,
+        free: &FreeTargets,
+        now: ClockTime,
+    ) -> Option<(PlacementKey, TargetKey)> {
+        let placeable = self.queue.in_order(now, |request| free.any_allowed(request));
+        placeable.take(MAX_EXAMINED).find_map(|waiting| {
             self.pick_target(waiting, now).map(|target| (waiting.request.key, target))
         })
     }
@@ -319,8 +334,7 @@
     /// Returns `None` if no target is free, or if the request should wait because a busy target
     /// would have a tolerable loss once it has a free slot.
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
-        let excluded = &waiting.request.excluded;
-        let allowed = || self.targets.values().filter(|s| !excluded.contains(&s.info.key));
+        let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
         let (placement_loss, _, target) = allowed()
             .filter(|state| state.has_free_slot(now))
             .map(|state| {
@@ -328,7 +342,8 @@
             })
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
-        if placement_loss <= tolerated_loss || !self.summary.fastest.prefills_within_pause(waiting)
+        if placement_loss <= tolerated_loss
+            || !self.summary.fastest(&waiting.request).prefills_within_pause(waiting)
         {
             return Some(target);
         }
@@ -342,17 +357,17 @@
 
     fn estimate(&self, request: &PlacementRequest) -> RequestEstimate {
         let prefill_work = f64::from(request.prompt_tokens);
-        let TargetSummary { mean, fastest, slots, .. } = self.summary;
+        let TargetSummary { mean, slots, .. } = self.summary;
         RequestEstimate {
             prefill_work,
-            first_ms: fastest.first_event_ms(prefill_work),
+            first_ms: self.summary.fastest(request).first_event_ms(prefill_work),
             load_ms: mean.load_ms(prefill_work, f64::from(request.output_tokens), slots),
         }
     }
 
     fn refresh_summary(&mut self, now: ClockTime) {
         if !self.summary.is_current(now) {
-            let mean_request = self.queue.mean_request();
+            let mean_request = self.queue.arrivals.mean_request();
             self.summary = TargetSummary::compute(self.targets.values(), mean_request, now);
         }
     }
