Answer callers in HTTP/1.1 whatever the target speaks

What callers saw: a stream of an HTTP/1.0 target that broke off inside an event arrived as a 200 without length or chunks, and its connection was closed in order.

Cause: the head of the target's answer was forwarded with its version, and hyper frames a body of unknown length in HTTP/1.0 by the end of the connection, where a broken stream cannot be told from a whole one.

Change: the version is replaced together with the headers that apply only to the connection to the target.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -13,9 +13,9 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap};
+use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH};
 use hyper::http::response::Parts;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Version};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -77,23 +77,25 @@
 }
 
 impl CompleteResponse {
-    pub(crate) fn into_response(self, context: &RequestContext) -> Response<ReplyBody> {
+    pub(crate) fn into_response(mut self, context: &RequestContext) -> Response<ReplyBody> {
         let body = if self.body.is_empty() { None } else { Some(self.body) };
-        let mut response = Response::from_parts(self.parts, ReplyBody::Full(body));
-        strip_headers(response.headers_mut(), context.request.method == Method::HEAD);
-        response
+        prepare_head(&mut self.parts, context.request.method == Method::HEAD);
+        Response::from_parts(self.parts, ReplyBody::Full(body))
     }
 }
 
-/// Removes the headers that apply only to the connection to the target.
-pub(crate) fn strip_headers(headers: &mut HeaderMap, keep_length: bool) {
-    let dropped: Vec<_> = headers
+/// Replaces what applies only to the connection to the target: its HTTP version, which decides how a
+/// body without a length ends, and its headers.
+pub(crate) fn prepare_head(parts: &mut Parts, keep_length: bool) {
+    parts.version = Version::HTTP_11;
+    let dropped: Vec<_> = parts
+        .headers
         .keys()
         .filter(|name| is_hop_by_hop(name) || (**name == CONTENT_LENGTH && !keep_length))
         .cloned()
         .collect();
     for name in dropped {
-        headers.remove(&name);
+        parts.headers.remove(&name);
     }
 }
 
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -1,7 +1,7 @@
 //! Forwards an event stream as it arrives and resumes it at another target after a failure.
 
 use super::retry::{SendHistory, send_until_answered};
-use super::send::{MAX_EVENT_FRAME_BYTES, StreamSource, TargetResponse, strip_headers};
+use super::send::{MAX_EVENT_FRAME_BYTES, StreamSource, TargetResponse, prepare_head};
 use super::{RequestContext, log_response};
 use crate::placement::AttemptOutcome;
 use crate::reply::{ReplyBody, StreamBroken};
@@ -44,7 +44,7 @@
 ) -> Response<ReplyBody> {
     let (sender, receiver): (_, Receiver<Result<Bytes, StreamBroken>>) = channel(CHANNEL_CAPACITY);
     let mut head = source.parts.clone();
-    strip_headers(&mut head.headers, false);
+    prepare_head(&mut head, false);
     tokio::task::spawn_local(forward_stream(context, history, source, sender));
     Response::from_parts(head, ReplyBody::Stream(receiver))
 }
