Exit after the connections of callers have ended

What callers saw: 2.6 s after the SIGTERM of a node the connection was closed in the middle of their request's body, or of an answer that they read slowly.

Cause: the node exited once no request was running. A request counts as running from the end of its body until its answer is handed to the connection, not while either is being transferred.

Change: connections of callers are counted, and the node exits once they have ended, or at the planned time as before. Idle connections close at once when connections are told to, so a node without requests exits as early as before.

--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -36,6 +36,7 @@
 }
 
 async fn serve_caller(node: Rc<NodeState>, stream: TcpStream) {
+    let _connection = node.track_connection();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "burdockcleat", "event=caller.socket_failed cause=\"{error}\"");
         return;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -112,7 +112,9 @@
     pauses: RefCell<BTreeMap<TargetKey, ClockTime>>,
     next_placement_key: Cell<u64>,
     status_sequence: Cell<u64>,
-    running: Cell<usize>,
+    running: Rc<Cell<usize>>,
+    /// Number of open connections of callers.
+    connections: Rc<Cell<usize>>,
     /// Total size of the responses that are being buffered.
     pub(crate) buffered_bytes: Cell<usize>,
     /// Memory that was last saved for the next start.
@@ -127,12 +129,19 @@
     suspects_changed: Notify,
 }
 
-/// Counts a request as running until it is dropped.
-pub(crate) struct RunningGuard(Rc<NodeState>);
+/// Counts a request or connection until it is dropped.
+pub(crate) struct CountGuard(Rc<Cell<usize>>);
 
-impl Drop for RunningGuard {
+impl CountGuard {
+    fn new(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self(count.clone())
+    }
+}
+
+impl Drop for CountGuard {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+        self.0.set(self.0.get() - 1);
     }
 }
 
@@ -172,9 +181,13 @@
     }
 
     /// Counts a request as running until the guard is dropped.
-    pub(crate) fn track_running(self: &Rc<Self>) -> RunningGuard {
-        self.running.set(self.running.get() + 1);
-        RunningGuard(self.clone())
+    pub(crate) fn track_running(&self) -> CountGuard {
+        CountGuard::new(&self.running)
+    }
+
+    /// Counts a connection of a caller as open until the guard is dropped.
+    pub(crate) fn track_connection(&self) -> CountGuard {
+        CountGuard::new(&self.connections)
     }
 
     /// Returns a new key for a placement request.
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -96,7 +96,8 @@
             pauses: RefCell::default(),
             next_placement_key: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
-            running: Cell::new(0),
+            running: Rc::default(),
+            connections: Rc::default(),
             buffered_bytes: Cell::new(0),
             last_saved_memory: RefCell::default(),
             fetching_usage: Cell::default(),
@@ -107,7 +108,7 @@
         Ok(Self { state: Rc::new(state), callers, ready, control, peers, metrics })
     }
 
-    /// Serves until SIGTERM, then shuts down once the running requests end or the grace period is
+    /// Serves until SIGTERM, then shuts down once the callers' connections end or the grace period is
     /// over. `reload_seeds` reads the seeds again and returns `None` if they cannot be read.
     ///
     /// # Errors
@@ -189,8 +190,9 @@
                 self.stage.send_replace(ShutdownStage::Closing);
                 continue;
             }
-            let idle = self.running.get() == 0 && *self.stage.borrow() == ShutdownStage::Closing;
-            if idle || now >= plan.exit_at {
+            // A connection is open until its last answer has been written.
+            let idle = self.running.get() == 0 && self.connections.get() == 0;
+            if (idle && *self.stage.borrow() == ShutdownStage::Closing) || now >= plan.exit_at {
                 break;
             }
         }
