Answer running and waiting requests before the exit

What callers saw: at the end of the grace period of a planned stop their connections closed without an answer, also those of requests that had not been sent to any target (LOST).

Cause: the node exited 0.6 s before the end of the period, whatever was running or waiting, and had no step that answers the rest. With a period under 3.6 s the exit also came before the last sixth of the period.

Change: a last stage, up to 0.2 s before the exit. Requests that wait for a target, or whose body is incomplete, are refused with 503, Retry-After and Connection: close; those that a target has been sent get 502, because they may have run. Streams in progress are forwarded until the exit, since a caller can resume them. The order within the last stage matters: the end of one request grants its slot to a waiting one, which would be sent and cut off at once. Both margins shrink with a short period; requests keep at least five sixths of it.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::suspects::RequestTrait;
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use retry::SendHistory;
 use send::TargetResponse;
@@ -27,6 +28,10 @@
 const CONFIG_WAIT_MS: u64 = 1_000;
 /// Reason for refusing a request that has what crashes targets.
 const CRASHES_TARGETS: &str = "requests like this one crash targets";
+/// Reason for refusing a request because the node is shutting down.
+const STOPPING: &str = "the node is stopping";
+/// Retry-after time of a node that is shutting down, in ms. Other nodes serve the request.
+const STOPPING_RETRY_MS: u64 = 50;
 /// Divisor of a request's deadline that gives its longest wait for the configuration. It leaves the
 /// caller time to retry.
 const CONFIG_WAIT_DIVISOR: u64 = 3;
@@ -178,7 +183,15 @@
 pub(crate) async fn serve(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
     let received = ClockTime::monotonic();
     let limits = node.limits();
-    let request = match CallerRequest::read(request, &node.http_api, limits, received).await {
+    let read = tokio::select! {
+        read = CallerRequest::read(request, &node.http_api, limits, received) => read,
+        () = node.until_last_answers() => {
+            let stopping =
+                Refusal::NotRun { reason: STOPPING, retry_after_ms: Some(STOPPING_RETRY_MS) };
+            return refuse(&node, "-", None, received, &stopping);
+        }
+    };
+    let request = match read {
         Ok(request) => request,
         Err(error) => return reject_unreadable(&node, &error),
     };
@@ -188,7 +201,10 @@
         let limit_ms = request.deadline_ms.map_or(CONFIG_WAIT_MS, |ms| ms / CONFIG_WAIT_DIVISOR);
         let limit = Duration::from_millis(limit_ms.min(CONFIG_WAIT_MS));
         // If there is still no document after the wait, the request is refused below.
-        let _ = tokio::time::timeout(limit, known).await;
+        tokio::select! {
+            _ = tokio::time::timeout(limit, known) => {}
+            () = node.until_last_answers() => {}
+        }
     }
     let attempt = request.attempt.clone();
     let context = match admit(&node, request) {
@@ -308,7 +324,11 @@
         "event=request.refused id={attempt} route={route} status={status} reason=\"{reason}\" after_ms={after_ms} config={version}{inputs}"
     );
     node.metrics.borrow_mut().count("requests_refused", reason, 1);
-    refusal.reply()
+    let mut response = refusal.reply();
+    if node.is_stopping() {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
 }
 
 fn log_response(context: &RequestContext, history: &SendHistory, status: StatusCode, how: &str) {
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one target after another until one responds or no retry is left.
 
 use super::send::{CompleteResponse, SendResult, TargetResponse, send_once};
-use super::{CRASHES_TARGETS, Refusal, RequestContext};
+use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS};
 use crate::node::{ActiveRequestGuard, Placement};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey};
 use crate::targets::TargetAnnouncement;
@@ -28,6 +28,8 @@
 pub(crate) struct SendHistory {
     /// Number of sends that reached a target.
     pub(crate) sends: u32,
+    /// Whether a target has been sent the request and has not answered yet.
+    in_flight: bool,
     /// Whether a target may have run the request.
     pub(crate) may_have_run: bool,
     pub(crate) last_target: Option<String>,
@@ -69,7 +71,7 @@
     /// Returns the refusal for a request that is not sent again. It depends on whether a target may
     /// have run the request.
     fn give_up(&self, reason: &'static str, retry_after_ms: Option<u64>) -> Refusal {
-        if self.may_have_run {
+        if self.may_have_run || self.in_flight {
             Refusal::Failed { status: StatusCode::BAD_GATEWAY, reason }
         } else {
             Refusal::NotRun { reason, retry_after_ms }
@@ -85,7 +87,15 @@
     last_event: Option<u64>,
 ) -> Result<TargetResponse, Refusal> {
     loop {
-        match place_and_send(context, history, last_event).await {
+        let sent = tokio::select! {
+            // First, because the end of one request may grant its slot to another one.
+            biased;
+            () = context.node.until_last_answers() => {
+                Err(Some(history.give_up(STOPPING, Some(STOPPING_RETRY_MS))))
+            }
+            sent = place_and_send(context, history, last_event) => sent,
+        };
+        match sent {
             Ok(response) => return Ok(response),
             Err(Some(refusal)) => {
                 // An error response of a target takes precedence over our own refusal.
@@ -118,7 +128,9 @@
         return Err(None);
     };
     history.last_target = Some(announcement.id.clone());
+    history.in_flight = true;
     let result = send_once(context, history, guard, &announcement, last_event).await;
+    history.in_flight = false;
     handle_send_result(context, history, &announcement, result)
 }
 
--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -54,7 +54,7 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let mut stage = node.stage.subscribe();
-    let mut closing = *stage.borrow() == ShutdownStage::Closing;
+    let mut closing = *stage.borrow() >= ShutdownStage::Closing;
     if closing {
         connection.as_mut().graceful_shutdown();
     }
@@ -67,7 +67,7 @@
                 return;
             }
             changed = stage.changed(), if !closing => {
-                if changed.is_err() || *stage.borrow() == ShutdownStage::Closing {
+                if changed.is_err() || *stage.borrow() >= ShutdownStage::Closing {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`]) contain no socket, clock or
-//! thread.
+//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`],
+//! [`shutdown`]) contain no socket, clock or thread.
 
 pub mod allowance;
 pub mod budget;
@@ -31,7 +31,7 @@
 mod request;
 mod rpc;
 pub mod settings;
-mod shutdown;
+pub mod shutdown;
 pub mod slots;
 pub mod status_timing;
 pub mod submission;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,6 +6,7 @@
 mod recovery;
 mod server;
 mod status;
+mod stopping;
 mod suspects;
 mod target_limits;
 mod targets;
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -1,4 +1,4 @@
-//! Startup, reload and shutdown of a node.
+//! Startup and reload of a node.
 
 use super::{NodeError, NodeState};
 use crate::allowance::AllowanceTracker;
@@ -9,7 +9,7 @@
 use crate::placement::{PlacementScheduler, ProcessKey};
 use crate::register_service::{RegisterService, StoreHandle};
 use crate::settings::NodeSettings;
-use crate::shutdown::{ShutdownPlan, ShutdownStage};
+use crate::shutdown::ShutdownStage;
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::{Cell, RefCell};
@@ -20,8 +20,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
-/// Interval at which the progress of a shutdown is checked, in ms.
-const SHUTDOWN_POLL_MS: u64 = 50;
 /// Interval at which the seeds are read again from the settings, in seconds. They may change
 /// without a signal.
 const SETTINGS_POLL_S: u64 = 3;
@@ -176,26 +174,4 @@
             log::info!(target: "burdockcleat", "event=node.reloaded cause={cause} seeds={seeds:?}");
         }
     }
-
-    async fn shut_down(self: Rc<Self>) {
-        let now = ClockTime::monotonic();
-        let plan = ShutdownPlan::new(now, self.settings.limits.grace_ms);
-        log::info!(target: "burdockcleat", "event=node.stopping running={}", self.running.get());
-        self.stage.send_replace(ShutdownStage::Withdrawn);
-        self.send_status();
-        loop {
-            tokio::time::sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
-            let now = ClockTime::monotonic();
-            if now >= plan.close_at && *self.stage.borrow() != ShutdownStage::Closing {
-                self.stage.send_replace(ShutdownStage::Closing);
-                continue;
-            }
-            // A connection is open until its last answer has been written.
-            let idle = self.running.get() == 0 && self.connections.get() == 0;
-            if (idle && *self.stage.borrow() == ShutdownStage::Closing) || now >= plan.exit_at {
-                break;
-            }
-        }
-        log::info!(target: "burdockcleat", "event=node.stopped running={}", self.running.get());
-    }
 }
