Close connections before the exit also in a short grace period

What callers saw: with a grace period under 3.2 s connections were never told to close. Idle ones and new ones were taken until the process exited.

Change: that time is at most half of the grace period. A new connection after it is closed unread, so its caller can repeat any request. The test of the stages' times failed before, on its first period (0.1 s), and passes.

--- a/crates/edge/src/shutdown.rs
+++ b/crates/edge/src/shutdown.rs
@@ -3,9 +3,11 @@
 
 use burdockcleat_core::clock::ClockTime;
 
-/// Time between the withdrawal of readiness and the closing of idle connections, in ms. The
+/// Longest time between the withdrawal of readiness and the closing of idle connections, in ms. The
 /// load balancer needs two readiness checks, 1 s apart, to stop sending new connections.
 const READINESS_WITHDRAWAL_MS: u64 = 2_600;
+/// Divisor of the grace period that gives the longest such time if the period is short.
+const WITHDRAWAL_DIVISOR: u64 = 2;
 /// Longest time between the planned exit and the end of the grace period, in ms.
 const EXIT_MARGIN_MS: u64 = 600;
 /// Divisor of the grace period that gives the longest such time if the period is short. Together
@@ -45,7 +47,7 @@
     pub fn new(now: ClockTime, grace_ms: u64) -> Self {
         let exit_ms = grace_ms - EXIT_MARGIN_MS.min(grace_ms / EXIT_MARGIN_DIVISOR);
         let answer_ms = exit_ms - LAST_ANSWERS_MS.min(grace_ms / LAST_ANSWERS_DIVISOR);
-        let close_ms = READINESS_WITHDRAWAL_MS.min(answer_ms);
+        let close_ms = READINESS_WITHDRAWAL_MS.min(grace_ms / WITHDRAWAL_DIVISOR);
         Self {
             close_at: now.plus(close_ms),
             answer_at: now.plus(answer_ms),
