--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod node;
 mod peers;
 pub mod placement;
+mod recent_maximum;
 pub mod register;
 mod register_service;
 mod reply;
