--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -2,7 +2,7 @@
 
 use super::send::{CompleteResponse, PendingSend, SendResult, TargetResponse};
 use super::silence::{replace_silent, response_stall_ms};
-use super::{CRASHES_TARGETS, Refusal, RequestContext};
+use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS};
 use crate::node::{ActiveRequestGuard, Placement};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey};
 use crate::targets::TargetAnnouncement;
@@ -29,6 +29,8 @@
 pub(crate) struct SendHistory {
     /// Number of sends, without those that did not reach their target.
     pub(crate) sends: u32,
+    /// Number of sends whose outcome is not known.
+    open_sends: u32,
     /// Whether a target may have run the request.
     pub(crate) may_have_run: bool,
     pub(crate) last_target: Option<String>,
@@ -94,7 +96,7 @@
     /// Returns the refusal for a request that is not sent again. It depends on whether a target may
     /// have run the request.
     fn give_up(&self, reason: &'static str, retry_after_ms: Option<u64>) -> Refusal {
-        if self.may_have_run {
+        if self.may_have_run || self.open_sends > 0 {
             Refusal::Failed { status: StatusCode::BAD_GATEWAY, reason }
         } else {
             Refusal::NotRun { reason, retry_after_ms }
@@ -111,17 +113,16 @@
     mut pending: Option<PendingSend>,
 ) -> Result<TargetResponse, Refusal> {
     loop {
-        let started = match pending.take() {
-            Some(send) => Ok(send),
-            None => find_target(context, history)
-                .await
-                .and_then(|target| start_send(context, history, target, last_event)),
-        };
-        let result = match started {
-            Ok(send) => await_response(context, history, send, last_event).await,
-            Err(failure) => Err(failure),
+        let sent = tokio::select! {
+            // First, because the end of one request may grant its slot to another one.
+            biased;
+            () = context.node.until_last_answers() => {
+                let refusal = history.give_up(STOPPING, Some(STOPPING_RETRY_MS));
+                Err(SendFailure::Final(refusal))
+            }
+            sent = place_and_send(context, history, last_event, pending.take()) => sent,
         };
-        let refusal = match result {
+        let refusal = match sent {
             Ok(response) => return Ok(response),
             Err(SendFailure::Free) => continue,
             Err(SendFailure::Retry(_)) if history.take_retry(context) => continue,
@@ -132,6 +133,23 @@
     }
 }
 
+/// Waits for the response to the pending send, or places and sends the request once.
+async fn place_and_send(
+    context: &Rc<RequestContext>,
+    history: &mut SendHistory,
+    last_event: Option<u64>,
+    pending: Option<PendingSend>,
+) -> Result<TargetResponse, SendFailure> {
+    let send = match pending {
+        Some(send) => send,
+        None => {
+            let target = find_target(context, history).await?;
+            start_send(context, history, target, last_event)?
+        }
+    };
+    await_response(context, history, send, last_event).await
+}
+
 /// Waits until a target is granted that wants requests.
 pub(super) async fn find_target(
     context: &Rc<RequestContext>,
@@ -164,8 +182,10 @@
     history.excluded.push(target.guard.target());
     history.sends += 1;
     let reason = "the request could not be encoded";
-    PendingSend::start(context, target, last_event)
-        .ok_or_else(|| SendFailure::Final(history.give_up(reason, None)))
+    let send = PendingSend::start(context, target, last_event)
+        .ok_or_else(|| SendFailure::Final(history.give_up(reason, None)))?;
+    history.open_sends += 1;
+    Ok(send)
 }
 
 /// Waits for the response to a request. If the target is silent, another one replaces it once it has
@@ -200,6 +220,7 @@
     send: PendingSend,
 ) -> Result<TargetResponse, SendFailure> {
     let (announcement, result) = send.receive().await;
+    history.open_sends -= 1;
     handle_send_result(context, history, &announcement, result)
 }
 
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -1,4 +1,4 @@
-//! Startup, reload and shutdown of a node.
+//! Startup and reload of a node.
 
 use super::{NodeError, NodeState};
 use crate::allowance::AllowanceTracker;
@@ -9,7 +9,7 @@
 use crate::placement::{PlacementScheduler, ProcessKey};
 use crate::register_service::{RegisterService, StoreHandle};
 use crate::settings::NodeSettings;
-use crate::shutdown::{ShutdownPlan, ShutdownStage};
+use crate::shutdown::ShutdownStage;
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::{Cell, RefCell};
@@ -20,8 +20,6 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, watch};
 
-/// Interval at which the progress of a shutdown is checked, in ms.
-const SHUTDOWN_POLL_MS: u64 = 50;
 /// Interval at which the seeds are read again from the settings, in seconds. They may change
 /// without a signal.
 const SETTINGS_POLL_S: u64 = 3;
@@ -96,7 +94,8 @@
             pauses: RefCell::default(),
             next_placement_key: Cell::new(rand::random()),
             status_sequence: Cell::new(0),
-            running: Cell::new(0),
+            running: Rc::default(),
+            connections: Rc::default(),
             buffered_bytes: Cell::new(0),
             last_saved_memory: RefCell::default(),
             fetching_usage: Cell::default(),
@@ -107,7 +106,7 @@
         Ok(Self { state: Rc::new(state), callers, ready, control, peers, metrics })
     }
 
-    /// Serves until SIGTERM, then shuts down once the running requests end or the grace period is
+    /// Serves until SIGTERM, then shuts down once the callers' connections end or the grace period is
     /// over. `reload_seeds` reads the seeds again and returns `None` if they cannot be read.
     ///
     /// # Errors
@@ -175,25 +174,4 @@
             log::info!(target: "burdockcleat", "event=node.reloaded cause={cause} seeds={seeds:?}");
         }
     }
-
-    async fn shut_down(self: Rc<Self>) {
-        let now = ClockTime::monotonic();
-        let plan = ShutdownPlan::new(now, self.settings.limits.grace_ms);
-        log::info!(target: "burdockcleat", "event=node.stopping running={}", self.running.get());
-        self.stage.send_replace(ShutdownStage::Withdrawn);
-        self.send_status();
-        loop {
-            tokio::time::sleep(Duration::from_millis(SHUTDOWN_POLL_MS)).await;
-            let now = ClockTime::monotonic();
-            if now >= plan.close_at && *self.stage.borrow() != ShutdownStage::Closing {
-                self.stage.send_replace(ShutdownStage::Closing);
-                continue;
-            }
-            let idle = self.running.get() == 0 && *self.stage.borrow() == ShutdownStage::Closing;
-            if idle || now >= plan.exit_at {
-                break;
-            }
-        }
-        log::info!(target: "burdockcleat", "event=node.stopped running={}", self.running.get());
-    }
 }
