Record the versions at which streams began

Cause: only the node and the target that served a stream knew its software version, and they forgot it. A caller takes a stream up again at any node, also after the loss of nodes, so no node could tell which version may go on.

Change: when the first event of a stream is about to be forwarded, its node records stream, service and version, and reports them to the placement coordinator at once. The coordinator passes new records on to the nodes with a disk every 100 ms, each record twice. Statuses to nodes with a disk also have the sender's own records of the last two intervals, so that a lost report or coordinator loses nothing for good. Nodes with a disk append new records to a log every 100 ms and restore them at the start. The record is made at the first event and not with `Started`: until then the stream may begin again elsewhere. Statuses of earlier builds cannot be read.

Cost for 360 nodes, 2,100 streams/s, 4 nodes with a disk and 3 versions, calculated from encoded sizes: report 19 bytes per stream, 40 kB/s in all; statuses 2 x 8 bytes per stream and disk, 134 kB/s, and up to 12 bytes per version in each status; relays 2 x 8 bytes per stream and other disk, 102 kB/s; all without headers of datagrams (2,100 reports and 30 relays per second). Disk: 8.2 bytes per stream, two segments of at most 516 kB, 17 kB/s in ten syncs per second. Table: up to 126,000 records.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -7,6 +7,7 @@
     TargetKey,
 };
 use crate::register::BallotNumber;
+use crate::streams::{StreamGroup, StreamRecord};
 use crate::suspects::SuspectReport;
 use crate::target_limits::LimitReport;
 use crate::targets::TargetNotice;
@@ -60,6 +61,8 @@
     pub(crate) limits: u64,
     /// Usage of the allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
+    /// Streams that callers of the node began lately. Omitted for receivers without a disk.
+    pub(crate) streams: Vec<StreamGroup>,
 }
 
 /// Decision of the placement coordinator about a request.
@@ -105,4 +108,8 @@
         target: TargetKey,
         outcome: AttemptOutcome,
     },
+    /// A caller of the sender began a stream. The placement coordinator passes the record on.
+    Stream(StreamRecord),
+    /// Records that the sender passes on.
+    Streams(Vec<StreamGroup>),
 }
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -45,6 +45,13 @@
     let (sender, receiver): (_, Receiver<Result<Bytes, StreamBroken>>) = channel(CHANNEL_CAPACITY);
     let mut head = source.parts.clone();
     strip_headers(&mut head.headers, false);
+    // A stream that this attempt takes up is recorded by the attempt that began it.
+    if !source.first.is_empty()
+        && context.request.last_event.is_none()
+        && let Some(announcement) = context.node.known_announcement(source.guard.target())
+    {
+        context.node.record_stream(&context.request.attempt, &announcement);
+    }
     tokio::task::spawn_local(forward_stream(context, history, source, sender));
     Response::from_parts(head, ReplyBody::Stream(receiver))
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,8 +4,8 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`]) contain no socket, clock or
-//! thread.
+//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`], [`streams`])
+//! contain no socket, clock or thread.
 
 pub mod allowance;
 pub mod budget;
@@ -34,6 +34,8 @@
 mod shutdown;
 pub mod slots;
 pub mod status_timing;
+pub mod stream_log;
+pub mod streams;
 pub mod submission;
 pub mod suspects;
 pub mod target_limits;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,6 +6,7 @@
 mod recovery;
 mod server;
 mod status;
+mod streams;
 mod suspects;
 mod target_limits;
 mod targets;
@@ -28,6 +29,7 @@
 use crate::settings::NodeSettings;
 use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
+use crate::streams::StreamTable;
 use crate::suspects::SuspectTracker;
 use crate::target_limits::LimitTable;
 use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
@@ -125,6 +127,7 @@
     fetching_limits: Cell<bool>,
     /// Notified when the blocked suspects have changed.
     suspects_changed: Notify,
+    streams: RefCell<StreamTable>,
 }
 
 /// Counts a request as running until it is dropped.
@@ -239,6 +242,7 @@
             }
         }
         drop(tracker);
+        self.apply_stream_retention(config.routes.iter().map(|route| route.timeout_ms));
         self.refresh_targets();
         self.register.config_known.notify_waiters();
     }
@@ -272,6 +276,7 @@
             self.targets.borrow_mut().prune(now);
             self.prune_limits(now);
             self.prune_pauses(now);
+            self.streams.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
                 .borrow_mut()
@@ -338,6 +343,7 @@
         metrics.set("targets", "limited", self.limits.borrow().rates().len() as f64);
         metrics.set("suspects", "known", suspects as f64);
         metrics.set("suspects", "blocked", blocked as f64);
+        metrics.set("streams", "recorded", self.streams.borrow().len() as f64);
         metrics.set("log_lines", "dropped", logs::dropped_lines() as f64);
         if let Some(config) = self.config() {
             metrics.set("config", "version", config.version as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -71,6 +71,8 @@
                 self.scheduler.borrow_mut().finished(target, key, outcome, now);
                 self.deliver_decisions();
             }
+            PeerDatagram::Stream(record) => self.relay_stream(record),
+            PeerDatagram::Streams(groups) => self.merge_streams(&groups),
         }
     }
 }
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -257,7 +257,7 @@
         now.since(self.started) >= WARM_UP_MS
     }
 
-    fn notify_coordinator(&self, datagram: &PeerDatagram) {
+    pub(super) fn notify_coordinator(&self, datagram: &PeerDatagram) {
         if let Some(coordinator) = self.coordinator(ClockTime::monotonic()) {
             self.send_to(coordinator, datagram);
         }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -10,6 +10,7 @@
 use crate::register_service::{RegisterService, StoreHandle};
 use crate::settings::NodeSettings;
 use crate::shutdown::{ShutdownPlan, ShutdownStage};
+use crate::streams::StreamTable;
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::{Cell, RefCell};
@@ -64,6 +65,7 @@
             extra: settings.limits.retry_extra,
             window_ms: settings.limits.retry_window_ms,
         };
+        let streams = RefCell::new(StreamTable::new(store.is_some()));
         let register = RegisterService::new(process, address, store);
         let state = NodeState {
             process: ProcessKey(process),
@@ -80,6 +82,7 @@
             fetching_suspects: Cell::new(false),
             fetching_limits: Cell::new(false),
             suspects_changed: Notify::new(),
+            streams,
             deadlines: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
@@ -130,6 +133,7 @@
         let mut reload = handler(SignalKind::hangup(), "the SIGHUP handler")?;
         node.restore_memory();
         node.restore_usage();
+        node.restore_streams();
         let spawn = tokio::task::spawn_local::<std::pin::Pin<Box<dyn Future<Output = ()>>>>;
         spawn(Box::pin(frontend::accept_callers(node.clone(), self.callers)));
         spawn(Box::pin(control::accept_readiness(node.clone(), self.ready)));
@@ -139,6 +143,7 @@
         spawn(Box::pin(node.clone().receive_datagrams()));
         spawn(Box::pin(node.clone().send_statuses()));
         spawn(Box::pin(node.clone().send_disk_statuses()));
+        spawn(Box::pin(node.clone().exchange_streams()));
         spawn(Box::pin(node.clone().tick_scheduler()));
         spawn(Box::pin(node.clone().run_housekeeping()));
         spawn(Box::pin(node.clone().maintain_register()));
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -45,19 +45,25 @@
         }
     }
 
-    /// Sends a status. Only nodes that may become coordinator get the requests that run at targets.
+    /// Sends a status. Only nodes that may become coordinator get the requests that run at targets, and
+    /// only nodes with a disk the streams.
     fn send_status_to_all(&self, status: &NodeStatus, addresses: &[SocketAddrV4]) {
         let now = ClockTime::monotonic();
         let few_nodes = self.node_count(now) <= BASE_INTERVAL_MAX_NODES;
         let coordinator = self.coordinator(now);
-        let with_active = PeerDatagram::Status(status.clone());
-        let without_active = PeerDatagram::Status(NodeStatus { active: None, ..status.clone() });
+        let complete = PeerDatagram::Status(status.clone());
+        let without_streams = NodeStatus { streams: Vec::new(), ..status.clone() };
+        let reduced = PeerDatagram::Status(NodeStatus { active: None, ..without_streams.clone() });
+        let without_streams = PeerDatagram::Status(without_streams);
         for address in addresses {
-            let may_coordinate = few_nodes || coordinator == Some(*address) || {
-                let peers = self.peers.borrow();
-                peers.get(*address).is_none_or(|record| record.status.disk.is_some())
+            let disk = self.peers.borrow().get(*address).map(|record| record.status.disk.is_some());
+            let may_coordinate = few_nodes || coordinator == Some(*address) || disk.is_none();
+            let datagram = match (disk, may_coordinate) {
+                (Some(true), _) => &complete,
+                (_, true) => &without_streams,
+                (_, false) => &reduced,
             };
-            self.send_to(*address, if may_coordinate { &with_active } else { &without_active });
+            self.send_to(*address, datagram);
         }
     }
 
@@ -97,15 +103,17 @@
             suspects: self.suspects.borrow().digest(),
             limits: self.limits.borrow().digest(),
             used: self.allowances.borrow().totals(),
+            streams: self.reported_streams(now),
         }
     }
 
-    pub(super) fn handle_status(self: &Rc<Self>, status: NodeStatus, now: ClockTime) {
+    pub(super) fn handle_status(self: &Rc<Self>, mut status: NodeStatus, now: ClockTime) {
         let (process, address, restricted) = (status.process, status.address, status.restricted);
         if process == self.process {
             return;
         }
         let (active, used) = (status.active.clone(), status.used.clone());
+        self.merge_streams(&std::mem::take(&mut status.streams));
         self.learn_usage(&status, now);
         self.learn_suspects(status.suspects, address);
         self.learn_limits(status.limits, address);
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -60,9 +60,14 @@
         }
     }
 
+    /// Returns the last announcement of a target that was usable at some time.
+    pub(crate) fn known_announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
+        self.announcements.borrow().get(&target).cloned()
+    }
+
     /// Returns the announcement of a target if the target may still be used.
     pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
-        let announcement = self.announcements.borrow().get(&target).cloned()?;
+        let announcement = self.known_announcement(target)?;
         let targets = self.targets.borrow();
         let record = targets.get(&announcement.id)?;
         let same = record.announcement.incarnation == announcement.incarnation;
--- a/crates/edge/src/slots.rs
+++ b/crates/edge/src/slots.rs
@@ -164,14 +164,14 @@
     }
 }
 
-fn file_error<'a>(
+pub(crate) fn file_error<'a>(
     action: &'static str,
     path: &'a Path,
 ) -> impl FnOnce(std::io::Error) -> SlotError + use<'a> {
     move |source| SlotError::File { action, path: path.to_owned(), source }
 }
 
-fn open_file(path: &Path) -> Result<File, SlotError> {
+pub(crate) fn open_file(path: &Path) -> Result<File, SlotError> {
     OpenOptions::new()
         .read(true)
         .write(true)
