Find the version at which a stream began at other nodes

Cause: records of streams are at the nodes with a disk and at the coordinator, but a caller takes its stream up at any node.

Change: a request that names the first attempt of its stream looks the record up; without one, the node asks the placement coordinator, and every 100 ms all nodes with a disk, until the record arrives or a third of the deadline, at most 1 s, is over. Questions are datagrams, and those of 10 ms share one: after a power loss of all nodes the callers of all running streams return at once, 31,500 at 2,100 streams/s of 15 s, and one call over TCP each to every disk would cost small machines far more (estimated, not measured). The version goes into the placement request; no decision uses it yet, and a stream that is not found is placed as before.

Result: tests of the pending lookups pass; one fails if repeated questions are not held back, or if the asking task is not known to have ended.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -7,7 +7,7 @@
     TargetKey,
 };
 use crate::register::BallotNumber;
-use crate::streams::{StreamGroup, StreamRecord};
+use crate::streams::{StreamGroup, StreamKey, StreamRecord};
 use crate::suspects::SuspectReport;
 use crate::target_limits::LimitReport;
 use crate::targets::TargetNotice;
@@ -110,6 +110,8 @@
     },
     /// A caller of the sender began a stream. The placement coordinator passes the record on.
     Stream(StreamRecord),
-    /// Records that the sender passes on.
+    /// Records that the sender passes on or was asked for.
     Streams(Vec<StreamGroup>),
+    /// The receiver is to send the records of these streams that it has.
+    FindStreams(Vec<StreamKey>),
 }
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -7,6 +7,7 @@
 
 use crate::config::{RequestKind, RouteRule};
 use crate::node::NodeState;
+use crate::placement::VersionKey;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
 use crate::request::{CallerRequest, RequestError};
 use crate::suspects::RequestTrait;
@@ -30,6 +31,11 @@
 /// Divisor of a request's deadline that gives its longest wait for the configuration. It leaves the
 /// caller time to retry.
 const CONFIG_WAIT_DIVISOR: u64 = 3;
+/// Longest search for the version at which a stream began, in ms. After a power loss, nodes hear each
+/// other within a few status intervals.
+const LOCATE_LIMIT_MS: u64 = 1_000;
+/// Divisor of a request's deadline that gives its longest search. It leaves the caller time to retry.
+const LOCATE_LIMIT_DIVISOR: u64 = 3;
 /// Output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 64;
 /// Number of ranks for each workspace priority, one per route priority. Lower route priorities
@@ -88,6 +94,8 @@
     pub(crate) service: String,
     pub(crate) workspace: Option<String>,
     pub(crate) rank: u32,
+    /// Version at which the stream that the request takes up began, if it is known.
+    pub(crate) version: Option<VersionKey>,
     /// Minimum time for which the caller waited before this attempt, in ms.
     pub(crate) spent_ms: u64,
     /// What the request may have in common with others that crash targets.
@@ -191,7 +199,8 @@
         let _ = tokio::time::timeout(limit, known).await;
     }
     let attempt = request.attempt.clone();
-    let context = match admit(&node, request) {
+    let version = find_version(&node, &request).await;
+    let context = match admit(&node, request, version) {
         Ok(context) => Rc::new(context),
         Err(refusal) => return refuse(&node, &attempt, None, received, &refusal),
     };
@@ -207,8 +216,20 @@
     }
 }
 
+/// Returns the version at which the stream that a request takes up began.
+async fn find_version(node: &Rc<NodeState>, request: &CallerRequest) -> Option<VersionKey> {
+    let attempt = request.first_attempt.as_deref()?;
+    let limit_ms = request.deadline_ms.map_or(LOCATE_LIMIT_MS, |ms| ms / LOCATE_LIMIT_DIVISOR);
+    let record = node.locate_stream(attempt, limit_ms.min(LOCATE_LIMIT_MS)).await?;
+    Some(record.version)
+}
+
 /// Routes, authenticates and admits a request. Never waits.
-fn admit(node: &Rc<NodeState>, request: CallerRequest) -> Result<RequestContext, Refusal> {
+fn admit(
+    node: &Rc<NodeState>,
+    request: CallerRequest,
+    version: Option<VersionKey>,
+) -> Result<RequestContext, Refusal> {
     let now = ClockTime::monotonic();
     let reason = "no configuration is known yet";
     let no_config = Refusal::NotRun { reason, retry_after_ms: Some(NO_CONFIG_RETRY_MS) };
@@ -265,6 +286,7 @@
         service,
         workspace,
         rank,
+        version,
         spent_ms,
         traits,
         reservation,
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -246,7 +246,7 @@
         process: node.process,
         service: context.service.clone(),
         domain: node.settings.domain.clone(),
-        version: None,
+        version: context.version,
         rank,
         prompt_tokens: context.prompt_tokens(),
         output_tokens: context.output_tokens(),
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -51,6 +51,8 @@
     pub target_leaving: HeaderName,
     /// Id of the last stream event that the caller received.
     pub last_event: HeaderName,
+    /// Id of the attempt that brought the first event of the stream that the request takes up.
+    pub first_attempt: HeaderName,
     /// Headers that only nodes may set. They are removed from callers' requests.
     pub internal: Vec<HeaderName>,
 }
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -29,7 +29,7 @@
 use crate::settings::NodeSettings;
 use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
-use crate::streams::StreamTable;
+use crate::streams::{PendingLookups, StreamTable};
 use crate::suspects::SuspectTracker;
 use crate::target_limits::LimitTable;
 use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
@@ -128,6 +128,10 @@
     /// Notified when the blocked suspects have changed.
     suspects_changed: Notify,
     streams: RefCell<StreamTable>,
+    /// Streams that requests wait for.
+    stream_lookups: RefCell<PendingLookups>,
+    /// Notified when other nodes have sent records while requests wait for some.
+    streams_learned: Notify,
 }
 
 /// Counts a request as running until it is dropped.
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -73,6 +73,7 @@
             }
             PeerDatagram::Stream(record) => self.relay_stream(record),
             PeerDatagram::Streams(groups) => self.merge_streams(&groups),
+            PeerDatagram::FindStreams(streams) => self.answer_lookup(from, &streams),
         }
     }
 }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -83,6 +83,8 @@
             fetching_limits: Cell::new(false),
             suspects_changed: Notify::new(),
             streams,
+            stream_lookups: RefCell::default(),
+            streams_learned: Notify::new(),
             deadlines: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -68,6 +68,8 @@
     pub(crate) max_output_tokens: Option<u64>,
     pub(crate) output_hint: Option<u64>,
     pub(crate) last_event: Option<u64>,
+    /// Attempt that brought the first event of the stream that the request takes up.
+    pub(crate) first_attempt: Option<String>,
     /// Parts of the prompt that other requests may share, in order.
     pub(crate) shared_parts: Vec<PromptPart>,
 }
@@ -101,6 +103,7 @@
             max_output_tokens,
             output_hint: number(&names.length_hint),
             last_event: number(&names.last_event),
+            first_attempt: text(&parts.headers, &names.first_attempt).map(str::to_owned),
             shared_parts: text(&parts.headers, &names.prompt_parts)
                 .map(shared_parts)
                 .unwrap_or_default(),
--- a/crates/edge/src/streams.rs
+++ b/crates/edge/src/streams.rs
@@ -4,8 +4,10 @@
 //! the version at which the stream began can go on with it. A record never changes, so records may
 //! be merged in any order and more than once.
 
+mod lookup;
 mod table;
 
+pub use lookup::{DueLookups, PendingLookups};
 pub use table::StreamTable;
 
 use crate::placement::VersionKey;
--- a/crates/edge/tests/streams.rs
+++ b/crates/edge/tests/streams.rs
@@ -1,9 +1,10 @@
-//! Records of streams: what is kept and passed on.
+//! Records of streams: what is kept, passed on and asked for.
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::placement::VersionKey;
 use burdockcleat_edge::streams::{
-    MAX_DATAGRAM_STREAMS, ServiceKey, StreamGroup, StreamKey, StreamRecord, StreamTable,
+    MAX_DATAGRAM_STREAMS, PendingLookups, ServiceKey, StreamGroup, StreamKey, StreamRecord,
+    StreamTable,
 };
 
 const RETENTION_MS: u64 = 30_000;
@@ -105,3 +106,28 @@
     let groups = StreamGroup::collect(&versions);
     assert_eq!(groups.iter().flat_map(StreamGroup::records).count(), MAX_DATAGRAM_STREAMS);
 }
+
+/// Guards against lookups that are sent for each request, never again, after the request ended, or by
+/// more and more tasks.
+#[test]
+fn streams_are_asked_for_until_nobody_waits() {
+    let (first, second) = (StreamKey(1), StreamKey(2));
+    let mut lookups = PendingLookups::default();
+    assert!(lookups.add(first));
+    assert!(!lookups.add(first));
+    let due = |lookups: &mut PendingLookups, ms| {
+        lookups.take_due(at(ms)).map(|due| (due.first, due.repeated))
+    };
+    assert_eq!(due(&mut lookups, 0), Some((vec![first], vec![])));
+    assert!(!lookups.add(second));
+    assert_eq!(due(&mut lookups, 50), Some((vec![second], vec![])));
+    lookups.remove(first);
+    assert_eq!(due(&mut lookups, 100), Some((vec![], vec![first])));
+    lookups.remove(first);
+    assert_eq!(due(&mut lookups, 500), Some((vec![], vec![second])));
+    lookups.remove(second);
+    assert!(lookups.is_empty() && !lookups.add(second), "the task has not ended");
+    lookups.remove(second);
+    assert_eq!(due(&mut lookups, 510), None);
+    assert!(lookups.add(second));
+}
