--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`],
+//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`], [`streams`],
 //! [`shutdown`]) contain no socket, clock or thread.
 
 pub mod allowance;
@@ -35,6 +35,8 @@
 pub mod shutdown;
 pub mod slots;
 pub mod status_timing;
+pub mod stream_log;
+pub mod streams;
 pub mod submission;
 pub mod suspects;
 pub mod target_limits;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,6 +7,7 @@
 mod server;
 mod status;
 mod stopping;
+mod streams;
 mod suspects;
 mod target_limits;
 mod targets;
@@ -29,6 +30,7 @@
 use crate::settings::NodeSettings;
 use crate::shutdown::ShutdownStage;
 use crate::slots::SlotError;
+use crate::streams::{PendingLookups, StreamTable};
 use crate::suspects::SuspectTracker;
 use crate::target_limits::LimitTable;
 use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
@@ -128,6 +130,11 @@
     fetching_limits: Cell<bool>,
     /// Notified when the blocked suspects have changed.
     suspects_changed: Notify,
+    streams: RefCell<StreamTable>,
+    /// Streams that requests wait for.
+    stream_lookups: RefCell<PendingLookups>,
+    /// Notified when other nodes have sent records while requests wait for some.
+    streams_learned: Notify,
 }
 
 /// Counts a request or connection until it is dropped.
@@ -253,6 +260,7 @@
             }
         }
         drop(tracker);
+        self.apply_stream_retention(config.routes.iter().map(|route| route.timeout_ms));
         self.refresh_targets();
         self.register.config_known.notify_waiters();
     }
@@ -286,6 +294,7 @@
             self.targets.borrow_mut().prune(now);
             self.prune_limits(now);
             self.prune_pauses(now);
+            self.streams.borrow_mut().prune(now);
             self.peers.borrow_mut().prune(now);
             self.silent_coordinators
                 .borrow_mut()
@@ -352,6 +361,7 @@
         metrics.set("targets", "limited", self.limits.borrow().rates().len() as f64);
         metrics.set("suspects", "known", suspects as f64);
         metrics.set("suspects", "blocked", blocked as f64);
+        metrics.set("streams", "recorded", self.streams.borrow().len() as f64);
         metrics.set("log_lines", "dropped", logs::dropped_lines() as f64);
         if let Some(config) = self.config() {
             metrics.set("config", "version", config.version as f64);
