Let a stream go on only at the version that began it

Cause: nothing on the way to a target knew its version. A resumption within an answer, an attempt that takes a stream up at the node that served it, one at another node and one after a restart of all nodes were placed like new requests.

Change: the version of the target that brings the first event binds all further sends of the answer. An attempt that takes a stream up is bound to the version and service in the record of the attempt that began it; without a record it is refused as not run after up to a second, in which nodes that start may still learn it. Streams that have begun go first in the order of waiting requests, over all attempts, since only some of the targets may run them.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,5 +1,6 @@
 //! Validated configuration document: routes, services, workspaces and request limits.
 
+use crate::streams::ServiceKey;
 use std::collections::BTreeMap;
 use thiserror::Error;
 
@@ -215,6 +216,12 @@
         self.split.iter().rev().find(|(_, weight)| *weight > 0).map(|(service, _)| service.as_str())
     }
 
+    /// Returns the service with the given key if requests of the route may go to it.
+    pub fn find_service(&self, key: ServiceKey) -> Option<&str> {
+        let services = self.split.iter().filter(|(_, weight)| *weight > 0);
+        services.map(|(service, _)| service.as_str()).find(|name| ServiceKey::new(name) == key)
+    }
+
     /// Returns the gap after which callers abandon a stream, in ms. It also applies before the
     /// first event. `None` for routes without streams, whose callers wait until their deadline.
     pub fn stream_gap_timeout_ms(&self) -> Option<u64> {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -8,9 +8,9 @@
 
 use crate::config::{RequestKind, RouteRule};
 use crate::node::NodeState;
-use crate::placement::VersionKey;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
 use crate::request::{CallerRequest, RequestError};
+use crate::streams::StreamRecord;
 use crate::suspects::RequestTrait;
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
@@ -25,23 +25,22 @@
 /// Retry-after time while no configuration is known, in ms. A restarted node learns the
 /// configuration within two status datagrams of the other nodes.
 const NO_CONFIG_RETRY_MS: u64 = 500;
-/// Longest wait of a request for the first configuration, in ms. A node that has just started
-/// learns the configuration within a few round trips, or within a second if all nodes were down.
-const CONFIG_WAIT_MS: u64 = 1_000;
+/// Longest wait of a request for the first configuration or for where its stream began, in ms. A node
+/// that has just started learns both within a few round trips, or within a second if all nodes were
+/// down.
+const START_WAIT_MS: u64 = 1_000;
+/// Retry-after time while nobody knows where a stream began, in ms. Nodes that hold its record may
+/// be starting.
+const UNKNOWN_ORIGIN_RETRY_MS: u64 = 500;
 /// Reason for refusing a request that has what crashes targets.
 const CRASHES_TARGETS: &str = "requests like this one crash targets";
 /// Reason for refusing a request because the node is shutting down.
 const STOPPING: &str = "the node is stopping";
 /// Retry-after time of a node that is shutting down, in ms. Other nodes serve the request.
 const STOPPING_RETRY_MS: u64 = 50;
-/// Divisor of a request's deadline that gives its longest wait for the configuration. It leaves the
-/// caller time to retry.
-const CONFIG_WAIT_DIVISOR: u64 = 3;
-/// Longest search for the version at which a stream began, in ms. After a power loss, nodes hear each
-/// other within a few status intervals.
-const LOCATE_LIMIT_MS: u64 = 1_000;
-/// Divisor of a request's deadline that gives its longest search. It leaves the caller time to retry.
-const LOCATE_LIMIT_DIVISOR: u64 = 3;
+/// Divisor of a request's deadline that gives its longest wait for what a node learns at its start.
+/// It leaves the caller time to retry.
+const START_WAIT_DIVISOR: u64 = 3;
 /// Output tokens assumed for a request that states no limit.
 const DEFAULT_OUTPUT_TOKENS: u64 = 64;
 /// Number of ranks for each workspace priority, one per route priority. Lower route priorities
@@ -92,6 +91,10 @@
     }
 }
 
+/// Refusal of a request that was not sent before the node exits.
+const STOPPING_REFUSAL: Refusal =
+    Refusal::NotRun { reason: STOPPING, retry_after_ms: Some(STOPPING_RETRY_MS) };
+
 /// Request with the results of admission, which it needs to be placed and sent.
 pub(crate) struct RequestContext {
     pub(crate) node: Rc<NodeState>,
@@ -100,13 +103,13 @@
     pub(crate) service: String,
     pub(crate) workspace: Option<String>,
     pub(crate) rank: u32,
-    /// Version at which the stream that the request takes up began, if it is known.
-    pub(crate) version: Option<VersionKey>,
     /// Minimum time for which the caller waited before this attempt, in ms.
     pub(crate) spent_ms: u64,
     /// What the request may have in common with others that crash targets.
     pub(crate) traits: Vec<RequestTrait>,
     pub(crate) reservation: Option<AllowanceReservation>,
+    /// Where the stream began that the request takes up again.
+    pub(crate) origin: Option<StreamRecord>,
 }
 
 /// Reservation of a request in its workspace's allowance. It is released if dropped before the
@@ -195,9 +198,7 @@
     let read = tokio::select! {
         read = CallerRequest::read(request, &node.http_api, limits, received) => read,
         () = node.until_last_answers() => {
-            let stopping =
-                Refusal::NotRun { reason: STOPPING, retry_after_ms: Some(STOPPING_RETRY_MS) };
-            return refuse(&node, "-", None, received, &stopping);
+            return refuse(&node, "-", None, received, &STOPPING_REFUSAL);
         }
     };
     let request = match read {
@@ -205,23 +206,16 @@
         Err(error) => return reject_unreadable(&node, &error),
     };
     let _running = node.track_running();
-    if node.config().is_none() {
-        let known = node.register.config_known.notified();
-        let limit_ms = request.deadline_ms.map_or(CONFIG_WAIT_MS, |ms| ms / CONFIG_WAIT_DIVISOR);
-        let limit = Duration::from_millis(limit_ms.min(CONFIG_WAIT_MS));
-        // If there is still no document after the wait, the request is refused below.
-        tokio::select! {
-            _ = tokio::time::timeout(limit, known) => {}
-            () = node.until_last_answers() => {}
-        }
-    }
     let attempt = request.attempt.clone();
-    let version = find_version(&node, &request).await;
-    let context = match admit(&node, request, version) {
+    let admitted = tokio::select! {
+        admitted = admit_when_known(&node, request) => admitted,
+        () = node.until_last_answers() => Err(STOPPING_REFUSAL),
+    };
+    let context = match admitted {
         Ok(context) => Rc::new(context),
         Err(refusal) => return refuse(&node, &attempt, None, received, &refusal),
     };
-    let mut history = SendHistory::default();
+    let mut history = SendHistory::new(context.origin.map(|origin| origin.version));
     let last_event = context.request.last_event;
     match retry::send_until_answered(&context, &mut history, last_event, None).await {
         Ok(TargetResponse::Complete(response)) => {
@@ -233,19 +227,51 @@
     }
 }
 
-/// Returns the version at which the stream that a request takes up began.
-async fn find_version(node: &Rc<NodeState>, request: &CallerRequest) -> Option<VersionKey> {
-    let attempt = request.first_attempt.as_deref()?;
-    let limit_ms = request.deadline_ms.map_or(LOCATE_LIMIT_MS, |ms| ms / LOCATE_LIMIT_DIVISOR);
-    let record = node.locate_stream(attempt, limit_ms.min(LOCATE_LIMIT_MS)).await?;
-    Some(record.version)
+/// Admits a request. Waits a while for what a node that has just started does not know yet.
+async fn admit_when_known(
+    node: &Rc<NodeState>,
+    request: CallerRequest,
+) -> Result<RequestContext, Refusal> {
+    let limit_ms = request.deadline_ms.map_or(START_WAIT_MS, |ms| ms / START_WAIT_DIVISOR);
+    let limit_ms = limit_ms.min(START_WAIT_MS);
+    if node.config().is_none() {
+        let known = node.register.config_known.notified();
+        // If there is still no document after the wait, the request is refused.
+        let _ = tokio::time::timeout(Duration::from_millis(limit_ms), known).await;
+    }
+    let origin = locate_origin(node, &request, limit_ms).await?;
+    admit(node, request, origin)
+}
+
+/// Returns where the stream began that a request takes up again, or `None` if it takes up none.
+async fn locate_origin(
+    node: &Rc<NodeState>,
+    request: &CallerRequest,
+    limit_ms: u64,
+) -> Result<Option<StreamRecord>, Refusal> {
+    let begun = request.last_event.is_some() || request.first_attempt.is_some();
+    let config = node.config().filter(|_| begun);
+    let route = config.as_ref().and_then(|config| config.find_route(&request.host, &request.path));
+    if !route.is_some_and(|route| route.resumable) {
+        return Ok(None);
+    }
+    let reason = "the version that began the stream is not known";
+    let unknown = Refusal::NotRun { reason, retry_after_ms: Some(UNKNOWN_ORIGIN_RETRY_MS) };
+    let attempt = request.first_attempt.as_deref().ok_or(unknown)?;
+    let origin = node.locate_stream(attempt, limit_ms).await.ok_or(unknown)?;
+    log::info!(
+        target: "burdockcleat",
+        "event=stream.taken_up id={} began_as={attempt} version={:x}",
+        request.attempt, origin.version.0
+    );
+    Ok(Some(origin))
 }
 
 /// Routes, authenticates and admits a request. Never waits.
 fn admit(
     node: &Rc<NodeState>,
     request: CallerRequest,
-    version: Option<VersionKey>,
+    origin: Option<StreamRecord>,
 ) -> Result<RequestContext, Refusal> {
     let now = ClockTime::monotonic();
     let reason = "no configuration is known yet";
@@ -267,7 +293,14 @@
     if node.suspects.borrow().find_blocked(&traits).is_some() {
         return Err(Refusal::NotRun { reason: CRASHES_TARGETS, retry_after_ms: None });
     }
-    let service = route.pick_service(rand::random()).unwrap_or_default().to_owned();
+    let service = match origin {
+        Some(origin) => route.find_service(origin.service).ok_or(Refusal::NotRun {
+            reason: "the route has left the service that began the stream",
+            retry_after_ms: None,
+        })?,
+        None => route.pick_service(rand::random()).unwrap_or_default(),
+    };
+    let service = service.to_owned();
     let route_rank = route.priority.min(ROUTE_RANKS - 1);
     let workspace_rank = workspace.and_then(|workspace| workspace.priority).unwrap_or(0);
     let rank = workspace_rank.saturating_mul(ROUTE_RANKS).saturating_add(route_rank);
@@ -303,10 +336,10 @@
         service,
         workspace,
         rank,
-        version,
         spent_ms,
         traits,
         reservation,
+        origin,
     })
 }
 
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -4,7 +4,7 @@
 use super::silence::{replace_silent, response_stall_ms};
 use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS};
 use crate::node::{ActiveRequestGuard, Placement};
-use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey};
+use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey, VersionKey};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use hyper::StatusCode;
@@ -42,6 +42,9 @@
     pub(crate) pause_ms: u64,
     /// Whether events have been forwarded to the caller.
     pub(crate) streaming: bool,
+    /// Version of the targets that may run the request; `None` while all may. What targets of two
+    /// versions write does not fit together, so a stream ends at the version that began it.
+    pub(crate) version: Option<VersionKey>,
     unreachable: u32,
     excluded: Vec<TargetKey>,
     /// Error response of a target, returned to the caller if no other send succeeds.
@@ -67,6 +70,11 @@
 }
 
 impl SendHistory {
+    /// Creates the history of a request that only targets of `version` may run.
+    pub(super) fn new(version: Option<VersionKey>) -> Self {
+        Self { version, ..Self::default() }
+    }
+
     /// Returns whether the request may be sent again.
     pub(super) fn can_retry(&self, context: &RequestContext) -> bool {
         let node = &context.node;
@@ -247,6 +255,7 @@
         SendResult::Response(stream @ TargetResponse::Stream(_)) => {
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
+            history.version.get_or_insert(announcement.version_key());
             context.node.clear_suspects(&context.traits);
             history.may_have_run = true;
             return Ok(stream);
@@ -301,7 +310,8 @@
     let node = &context.node;
     loop {
         let now = ClockTime::monotonic();
-        let Some(end) = node.pause_end(&context.service, &history.excluded, now) else {
+        let excluded = &history.excluded;
+        let Some(end) = node.pause_end(&context.service, history.version, excluded, now) else {
             return Ok(());
         };
         let wait_ms = end.since(now);
@@ -320,9 +330,10 @@
     history: &SendHistory,
 ) -> Result<ActiveRequestGuard, Refusal> {
     let now = ClockTime::monotonic();
-    // A resumed stream has the highest priority, since a refusal would waste the work of its earlier
-    // targets.
-    let rank = if history.streaming { 0 } else { context.rank };
+    // A stream that has begun has the highest priority, since a refusal would waste the work of its
+    // earlier targets, and only some of the targets may run it.
+    let begun = history.version.is_some();
+    let rank = if begun { 0 } else { context.rank };
     let left_ms = history.left_ms(context, now);
     if left_ms == 0 {
         return Err(history.give_up("no time is left", None));
@@ -330,13 +341,13 @@
     let node = &context.node;
     let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
     let objective_ms = context.route.objective_ms.cast_signed();
-    let objective_left_ms = objective_ms - if history.streaming { 0 } else { waited };
+    let objective_left_ms = objective_ms - if begun { 0 } else { waited };
     let request = PlacementRequest {
         key: node.next_placement_key(),
         process: node.process,
         service: context.service.clone(),
         domain: node.settings.domain.clone(),
-        version: context.version,
+        version: history.version,
         rank,
         prompt_tokens: context.prompt_tokens(),
         output_tokens: context.output_tokens(),
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -44,7 +44,7 @@
     prepare_head(&mut head, false);
     // A stream that this attempt takes up is recorded by the attempt that began it.
     if !source.first.is_empty()
-        && context.request.last_event.is_none()
+        && context.origin.is_none()
         && let Some(announcement) = context.node.known_announcement(source.guard.target())
     {
         context.node.record_stream(&context.request.attempt, &announcement);
--- a/crates/edge/src/node/pauses.rs
+++ b/crates/edge/src/node/pauses.rs
@@ -1,7 +1,7 @@
 //! Targets that want no requests from this node for a while.
 
 use super::{NodeState, target_key};
-use crate::placement::TargetKey;
+use crate::placement::{TargetKey, VersionKey};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use hyper::header::{HeaderMap, RETRY_AFTER};
@@ -38,19 +38,23 @@
     pub(crate) fn paused_targets(&self, service: &str, now: ClockTime) -> Vec<TargetKey> {
         let pauses = self.pauses.borrow();
         let paused = pauses.iter().filter(|(_, until)| **until > now).map(|(target, _)| *target);
-        paused.filter(|target| self.serves(*target, service)).collect()
+        paused.filter(|target| self.serves(*target, service, None)).collect()
     }
 
-    fn serves(&self, target: TargetKey, service: &str) -> bool {
+    fn serves(&self, target: TargetKey, service: &str, version: Option<VersionKey>) -> bool {
         let announcements = self.announcements.borrow();
-        announcements.get(&target).is_some_and(|target| target.service == service)
+        announcements.get(&target).is_some_and(|target| {
+            target.service == service
+                && version.is_none_or(|version| version == target.version_key())
+        })
     }
 
     /// Returns the end of the first pause if a request can be sent to no usable target of its service
-    /// before. `excluded` are the targets that it was sent to.
+    /// and version before. `excluded` are the targets that it was sent to.
     pub(crate) fn pause_end(
         &self,
         service: &str,
+        version: Option<VersionKey>,
         excluded: &[TargetKey],
         now: ClockTime,
     ) -> Option<ClockTime> {
@@ -59,7 +63,7 @@
             return None;
         }
         let usable = self.usable_targets.borrow();
-        let targets = usable.iter().filter(|target| self.serves(**target, service));
+        let targets = usable.iter().filter(|target| self.serves(**target, service, version));
         let mut first = None;
         for target in targets.filter(|target| !excluded.contains(target)) {
             let until = *pauses.get(target).filter(|until| **until > now)?;
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -38,9 +38,10 @@
             let heard_ms = targets.get(&announcement.id).map(|record| now.since(record.last_seen));
             log::info!(
                 target: "burdockcleat",
-                "event=target.usable usable={} target={} incarnation={} service={} version={:?} heard_ms={}",
+                "event=target.usable usable={} target={} incarnation={} service={} version={:?} version_key={:x} heard_ms={}",
                 usable_keys.contains(key), announcement.id, announcement.incarnation,
-                announcement.service, announcement.version, heard_ms.unwrap_or(0)
+                announcement.service, announcement.version, announcement.version_key().0,
+                heard_ms.unwrap_or(0)
             );
         }
         drop((targets, announcements));
