Let streams that have begun wait as long as their callers do

Cause: the objective is for the first event. A stream that has begun was still judged by it, so it fell behind all requests that are on time and was refused for the wait.

Change: a stream that has begun is late once its caller stops waiting for the next event. It keeps the rank of its route; only a resumption within an answer still goes before all ranks.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -330,18 +330,21 @@
     history: &SendHistory,
 ) -> Result<ActiveRequestGuard, Refusal> {
     let now = ClockTime::monotonic();
-    // A stream that has begun has the highest priority, since a refusal would waste the work of its
-    // earlier targets, and only some of the targets may run it.
-    let begun = history.version.is_some();
-    let rank = if begun { 0 } else { context.rank };
+    // A resumed stream has the highest priority, since a refusal would waste the work of its earlier
+    // targets.
+    let rank = if history.streaming { 0 } else { context.rank };
     let left_ms = history.left_ms(context, now);
     if left_ms == 0 {
         return Err(history.give_up("no time is left", None));
     }
     let node = &context.node;
-    let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
-    let objective_ms = context.route.objective_ms.cast_signed();
-    let objective_left_ms = objective_ms - if begun { 0 } else { waited };
+    // A stream that has begun has met or missed its objective, and its caller waits for the next event.
+    let objective_left_ms = if history.version.is_some() {
+        left_ms.cast_signed()
+    } else {
+        let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
+        context.route.objective_ms.cast_signed() - waited
+    };
     let request = PlacementRequest {
         key: node.next_placement_key(),
         process: node.process,
