Let idle connections follow the timeout in force

What callers saw: after a change to a longer idle timeout, a request on a kept connection met the end of that connection. Cause: a connection took its idle timeout from the document that was in force when it was accepted. Change: the timer of a connection asks for the longest timeout that has been in force since it was accepted.

--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -1,18 +1,17 @@
 //! Accepts and serves the connections of callers.
 
 use crate::dispatch;
+use crate::idle::IdleTimer;
 use crate::node::NodeState;
 use crate::shutdown::ShutdownStage;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
-/// Margin after the announced idle timeout, in ms, because a request may already be in transit.
-const IDLE_MARGIN_MS: u64 = 2_000;
 /// Minimum size of the read buffer, which also limits the request head, in bytes. hyper requires
 /// 8 KiB.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
@@ -41,14 +40,14 @@
         return;
     }
     let limits = node.limits();
-    let idle_ms = limits.idle_ms + IDLE_MARGIN_MS;
+    let timer = IdleTimer::new(node.idle_limits.subscribe());
     let service = service_fn(|request| {
         let node = node.clone();
         async move { Ok::<_, Infallible>(dispatch::serve(node, request).await) }
     });
     let connection = Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(idle_ms))
+        .timer(timer)
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod events;
 mod frontend;
 pub mod http_api;
+pub mod idle;
 pub mod logs;
 pub mod memory;
 mod metered;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -19,6 +19,7 @@
 use crate::datagram::PeerDatagram;
 use crate::deadlines::DeadlineTracker;
 use crate::http_api::HttpApi;
+use crate::idle::IdleLimits;
 use crate::logs;
 use crate::memory::StoredMemory;
 use crate::metrics::MetricSet;
@@ -98,6 +99,7 @@
     pub(crate) upstreams: UpstreamPool,
     pub(crate) register: RegisterService,
     pub(crate) stage: watch::Sender<ShutdownStage>,
+    pub(crate) idle_limits: watch::Sender<IdleLimits>,
     pub(crate) started: ClockTime,
     socket: UdpSocket,
     waiters: RefCell<HashMap<PlacementKey, Waiter>>,
@@ -223,10 +225,11 @@
         self.refresh_targets();
     }
 
-    /// Applies a new configuration: the allowances and the targets of its services.
+    /// Applies a new configuration: the idle timeout, the allowances and the targets of its services.
     pub(crate) fn apply_config(&self) {
         let Some(config) = self.config() else { return };
         let now = ClockTime::monotonic();
+        self.idle_limits.send_modify(|limits| limits.set(config.limits.idle_ms, now));
         let mut tracker = self.allowances.borrow_mut();
         for workspace in config.workspaces.iter().flatten() {
             let key = crate::dispatch::workspace_key(&workspace.name);
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -85,6 +85,7 @@
             upstreams: UpstreamPool::default(),
             register,
             stage: watch::Sender::new(ShutdownStage::Running),
+            idle_limits: watch::Sender::default(),
             started: ClockTime::monotonic(),
             socket,
             waiters: RefCell::default(),
