Refuse requests that cannot end before a stopping node exits

What callers saw: in a planned stop, requests that arrived late in the grace period, or waited long for a target, were sent to a target and cut off at its end, among them requests that may not be repeated (LOST).

Cause: nothing compared the time that a request needs with the time until the exit. With 6 s of grace an order of 4 s that came 1.4 s after SIGTERM ran.

Change: a stopping node sends a request only while the time until its last answers covers the longest recent duration of the route's requests and a quarter more, or the request's own time if that is less. The check holds for waiting requests too.

The time left of a request alone was ruled out: with deadlines of 15 s and 8 s of grace, a node would refuse everything from SIGTERM on, also requests of 100 ms. A fixed share of the period knows nothing of either. A route without recent answers is taken for as slow as the slowest other one. Streams that broke off may be resumed until the last answers, since they end otherwise.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -334,7 +334,11 @@
 fn log_response(context: &RequestContext, history: &SendHistory, status: StatusCode, how: &str) {
     let id = &context.request.attempt;
     let route = &context.route.name;
-    let after_ms = ClockTime::monotonic().since(context.request.received);
+    let now = ClockTime::monotonic();
+    let after_ms = now.since(context.request.received);
+    if let Some(sent) = history.first_sent {
+        context.node.durations.borrow_mut().record(route, now.since(sent), now);
+    }
     let (status, sends) = (status.as_u16(), history.sends);
     let first_ms = history.first_ms.unwrap_or(after_ms);
     let (waited_ms, pause_ms) = (history.waited_ms, history.pause_ms);
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -35,6 +35,8 @@
     pub(crate) last_target: Option<String>,
     /// Time that the last send waited for its placement, in ms.
     pub(crate) waited_ms: u64,
+    /// Time of the first send.
+    pub(crate) first_sent: Option<ClockTime>,
     /// Time from the receipt to the first event, in ms.
     pub(crate) first_ms: Option<u64>,
     /// Longest pause between two parts of the response, in ms.
@@ -128,6 +130,7 @@
         return Err(None);
     };
     history.last_target = Some(announcement.id.clone());
+    history.first_sent.get_or_insert(now);
     history.in_flight = true;
     let result = send_once(context, history, guard, &announcement, last_event).await;
     history.in_flight = false;
@@ -236,6 +239,17 @@
     }
 }
 
+/// Returns the time that is needed after a send, in ms. A stream that broke off ends at once unless
+/// it is resumed, so it may be resumed at any time.
+fn expected_ms(context: &RequestContext, history: &SendHistory, now: ClockTime) -> u64 {
+    if history.streaming {
+        return 0;
+    }
+    let left_ms = context.left_ms(now);
+    let expected_ms = context.node.durations.borrow().expected_ms(&context.route.name);
+    expected_ms.map_or(left_ms, |ms| ms.min(left_ms))
+}
+
 /// Waits until a target is chosen for the request.
 async fn place(
     context: &Rc<RequestContext>,
@@ -268,12 +282,16 @@
         pause_ms: context.route.pause_ms,
         excluded: [history.excluded.clone(), node.paused_targets(&context.service, now)].concat(),
     };
+    let expected_ms = expected_ms(context, history, now);
     let placement = node.place(request);
     let placed = tokio::select! {
         biased;
         () = node.until_blocked(&context.traits) => {
             return Err(history.give_up(CRASHES_TARGETS, None));
         }
+        () = node.until_too_late(expected_ms) => {
+            return Err(history.give_up(STOPPING, Some(STOPPING_RETRY_MS)));
+        }
         placed = tokio::time::timeout(Duration::from_millis(left_ms), placement) => placed,
     };
     match placed {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`],
+//! [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`], [`events`],
 //! [`shutdown`]) contain no socket, clock or thread.
 
 pub mod allowance;
@@ -15,6 +15,7 @@
 pub mod deadlines;
 mod dispatch;
 pub mod document;
+pub mod durations;
 pub mod events;
 mod frontend;
 pub mod http_api;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -19,6 +19,7 @@
 use crate::config::{RequestLimits, RouteConfig};
 use crate::datagram::PeerDatagram;
 use crate::deadlines::DeadlineTracker;
+use crate::durations::DurationTracker;
 use crate::http_api::HttpApi;
 use crate::logs;
 use crate::memory::StoredMemory;
@@ -27,7 +28,7 @@
 use crate::placement::{ActiveRequest, PlacementKey, PlacementScheduler, ProcessKey, TargetKey};
 use crate::register_service::RegisterService;
 use crate::settings::NodeSettings;
-use crate::shutdown::ShutdownStage;
+use crate::shutdown::{ShutdownPlan, ShutdownStage};
 use crate::slots::SlotError;
 use crate::suspects::SuspectTracker;
 use crate::target_limits::LimitTable;
@@ -95,10 +96,13 @@
     pub(crate) budget: RefCell<RetryBudget>,
     pub(crate) suspects: RefCell<SuspectTracker>,
     pub(crate) deadlines: RefCell<DeadlineTracker>,
+    pub(crate) durations: RefCell<DurationTracker>,
     pub(crate) metrics: RefCell<MetricSet>,
     pub(crate) upstreams: UpstreamPool,
     pub(crate) register: RegisterService,
     pub(crate) stage: watch::Sender<ShutdownStage>,
+    /// Set before the stage changes for the first time.
+    shutdown_plan: Cell<Option<ShutdownPlan>>,
     pub(crate) started: ClockTime,
     socket: UdpSocket,
     waiters: RefCell<HashMap<PlacementKey, Waiter>>,
--- a/crates/edge/src/node/stopping.rs
+++ b/crates/edge/src/node/stopping.rs
@@ -15,6 +15,7 @@
     pub(super) async fn shut_down(self: Rc<Self>) {
         let plan = ShutdownPlan::new(ClockTime::monotonic(), self.settings.limits.grace_ms);
         log::info!(target: "burdockcleat", "event=node.stopping running={}", self.running.get());
+        self.shutdown_plan.set(Some(plan));
         self.stage.send_replace(ShutdownStage::Withdrawn);
         self.send_status();
         sleep_until(plan.close_at).await;
@@ -37,6 +38,21 @@
         let _ = stage.wait_for(|stage| *stage >= ShutdownStage::Answering).await;
     }
 
+    /// Waits until a request that takes `expected_ms` would not end before the last answers.
+    pub(crate) async fn until_too_late(&self, expected_ms: u64) {
+        let mut stage = self.stage.subscribe();
+        // An error means that the node is being dropped.
+        let _ = stage.wait_for(|stage| *stage != ShutdownStage::Running).await;
+        if let Some(plan) = self.shutdown_plan.get() {
+            let left_ms = plan.answer_at.since(ClockTime::monotonic());
+            // A sleep takes until the next tick of the timer at least, in which a target may be
+            // granted.
+            if let Some(spare_ms) = left_ms.checked_sub(expected_ms).filter(|ms| *ms > 0) {
+                tokio::time::sleep(Duration::from_millis(spare_ms)).await;
+            }
+        }
+    }
+
     /// Waits until nothing runs and no connection of a caller is open, but not longer than `end`.
     async fn until_idle(&self, end: ClockTime) {
         loop {
