Give a silent target up only for an answer to the request itself

Found in a review of the fix for silent targets.

Cause: any head with a success status counted as taken. Whether it echoes the request's id and is signed was checked after the silent target had been given up.

Change: the checks are shared, and a head that fails one ends the other send only.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -137,9 +137,12 @@
         }
     }
 
-    /// Returns whether the head of a successful response has arrived.
+    /// Returns whether the head of a successful response to the request has arrived.
     pub(super) fn has_succeeded(&self) -> bool {
-        matches!(&self.head, Some(Ok(Ok((response, _)))) if response.status().is_success())
+        let Some(Ok(Ok((response, _)))) = &self.head else { return false };
+        response.status().is_success()
+            && echoed_attempt(&self.context, response) == Some(&*self.context.request.attempt)
+            && !is_unexpected(&self.context, response)
     }
 
     /// Closes the connection to a target that is silent.
@@ -184,8 +187,7 @@
         Ok(Ok(sent)) => sent,
     };
     guard.started();
-    let names = &node.http_api.headers;
-    let echoed = response.headers().get(&names.attempt).and_then(|value| value.to_str().ok());
+    let echoed = echoed_attempt(context, &response);
     if echoed != Some(context.request.attempt.as_str()) {
         // A rejection may be that of an earlier request, so this one may have run.
         log::info!(
@@ -203,6 +205,23 @@
     read_response(context, guard, announcement, response, connection).await
 }
 
+/// Returns the attempt that a response belongs to, as its target states it.
+fn echoed_attempt<'a>(
+    context: &RequestContext,
+    response: &'a Response<Incoming>,
+) -> Option<&'a str> {
+    let name = &context.node.http_api.headers.attempt;
+    response.headers().get(name).and_then(|value| value.to_str().ok())
+}
+
+/// Returns whether a response cannot be that of a target: a success without a signature, or an
+/// encoded body.
+fn is_unexpected(context: &RequestContext, response: &Response<Incoming>) -> bool {
+    let headers = response.headers();
+    let signed = headers.contains_key(&context.node.http_api.headers.signature);
+    (response.status().is_success() && !signed) || headers.contains_key(CONTENT_ENCODING)
+}
+
 /// Records what a target says of itself in an answer.
 fn observe_target(
     node: &Rc<NodeState>,
@@ -225,6 +244,7 @@
     connection: ConnectionGuard,
 ) -> SendResult {
     let names = &context.node.http_api.headers;
+    let unexpected = is_unexpected(context, &response);
     let (parts, body) = response.into_parts();
     let misdirected = parts.status == StatusCode::MISDIRECTED_REQUEST;
     if misdirected || parts.headers.contains_key(&names.not_run) {
@@ -234,8 +254,6 @@
         guard.finish(if misdirected { AttemptOutcome::Unreachable } else { AttemptOutcome::Full });
         return SendResult::NotRun;
     }
-    let unexpected = (parts.status.is_success() && !parts.headers.contains_key(&names.signature))
-        || parts.headers.contains_key(CONTENT_ENCODING);
     if unexpected {
         guard.finish(AttemptOutcome::Broken);
         return SendResult::Broken("the target answered with something else");
