Give a silent target up only once another one is connected

What callers saw: a stream cut in the middle though its target was sound and went on after a second, if connections to the other target were not accepted (LOST).

Cause: the 150 ms in which the other target may reject began with the send and included the connect, which may take 400 ms.

Change: they begin when the connection is open. Until then the other target has no byte of the request, so two targets do not work on it for longer than before.

--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -19,6 +19,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::error::Elapsed;
 
 /// Time to wait for the target's own response after the deadline, in ms. The target stops at the
@@ -80,6 +81,8 @@
     /// Time that the request waited for its placement, in ms.
     pub(super) waited_ms: u64,
     sent_at: ClockTime,
+    /// Notified when the connection to the target is open.
+    connected: Rc<Notify>,
     exchange: Pin<Box<dyn Future<Output = ResponseHead>>>,
     head: Option<ResponseHead>,
 }
@@ -120,13 +123,17 @@
         let request = build_request(context, &announcement, last_event, left_ms)?;
         context.commit_reservation();
         let (node, address) = (context.node.clone(), announcement.address);
+        let connected = Rc::new(Notify::new());
+        let opened = connected.clone();
         let exchange = Box::pin(async move {
             let limit = Duration::from_millis(left_ms + DEADLINE_MARGIN_MS);
-            let sent = tokio::time::timeout(limit, node.upstreams.send(address, request)).await?;
+            let sending = node.upstreams.send(address, request, &opened);
+            let sent = tokio::time::timeout(limit, sending).await?;
             Ok(sent.map(|(response, connection, _)| (response, connection)))
         });
         let context = context.clone();
-        Some(Self { context, announcement, guard, waited_ms, sent_at, exchange, head: None })
+        let head = None;
+        Some(Self { context, announcement, guard, waited_ms, sent_at, connected, exchange, head })
     }
 
     /// Waits until the head of the response has arrived or the send has failed. May be dropped and
@@ -137,6 +144,21 @@
         }
     }
 
+    /// Waits until the head of the response has arrived or the send has failed, but not longer than
+    /// `limit` once the connection is open. Returns whether the wait ended in time.
+    pub(super) async fn receive_head_within(&mut self, limit: Duration) -> bool {
+        let connected = self.connected.clone();
+        let expired = async {
+            connected.notified().await;
+            tokio::time::sleep(limit).await;
+        };
+        tokio::select! {
+            biased;
+            () = self.receive_head() => true,
+            () = expired => false,
+        }
+    }
+
     /// Returns whether the head of a successful response to the request has arrived.
     pub(super) fn has_succeeded(&self) -> bool {
         let Some(Ok(Ok((response, _)))) = &self.head else { return false };
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -25,8 +25,8 @@
 const STALL_PAUSE_FACTOR: u64 = 3;
 /// Pause between two searches for another target, in ms.
 const SEARCH_INTERVAL_MS: u64 = 250;
-/// Time for another target to reject a request before the silent one is given up, in ms. A full
-/// target rejects at once. Two targets may work on a request for at most 400 ms.
+/// Time for another target to reject a request before the silent one is given up, in ms, once the
+/// connection is open. A full target rejects at once. Two targets may work on a request for at most 400 ms.
 const HANDOVER_MS: u64 = 150;
 
 /// Returns the silence before a response, in ms, after which another target is sought, or `None` if
@@ -89,7 +89,7 @@
     *has_retry = false;
     let mut send = start_send(context, history, target, last_event).ok()?;
     let handover = Duration::from_millis(HANDOVER_MS);
-    if tokio::time::timeout(handover, send.receive_head()).await.is_err() || send.has_succeeded() {
+    if !send.receive_head_within(handover).await || send.has_succeeded() {
         return Some(send);
     }
     match finish_send(context, history, send).await {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// Connect timeout, in ms. A target in the same region accepts within a few ms.
@@ -103,17 +104,19 @@
 
 impl UpstreamPool {
     /// Sends a request and waits for the head of the response. Also returns whether the connection
-    /// is new.
+    /// is new. `connected` is notified when a connection is open.
     pub(crate) async fn send(
         &self,
         address: SocketAddrV4,
         mut request: Request<Full<Bytes>>,
+        connected: &Notify,
     ) -> Result<(Response<Incoming>, ConnectionGuard, bool), SendError> {
         while let Some(mut connection) = self.take_idle(address) {
             if connection.sender.ready().await.is_err() {
                 continue;
             }
             connection.read_limit.set(MAX_HEAD_BYTES);
+            connected.notify_one();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(self.guard_response(address, connection, response, false));
@@ -125,6 +128,7 @@
             }
         }
         let mut connection = connect(address).await?;
+        connected.notify_one();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.guard_response(address, connection, response, true)),
             Err(error) => {
