Take no stream from a target that has started again

What callers saw: a stream that goes on with events of another version (ORDER). Found in a review of the version binding.

Cause: a request names only the id of the target that may run it, and a target may keep its id when it starts again. If it did so at another version between the grant and the answer, its events counted as those of the version before.

Change: a stream whose target is known to have started again by its first event is dropped, and another target is asked. Until the target's first announcement arrives, a new start cannot be told.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -255,6 +255,13 @@
             history.failure = Some(response);
             "the target answered with a failure"
         }
+        // The request names only the id of its target, which may run another version by now.
+        SendResult::Response(TargetResponse::Stream(_))
+            if context.route.resumable && context.node.has_restarted(announcement) =>
+        {
+            history.may_have_run = true;
+            "the target has started again"
+        }
         SendResult::Response(stream @ TargetResponse::Stream(_)) => {
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -66,6 +66,13 @@
         self.announcements.borrow().get(&target).cloned()
     }
 
+    /// Returns whether a later incarnation of a target is known.
+    pub(crate) fn has_restarted(&self, announcement: &TargetAnnouncement) -> bool {
+        let targets = self.targets.borrow();
+        let newest = targets.get(&announcement.id).map(|record| record.announcement.incarnation);
+        newest.is_some_and(|newest| newest > announcement.incarnation)
+    }
+
     /// Returns the announcement of a target if the target may still be used.
     pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
         let announcement = self.known_announcement(target)?;
