--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -43,7 +43,8 @@
     let mut head = source.parts.clone();
     prepare_head(&mut head, false);
     // A stream that this attempt takes up is recorded by the attempt that began it.
-    if !source.first.is_empty()
+    if context.route.resumable
+        && !source.first.is_empty()
         && context.origin.is_none()
         && let Some(announcement) = context.node.known_announcement(source.guard.target())
     {
@@ -115,7 +116,10 @@
     }
     match send_until_answered(context, history, last_event, next).await {
         Ok(TargetResponse::Stream(source)) => Some(source),
-        Ok(TargetResponse::Complete(_)) => None,
+        Ok(TargetResponse::Complete(_)) => {
+            log_stream_end(context, history, "the next target answered with a failure");
+            None
+        }
         Err(refusal) => {
             log_stream_end(context, history, refusal.reason());
             None
