--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -330,6 +330,8 @@
 
 def play(folder, case):
     """Plays a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
+    # So that a script that is stopped ends what it has started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(pathlib.Path(folder))
     record.add(f"TROUBLE={int(TROUBLE)}")
     try:
