Compare which targets have departed, so that no node misses a leave

What callers saw: a node that was frozen while a target left sent it requests once it was in touch again, up to 4.8 s after the acknowledgement of the leave (DRAIN allows 2.0 s).

Cause: a leave was one broadcast and three repetitions within 0.7 s, to nodes that were heard at that moment. Nothing compared later what nodes know. The same held for the mark of a leaving target in an answer to another node. On the way: a drain whose announcement was overtaken was dropped, and a leave of a later incarnation than the known one did not stop that incarnation's late announcements.

Change: departures are kept apart from announcements, the highest for each target, so they merge in any order. Each status carries a digest of them; a node whose digest differs for 0.3 s fetches and merges what the other one knows. The same code does this for suspects and limits, in place of two copies.

Logs: the other nodes log target.Leaving, node 0 only peer.lost and peer.heard.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -2,6 +2,7 @@
 //! delays information but never leads to a wrong decision.
 
 use crate::allowance::{AllowanceUsage, WorkspaceKey};
+use crate::facts::FactDigests;
 use crate::placement::{
     ActiveRequest, AttemptOutcome, PlacementKey, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey,
@@ -55,10 +56,8 @@
     pub(crate) disk_majority: bool,
     /// Whether the node admits only its guaranteed part of the allowances.
     pub(crate) restricted: bool,
-    /// Digest of what the node knows about suspects.
-    pub(crate) suspects: u64,
-    /// Digest of the limits of targets that the node knows.
-    pub(crate) limits: u64,
+    /// Digests of what the node knows of targets and requests.
+    pub(crate) facts: FactDigests,
     /// Usage of the allowances, by workspace.
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
     /// Streams that callers of the node began lately. Omitted for receivers without a disk.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod document;
 pub mod durations;
 pub mod events;
+mod facts;
 mod frontend;
 pub mod http_api;
 pub mod idle;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,6 +1,7 @@
 //! State and background tasks of a node.
 
 mod datagrams;
+mod exchange;
 mod pauses;
 mod placing;
 mod recovery;
@@ -21,6 +22,7 @@
 use crate::datagram::PeerDatagram;
 use crate::deadlines::DeadlineTracker;
 use crate::durations::DurationTracker;
+use crate::facts::FactKind;
 use crate::http_api::HttpApi;
 use crate::idle::IdleLimits;
 use crate::logs;
@@ -130,10 +132,8 @@
     last_saved_memory: RefCell<Option<StoredMemory>>,
     /// Whether the usage of allowances is being fetched from another node.
     fetching_usage: Cell<bool>,
-    /// Whether the suspects are being fetched from another node.
-    fetching_suspects: Cell<bool>,
-    /// Whether the limits of targets are being fetched from another node.
-    fetching_limits: Cell<bool>,
+    /// Facts that are being fetched from another node.
+    fetching_facts: RefCell<BTreeSet<FactKind>>,
     /// Notified when the blocked suspects have changed.
     suspects_changed: Notify,
     streams: RefCell<StreamTable>,
@@ -246,7 +246,7 @@
             target: "burdockcleat",
             "event=target.misdirected target={} incarnation={}", announcement.id, announcement.incarnation
         );
-        self.targets.borrow_mut().mark_left(&announcement.id, announcement.incarnation);
+        self.targets.borrow_mut().mark_misdirected(&announcement.id, announcement.incarnation);
         self.refresh_targets();
     }
 
--- a/crates/edge/src/node/recovery.rs
+++ b/crates/edge/src/node/recovery.rs
@@ -5,7 +5,7 @@
 use crate::datagram::NodeStatus;
 use crate::memory::{RecoveryMemory, StoredMemory, StoredUsage};
 use crate::rpc::{self, PeerCall, PeerReply};
-use crate::targets::{AgedNotice, FRESH_INTERVALS};
+use crate::targets::FRESH_INTERVALS;
 use burdockcleat_core::clock::ClockTime;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -33,7 +33,7 @@
             written.memory.speeds.len(), written.memory.deadlines.len()
         );
         if let Some(age_ms) = age_ms {
-            self.apply_memory(&written.aged(age_ms));
+            self.apply_memory(&written.aged(age_ms), "disk");
         }
     }
 
@@ -105,20 +105,13 @@
     }
 
     /// Applies targets, speeds and deadlines known to another node or stored on disk.
-    pub(crate) fn apply_memory(&self, memory: &RecoveryMemory) {
+    pub(crate) fn apply_memory(&self, memory: &RecoveryMemory, from: &str) {
         let now = ClockTime::monotonic();
         self.deadlines.borrow_mut().restore(&memory.deadlines, now);
         self.scheduler.borrow_mut().restore_speeds(&memory.speeds);
-        let mut table = self.targets.borrow_mut();
-        for AgedNotice { notice, age_ms } in &memory.targets {
-            // The clock starts with the process, so an older notice counts as received then.
-            let received_at = ClockTime::from_ms(now.as_ms().saturating_sub(*age_ms));
-            table.apply(notice, received_at);
-        }
-        drop(table);
         self.peers.borrow_mut().add_contacts(memory.nodes.iter().copied(), now);
         self.merge_suspects(&memory.suspects);
-        self.refresh_targets();
+        self.merge_notices(&memory.targets, from);
     }
 
     /// Returns the memory for another node that has just started.
@@ -138,7 +131,7 @@
         let written = ClockTime::wall();
         let fresh_ms = self.settings.limits.announce_interval_ms * FRESH_INTERVALS;
         let mut memory = self.memory();
-        memory.targets.retain(|aged| aged.age_ms <= fresh_ms || aged.notice.is_leave());
+        memory.targets.retain(|aged| aged.age_ms <= fresh_ms || aged.notice.is_departure());
         let mut last = self.last_saved_memory.borrow_mut();
         let current = last.as_ref().is_some_and(|last| {
             last.memory.is_current(&memory)
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -100,8 +100,7 @@
             active: Some(active),
             disk_majority: view.disk_majority,
             restricted: view.is_restricted(),
-            suspects: self.suspects.borrow().digest(),
-            limits: self.limits.borrow().digest(),
+            facts: self.fact_digests(),
             used: self.allowances.borrow().totals(),
             streams: self.reported_streams(now),
         }
@@ -115,8 +114,7 @@
         let (active, used) = (status.active.clone(), status.used.clone());
         self.merge_streams(&std::mem::take(&mut status.streams));
         self.learn_usage(&status, now);
-        self.learn_suspects(status.suspects, address);
-        self.learn_limits(status.limits, address);
+        self.learn_facts(&status.facts, address);
         let Some(change) = self.peers.borrow_mut().record_status(status, now) else { return };
         if change == PeerChange::New {
             // Spares a node that has just started the wait for the next status.
--- a/crates/edge/src/node/suspects.rs
+++ b/crates/edge/src/node/suspects.rs
@@ -2,16 +2,9 @@
 
 use super::{NodeState, target_key};
 use crate::datagram::PeerDatagram;
-use crate::rpc::{self, PeerCall, PeerReply};
 use crate::suspects::{RequestTrait, SuspectReport};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
-use std::net::SocketAddrV4;
-use std::rc::Rc;
-use std::time::Duration;
-
-/// Pause after the suspects were fetched from another node, in ms.
-const FETCH_PAUSE_MS: u64 = 500;
 
 impl NodeState {
     /// Records that a target crashed before it began to answer a request, here and at the other
@@ -73,27 +66,4 @@
             changed.await;
         }
     }
-
-    /// Fetches the suspects from a node whose digest differs. Reports of crashes may have been lost
-    /// on their way, or this node was down or cut off.
-    pub(super) fn learn_suspects(self: &Rc<Self>, digest: u64, from: SocketAddrV4) {
-        let differs = digest != 0 && digest != self.suspects.borrow().digest();
-        if differs && !self.fetching_suspects.replace(true) {
-            tokio::task::spawn_local(self.clone().fetch_suspects(from));
-        }
-    }
-
-    async fn fetch_suspects(self: Rc<Self>, from: SocketAddrV4) {
-        match rpc::call(from, &PeerCall::ReadSuspects).await {
-            Ok(PeerReply::Suspects(reports)) => self.merge_suspects(&reports),
-            Ok(other) => {
-                log::debug!(target: "burdockcleat", "event=suspect.fetch_failed peer={from} reply={other:?}");
-            }
-            Err(error) => {
-                log::info!(target: "burdockcleat", "event=suspect.fetch_failed peer={from} cause=\"{error}\"");
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(FETCH_PAUSE_MS)).await;
-        self.fetching_suspects.set(false);
-    }
 }
--- a/crates/edge/src/node/target_limits.rs
+++ b/crates/edge/src/node/target_limits.rs
@@ -4,17 +4,11 @@
 use super::{NodeState, target_key};
 use crate::datagram::PeerDatagram;
 use crate::placement::TargetKey;
-use crate::rpc::{self, PeerCall, PeerReply};
 use crate::target_limits::{LimitReport, RequestRate};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use hyper::header::HeaderMap;
-use std::net::SocketAddrV4;
-use std::rc::Rc;
-use std::time::Duration;
 
-/// Pause after the limits were fetched from another node, in ms.
-const FETCH_PAUSE_MS: u64 = 500;
 /// Time after its start during which a node accepts limits of targets that it does not know yet, in
 /// ms. Later, these are targets that it has forgotten.
 const UNKNOWN_TARGETS_MS: u64 = 10_000;
@@ -95,29 +89,6 @@
         Some(self.targets.borrow().holds(announcement))
     }
 
-    /// Fetches the limits from a node whose digest differs. Reports may have been lost on their way,
-    /// or this node was down or cut off.
-    pub(super) fn learn_limits(self: &Rc<Self>, digest: u64, from: SocketAddrV4) {
-        let differs = digest != 0 && digest != self.limits.borrow().digest();
-        if differs && !self.fetching_limits.replace(true) {
-            tokio::task::spawn_local(self.clone().fetch_limits(from));
-        }
-    }
-
-    async fn fetch_limits(self: Rc<Self>, from: SocketAddrV4) {
-        match rpc::call(from, &PeerCall::ReadLimits).await {
-            Ok(PeerReply::Limits(reports)) => self.merge_limits(&reports),
-            Ok(other) => {
-                log::debug!(target: "burdockcleat", "event=target.limits_not_fetched peer={from} reply={other:?}");
-            }
-            Err(error) => {
-                log::info!(target: "burdockcleat", "event=target.limits_not_fetched peer={from} cause=\"{error}\"");
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(FETCH_PAUSE_MS)).await;
-        self.fetching_limits.set(false);
-    }
-
     fn log_limit(&self, report: &LimitReport, from: &str) {
         let per_s = report.rate.map_or_else(|| "none".to_owned(), |rate| rate.to_string());
         let announcements = self.announcements.borrow();
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -2,7 +2,7 @@
 
 use super::{NodeState, target_key};
 use crate::placement::{TargetInfo, TargetKey};
-use crate::targets::{TargetAnnouncement, TargetNotice};
+use crate::targets::{AgedNotice, TargetAnnouncement, TargetChange, TargetNotice};
 use burdockcleat_core::clock::ClockTime;
 use hyper::header::HeaderMap;
 use std::collections::BTreeSet;
@@ -48,6 +48,27 @@
         self.deliver_decisions();
     }
 
+    /// Applies notices that another node received, or this one before its restart.
+    pub(super) fn merge_notices(&self, notices: &[AgedNotice], from: &str) {
+        let now = ClockTime::monotonic();
+        let mut changed = false;
+        for AgedNotice { notice, age_ms } in notices {
+            // The clock starts with the process, so an older notice counts as received then.
+            let received_at = ClockTime::from_ms(now.as_ms().saturating_sub(*age_ms));
+            let change = self.targets.borrow_mut().apply(notice, received_at);
+            if matches!(change, TargetChange::Joined | TargetChange::Leaving) {
+                changed = true;
+                log::info!(
+                    target: "burdockcleat",
+                    "event=target.{change:?} notice={notice:?} from={from} age_ms={age_ms}"
+                );
+            }
+        }
+        if changed {
+            self.refresh_targets();
+        }
+    }
+
     /// Records that a target says in an answer that it is leaving.
     pub(crate) fn observe_leaving(
         self: &Rc<Self>,
@@ -76,10 +97,7 @@
     /// Returns the announcement of a target if the target may still be used.
     pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
         let announcement = self.known_announcement(target)?;
-        let targets = self.targets.borrow();
-        let record = targets.get(&announcement.id)?;
-        let same = record.announcement.incarnation == announcement.incarnation;
-        (same && !record.left && !record.announcement.draining).then_some(announcement)
+        self.targets.borrow().accepts_requests(&announcement).then_some(announcement)
     }
 }
 
--- a/crates/edge/src/register_service/serve.rs
+++ b/crates/edge/src/register_service/serve.rs
@@ -25,7 +25,7 @@
         match rpc::call(from, &PeerCall::ReadApplied { with_memory }).await {
             Ok(PeerReply::Applied { value: Some(AcceptedValue { ballot, value }), memory }) => {
                 self.apply_value(ballot, &value);
-                self.apply_memory(&memory);
+                self.apply_memory(&memory, &from.to_string());
             }
             Ok(other) => {
                 log::debug!(target: "burdockcleat", "event=config.fetch_failed peer={from} reply={other:?}");
@@ -90,11 +90,7 @@
                 let memory = if with_memory { self.memory() } else { RecoveryMemory::default() };
                 return PeerReply::Applied { value, memory };
             }
-            PeerCall::ReadSuspects => {
-                let now = ClockTime::monotonic();
-                return PeerReply::Suspects(self.suspects.borrow().reports(now));
-            }
-            PeerCall::ReadLimits => return PeerReply::Limits(self.limits.borrow().reports()),
+            PeerCall::ReadFacts(kind) => return PeerReply::Facts(self.known_facts(kind)),
             PeerCall::ReadUsage => {
                 let now = ClockTime::monotonic();
                 let source = self.usage_source(now);
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -2,10 +2,9 @@
 //! and its reply.
 
 use crate::allowance::{UsageSource, WorkspaceUsage};
+use crate::facts::{FactKind, KnownFacts};
 use crate::memory::RecoveryMemory;
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
-use crate::suspects::SuspectReport;
-use crate::target_limits::LimitReport;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -40,10 +39,8 @@
     Change(RegisterChange),
     /// Reads the usage of allowances, for a caller that has just started.
     ReadUsage,
-    /// Reads what the node knows about suspects.
-    ReadSuspects,
-    /// Reads the limits of targets that the node knows.
-    ReadLimits,
+    /// Reads all facts of one kind that the node knows.
+    ReadFacts(FactKind),
 }
 
 /// Reply to a call.
@@ -70,8 +67,7 @@
         source: UsageSource,
         usage: Vec<WorkspaceUsage>,
     },
-    Suspects(Vec<SuspectReport>),
-    Limits(Vec<LimitReport>),
+    Facts(KnownFacts),
 }
 
 /// Error of a call.
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -3,6 +3,7 @@
 use crate::placement::VersionKey;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use thiserror::Error;
@@ -61,9 +62,9 @@
 }
 
 impl TargetNotice {
-    /// Returns whether the notice is a leave.
-    pub const fn is_leave(&self) -> bool {
-        matches!(self, Self::Left { .. })
+    /// Returns whether the notice ends the use of an incarnation.
+    pub const fn is_departure(&self) -> bool {
+        matches!(self, Self::Draining { .. } | Self::Left { .. })
     }
 
     /// Returns the notice with the sequence number reset to 0.
@@ -105,10 +106,26 @@
 pub struct TargetRecord {
     /// The newest announcement.
     pub announcement: TargetAnnouncement,
-    /// Time of the last announcement or leave.
+    /// Time of the last announcement.
     pub last_seen: ClockTime,
-    /// Whether the incarnation has left.
-    pub left: bool,
+    /// Whether the address answered as another target. Nodes do not tell each other.
+    pub misdirected: bool,
+}
+
+/// End of the use of a target, up to an incarnation. It is final: of several, the highest incarnation
+/// counts, and of the same incarnation its leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct TargetDeparture {
+    incarnation: u64,
+    /// Whether the incarnation has left. It drains otherwise.
+    left: bool,
+}
+
+/// Departure with the time of its last notice.
+#[derive(Clone, Copy, Debug)]
+struct DepartureRecord {
+    departure: TargetDeparture,
+    last_seen: ClockTime,
 }
 
 /// Effect of a notice on the table.
@@ -130,6 +147,9 @@
 /// Time after the last notice for which a record is kept, in ms. It exceeds the possible delay of
 /// an announcement, so that a late announcement does not revive a target that left.
 const RECORD_RETENTION_MS: u64 = 120_000;
+/// Age up to which departures are passed on, in ms. Nodes forget them at slightly different times, and
+/// must not learn from each other again what they have just forgotten.
+const SHARED_AGE_MS: u64 = 110_000;
 /// Tolerated step of the wall clock for the leave of an unknown target, in ms.
 const CLOCK_STEP_MS: u64 = 5_000;
 
@@ -137,8 +157,10 @@
 #[derive(Debug, Default)]
 pub struct TargetTable {
     records: BTreeMap<String, TargetRecord>,
-    /// Leaves of unknown targets: the highest incarnation that has left and the time of the leave.
-    unknown_leaves: BTreeMap<String, (u64, ClockTime)>,
+    /// Departures by target, of unknown targets too.
+    departures: BTreeMap<String, DepartureRecord>,
+    /// Digest of the departures, until they change.
+    digest: OnceCell<u64>,
 }
 
 impl TargetTable {
@@ -146,67 +168,84 @@
     pub fn apply(&mut self, notice: &TargetNotice, now: ClockTime) -> TargetChange {
         match notice {
             TargetNotice::Announced(announcement) => self.announce(announcement, now),
-            TargetNotice::Draining { id, incarnation } => self.drain(id, *incarnation),
-            TargetNotice::Left { id, incarnation } => self.leave(id, *incarnation, now),
-        }
-    }
-
-    fn drain(&mut self, id: &str, incarnation: u64) -> TargetChange {
-        let Some(record) = self.records.get_mut(id) else { return TargetChange::Stale };
-        let known = &mut record.announcement;
-        if known.incarnation != incarnation || known.draining || record.left {
-            return TargetChange::Stale;
+            TargetNotice::Draining { id, incarnation } => {
+                let departure = TargetDeparture { incarnation: *incarnation, left: false };
+                self.depart(id, departure, now)
+            }
+            TargetNotice::Left { id, incarnation } => {
+                let departure = TargetDeparture { incarnation: *incarnation, left: true };
+                self.depart(id, departure, now)
+            }
         }
-        known.draining = true;
-        TargetChange::Leaving
     }
 
     fn announce(&mut self, announcement: &TargetAnnouncement, now: ClockTime) -> TargetChange {
-        let order = (announcement.incarnation, announcement.sequence);
-        if self
-            .unknown_leaves
-            .get(&announcement.id)
-            .is_some_and(|(incarnation, _)| announcement.incarnation <= *incarnation)
-        {
+        let (id, incarnation) = (&announcement.id, announcement.incarnation);
+        if self.has_left(id, incarnation) {
             return TargetChange::Stale;
         }
-        let Some(record) = self.records.get_mut(&announcement.id) else {
-            let record =
-                TargetRecord { announcement: announcement.clone(), last_seen: now, left: false };
-            self.records.insert(announcement.id.clone(), record);
+        // A drain counts also if a later announcement has overtaken it.
+        let drained = if announcement.draining {
+            self.depart(id, TargetDeparture { incarnation, left: false }, now)
+        } else {
+            TargetChange::Stale
+        };
+        let Some(record) = self.records.get_mut(id) else {
+            let record = TargetRecord {
+                announcement: announcement.clone(),
+                last_seen: now,
+                misdirected: false,
+            };
+            self.records.insert(id.clone(), record);
             return TargetChange::Joined;
         };
         let known = &record.announcement;
-        let same = known.incarnation == announcement.incarnation;
-        if order <= (known.incarnation, known.sequence) || (same && record.left) {
-            return TargetChange::Stale;
+        let same = known.incarnation == incarnation;
+        let order = (incarnation, announcement.sequence);
+        if order <= (known.incarnation, known.sequence) || (same && record.misdirected) {
+            return drained;
         }
-        let change = match (same, known.draining, announcement.draining) {
-            (false, _, _) => TargetChange::Joined,
-            (true, false, true) => TargetChange::Leaving,
-            (true, _, _) => TargetChange::Refreshed,
-        };
-        // A draining incarnation never becomes usable again.
-        let draining = announcement.draining || (same && known.draining);
-        record.announcement = TargetAnnouncement { draining, ..announcement.clone() };
+        record.announcement = announcement.clone();
         record.last_seen = now;
-        record.left = false;
-        change
+        record.misdirected = false;
+        // A target that drains is remembered for as long as it announces itself.
+        if let Some(known) = self.departures.get_mut(id)
+            && known.departure.incarnation == incarnation
+        {
+            known.last_seen = now;
+        }
+        match (same, drained) {
+            (false, _) => TargetChange::Joined,
+            (true, TargetChange::Leaving) => TargetChange::Leaving,
+            (true, _) => TargetChange::Refreshed,
+        }
     }
 
-    fn leave(&mut self, id: &str, incarnation: u64, now: ClockTime) -> TargetChange {
-        let Some(record) = self.records.get_mut(id) else {
-            self.unknown_leaves.insert(id.to_owned(), (incarnation, now));
-            return TargetChange::Leaving;
-        };
-        if record.left || record.announcement.incarnation > incarnation {
+    fn depart(&mut self, id: &str, departure: TargetDeparture, now: ClockTime) -> TargetChange {
+        if self.departures.get(id).is_some_and(|known| known.departure >= departure) {
+            return TargetChange::Stale;
+        }
+        self.departures.insert(id.to_owned(), DepartureRecord { departure, last_seen: now });
+        self.digest.take();
+        let known = self.records.get(id).map(|record| record.announcement.incarnation);
+        if known.is_some_and(|known| known > departure.incarnation) {
             return TargetChange::Stale;
         }
-        record.left = true;
-        record.last_seen = now;
         TargetChange::Leaving
     }
 
+    /// Returns whether an incarnation of a target drains or has left.
+    fn has_departed(&self, id: &str, incarnation: u64) -> bool {
+        let known = self.departures.get(id).map(|known| known.departure);
+        known.is_some_and(|departure| departure.incarnation >= incarnation)
+    }
+
+    /// Returns whether an incarnation of a target has left. A later one that drains has replaced it.
+    fn has_left(&self, id: &str, incarnation: u64) -> bool {
+        let known = self.departures.get(id).map(|known| known.departure);
+        known.is_some_and(|known| known >= TargetDeparture { incarnation, left: true })
+    }
+
     /// Returns the incarnation that a leave of this target refers to: the known one or, for an
     /// unknown target, the latest that may have started before the wall-clock time `wall`.
     pub fn leaving_incarnation(&self, id: &str, wall: ClockTime) -> u64 {
@@ -215,20 +254,26 @@
         })
     }
 
-    /// Marks an incarnation as left after it was found to be gone.
-    pub fn mark_left(&mut self, id: &str, incarnation: u64) {
+    /// Marks an incarnation whose address answered as another target.
+    pub fn mark_misdirected(&mut self, id: &str, incarnation: u64) {
         if let Some(record) = self.records.get_mut(id)
             && record.announcement.incarnation == incarnation
         {
-            record.left = true;
+            record.misdirected = true;
         }
     }
 
     /// Returns whether an incarnation is known and has not left.
     pub fn holds(&self, announcement: &TargetAnnouncement) -> bool {
-        self.records.get(&announcement.id).is_some_and(|record| {
-            record.announcement.incarnation == announcement.incarnation && !record.left
-        })
+        let (id, incarnation) = (&announcement.id, announcement.incarnation);
+        self.records.get(id).is_some_and(|record| {
+            record.announcement.incarnation == incarnation && !record.misdirected
+        }) && !self.has_left(id, incarnation)
+    }
+
+    /// Returns whether an incarnation is known and neither drains nor has left.
+    pub fn accepts_requests(&self, announcement: &TargetAnnouncement) -> bool {
+        self.holds(announcement) && !self.has_departed(&announcement.id, announcement.incarnation)
     }
 
     /// Returns the record of a target.
@@ -245,15 +290,14 @@
         now: ClockTime,
     ) -> Vec<&TargetAnnouncement> {
         let fresh = |record: &&TargetRecord| {
-            !record.left
-                && !record.announcement.draining
-                && now.since(record.last_seen) <= announce_interval_ms * FRESH_INTERVALS
+            now.since(record.last_seen) <= announce_interval_ms * FRESH_INTERVALS
         };
         self.records
             .values()
             .filter(|record| record.announcement.service == service)
             .filter(fresh)
             .map(|record| &record.announcement)
+            .filter(|announcement| self.accepts_requests(announcement))
             .filter(|announcement| !self.replaced(announcement))
             .collect()
     }
@@ -267,25 +311,54 @@
 
     /// Returns the state of all targets as notices, for a node that has just started.
     pub fn snapshot(&self, now: ClockTime) -> Vec<AgedNotice> {
-        self.records
-            .values()
-            .map(|record| {
-                let announcement = record.announcement.clone();
-                let (id, incarnation) = (announcement.id.clone(), announcement.incarnation);
-                let notice = if record.left {
+        let records = self.records.values().filter(|record| self.holds(&record.announcement));
+        let announced = records.map(|record| AgedNotice {
+            notice: TargetNotice::Announced(record.announcement.clone()),
+            age_ms: now.since(record.last_seen),
+        });
+        announced.chain(self.departures(now)).collect()
+    }
+
+    /// Returns the departures as notices, for a node that may have missed some.
+    pub fn departures(&self, now: ClockTime) -> Vec<AgedNotice> {
+        let departures =
+            self.departures.iter().map(|(id, DepartureRecord { departure, last_seen })| {
+                let (id, incarnation) = (id.clone(), departure.incarnation);
+                let notice = if departure.left {
                     TargetNotice::Left { id, incarnation }
                 } else {
-                    TargetNotice::Announced(announcement)
+                    TargetNotice::Draining { id, incarnation }
                 };
-                AgedNotice { notice, age_ms: now.since(record.last_seen) }
-            })
-            .collect()
+                AgedNotice { notice, age_ms: now.since(*last_seen) }
+            });
+        departures.filter(|aged| aged.age_ms <= SHARED_AGE_MS).collect()
+    }
+
+    /// Returns a digest of the departures; 0 if there are none.
+    pub fn departure_digest(&self) -> u64 {
+        if self.departures.is_empty() {
+            return 0;
+        }
+        *self.digest.get_or_init(|| {
+            let mut hash = xxhash_rust::xxh3::Xxh3::new();
+            for (id, DepartureRecord { departure, .. }) in &self.departures {
+                hash.update(id.as_bytes());
+                hash.update(&departure.incarnation.to_le_bytes());
+                hash.update(&[departure.left.into()]);
+            }
+            hash.digest().max(1)
+        })
     }
 
     /// Removes records that no delayed announcement can refer to any longer.
     pub fn prune(&mut self, now: ClockTime) {
-        self.records.retain(|_, record| now.since(record.last_seen) <= RECORD_RETENTION_MS);
-        self.unknown_leaves.retain(|_, (_, left_at)| now.since(*left_at) <= RECORD_RETENTION_MS);
+        let kept = |last_seen: ClockTime| now.since(last_seen) <= RECORD_RETENTION_MS;
+        self.records.retain(|_, record| kept(record.last_seen));
+        let known = self.departures.len();
+        self.departures.retain(|_, record| kept(record.last_seen));
+        if self.departures.len() < known {
+            self.digest.take();
+        }
     }
 
     /// Returns the number of records, for metrics.
--- a/crates/edge/tests/targets.rs
+++ b/crates/edge/tests/targets.rs
@@ -2,6 +2,10 @@
 
 use burdockcleat_core::clock::ClockTime;
 use burdockcleat_edge::targets::{TargetAnnouncement, TargetChange, TargetNotice, TargetTable};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Announcement interval, in ms.
 const INTERVAL_MS: u64 = 1_200;
@@ -128,3 +132,112 @@
     assert_eq!(announced(&mut restarted, announcement("gone", 10, 2), 9_000), TargetChange::Stale);
     assert_eq!(usable(&restarted, 9_000), [("here".into(), 10)]);
 }
+
+/// Guards against an announcement that revives a target whose leave arrived while only an earlier
+/// incarnation was known.
+#[test]
+fn a_leave_of_a_later_incarnation_blocks_its_announcements() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    left(&mut table, "i", 20, 100);
+    assert_eq!(announced(&mut table, announcement("i", 20, 5), 200), TargetChange::Stale);
+    assert!(usable(&table, 200).is_empty());
+}
+
+/// Guards against forgetting a drain whose announcement was overtaken by a later one.
+#[test]
+fn an_overtaken_draining_announcement_counts() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 3), 0);
+    let draining = TargetAnnouncement { draining: true, ..announcement("i", 10, 2) };
+    assert_eq!(announced(&mut table, draining, 10), TargetChange::Leaving);
+    assert!(usable(&table, 10).is_empty());
+}
+
+/// Guards against a draining target that is used again once its mark is older than the retention,
+/// while it still announces itself.
+#[test]
+fn a_draining_target_drains_for_as_long_as_it_announces_itself() {
+    let mut table = TargetTable::default();
+    announced(&mut table, announcement("i", 10, 1), 0);
+    let draining = TargetNotice::Draining { id: "i".into(), incarnation: 10 };
+    table.apply(&draining, ClockTime::from_ms(0));
+    for step in 1..=300 {
+        let ms = step * INTERVAL_MS;
+        announced(&mut table, announcement("i", 10, 1 + step), ms);
+        table.prune(ClockTime::from_ms(ms));
+        assert!(usable(&table, ms).is_empty(), "after {ms} ms");
+    }
+    assert_eq!(table.departures(ClockTime::from_ms(300 * INTERVAL_MS)).len(), 1);
+}
+
+/// Guards against tables that learn from each other again what they have just forgotten.
+#[test]
+fn old_departures_are_forgotten_and_not_passed_on() {
+    let mut table = TargetTable::default();
+    left(&mut table, "i", 10, 0);
+    assert_eq!(table.departures(ClockTime::from_ms(100_000)).len(), 1);
+    assert!(table.departures(ClockTime::from_ms(119_000)).is_empty());
+    table.prune(ClockTime::from_ms(119_000));
+    assert_ne!(table.departure_digest(), 0);
+    table.prune(ClockTime::from_ms(121_000));
+    assert_eq!(table.departure_digest(), 0);
+}
+
+/// Guards against departures that some nodes never learn, whichever notices each of them missed, and
+/// against digests that differ between nodes that know the same.
+#[test]
+fn compared_tables_agree_on_departures() {
+    for (seed, nodes) in [(1, 10), (2, 10), (3, 73), (4, 360)] {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut tables: Vec<_> = (0..nodes).map(|_| TargetTable::default()).collect();
+        let mut last_left = BTreeMap::new();
+        for step in 1..=200_u64 {
+            let (id, incarnation) = (format!("i-{}", random.random_range(0..20)), step / 20);
+            let notice = match random.random_range(0..4) {
+                0 => TargetNotice::Left { id: id.clone(), incarnation },
+                1 => TargetNotice::Draining { id, incarnation },
+                _ => {
+                    let draining = random.random_bool(0.2);
+                    let port = id.trim_start_matches("i-").parse().expect("a number");
+                    let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, port);
+                    TargetNotice::Announced(TargetAnnouncement {
+                        draining,
+                        address,
+                        ..announcement(&id, incarnation, step)
+                    })
+                }
+            };
+            if let TargetNotice::Left { id, incarnation } = &notice {
+                last_left.insert(id.clone(), *incarnation);
+            }
+            // Some node gets each notice; every other one misses it with a probability of a half.
+            let receiver = random.random_range(0..nodes);
+            for (node, table) in tables.iter_mut().enumerate() {
+                if node == receiver || random.random_bool(0.5) {
+                    table.apply(&notice, ClockTime::from_ms(step * 10));
+                }
+            }
+        }
+        let now = ClockTime::from_ms(2_500);
+        // Each node asks one after the other, twice around.
+        for step in 0..2 * nodes {
+            let known = tables[step % nodes].departures(now);
+            let asking = &mut tables[(step + 1) % nodes];
+            for aged in known {
+                asking.apply(&aged.notice, ClockTime::from_ms(now.as_ms() - aged.age_ms));
+            }
+        }
+        let digests: BTreeSet<_> = tables.iter().map(TargetTable::departure_digest).collect();
+        assert_eq!(digests.len(), 1, "seed {seed}");
+        for table in &tables {
+            for (id, incarnation) in usable(table, now.as_ms()) {
+                let left = last_left.get(&id).is_some_and(|left| *left >= incarnation);
+                assert!(
+                    !left,
+                    "seed {seed}: {id} of incarnation {incarnation} is used after it left"
+                );
+            }
+        }
+    }
+}
