Trust versions of targets again only once heard after an absence

Cause: after an absence a node trusted its table of targets until the next announcement of each. A target doesn't check the version, and its id is the same. Only an announcement that arrived before the first event stopped it.

Change: a node that stood still for 1 s or heard no other node sends what is bound to a version only to targets that it has heard since; the version of a stream that begins at another target stays open until that target is heard. Started nodes use their memory as before.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -3,7 +3,7 @@
 use super::send::{CompleteResponse, PendingSend, SendResult, TargetResponse};
 use super::silence::{replace_silent, response_stall_ms};
 use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS};
-use crate::node::{ActiveRequestGuard, Placement};
+use crate::node::{ActiveRequestGuard, Placement, target_key};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey, VersionKey};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
@@ -47,6 +47,8 @@
     /// Version of the targets that may run the request; `None` while all may. What targets of two
     /// versions write does not fit together, so a stream ends at the version that began it.
     pub(crate) version: Option<VersionKey>,
+    /// Target that brought the first event of the answer.
+    pub(super) first_target: Option<TargetAnnouncement>,
     unreachable: u32,
     excluded: Vec<TargetKey>,
     /// Error response of a target, returned to the caller if no other send succeeds.
@@ -167,6 +169,10 @@
 ) -> Result<GrantedTarget, SendFailure> {
     let started = ClockTime::monotonic();
     await_pause_end(context, history).await.map_err(SendFailure::Final)?;
+    if let Some(version) = history.version {
+        let left_ms = history.left_ms(context, started);
+        context.node.await_heard_target(&context.service, version, left_ms).await;
+    }
     let guard = place(context, history).await.map_err(SendFailure::Final)?;
     let now = ClockTime::monotonic();
     if context.node.is_paused(guard.target(), now) {
@@ -174,6 +180,11 @@
         guard.finish(AttemptOutcome::Dropped);
         return Err(SendFailure::Free);
     }
+    if history.version.is_some() && context.node.is_outdated(guard.target()) {
+        // This node was absent while the request waited.
+        guard.finish(AttemptOutcome::Dropped);
+        return Err(SendFailure::Free);
+    }
     let Some(announcement) = context.node.announcement(guard.target()) else {
         history.excluded.push(guard.target());
         guard.finish(AttemptOutcome::Dropped);
@@ -265,7 +276,11 @@
         SendResult::Response(stream @ TargetResponse::Stream(_)) => {
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
-            history.version.get_or_insert(announcement.version_key());
+            // What an outdated target writes may be of another version than the known one.
+            let outdated = context.node.is_outdated(target_key(announcement));
+            let version = if outdated { VersionKey::UNKNOWN } else { announcement.version_key() };
+            history.version.get_or_insert(version);
+            history.first_target.get_or_insert_with(|| announcement.clone());
             context.node.clear_suspects(&context.traits);
             history.may_have_run = true;
             return Ok(stream);
@@ -366,6 +381,9 @@
         let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
         context.route.objective_ms.cast_signed() - waited
     };
+    let paused = node.paused_targets(&context.service, now);
+    let outdated =
+        history.version.map(|version| node.outdated_targets(&context.service, version).0);
     let request = PlacementRequest {
         key: node.next_placement_key(),
         process: node.process,
@@ -379,7 +397,7 @@
         deadline_left_ms: left_ms,
         answer_left_ms: context.left_ms(now),
         pause_ms: context.route.pause_ms,
-        excluded: [history.excluded.clone(), node.paused_targets(&context.service, now)].concat(),
+        excluded: [history.excluded.clone(), paused, outdated.unwrap_or_default()].concat(),
     };
     let expected_ms = expected_ms(context, history, now);
     let placement = node.place(request);
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -4,8 +4,9 @@
 use super::send::{MAX_EVENT_FRAME_BYTES, PendingSend, StreamSource, TargetResponse, prepare_head};
 use super::silence::{replace_silent, stream_stall_ms};
 use super::{RequestContext, log_response};
-use crate::placement::AttemptOutcome;
+use crate::placement::{AttemptOutcome, VersionKey};
 use crate::reply::{ReplyBody, StreamBroken};
+use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -48,12 +49,23 @@
         && context.origin.is_none()
         && let Some(announcement) = context.node.known_announcement(source.guard.target())
     {
-        context.node.record_stream(&context.request.attempt, &announcement);
+        if history.version == Some(VersionKey::UNKNOWN) {
+            tokio::task::spawn_local(record_confirmed(context.clone(), announcement));
+        } else {
+            context.node.record_stream(&context.request.attempt, &announcement);
+        }
     }
     tokio::task::spawn_local(forward_stream(context, history, source, sender));
     Response::from_parts(head, ReplyBody::Stream(receiver))
 }
 
+/// Records a stream at an outdated target once the target's version is confirmed.
+async fn record_confirmed(context: Rc<RequestContext>, announcement: TargetAnnouncement) {
+    if context.node.confirm_version(&announcement).await.is_some() {
+        context.node.record_stream(&context.request.attempt, &announcement);
+    }
+}
+
 /// Forwards the stream of one target after another until the response is complete.
 async fn forward_stream(
     context: Rc<RequestContext>,
@@ -111,6 +123,11 @@
     last_event: Option<u64>,
     next: Option<PendingSend>,
 ) -> Option<Box<StreamSource>> {
+    if history.version == Some(VersionKey::UNKNOWN)
+        && let Some(announcement) = history.first_target.clone()
+    {
+        history.version = context.node.confirm_version(&announcement).await.or(history.version);
+    }
     if next.is_none() && !history.take_retry(context) {
         return None;
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,9 +4,10 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`],
+//! [`absence`], [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`],
 //! [`events`], [`streams`], [`shutdown`]) contain no socket, clock or thread.
 
+pub mod absence;
 pub mod allowance;
 pub mod budget;
 pub mod config;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -1,5 +1,6 @@
 //! State and background tasks of a node.
 
+mod absence;
 mod datagrams;
 mod exchange;
 mod pauses;
@@ -16,6 +17,7 @@
 pub(crate) use placing::{ActiveRequestGuard, Placement};
 pub use server::NodeServer;
 
+use crate::absence::AbsenceTracker;
 use crate::allowance::{AllowanceTracker, NodeView};
 use crate::budget::RetryBudget;
 use crate::config::{RequestLimits, RouteConfig};
@@ -94,6 +96,7 @@
     pub(crate) http_api: HttpApi,
     pub(crate) process: ProcessKey,
     pub(crate) targets: RefCell<TargetTable>,
+    absences: RefCell<AbsenceTracker>,
     pub(crate) limits: RefCell<LimitTable>,
     pub(crate) scheduler: RefCell<PlacementScheduler>,
     pub(crate) peers: RefCell<PeerTable>,
@@ -276,6 +279,7 @@
         loop {
             tokio::time::sleep(Duration::from_millis(SCHEDULER_TICK_MS)).await;
             self.save_usage();
+            self.mark_presence(ClockTime::monotonic());
             self.apply_limits(ClockTime::monotonic());
             if self.scheduler.borrow().waiting_count() > 0 {
                 self.scheduler.borrow_mut().advance(ClockTime::monotonic());
--- a/crates/edge/src/node/pauses.rs
+++ b/crates/edge/src/node/pauses.rs
@@ -41,7 +41,12 @@
         paused.filter(|target| self.serves(*target, service, None)).collect()
     }
 
-    fn serves(&self, target: TargetKey, service: &str, version: Option<VersionKey>) -> bool {
+    pub(super) fn serves(
+        &self,
+        target: TargetKey,
+        service: &str,
+        version: Option<VersionKey>,
+    ) -> bool {
         let announcements = self.announcements.borrow();
         announcements.get(&target).is_some_and(|target| {
             target.service == service
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -68,6 +68,7 @@
         let state = NodeState {
             process: ProcessKey(process),
             targets: RefCell::default(),
+            absences: RefCell::default(),
             limits: RefCell::default(),
             scheduler: RefCell::new(PlacementScheduler::new(settings.size_rule)),
             peers: RefCell::default(),
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -53,13 +53,16 @@
 pub struct VersionKey(pub u32);
 
 impl VersionKey {
+    /// Key that stands for a version that is not known. No target has it.
+    pub const UNKNOWN: Self = Self(0);
+
     /// Returns the key of the version with the given name.
     pub fn new(service: &str, version: &str) -> Self {
         let mut hash = xxhash_rust::xxh3::Xxh3::new();
         hash.update(service.as_bytes());
         hash.update(&[0]);
         hash.update(version.as_bytes());
-        Self((hash.digest() >> 32) as u32)
+        Self(((hash.digest() >> 32) as u32).max(1))
     }
 }
 
