Bound what an entry keeps of a target's stream

Cause: the thread that reads a target put events into a queue without a bound while the handler waited for a slow caller, and an answer that is collected into one body had no limit.

Change: the queue holds 64 items, so the target waits; collected streams obey response_bytes, as bodies of services do.

--- a/crates/burdockcleat/src/entry/dispatch.rs
+++ b/crates/burdockcleat/src/entry/dispatch.rs
@@ -172,7 +172,8 @@
         let call = target_call(self.routed, &self.ticket.address);
         let stream = self.ticket.key.to_string();
         let may_send = self.chain.session.dispatch_check(self.ticket);
-        let items = match spawn_reader(self.chain.readers, call, stream, may_send) {
+        let limit = self.routed.collected_limit();
+        let items = match spawn_reader(self.chain.readers, call, stream, limit, may_send) {
             Ok(items) => items,
             Err(error) => return DispatchEnd::NotSent(UpstreamError::Thread(error)),
         };
--- a/crates/burdockcleat/src/entry/request.rs
+++ b/crates/burdockcleat/src/entry/request.rs
@@ -73,10 +73,17 @@
     pub content_type: String,
     /// Request body.
     pub body: Arc<[u8]>,
-    /// Maximum size of a plain service's response, in bytes.
+    /// Maximum size of a response that is kept until it is complete, in bytes.
     pub response_limit: u64,
 }
 
+impl RoutedRequest {
+    /// Returns the maximum size of a stream that is collected into one body, in bytes.
+    pub(super) fn collected_limit(&self) -> Option<u64> {
+        (self.form == ResponseForm::JsonBody).then_some(self.response_limit)
+    }
+}
+
 /// Returns the caller's request id, or generates one.
 ///
 /// # Errors
--- a/crates/burdockcleat/src/entry/resume.rs
+++ b/crates/burdockcleat/src/entry/resume.rs
@@ -104,7 +104,7 @@
         body: Arc::from([]),
         timeout: Duration::from_millis(routed.deadline.since(ClockTime::monotonic()).max(1)),
     };
-    match spawn_reader(readers, call, stream, || true) {
+    match spawn_reader(readers, call, stream, routed.collected_limit(), || true) {
         Ok(items) => forward(response, routed, &items),
         Err(_) => StreamLookup::Missing,
     }
--- a/crates/burdockcleat/src/entry/stream.rs
+++ b/crates/burdockcleat/src/entry/stream.rs
@@ -8,7 +8,10 @@
 use burdockcleat_core::outcome::ReasonCode;
 use serde::Deserialize;
 use serde_json::Value;
-use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+
+/// Number of items that are queued for a slow handler before reading from the target pauses.
+const ITEM_CAPACITY: usize = 64;
 
 /// Event that the reader reports to the handler.
 #[derive(Debug)]
@@ -44,7 +47,8 @@
     pub completion_tokens: u32,
 }
 
-/// Starts a call to a target and returns a channel with the items of its stream.
+/// Starts a call to a target and returns a channel with the items of its stream. A stream whose events
+/// exceed `limit` bytes in all is broken; `None` is for a caller that gets each event at once.
 ///
 /// # Errors
 /// Fails if the thread cannot be created. The request was then not sent.
@@ -52,9 +56,10 @@
     readers: &WorkerPool,
     call: TargetCall,
     stream: String,
+    limit: Option<u64>,
     still_allowed: impl Fn() -> bool + Send + Sync + 'static,
 ) -> std::io::Result<Receiver<StreamItem>> {
-    let (items, inbox) = channel();
+    let (items, inbox) = sync_channel(ITEM_CAPACITY);
     let connected = items.clone();
     let check_and_notify = move || {
         let allowed = still_allowed();
@@ -65,7 +70,7 @@
         allowed
     };
     readers.start(move || match call.send(check_and_notify) {
-        Ok(response) => forward(response, &stream, &items),
+        Ok(response) => forward(response, &stream, limit, &items),
         Err(error) if error.never_sent() => {
             let _ = items.send(StreamItem::NotSent(error));
         }
@@ -76,16 +81,29 @@
     Ok(inbox)
 }
 
-fn forward(response: TargetResponse, stream: &str, items: &Sender<StreamItem>) {
+fn forward(
+    response: TargetResponse,
+    stream: &str,
+    limit: Option<u64>,
+    items: &SyncSender<StreamItem>,
+) {
     let status = response.status().as_u16();
     if items.send(StreamItem::Head(status)).is_err() || status != 200 {
         return;
     }
     let mut reader = EventReader::new(response.into_body().into_reader());
     let mut checker = EventChecker::new(stream);
+    let mut left = limit;
     loop {
         let item = match reader.next_event() {
-            Ok(Some(data)) => checker.check(&data),
+            Ok(Some(data)) => {
+                left = left.map(|left| left.saturating_sub(data.len() as u64));
+                if left == Some(0) {
+                    Some(StreamItem::Broken(ReasonCode::TooLarge))
+                } else {
+                    checker.check(&data)
+                }
+            }
             Ok(None) => Some(StreamItem::Broken(ReasonCode::UpstreamCut)),
             Err(error) if error.kind() == std::io::ErrorKind::TimedOut => {
                 Some(StreamItem::Broken(ReasonCode::UpstreamTimeout))
