Exclude a granted target that was not heard since an absence

A request that is bound to a version and was granted such a target by another node asked again at once, for as long as the target was not heard, since only targets that this node uses were excluded. It is excluded now, so each costs one grant. The check of all targets of a version reads the table of nodes once, and streams that can't be resumed aren't checked.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -181,7 +181,8 @@
         return Err(SendFailure::Free);
     }
     if history.version.is_some() && context.node.is_outdated(guard.target()) {
-        // This node was absent while the request waited.
+        // This node was absent while the request waited, or has not used the target for long.
+        history.excluded.push(guard.target());
         guard.finish(AttemptOutcome::Dropped);
         return Err(SendFailure::Free);
     }
@@ -277,7 +278,8 @@
             let first_ms = ClockTime::monotonic().since(context.request.received);
             history.first_ms.get_or_insert(first_ms);
             // What an outdated target writes may be of another version than the known one.
-            let outdated = context.node.is_outdated(target_key(announcement));
+            let outdated =
+                context.route.resumable && context.node.is_outdated(target_key(announcement));
             let version = if outdated { VersionKey::UNKNOWN } else { announcement.version_key() };
             history.version.get_or_insert(version);
             history.first_target.get_or_insert_with(|| announcement.clone());
--- a/crates/edge/src/node/absence.rs
+++ b/crates/edge/src/node/absence.rs
@@ -25,10 +25,14 @@
     pub(crate) fn is_outdated(&self, target: TargetKey) -> bool {
         // This node may have stood still until now.
         self.mark_presence(ClockTime::monotonic());
-        let Some(announcement) = self.known_announcement(target) else { return false };
+        !self.heard_since_absence(target)
+    }
+
+    fn heard_since_absence(&self, target: TargetKey) -> bool {
+        let Some(announcement) = self.known_announcement(target) else { return true };
         let targets = self.targets.borrow();
         let heard = targets.get(&announcement.id).map(|record| record.last_seen);
-        heard.is_some_and(|heard| heard < self.absences.borrow().returned())
+        heard.is_none_or(|heard| heard >= self.absences.borrow().returned())
     }
 
     /// Returns the version of a target that was outdated when it sent the first event of a stream, once
@@ -78,10 +82,11 @@
         service: &str,
         version: VersionKey,
     ) -> (Vec<TargetKey>, bool) {
+        self.mark_presence(ClockTime::monotonic());
         let usable = self.usable_targets.borrow();
         let serving = usable.iter().filter(|target| self.serves(**target, service, Some(version)));
-        let (outdated, heard): (Vec<_>, Vec<_>) =
-            serving.copied().partition(|target| self.is_outdated(*target));
+        let (heard, outdated): (Vec<_>, Vec<_>) =
+            serving.copied().partition(|target| self.heard_since_absence(*target));
         (outdated, !heard.is_empty())
     }
 }
