Describe the parts for contended deployments and add their switches

Cause: two deployments need decisions that the placement lacks: shares of workspaces, memory of targets, roll-outs, pace and return times. Settings turn the features on; requests, targets and services carry the fields they need. No decision changes yet. Result: the tests of the placement, of the targets and of the decoders pass.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -72,6 +72,10 @@
 pub struct ServiceRule {
     /// Maximum number of connections that a target accepts from all clients together.
     pub connection_limit: u32,
+    /// Memory of a target, in tokens of the requests that it holds; 0 if it is not stated.
+    pub memory_tokens: u32,
+    /// Number of tokens of a stream event; 0 if it is not stated.
+    pub event_tokens: u32,
 }
 
 /// A workspace with its credentials and allowance.
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -102,6 +102,8 @@
     pub(crate) route: RouteRule,
     pub(crate) service: String,
     pub(crate) workspace: Option<String>,
+    /// Weight of the workspace when targets are scarce: its allowance per second.
+    pub(crate) share: f32,
     pub(crate) rank: u32,
     /// Minimum time for which the caller waited before this attempt, in ms.
     pub(crate) spent_ms: u64,
@@ -159,10 +161,19 @@
     }
 
     pub(crate) fn output_tokens(&self) -> u32 {
-        let request = &self.request;
-        let limit = request.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
-        let expected = request.output_hint.map_or(limit, |hint| hint.min(limit));
-        u32::try_from(expected).unwrap_or(u32::MAX)
+        let limit = self.max_output_tokens();
+        let hint = self.request.output_hint.map(|hint| u32::try_from(hint).unwrap_or(u32::MAX));
+        hint.map_or(limit, |hint| hint.min(limit))
+    }
+
+    pub(crate) fn max_output_tokens(&self) -> u32 {
+        let limit = self.request.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS);
+        u32::try_from(limit).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the hash of path, credential and body, which a caller's retry has in common.
+    pub(crate) fn identity(&self) -> u64 {
+        self.traits.last().map_or(0, |whole| whole.key.0)
     }
 
     /// Formats the inputs of the decisions about the request, for log lines.
@@ -323,6 +334,8 @@
         }
         _ => None,
     };
+    let share = workspace.map_or(0.0, |workspace| workspace.rate_per_s as f32);
+    let share = if share > 0.0 { share } else { 1.0 };
     let workspace = workspace.map(|workspace| workspace.name.clone());
     let spent_ms = request
         .deadline_ms
@@ -335,6 +348,7 @@
         route,
         service,
         workspace,
+        share,
         rank,
         spent_ms,
         traits,
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -2,7 +2,7 @@
 
 use super::send::{CompleteResponse, PendingSend, SendResult, TargetResponse};
 use super::silence::{replace_silent, response_stall_ms};
-use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS};
+use super::{CRASHES_TARGETS, Refusal, RequestContext, STOPPING, STOPPING_RETRY_MS, workspace_key};
 use crate::node::{ActiveRequestGuard, Placement, target_key};
 use crate::placement::{AttemptOutcome, PlacementRequest, RefusalReason, TargetKey, VersionKey};
 use crate::targets::TargetAnnouncement;
@@ -393,8 +393,12 @@
         domain: node.settings.domain.clone(),
         version: history.version,
         rank,
+        workspace: context.workspace.as_deref().map(workspace_key),
+        share: context.share,
+        identity: context.identity(),
         prompt_tokens: context.prompt_tokens(),
         output_tokens: context.output_tokens(),
+        max_output_tokens: context.max_output_tokens(),
         objective_left_ms,
         deadline_left_ms: left_ms,
         answer_left_ms: context.left_ms(now),
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -45,6 +45,9 @@
     pub signature: HeaderName,
     /// Marks responses to requests that did not run.
     pub not_run: HeaderName,
+    /// Running requests, waiting requests and slots of a target, and how long work takes on it at the
+    /// moment, in percent, separated by commas, in its responses.
+    pub target_load: HeaderName,
     /// Requests per second that a target takes from all nodes together, in its responses.
     pub target_limit: HeaderName,
     /// Marks responses of a target that is leaving, with the value 1.
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -63,6 +63,8 @@
             extra: settings.limits.retry_extra,
             window_ms: settings.limits.retry_window_ms,
         };
+        let mut scheduler = PlacementScheduler::new(settings.size_rule);
+        scheduler.set_features(settings.features.placement);
         let streams = RefCell::new(StreamTable::new(store.is_some()));
         let register = RegisterService::new(process, address, store);
         let state = NodeState {
@@ -70,7 +72,7 @@
             targets: RefCell::default(),
             absences: RefCell::default(),
             limits: RefCell::default(),
-            scheduler: RefCell::new(PlacementScheduler::new(settings.size_rule)),
+            scheduler: RefCell::new(scheduler),
             peers: RefCell::default(),
             allowances: RefCell::new(AllowanceTracker::new(
                 settings.limits.allowance,
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -1,6 +1,7 @@
 //! Keeps the usable targets of the placement scheduler up to date.
 
 use super::{NodeState, target_key};
+use crate::config::ServiceRule;
 use crate::placement::{TargetInfo, TargetKey};
 use crate::targets::{AgedNotice, TargetAnnouncement, TargetChange, TargetNotice};
 use burdockcleat_core::clock::ClockTime;
@@ -21,10 +22,10 @@
         let mut announcements = self.announcements.borrow_mut();
         let mut scheduler = self.scheduler.borrow_mut();
         let mut usable_keys = BTreeSet::new();
-        for service in config.services.keys() {
+        for (service, rule) in &config.services {
             let usable = targets.usable(service, interval_ms, now);
             let infos: Vec<_> =
-                usable.iter().map(|announcement| target_info(announcement)).collect();
+                usable.iter().map(|announcement| target_info(announcement, rule)).collect();
             for (info, announcement) in infos.iter().zip(usable) {
                 announcements.insert(info.key, announcement.clone());
             }
@@ -101,12 +102,14 @@
     }
 }
 
-fn target_info(announcement: &TargetAnnouncement) -> TargetInfo {
+fn target_info(announcement: &TargetAnnouncement, rule: &ServiceRule) -> TargetInfo {
     TargetInfo {
         key: target_key(announcement),
         service: announcement.service.clone(),
         domain: announcement.domain.clone(),
         version: announcement.version_key(),
         slots: announcement.slots,
+        memory_tokens: rule.memory_tokens,
+        cold_ms: announcement.cold_ms,
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -8,6 +8,7 @@
 //! on every other node as a fallback. The fallback has an older view of the requests of other nodes.
 
 mod arrivals;
+mod features;
 mod free_targets;
 mod loss;
 mod pacer;
@@ -20,6 +21,7 @@
 mod target;
 mod version_slots;
 
+pub use features::PlacementFeatures;
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
 pub use speed::{SpeedEstimate, SpeedModel};
@@ -82,10 +84,18 @@
     pub version: Option<VersionKey>,
     /// Rank of the request; lower ranks go first.
     pub rank: u32,
+    /// Key of the workspace; `None` if the request belongs to none.
+    pub workspace: Option<u32>,
+    /// Weight of the workspace when targets are scarce; above 0.
+    pub share: f32,
+    /// Hash of path, credential and body. Equal for a request that was refused and comes again.
+    pub identity: u64,
     /// Length of the prompt, in tokens; 0 for services without prompts.
     pub prompt_tokens: u32,
     /// Expected length of the output, in tokens.
     pub output_tokens: u32,
+    /// Maximum length of the output, in tokens; at least `output_tokens`.
+    pub max_output_tokens: u32,
     /// Time left until the latency objective, in ms; negative once it has passed.
     pub objective_left_ms: i64,
     /// Time left until the caller stops waiting for the first part of the response, in ms.
@@ -182,6 +192,7 @@
 pub struct PlacementScheduler {
     services: BTreeMap<String, ServiceScheduler>,
     size_rule: SizeRule,
+    features: PlacementFeatures,
     /// Speeds that were measured by another node or before a restart.
     restored_speeds: BTreeMap<TargetKey, SpeedModel>,
     limits: RateLimits,
@@ -194,14 +205,24 @@
         Self { size_rule, ..Self::default() }
     }
 
+    /// Sets the features of all services that the settings call for.
+    pub fn set_features(&mut self, features: PlacementFeatures) {
+        self.features = features;
+        for scheduler in self.services.values_mut() {
+            scheduler.features = features;
+        }
+    }
+
     /// Replaces the usable targets of a service. Requests on removed targets are removed with them.
     pub fn set_targets(&mut self, service: &str, infos: &[TargetInfo], now: ClockTime) {
         if infos.is_empty() && !self.services.contains_key(service) {
             return;
         }
-        let rule = self.size_rule;
-        let scheduler =
-            self.services.entry(service.to_owned()).or_insert_with(|| ServiceScheduler::new(rule));
+        let (rule, features) = (self.size_rule, self.features);
+        let scheduler = self
+            .services
+            .entry(service.to_owned())
+            .or_insert_with(|| ServiceScheduler::new(rule, features));
         scheduler.set_targets(infos, &self.restored_speeds, &self.limits, now);
         scheduler.place_waiting(now, &mut self.outputs);
     }
@@ -241,11 +262,11 @@
 
     /// Places, queues or refuses a new request.
     pub fn submit(&mut self, request: PlacementRequest, now: ClockTime) {
-        let rule = self.size_rule;
+        let (rule, features) = (self.size_rule, self.features);
         let scheduler = self
             .services
             .entry(request.service.clone())
-            .or_insert_with(|| ServiceScheduler::new(rule));
+            .or_insert_with(|| ServiceScheduler::new(rule, features));
         scheduler.submit(request, now, &mut self.outputs);
     }
 
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,5 +1,6 @@
 //! Scheduler of one service: its targets, their running requests and the waiting requests.
 
+use super::features::PlacementFeatures;
 use super::free_targets::FreeTargets;
 use super::pacer::RatePacer;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
@@ -57,6 +58,7 @@
 /// Targets, running requests and waiting requests of one service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
+    pub(super) features: PlacementFeatures,
     targets: BTreeMap<TargetKey, TargetState>,
     /// Software versions of the targets.
     versions: BTreeSet<VersionKey>,
@@ -68,8 +70,8 @@
 }
 
 impl ServiceScheduler {
-    pub(super) fn new(size_rule: SizeRule) -> Self {
-        Self { sizes: SizeStatistics::new(size_rule), ..Self::default() }
+    pub(super) fn new(size_rule: SizeRule, features: PlacementFeatures) -> Self {
+        Self { features, sizes: SizeStatistics::new(size_rule), ..Self::default() }
     }
 
     pub(super) fn set_targets(
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -49,6 +49,10 @@
     pub version: VersionKey,
     /// Number of requests that the target runs concurrently.
     pub slots: u32,
+    /// Memory of the target, in tokens of the requests that it holds; 0 if it is not bounded.
+    pub memory_tokens: u32,
+    /// Time for which the target remained slow after its start when it announced itself, in ms.
+    pub cold_ms: u32,
 }
 
 /// Outcome of a request on a target.
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a node, validated before the node starts.
 
 use crate::allowance::AllowanceRule;
-use crate::placement::SizeRule;
+use crate::placement::{PlacementFeatures, SizeRule};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 
@@ -32,6 +32,30 @@
     pub size_rule: SizeRule,
     /// Limits agreed with the operators of the deployment.
     pub limits: DeploymentLimits,
+    /// Features that the deployment turns on.
+    pub features: DeploymentFeatures,
+}
+
+/// Features of a node that a deployment turns on. Without any, they are off.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct DeploymentFeatures {
+    /// Features of the placement.
+    pub placement: PlacementFeatures,
+    /// Memory limit of the process, in bytes, if what it holds for callers and targets is budgeted.
+    pub memory_bytes: Option<u64>,
+    /// Limits of version roll-outs, if operators may order them.
+    pub rollouts: Option<RolloutRule>,
+}
+
+/// Limits of version roll-outs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RolloutRule {
+    /// Largest part of the requests of a service that a version on trial gets, 0 to 1.
+    pub share: f64,
+    /// Requests that a version on trial may get beyond that part.
+    pub tolerance: u32,
+    /// Time after the 50th bad answer of a version after which it gets no requests, in ms.
+    pub rollback_ms: u64,
 }
 
 /// Timings, retry limits and allowance rule agreed with the operators of a deployment.
--- a/crates/edge/src/targets.rs
+++ b/crates/edge/src/targets.rs
@@ -24,6 +24,8 @@
     pub version: String,
     /// Maximum number of requests that the target runs concurrently.
     pub slots: u32,
+    /// Time for which the target remains slow after its start, in ms.
+    pub cold_ms: u32,
     /// Whether the target is leaving.
     pub draining: bool,
     /// Incarnation number: start time of the target's process, in ms since the Unix epoch.
--- a/crates/edge/tests/memory.rs
+++ b/crates/edge/tests/memory.rs
@@ -23,6 +23,7 @@
         domain: "a".into(),
         version: "v1".into(),
         slots: 4,
+        cold_ms: 0,
         draining: false,
         incarnation: 7,
         sequence,
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -24,6 +24,8 @@
             domain: "a".into(),
             version: VersionKey(0),
             slots,
+            memory_tokens: 0,
+            cold_ms: 0,
         })
         .collect();
     scheduler.set_targets("engines", &infos, at(0));
@@ -40,6 +42,10 @@
         rank,
         prompt_tokens: 1_000,
         output_tokens,
+        workspace: None,
+        share: 1.0,
+        identity: 0,
+        max_output_tokens: 10_000,
         objective_left_ms: 500,
         deadline_left_ms: 2_400,
         answer_left_ms: 10_000,
@@ -260,6 +266,8 @@
         domain: "a".into(),
         version: VersionKey(0),
         slots: 1,
+        memory_tokens: 0,
+        cold_ms: 0,
     };
     scheduler.set_targets("engines", &[info], at(600));
     assert_eq!(grants(&mut scheduler), [(1, TargetKey(7))]);
--- a/crates/edge/tests/placement_loss.rs
+++ b/crates/edge/tests/placement_loss.rs
@@ -28,6 +28,8 @@
         domain: "a".into(),
         version: VersionKey(0),
         slots: SLOTS,
+        memory_tokens: 0,
+        cold_ms: 0,
     };
     scheduler.set_targets("engines", &[info(FAST), info(SLOW)], at(0));
     scheduler
@@ -43,6 +45,10 @@
         rank: 0,
         prompt_tokens,
         output_tokens,
+        workspace: None,
+        share: 1.0,
+        identity: 0,
+        max_output_tokens: 10_000,
         objective_left_ms: 600,
         deadline_left_ms: 3_000,
         answer_left_ms: 10_000,
@@ -140,6 +146,8 @@
         domain: "a".into(),
         version: VersionKey(0),
         slots: SLOTS,
+        memory_tokens: 0,
+        cold_ms: 0,
     };
     scheduler.set_targets("engines", &[info(FAST), info(SLOW)], at(0));
     let mut placed = 0;
@@ -183,6 +191,8 @@
             domain: "a".into(),
             version: VersionKey(0),
             slots: SLOTS,
+            memory_tokens: 0,
+            cold_ms: 0,
         })
         .collect();
     scheduler.set_targets("engines", &infos, at(0));
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -20,7 +20,15 @@
 
 fn info((key, version, slots): (u64, VersionKey, u32)) -> TargetInfo {
     let (service, domain) = ("engines".into(), "a".into());
-    TargetInfo { key: TargetKey(key), service, domain, version, slots }
+    TargetInfo {
+        key: TargetKey(key),
+        service,
+        domain,
+        version,
+        slots,
+        memory_tokens: 0,
+        cold_ms: 0,
+    }
 }
 
 fn set_targets(scheduler: &mut PlacementScheduler, targets: &[(u64, VersionKey, u32)], ms: u64) {
@@ -44,6 +52,10 @@
         rank: 0,
         prompt_tokens: 1_000,
         output_tokens: 20,
+        workspace: None,
+        share: 1.0,
+        identity: 0,
+        max_output_tokens: 10_000,
         objective_left_ms: 500,
         deadline_left_ms: 4_000,
         answer_left_ms: 10_000,
@@ -198,6 +210,10 @@
 fn waits_are_expected_by_version() {
     let mut scheduler = scheduler(&[(1, OLD, 1), (2, NEW, 19)]);
     let patient = |key, version| PlacementRequest {
+        workspace: None,
+        share: 1.0,
+        identity: 0,
+        max_output_tokens: 10_000,
         objective_left_ms: 20_000,
         deadline_left_ms: 40_000,
         ..request(key, version)
--- a/crates/edge/tests/target_limits.rs
+++ b/crates/edge/tests/target_limits.rs
@@ -91,6 +91,10 @@
         rank: 0,
         prompt_tokens: 100,
         output_tokens: 10,
+        workspace: None,
+        share: 1.0,
+        identity: 0,
+        max_output_tokens: 10_000,
         objective_left_ms: 500,
         deadline_left_ms: 3_000,
         answer_left_ms: 3_000,
@@ -112,6 +116,8 @@
         domain: "a".into(),
         version: VersionKey(0),
         slots: 8,
+        memory_tokens: 0,
+        cold_ms: 0,
     };
     targets.iter().map(info).collect()
 }
--- a/crates/edge/tests/targets.rs
+++ b/crates/edge/tests/targets.rs
@@ -18,6 +18,7 @@
         domain: "a".into(),
         version: "v1".into(),
         slots: 4,
+        cold_ms: 0,
         draining: false,
         incarnation,
         sequence,
