Add a review of configuration documents before they are sent

Cause: operators see only the first error of a document, from a node, and no entries without effect, contradicting limits or changes.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -153,26 +153,32 @@
     /// # Errors
     /// Returns the first violation found.
     pub fn check(&self) -> Result<(), ConfigError> {
+        self.errors().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// Returns all violations of constraints between the parts of the document.
+    pub fn errors(&self) -> Vec<ConfigError> {
+        let mut errors = Vec::new();
         let mut seen = std::collections::BTreeSet::new();
         for route in &self.routes {
             let name = || route.name.clone();
             if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-                return Err(ConfigError::InvalidPrefix(name()));
+                errors.push(ConfigError::InvalidPrefix(name()));
             }
             if !seen.insert((&route.host, &route.prefix)) {
-                return Err(ConfigError::DuplicateRoute(name()));
+                errors.push(ConfigError::DuplicateRoute(name()));
             }
             if route.timeout_ms == 0 {
-                return Err(ConfigError::ZeroTimeout(name()));
+                errors.push(ConfigError::ZeroTimeout(name()));
             }
             if route.split.iter().all(|(_, weight)| *weight == 0) {
-                return Err(ConfigError::ZeroWeights(name()));
+                errors.push(ConfigError::ZeroWeights(name()));
             }
-            if let Some((service, _)) =
-                route.split.iter().find(|(service, _)| !self.services.contains_key(service))
-            {
-                let service = service.clone();
-                return Err(ConfigError::UnknownService { route: name(), service });
+            for (service, _) in &route.split {
+                if !self.services.contains_key(service) {
+                    let service = service.clone();
+                    errors.push(ConfigError::UnknownService { route: name(), service });
+                }
             }
         }
         let mut credentials = BTreeMap::new();
@@ -182,11 +188,11 @@
                     .insert(credential, &workspace.name)
                     .is_some_and(|name| *name != workspace.name)
                 {
-                    return Err(ConfigError::DuplicateCredential(workspace.name.clone()));
+                    errors.push(ConfigError::DuplicateCredential(workspace.name.clone()));
                 }
             }
         }
-        Ok(())
+        errors
     }
 
     /// Finds the route of a host with the longest prefix that matches the path.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod allowance;
 pub mod budget;
 pub mod config;
+pub mod config_review;
 mod control;
 mod datagram;
 pub mod deadlines;
