Divide slot time fairly between workspaces under pressure

Cause: a workspace that sends many times its usual load takes the slots of all others, and small workspaces are refused for it. Change: with the switch workspace_shares, the queue multiplies the cost of a request by a factor of 0.625 to 1.6, from the slot time that its workspace was granted and has waiting ahead, relative to its max-min fair share of the rank and those above it. The expected wait uses the same order.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -7,6 +7,7 @@
 mod placing;
 mod recovery;
 mod server;
+mod shares;
 mod status;
 mod stopping;
 mod streams;
@@ -323,6 +324,7 @@
             self.set_gauges(now);
             self.log_allowances(now);
             if self.is_coordinator(now) {
+                self.report_shares();
                 for line in self.scheduler.borrow().summarize(now) {
                     log::info!(target: "burdockcleat", "event=placement.state {line}");
                 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -14,6 +14,7 @@
 mod pacer;
 mod queue;
 mod service;
+mod shares;
 mod size_rule;
 mod sizes;
 mod speed;
@@ -22,6 +23,7 @@
 mod version_slots;
 
 pub use features::PlacementFeatures;
+pub use shares::ShareExcess;
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
 pub use speed::{SpeedEstimate, SpeedModel};
@@ -29,8 +31,9 @@
 
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
+use pacer::RateLimits;
 use serde::{Deserialize, Serialize};
-use service::{RateLimits, ServiceScheduler};
+use service::ServiceScheduler;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Key of one placement of a request; unique across nodes and restarts.
@@ -357,6 +360,13 @@
         self.services.iter().map(|(service, scheduler)| scheduler.summarize(service, now)).collect()
     }
 
+    /// Returns the workspaces that ask for more than their share of a service while their requests
+    /// wait.
+    pub fn share_excesses(&self) -> Vec<ShareExcess> {
+        let services = self.services.iter();
+        services.flat_map(|(service, scheduler)| scheduler.share_excesses(service)).collect()
+    }
+
     /// Returns one line per target, for state dumps.
     pub fn describe(&self, now: ClockTime) -> Vec<String> {
         self.services.values().flat_map(|scheduler| scheduler.describe(now)).collect()
--- a/crates/edge/src/placement/arrivals.rs
+++ b/crates/edge/src/placement/arrivals.rs
@@ -2,6 +2,7 @@
 
 use super::VersionKey;
 use super::queue::WaitingRequest;
+use super::shares::{AccountKey, WorkspaceShares};
 use super::version_slots::VersionLoads;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
@@ -18,8 +19,8 @@
 #[derive(Debug, Default)]
 pub(super) struct ArrivalStatistics {
     /// Slot time of the requests that arrived during the last second or so, in ms, by the version
-    /// that they are bound to and by weight class.
-    loads: BTreeMap<Option<VersionKey>, [f64; WEIGHT_CLASSES]>,
+    /// that they are bound to, by the account of their workspace and by weight class.
+    loads: BTreeMap<(Option<VersionKey>, Option<AccountKey>), [f64; WEIGHT_CLASSES]>,
     /// Time to which the sums are decayed.
     decayed_at: ClockTime,
     count: f64,
@@ -37,7 +38,8 @@
             *load *= decay;
         }
         self.loads.retain(|_, loads| loads.iter().any(|load| *load > MIN_LOAD_MS));
-        let loads = self.loads.entry(waiting.request.version).or_insert([0.0; WEIGHT_CLASSES]);
+        let key = (waiting.request.version, waiting.turn.map(|turn| turn.account));
+        let loads = self.loads.entry(key).or_insert([0.0; WEIGHT_CLASSES]);
         loads[weight_class(waiting.weight)] += waiting.load_ms;
         self.count = self.count * decay + 1.0;
         self.prefill_work = self.prefill_work * decay + waiting.prefill_work;
@@ -51,11 +53,15 @@
     }
 
     /// Returns the slots of mean speed that arrivals take ahead of a request, given its cost in the
-    /// order of the queue.
-    pub(super) fn slots_ahead(&self, cost: f64) -> VersionLoads {
-        let classes = ..weight_class(cost);
-        let ahead = |loads: &[f64]| loads[classes].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS;
-        self.loads.iter().map(|(version, loads)| (*version, ahead(loads))).collect()
+    /// order of the queue. Arrivals of a workspace count as if they joined the end of its requests.
+    pub(super) fn slots_ahead(&self, cost: f64, shares: &WorkspaceShares) -> VersionLoads {
+        let mut slots = VersionLoads::new();
+        for ((version, account), loads) in &self.loads {
+            let classes = ..weight_class(cost / shares.next_factor(*account));
+            let ahead = loads[classes].iter().sum::<f64>() / ARRIVAL_TIME_CONSTANT_MS;
+            *slots.entry(*version).or_default() += ahead;
+        }
+        slots
     }
 }
 
--- a/crates/edge/src/placement/pacer.rs
+++ b/crates/edge/src/placement/pacer.rs
@@ -1,7 +1,9 @@
 //! Spaces out the requests to a target that limits their rate.
 
+use super::TargetKey;
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
+use std::collections::BTreeMap;
 
 /// Time for which an unused rate accumulates, in ms; at least one request accumulates.
 const BURST_MS: f64 = 250.0;
@@ -11,6 +13,20 @@
 /// limit still holds.
 const MIN_RATE_PER_MS: f64 = 1e-4;
 
+/// Limits of the request rates of targets, and the part of them that this scheduler may use.
+#[derive(Debug, Default)]
+pub(super) struct RateLimits {
+    pub(super) rates: BTreeMap<TargetKey, RequestRate>,
+    pub(super) share: f64,
+}
+
+impl RateLimits {
+    pub(super) fn pacer(&self, target: TargetKey, now: ClockTime) -> Option<RatePacer> {
+        let rate = self.rates.get(&target)?;
+        Some(RatePacer::new(*rate, self.share, now))
+    }
+}
+
 /// Counts the requests that a target may get by now.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RatePacer {
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -5,6 +5,7 @@
 //! Among these, requests that need less slot time for their value go first, weighted by rank.
 
 use super::arrivals::ArrivalStatistics;
+use super::shares::{ShareTurn, WorkspaceShares};
 use super::sizes::{RequestSize, SizeBand};
 use super::version_slots::{VersionLoads, VersionSlots};
 use super::{PlacementKey, PlacementRequest};
@@ -24,6 +25,9 @@
 /// Ratio of the weights of adjacent ranks. A request may take this many times the weighted slot time
 /// of a request in the next rank and still go first.
 pub(super) const RANK_FACTOR: f64 = 3.0;
+/// Range of the cost factors of workspace shares and returning requests together. Below the factor of
+/// one rank, so that they never put a request behind a similar one of a lower tier.
+pub(super) const NEW_FACTORS_RANGE: f64 = 0.99 * RANK_FACTOR;
 /// Highest rank that is distinguished, to keep the weight finite.
 const MAX_RANK: u32 = 400;
 /// Cost factor of requests that can no longer meet their objective. Puts them behind the next rank
@@ -71,6 +75,8 @@
     pub(super) weight: f64,
     /// Slot time on a target of mean speed, in ms.
     pub(super) load_ms: f64,
+    /// Place among the requests of its workspace; `None` if workspaces have no shares.
+    pub(super) turn: Option<ShareTurn>,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -141,6 +147,7 @@
             value,
             weight,
             load_ms,
+            turn: None,
             late_checked,
         }
     }
@@ -161,7 +168,7 @@
         self.targetless_since.is_none() && !self.late_checked && !self.on_time(now)
     }
 
-    /// Returns the cost of the request in the order of the queue; lower costs go first.
+    /// Returns the cost of the request without regard to its workspace.
     fn cost(&self, now: ClockTime) -> f64 {
         if self.on_time(now) { self.weight } else { self.weight * LATE_FACTOR }
     }
@@ -174,13 +181,20 @@
     requests: Vec<WaitingRequest>,
     /// Requests that arrived recently, whether they still wait or not.
     pub(super) arrivals: ArrivalStatistics,
+    pub(super) shares: WorkspaceShares,
 }
 
 impl WaitingQueue {
     pub(super) fn push(&mut self, waiting: WaitingRequest) {
+        self.shares.enter(&waiting);
         self.requests.push(waiting);
     }
 
+    /// Returns the cost of a request in the order of the queue; lower costs go first.
+    fn cost(&self, waiting: &WaitingRequest, now: ClockTime) -> f64 {
+        waiting.cost(now) * self.shares.factor(waiting.turn)
+    }
+
     /// Returns the waiting requests that `selects` selects, in order of cost. Built lazily on a
     /// heap, since callers mostly need the first few only.
     pub(super) fn in_order<F>(
@@ -191,8 +205,7 @@
     where
         F: Fn(&PlacementRequest) -> bool,
     {
-        let ordered =
-            |waiting| Reverse(OrderedRequest { cost: WaitingRequest::cost(waiting, now), waiting });
+        let ordered = |waiting| Reverse(OrderedRequest { cost: self.cost(waiting, now), waiting });
         let selected = self.requests.iter().filter(|waiting| selects(&waiting.request));
         let mut heap: BinaryHeap<_> = selected.map(ordered).collect();
         std::iter::from_fn(move || heap.pop().map(|Reverse(ordered)| ordered.waiting))
@@ -200,11 +213,20 @@
 
     pub(super) fn take(&mut self, key: PlacementKey) -> Option<WaitingRequest> {
         let index = self.requests.iter().position(|waiting| waiting.request.key == key)?;
-        Some(self.requests.swap_remove(index))
+        let waiting = self.requests.swap_remove(index);
+        self.shares.leave(&waiting);
+        Some(waiting)
     }
 
     pub(super) fn remove(&mut self, key: PlacementKey) {
-        self.requests.retain(|waiting| waiting.request.key != key);
+        let shares = &mut self.shares;
+        self.requests.retain(|waiting| {
+            let kept = waiting.request.key != key;
+            if !kept {
+                shares.leave(waiting);
+            }
+            kept
+        });
     }
 
     /// Records which requests a known target may run.
@@ -257,6 +279,7 @@
                 waiting.request.deadline_left_ms.saturating_sub(now.since(waiting.arrived));
             if expired || wait_ms > left_ms as f64 * max_wait_fraction {
                 let waiting = self.requests.swap_remove(index);
+                self.shares.leave(&waiting);
                 refused.push(RefusedRequest { waiting, wait_ms });
             } else {
                 self.requests[index].late_checked = true;
@@ -278,12 +301,12 @@
         if self.requests.is_empty() {
             return 0.0;
         }
-        let cost = waiting.cost(now);
+        let cost = self.cost(waiting, now);
         let mut loads_ahead = VersionLoads::new();
-        for other in self.requests.iter().filter(|other| other.cost(now) <= cost) {
+        for other in self.requests.iter().filter(|other| self.cost(other, now) <= cost) {
             *loads_ahead.entry(other.request.version).or_default() += other.load_ms;
         }
-        let free_slots = slots.left_by(&self.arrivals.slots_ahead(cost));
+        let free_slots = slots.left_by(&self.arrivals.slots_ahead(cost, &self.shares));
         free_slots.wait_ms(waiting.request.version, &loads_ahead)
     }
 }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -2,8 +2,9 @@
 
 use super::features::PlacementFeatures;
 use super::free_targets::FreeTargets;
-use super::pacer::RatePacer;
+use super::pacer::RateLimits;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
+use super::shares::ShareExcess;
 use super::size_rule::SizeRule;
 use super::sizes::SizeStatistics;
 use super::speed::SpeedModel;
@@ -13,7 +14,6 @@
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey, VersionKey,
 };
-use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -41,20 +41,6 @@
 /// Time after which the requests of a node that sends no reports are removed, in ms.
 const NODE_TIMEOUT_MS: u64 = 3_000;
 
-/// Limits of the request rates of targets, and the part of them that this scheduler may use.
-#[derive(Debug, Default)]
-pub(super) struct RateLimits {
-    pub(super) rates: BTreeMap<TargetKey, RequestRate>,
-    pub(super) share: f64,
-}
-
-impl RateLimits {
-    fn pacer(&self, target: TargetKey, now: ClockTime) -> Option<RatePacer> {
-        let rate = self.rates.get(&target)?;
-        Some(RatePacer::new(*rate, self.share, now))
-    }
-}
-
 /// Targets, running requests and waiting requests of one service.
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
@@ -142,6 +128,7 @@
         let estimate = self.estimate(&request);
         let mut waiting = WaitingRequest::new(request, size, estimate, now);
         let has_target = waiting.request.allows_any(&self.versions);
+        waiting.turn = self.queue.shares.count_arrival(&waiting, self.features);
         waiting.targetless_since = (!has_target).then_some(now);
         if waiting.send_by.is_none() && has_target {
             let wait_ms = self.queue.expected_wait_ms(&waiting, &self.summary.capacity, now);
@@ -196,7 +183,10 @@
             && !state.running.contains_key(&request.key)
             && !self.recently_ended.contains_key(&request.key)
         {
-            state.grant(&WaitingRequest::new(request.clone(), size, estimate, now), now);
+            let mut waiting = WaitingRequest::new(request.clone(), size, estimate, now);
+            state.grant(&waiting, now);
+            waiting.turn = self.queue.shares.count_arrival(&waiting, self.features);
+            self.queue.shares.count_grant(&waiting);
         }
     }
 
@@ -292,6 +282,10 @@
         )
     }
 
+    pub(super) fn share_excesses(&self, service: &str) -> Vec<ShareExcess> {
+        self.queue.shares.excesses(service)
+    }
+
     pub(super) fn describe(&self, now: ClockTime) -> Vec<String> {
         self.targets.values().map(|state| state.describe(now)).collect()
     }
@@ -311,6 +305,7 @@
                 free.remove(&state.info);
             }
             self.sizes.count_grant(&waiting.request, waiting.band);
+            self.queue.shares.count_grant(&waiting);
             outputs.push(PlacementOutput::Grant {
                 key: waiting.request.key,
                 process: waiting.request.process,
@@ -371,6 +366,7 @@
         if !self.summary.is_current(now) {
             let mean_request = self.queue.arrivals.mean_request();
             self.summary = TargetSummary::compute(self.targets.values(), mean_request, now);
+            self.queue.shares.update(self.summary.capacity.total(), now);
         }
     }
 }
--- a/crates/edge/src/placement/version_slots.rs
+++ b/crates/edge/src/placement/version_slots.rs
@@ -23,6 +23,11 @@
         *self.0.entry(version).or_default() += slots;
     }
 
+    /// Returns the number of slots of all versions.
+    pub(super) fn total(&self) -> f64 {
+        self.0.values().sum()
+    }
+
     /// Returns the slots that are left by arrivals that take `taken` slots.
     pub(super) fn left_by(&self, taken: &VersionLoads) -> Self {
         let taken_of = |version| taken.get(&version).copied().unwrap_or(0.0);
