Bound the tokens that a target holds by its memory

Cause: a target crashes if the tokens of its requests exceed its memory, and the placement counted slots only. Change: with the feature on, a grant needs room for the prompt and an upper estimate of the output beside what the target's requests reserve. Nodes count the output tokens of streams and report them with the end of a request and in statuses; cut outputs count as lower bounds. A new coordinator leaves half of each memory free until all nodes have reported. Requests larger than every memory are refused at once without Retry-After.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -4,8 +4,8 @@
 use crate::allowance::{AllowanceUsage, WorkspaceKey};
 use crate::facts::FactDigests;
 use crate::placement::{
-    ActiveRequest, AttemptOutcome, PlacementKey, PlacementRequest, ProcessKey, RefusalReason,
-    TargetKey,
+    ActiveRequest, AttemptOutcome, OutputReport, PlacementKey, PlacementRequest, ProcessKey,
+    RefusalReason, TargetKey,
 };
 use crate::register::BallotNumber;
 use crate::streams::{StreamGroup, StreamKey, StreamRecord};
@@ -106,6 +106,8 @@
         key: PlacementKey,
         target: TargetKey,
         outcome: AttemptOutcome,
+        /// Counted output; `None` if it is not counted.
+        output: Option<OutputReport>,
     },
     /// A caller of the sender began a stream. The placement coordinator passes the record on.
     Stream(StreamRecord),
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -420,11 +420,18 @@
     match placed {
         Ok(Placement::Granted(guard)) => Ok(guard),
         Ok(Placement::Refused { reason, retry_after_ms }) => {
-            let reason = match reason {
-                RefusalReason::WaitTooLong => "the wait for a target would be too long",
-                RefusalReason::NoTarget => "no target of the service can be used",
+            let (reason, retry_after_ms) = match reason {
+                RefusalReason::WaitTooLong => {
+                    ("the wait for a target would be too long", Some(retry_after_ms))
+                }
+                RefusalReason::NoTarget => {
+                    ("no target of the service can be used", Some(retry_after_ms))
+                }
+                RefusalReason::TooLarge => {
+                    ("the request is larger than the memory of any target", None)
+                }
             };
-            Err(history.give_up(reason, Some(retry_after_ms)))
+            Err(history.give_up(reason, retry_after_ms))
         }
         Err(_) => Err(history.give_up("no target became free in time", None)),
     }
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -4,7 +4,9 @@
 use super::send::{MAX_EVENT_FRAME_BYTES, PendingSend, StreamSource, TargetResponse, prepare_head};
 use super::silence::{replace_silent, stream_stall_ms};
 use super::{RequestContext, log_response};
-use crate::placement::{AttemptOutcome, VersionKey};
+use crate::events::EventSplitter;
+use crate::node::ActiveRequestGuard;
+use crate::placement::{AttemptOutcome, OutputReport, VersionKey};
 use crate::reply::{ReplyBody, StreamBroken};
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
@@ -20,6 +22,9 @@
 
 /// Longest wait for a slow caller to take the events of a stream that broke off, in ms.
 const MAX_DRAIN_MS: u64 = 1_000;
+/// Time before the deadline within which the end of a stream counts as a cut, in ms. Targets stop by
+/// their own clock, and the deadline that they are given is rounded.
+const CUT_MARGIN_MS: u64 = 50;
 
 /// Reason why the stream of one target ended.
 enum StreamEnd {
@@ -158,6 +163,8 @@
         return (StreamEnd::CallerDisconnected, splitter.last_id());
     }
     let mut ended = ended;
+    let counter = OutputCounter::new(context, &splitter, last_event);
+    counter.record(&guard, &splitter, false);
     let mut last_chunk = ClockTime::monotonic();
     while !ended {
         let left_ms = context.left_ms(ClockTime::monotonic());
@@ -191,6 +198,7 @@
             Ok(None) => {}
             Ok(Some(events)) => {
                 connection.set_read_limit(MAX_EVENT_FRAME_BYTES);
+                counter.record(&guard, &splitter, false);
                 let now = ClockTime::monotonic();
                 history.pause_ms = history.pause_ms.max(now.since(last_chunk));
                 last_chunk = now;
@@ -210,10 +218,42 @@
         return (StreamEnd::Broken, splitter.last_id());
     }
     connection.release();
+    let left_ms = context.left_ms(ClockTime::monotonic());
+    counter.record(&guard, &splitter, left_ms > CUT_MARGIN_MS);
     guard.finish(AttemptOutcome::Answered);
     (StreamEnd::Complete, splitter.last_id())
 }
 
+/// Counts the output tokens of a stream at one target.
+struct OutputCounter {
+    /// Tokens of an event; 0 if they are not known.
+    event_tokens: u32,
+    first_tokens: u32,
+}
+
+impl OutputCounter {
+    /// Creates a counter for a stream whose first events have arrived. Streams that go on after
+    /// `last_event` of another target are not counted: their length is that of the rest only.
+    fn new(context: &RequestContext, splitter: &EventSplitter, last_event: Option<u64>) -> Self {
+        let node = &context.node;
+        let uses_outputs = || node.scheduler.borrow().uses_outputs(&context.service);
+        let counted = last_event.is_none() && uses_outputs();
+        let config = node.config().filter(|_| counted);
+        let rule = config.as_ref().and_then(|config| config.services.get(&context.service));
+        let event_tokens = rule.map_or(0, |rule| rule.event_tokens);
+        let first_tokens = splitter.event_count().saturating_mul(event_tokens);
+        Self { event_tokens, first_tokens }
+    }
+
+    fn record(&self, guard: &ActiveRequestGuard, splitter: &EventSplitter, complete: bool) {
+        if self.event_tokens == 0 {
+            return;
+        }
+        let tokens = splitter.event_count().saturating_mul(self.event_tokens);
+        guard.record_output(OutputReport { tokens, first_tokens: self.first_tokens, complete });
+    }
+}
+
 fn log_stream_end(context: &RequestContext, history: &SendHistory, cause: &str) {
     let id = &context.request.attempt;
     let target = history.last_target.as_deref().unwrap_or("-");
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -23,6 +23,7 @@
     /// Length of the start of the buffer that is known to contain no event terminator.
     searched: usize,
     last_id: Option<u64>,
+    event_count: u32,
 }
 
 impl EventSplitter {
@@ -40,6 +41,7 @@
         self.searched = 0;
         let events = self.buffer.split_to(end).freeze();
         self.last_id = last_event_id(&events).or(self.last_id);
+        self.event_count = self.event_count.saturating_add(data_event_count(&events));
         Ok(Some(events))
     }
 
@@ -48,6 +50,11 @@
         self.last_id
     }
 
+    /// Returns the number of complete events that carry data.
+    pub const fn event_count(&self) -> u32 {
+        self.event_count
+    }
+
     /// Returns whether bytes of an incomplete event are buffered.
     pub fn has_partial_event(&self) -> bool {
         self.buffer.has_remaining()
@@ -73,6 +80,20 @@
     unix.max(dos)
 }
 
+/// Returns the number of events with data in a sequence of complete events.
+fn data_event_count(events: &[u8]) -> u32 {
+    let (mut count, mut has_data) = (0, false);
+    for line in events.split(|byte| *byte == b'\n') {
+        if line.is_empty() || line == b"\r" {
+            count += u32::from(has_data);
+            has_data = false;
+        } else if line.starts_with(b"data") {
+            has_data = true;
+        }
+    }
+    count
+}
+
 /// Returns the last id in a sequence of complete events.
 fn last_event_id(events: &[u8]) -> Option<u64> {
     events.rsplit(|byte| *byte == b'\n').find_map(|line| {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -281,6 +281,7 @@
             self.save_usage();
             self.mark_presence(ClockTime::monotonic());
             self.apply_limits(ClockTime::monotonic());
+            self.update_memory(ClockTime::monotonic());
             if self.scheduler.borrow().waiting_count() > 0 {
                 self.scheduler.borrow_mut().advance(ClockTime::monotonic());
                 self.deliver_decisions();
@@ -368,6 +369,9 @@
         for (service, age_ms) in self.scheduler.borrow().queue_ages(now) {
             metrics.set("queue_age_ms", service, age_ms as f64);
         }
+        for (service, used) in self.scheduler.borrow().memory_use() {
+            metrics.set("target_memory_used", service, used);
+        }
         let (suspects, blocked) = self.suspects.borrow().counts();
         metrics.set("targets", "limited", self.limits.borrow().rates().len() as f64);
         metrics.set("suspects", "known", suspects as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -67,8 +67,10 @@
             PeerDatagram::Started { key, target } => {
                 self.scheduler.borrow_mut().started(target, key, now);
             }
-            PeerDatagram::Finished { key, target, outcome } => {
-                self.scheduler.borrow_mut().finished(target, key, outcome, now);
+            PeerDatagram::Finished { key, target, outcome, output } => {
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.finished_with((target, key), outcome, output, now);
+                drop(scheduler);
                 self.deliver_decisions();
             }
             PeerDatagram::Stream(record) => self.relay_stream(record),
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -4,10 +4,11 @@
 use crate::datagram::{PeerDatagram, PlacementDecision};
 use crate::peers::PeerRecord;
 use crate::placement::{
-    ActiveRequest, AttemptOutcome, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey,
-    RefusalReason, TargetKey,
+    ActiveRequest, AttemptOutcome, OutputReport, PlacementKey, PlacementOutput, PlacementRequest,
+    ProcessKey, RefusalReason, TargetKey,
 };
 use crate::shutdown::ShutdownStage;
+use crate::status_timing::status_interval_ms;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionStep, SubmissionTimer};
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
@@ -22,6 +23,10 @@
 /// not have received a status from every other node.
 const WARM_UP_MS: u64 = 1_500;
 
+/// Status intervals after which all nodes have reported their requests to a new coordinator, if no
+/// status is lost.
+const SETTLE_INTERVALS: u64 = 2;
+
 /// Decision for a request whose channel closed without a decision.
 const PLACEMENT_LOST: PlacementDecision =
     PlacementDecision::Refuse { reason: RefusalReason::NoTarget, retry_after_ms: RESEND_MS };
@@ -54,6 +59,7 @@
     key: PlacementKey,
     target: TargetKey,
     outcome: Option<AttemptOutcome>,
+    output: Cell<Option<OutputReport>>,
 }
 
 impl ActiveRequestGuard {
@@ -73,6 +79,14 @@
         self.node.notify_coordinator(&PeerDatagram::Started { key, target });
     }
 
+    /// Records the output that has arrived so far.
+    pub(crate) fn record_output(&self, output: OutputReport) {
+        self.output.set(Some(output));
+        if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
+            active.written_tokens = output.tokens;
+        }
+    }
+
     /// Reports the outcome of the request at the target.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.outcome = Some(outcome);
@@ -82,11 +96,11 @@
 impl Drop for ActiveRequestGuard {
     fn drop(&mut self) {
         let outcome = self.outcome.unwrap_or(AttemptOutcome::Dropped);
-        let (key, target) = (self.key, self.target);
+        let (key, target, output) = (self.key, self.target, self.output.get());
         self.node.active.borrow_mut().remove(&key);
         let now = ClockTime::monotonic();
-        self.node.scheduler.borrow_mut().finished(target, key, outcome, now);
-        self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome });
+        self.node.scheduler.borrow_mut().finished_with((target, key), outcome, output, now);
+        self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome, output });
         self.node.deliver_decisions();
     }
 }
@@ -211,11 +225,21 @@
             PlacementDecision::Grant { target, .. } => {
                 let key = request.key;
                 let prompt_tokens = request.prompt_tokens;
-                let active = ActiveRequest { key, target, prompt_tokens, started: false };
+                let bounded = self.settings.features.placement.target_memory;
+                let output_tokens = if bounded { request.max_output_tokens } else { 0 };
+                let active = ActiveRequest {
+                    key,
+                    target,
+                    prompt_tokens,
+                    started: false,
+                    most_tokens: prompt_tokens.saturating_add(output_tokens),
+                    written_tokens: 0,
+                };
                 self.active.borrow_mut().insert(key, active);
                 self.scheduler.borrow_mut().adopt(target, request, ClockTime::monotonic());
                 let node = self.clone();
-                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None })
+                let output = Cell::new(None);
+                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None, output })
             }
             PlacementDecision::Refuse { reason, retry_after_ms } => {
                 Placement::Refused { reason, retry_after_ms }
@@ -336,10 +360,23 @@
             && !self.active.borrow().contains_key(&key)
         {
             let outcome = AttemptOutcome::Dropped;
-            self.send_to(from, &PeerDatagram::Finished { key, target, outcome });
+            let output = None;
+            self.send_to(from, &PeerDatagram::Finished { key, target, outcome, output });
         }
     }
 
+    /// Updates what the scheduler knows of the memory of targets.
+    pub(super) fn update_memory(&self, now: ClockTime) {
+        if !self.settings.features.placement.target_memory {
+            return;
+        }
+        let settle_ms = SETTLE_INTERVALS * status_interval_ms(self.node_count(now));
+        let coordinating = self.is_coordinator(now);
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_coordinating(coordinating, settle_ms, now);
+        scheduler.grow_reservations(&self.active_requests());
+    }
+
     /// Returns the requests of this node that run at targets.
     pub(super) fn active_requests(&self) -> Vec<ActiveRequest> {
         self.active.borrow().values().copied().collect()
@@ -357,6 +394,7 @@
         PlacementDecision::Grant { .. } => "granted",
         PlacementDecision::Refuse { reason: RefusalReason::WaitTooLong, .. } => "wait too long",
         PlacementDecision::Refuse { reason: RefusalReason::NoTarget, .. } => "no target",
+        PlacementDecision::Refuse { reason: RefusalReason::TooLarge, .. } => "too large",
         PlacementDecision::Queued => "queued",
     }
 }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -10,6 +10,7 @@
 mod arrivals;
 mod features;
 mod free_targets;
+mod lengths;
 mod loss;
 mod pacer;
 mod queue;
@@ -19,9 +20,11 @@
 mod speed;
 mod summary;
 mod target;
+mod target_memory;
 mod version_slots;
 
 pub use features::PlacementFeatures;
+pub use lengths::{LengthCurve, OutputLengths, OutputReport};
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
 pub use speed::{SpeedEstimate, SpeedModel};
@@ -32,6 +35,7 @@
 use serde::{Deserialize, Serialize};
 use service::{RateLimits, ServiceScheduler};
 use std::collections::{BTreeMap, BTreeSet};
+use target_memory::MemoryView;
 
 /// Key of one placement of a request; unique across nodes and restarts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -148,6 +152,10 @@
     pub prompt_tokens: u32,
     /// Whether the first event of the response has arrived.
     pub started: bool,
+    /// Largest number of tokens that it may take of the target's memory.
+    pub most_tokens: u32,
+    /// Output tokens that have arrived; 0 if they are not counted.
+    pub written_tokens: u32,
 }
 
 /// Reason why a request was refused.
@@ -158,6 +166,8 @@
     WaitTooLong,
     /// The service has no usable target.
     NoTarget,
+    /// The request is larger than the memory of every target.
+    TooLarge,
 }
 
 /// A decision of the scheduler.
@@ -196,6 +206,7 @@
     /// Speeds that were measured by another node or before a restart.
     restored_speeds: BTreeMap<TargetKey, SpeedModel>,
     limits: RateLimits,
+    memory_view: MemoryView,
     outputs: Vec<PlacementOutput>,
 }
 
@@ -311,6 +322,22 @@
         scheduler.place_waiting(now, outputs);
     }
 
+    /// Records the end of a request with the output that its node counted.
+    pub fn finished_with(
+        &mut self,
+        (target, key): (TargetKey, PlacementKey),
+        outcome: AttemptOutcome,
+        output: Option<OutputReport>,
+        now: ClockTime,
+    ) {
+        if let Some(output) = output
+            && let Some(scheduler) = self.scheduler_of(target)
+        {
+            scheduler.observe_output(target, key, output);
+        }
+        self.finished(target, key, outcome, now);
+    }
+
     /// Records a request that another scheduler granted. Does nothing if the grant is already
     /// known.
     pub fn adopt(&mut self, target: TargetKey, request: &PlacementRequest, now: ClockTime) {
@@ -321,6 +348,7 @@
 
     /// Updates the running requests of a node to match its report.
     pub fn reconcile(&mut self, process: ProcessKey, active: &[ActiveRequest], now: ClockTime) {
+        self.memory_view.count_report(process, now);
         for scheduler in self.services.values_mut() {
             scheduler.reconcile(process, active, now);
             scheduler.place_waiting(now, &mut self.outputs);
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -6,6 +6,7 @@
 
 use super::arrivals::ArrivalStatistics;
 use super::sizes::{RequestSize, SizeBand};
+use super::target_memory::TokenNeed;
 use super::version_slots::{VersionLoads, VersionSlots};
 use super::{PlacementKey, PlacementRequest};
 use burdockcleat_core::clock::ClockTime;
@@ -47,6 +48,8 @@
     /// Slot time on a target of mean speed, in ms (see
     /// [`SpeedModel::load_ms`](super::speed::SpeedModel::load_ms)).
     pub(super) load_ms: f64,
+    /// Tokens of the memory of its target.
+    pub(super) need: TokenNeed,
 }
 
 /// A request that waits for a target.
@@ -71,6 +74,8 @@
     pub(super) weight: f64,
     /// Slot time on a target of mean speed, in ms.
     pub(super) load_ms: f64,
+    /// Tokens of the memory of its target.
+    pub(super) need: TokenNeed,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -118,7 +123,7 @@
         estimate: RequestEstimate,
         now: ClockTime,
     ) -> Self {
-        let RequestEstimate { prefill_work, first_ms, load_ms } = estimate;
+        let RequestEstimate { prefill_work, first_ms, load_ms, need } = estimate;
         let first_ms = first_ms * FIRST_EVENT_MARGIN + NETWORK_DELAY_MS;
         let send_within_ms = request.objective_left_ms - first_ms as i64;
         let send_by = u64::try_from(send_within_ms).ok().map(|left| now.plus(left));
@@ -141,6 +146,7 @@
             value,
             weight,
             load_ms,
+            need,
             late_checked,
         }
     }
@@ -189,11 +195,11 @@
         selects: F,
     ) -> impl Iterator<Item = &WaitingRequest>
     where
-        F: Fn(&PlacementRequest) -> bool,
+        F: Fn(&WaitingRequest) -> bool,
     {
         let ordered =
             |waiting| Reverse(OrderedRequest { cost: WaitingRequest::cost(waiting, now), waiting });
-        let selected = self.requests.iter().filter(|waiting| selects(&waiting.request));
+        let selected = self.requests.iter().filter(|waiting| selects(waiting));
         let mut heap: BinaryHeap<_> = selected.map(ordered).collect();
         std::iter::from_fn(move || heap.pop().map(|Reverse(ordered)| ordered.waiting))
     }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -1,7 +1,10 @@
 //! Scheduler of one service: its targets, their running requests and the waiting requests.
 
+mod outputs;
+
 use super::features::PlacementFeatures;
 use super::free_targets::FreeTargets;
+use super::lengths::OutputLengths;
 use super::pacer::RatePacer;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
 use super::size_rule::SizeRule;
@@ -65,6 +68,10 @@
     queue: WaitingQueue,
     sizes: SizeStatistics,
     summary: TargetSummary,
+    lengths: OutputLengths,
+    /// Time within which all requests of a new target are known, in ms; `None` while those of the
+    /// other targets are not.
+    memory_known: Option<u64>,
     /// Requests that finished recently, with the time of their end.
     recently_ended: HashMap<PlacementKey, ClockTime>,
 }
@@ -94,6 +101,7 @@
                 .or_insert_with(|| {
                     let speed = restored_speeds.get(&info.key).copied().unwrap_or(speed);
                     let mut state = TargetState::new(info.clone(), speed);
+                    state.added = Some(now);
                     state.pacer = limits.pacer(info.key, now);
                     state
                 });
@@ -137,6 +145,10 @@
         now: ClockTime,
         outputs: &mut Vec<PlacementOutput>,
     ) {
+        if let Some(reason) = self.final_refusal(&request) {
+            outputs.push(refusal(&request, reason, 0));
+            return;
+        }
         self.refresh_summary(now);
         let size = self.sizes.count_arrival(&request, now);
         let estimate = self.estimate(&request);
@@ -224,22 +236,11 @@
             if !state.running.contains_key(&active.key) {
                 state.count_request(now);
             }
-            let running = state.running.entry(active.key).or_insert_with(|| RunningRequest {
-                process,
-                prompt_tokens: active.prompt_tokens,
-                granted: now,
-                queued_prefill_work: f64::from(active.prompt_tokens),
-                value: 1.0,
-                rank: 0,
-                output_tokens: 0,
-                pause_ms: None,
-                first_event: None,
-                last_seen: now,
-                reported: true,
-                grant_observed: false,
-            });
+            let reported = || RunningRequest::reported(process, active, now);
+            let running = state.running.entry(active.key).or_insert_with(reported);
             running.last_seen = now;
             running.reported = true;
+            running.need.grow(running.prompt_tokens, active.written_tokens);
             if active.started && running.first_event.is_none() {
                 running.first_event = Some(now);
             }
@@ -288,8 +289,8 @@
             self.queue.len(),
             speed.fixed_ms,
             speed.read_ms * 1_000.0,
-            speed.token_ms
-        )
+            speed.token_ms,
+        ) + &self.describe_outputs()
     }
 
     pub(super) fn describe(&self, now: ClockTime) -> Vec<String> {
@@ -301,7 +302,10 @@
         if self.queue.len() == 0 {
             return;
         }
-        let mut free = FreeTargets::collect(self.targets.values(), now);
+        let mut free = {
+            let room = |state: &TargetState| self.room(state, now);
+            FreeTargets::collect(self.targets.values(), room, now)
+        };
         while !free.is_empty() {
             let Some((key, target)) = self.pick_request(&free, now) else { break };
             let Some(waiting) = self.queue.take(key) else { break };
@@ -309,6 +313,8 @@
             state.grant(&waiting, now);
             if !state.has_free_slot(now) {
                 free.remove(&state.info);
+            } else if let Some(state) = self.targets.get(&target) {
+                free.set_room(&state.info, self.room(state, now));
             }
             self.sizes.count_grant(&waiting.request, waiting.band);
             outputs.push(PlacementOutput::Grant {
@@ -326,7 +332,7 @@
         free: &FreeTargets,
         now: ClockTime,
     ) -> Option<(PlacementKey, TargetKey)> {
-        let placeable = self.queue.in_order(now, |request| free.any_allowed(request));
+        let placeable = self.queue.in_order(now, |waiting| free.any_allowed(waiting));
         placeable.take(MAX_EXAMINED).find_map(|waiting| {
             self.pick_target(waiting, now).map(|target| (waiting.request.key, target))
         })
@@ -337,8 +343,11 @@
     /// would have a tolerable loss once it has a free slot.
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
         let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
+        let is_free = |state: &TargetState| {
+            state.has_free_slot(now) && self.room(state, now).fits(waiting.need)
+        };
         let (placement_loss, _, target) = allowed()
-            .filter(|state| state.has_free_slot(now))
+            .filter(|state| is_free(state))
             .map(|state| {
                 (state.placement_loss(waiting, now), state.cost(waiting, now), state.info.key)
             })
@@ -349,9 +358,8 @@
         {
             return Some(target);
         }
-        let mut busy = allowed().filter(|state| {
-            state.usable(now) && state.within_rate(now) && !state.has_free_slot(now)
-        });
+        let mut busy = allowed()
+            .filter(|state| state.usable(now) && state.within_rate(now) && !is_free(state));
         let better_target_expected =
             busy.any(|state| state.min_placement_loss(waiting, now) <= tolerated_loss);
         (!better_target_expected).then_some(target)
@@ -364,6 +372,7 @@
             prefill_work,
             first_ms: self.summary.fastest(request).first_event_ms(prefill_work),
             load_ms: mean.load_ms(prefill_work, f64::from(request.output_tokens), slots),
+            need: self.token_need(request),
         }
     }
 
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -3,7 +3,8 @@
 use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
-use super::{PlacementKey, ProcessKey, TargetKey, VersionKey};
+use super::target_memory::TokenNeed;
+use super::{ActiveRequest, PlacementKey, ProcessKey, TargetKey, VersionKey};
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -87,6 +88,10 @@
     pub(super) rank: u32,
     /// Expected output tokens; 0 if unknown to this node.
     pub(super) output_tokens: u32,
+    /// Tokens that it takes of the target's memory.
+    pub(super) need: TokenNeed,
+    /// Real output tokens after the first event; `None` if they were not counted.
+    pub(super) measured_tokens: Option<u32>,
     /// Longest pause within the stream that still counts as on time, in ms; `None` if the response
     /// is not streamed.
     pub(super) pause_ms: Option<u64>,
@@ -101,6 +106,28 @@
     pub(super) grant_observed: bool,
 }
 
+impl RunningRequest {
+    /// Returns a request that another scheduler granted, as its node reports it.
+    pub(super) fn reported(process: ProcessKey, active: &ActiveRequest, now: ClockTime) -> Self {
+        Self {
+            process,
+            prompt_tokens: active.prompt_tokens,
+            granted: now,
+            queued_prefill_work: f64::from(active.prompt_tokens),
+            value: 1.0,
+            rank: 0,
+            output_tokens: 0,
+            need: TokenNeed::reported(active),
+            measured_tokens: None,
+            pause_ms: None,
+            first_event: None,
+            last_seen: now,
+            reported: true,
+            grant_observed: false,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct TargetState {
     pub(super) info: TargetInfo,
@@ -113,6 +140,8 @@
     failure_rate_at: ClockTime,
     consecutive_failures: u32,
     backoff_until: ClockTime,
+    /// Time at which the target became usable; `None` if it is not known.
+    pub(super) added: Option<ClockTime>,
     /// Spaces out the requests if the target limits their rate.
     pub(super) pacer: Option<RatePacer>,
 }
@@ -128,6 +157,7 @@
             failure_rate_at: ClockTime::from_ms(0),
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
+            added: None,
             pacer: None,
         }
     }
@@ -218,6 +248,8 @@
             value: waiting.value,
             rank: request.rank,
             output_tokens: request.output_tokens,
+            need: waiting.need,
+            measured_tokens: None,
             pause_ms: request.pause_ms,
             first_event: None,
             last_seen: now,
@@ -252,7 +284,8 @@
                     running.and_then(|r| r.first_event.map(|first_event| (r, first_event)))
                     && running.grant_observed
                 {
-                    let tokens = f64::from(running.output_tokens);
+                    let tokens =
+                        f64::from(running.measured_tokens.unwrap_or(running.output_tokens));
                     self.speed.learn_output(tokens, now.since(first_event) as f64);
                 }
                 self.count_outcome(0.0, FAILED_WEIGHT, now);
--- a/crates/edge/tests/events.rs
+++ b/crates/edge/tests/events.rs
@@ -44,3 +44,13 @@
         prop_assert!(splitter.has_partial_event());
     }
 }
+
+/// Guards against output lengths that count comments, or an event twice that arrives in parts.
+#[test]
+fn events_with_data_are_counted_once() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\ndata: a\ndata: b\n\n: ping\n\nid: 2\nda").unwrap();
+    assert_eq!(splitter.event_count(), 1);
+    splitter.push(b"ta: c\n\nid: 3\r\ndata: d\r\n\r\n").unwrap();
+    assert_eq!(splitter.event_count(), 3);
+}
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -101,6 +101,8 @@
                     target: *target,
                     prompt_tokens: 1_000,
                     started: true,
+                    most_tokens: 0,
+                    written_tokens: 0,
                 })
                 .collect();
             scheduler.reconcile(PROCESS, &active, at(now));
@@ -238,6 +240,8 @@
         target: TargetKey(0),
         prompt_tokens: 10,
         started: true,
+        most_tokens: 0,
+        written_tokens: 0,
     };
     let second = ActiveRequest { key: PlacementKey(2), ..active };
     scheduler.reconcile(other, &[active, second], at(0));
@@ -300,8 +304,14 @@
     let mut scheduler = scheduler(1, 1);
     scheduler.submit(request(1, 0, 20), at(0));
     let (key, target) = grants(&mut scheduler)[0];
-    let active =
-        ActiveRequest { key: PlacementKey(key), target, prompt_tokens: 1_000, started: true };
+    let active = ActiveRequest {
+        key: PlacementKey(key),
+        target,
+        prompt_tokens: 1_000,
+        started: true,
+        most_tokens: 0,
+        written_tokens: 0,
+    };
     scheduler.finished(target, PlacementKey(key), AttemptOutcome::Answered, at(100));
     scheduler.reconcile(PROCESS, &[active], at(101));
     scheduler.submit(request(2, 0, 20), at(102));
@@ -315,8 +325,14 @@
     let mut scheduler = scheduler(1, 1);
     scheduler.submit(request(1, 0, 20), at(0));
     let (key, target) = grants(&mut scheduler)[0];
-    let active =
-        ActiveRequest { key: PlacementKey(key), target, prompt_tokens: 1_000, started: true };
+    let active = ActiveRequest {
+        key: PlacementKey(key),
+        target,
+        prompt_tokens: 1_000,
+        started: true,
+        most_tokens: 0,
+        written_tokens: 0,
+    };
     scheduler.reconcile(PROCESS, &[active], at(100));
     scheduler.reconcile(PROCESS, &[], at(300));
     scheduler.submit(request(2, 0, 20), at(301));
--- a/crates/edge/tests/target_limits.rs
+++ b/crates/edge/tests/target_limits.rs
@@ -168,8 +168,14 @@
         for key in 0..5 {
             let key = PlacementKey(1_000 + key);
             if reported {
-                let active =
-                    ActiveRequest { key, target: LIMITED, prompt_tokens: 10, started: false };
+                let active = ActiveRequest {
+                    key,
+                    target: LIMITED,
+                    prompt_tokens: 10,
+                    started: false,
+                    most_tokens: 0,
+                    written_tokens: 0,
+                };
                 scheduler.reconcile(ProcessKey(2), &[active], at(10));
             }
             scheduler.finished(LIMITED, key, AttemptOutcome::Answered, at(20));
@@ -246,6 +252,8 @@
                         target: *target,
                         prompt_tokens: 100,
                         started: false,
+                        most_tokens: 0,
+                        written_tokens: 0,
                     })
                     .collect();
                 for scheduler in &mut schedulers {
