--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -7,6 +7,7 @@
 use super::arrivals::ArrivalStatistics;
 use super::shares::{ShareTurn, WorkspaceShares};
 use super::sizes::{RequestSize, SizeBand};
+use super::target_memory::TokenNeed;
 use super::version_slots::{VersionLoads, VersionSlots};
 use super::{PlacementKey, PlacementRequest};
 use burdockcleat_core::clock::ClockTime;
@@ -51,6 +52,8 @@
     /// Slot time on a target of mean speed, in ms (see
     /// [`SpeedModel::load_ms`](super::speed::SpeedModel::load_ms)).
     pub(super) load_ms: f64,
+    /// Tokens of the memory of its target.
+    pub(super) need: TokenNeed,
 }
 
 /// A request that waits for a target.
@@ -77,6 +80,8 @@
     pub(super) load_ms: f64,
     /// Place among the requests of its workspace; `None` if workspaces have no shares.
     pub(super) turn: Option<ShareTurn>,
+    /// Tokens of the memory of its target.
+    pub(super) need: TokenNeed,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -124,7 +129,7 @@
         estimate: RequestEstimate,
         now: ClockTime,
     ) -> Self {
-        let RequestEstimate { prefill_work, first_ms, load_ms } = estimate;
+        let RequestEstimate { prefill_work, first_ms, load_ms, need } = estimate;
         let first_ms = first_ms * FIRST_EVENT_MARGIN + NETWORK_DELAY_MS;
         let send_within_ms = request.objective_left_ms - first_ms as i64;
         let send_by = u64::try_from(send_within_ms).ok().map(|left| now.plus(left));
@@ -148,6 +153,7 @@
             weight,
             load_ms,
             turn: None,
+            need,
             late_checked,
         }
     }
@@ -203,10 +209,10 @@
         selects: F,
     ) -> impl Iterator<Item = &WaitingRequest>
     where
-        F: Fn(&PlacementRequest) -> bool,
+        F: Fn(&WaitingRequest) -> bool,
     {
         let ordered = |waiting| Reverse(OrderedRequest { cost: self.cost(waiting, now), waiting });
-        let selected = self.requests.iter().filter(|waiting| selects(&waiting.request));
+        let selected = self.requests.iter().filter(|waiting| selects(waiting));
         let mut heap: BinaryHeap<_> = selected.map(ordered).collect();
         std::iter::from_fn(move || heap.pop().map(|Reverse(ordered)| ordered.waiting))
     }
--- a/crates/edge/tests/placement_shares.rs
+++ b/crates/edge/tests/placement_shares.rs
@@ -89,6 +89,8 @@
                 target: *target,
                 prompt_tokens: 1_000,
                 started: true,
+                most_tokens: 0,
+                written_tokens: 0,
             })
             .collect();
         if replaced {
