Use the load that targets state for the placement

Cause: 15 % of the targets of deployment B are slowed 2.5 times in turns of about 600 ms. The placement sends them as much as others meanwhile and learns the disturbance as their speed.

Change: nodes read running, waiting, slots and percentage from responses and pass them on in Started and Finished. Where a target states the percentage, its expected times follow it, decayed by age, requests that the scheduler does not know of take slots, and speeds are learned from undisturbed work. All other services behave as before.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -11,6 +11,7 @@
 use crate::streams::{StreamGroup, StreamKey, StreamRecord};
 use crate::suspects::SuspectReport;
 use crate::target_limits::LimitReport;
+use crate::target_load::LoadReport;
 use crate::targets::TargetNotice;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddrV4;
@@ -100,12 +101,15 @@
     Started {
         key: PlacementKey,
         target: TargetKey,
+        load: Option<LoadReport>,
     },
     /// The request no longer runs at the target.
     Finished {
         key: PlacementKey,
         target: TargetKey,
         outcome: AttemptOutcome,
+        /// Repeated from the start of the response, in case that datagram was lost.
+        load: Option<LoadReport>,
     },
     /// A caller of the sender began a stream. The placement coordinator passes the record on.
     Stream(StreamRecord),
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -208,9 +208,12 @@
         }
         Ok(Ok(sent)) => sent,
     };
-    guard.started();
     let echoed = echoed_attempt(context, &response);
-    if echoed != Some(context.request.attempt.as_str()) {
+    let own = echoed == Some(context.request.attempt.as_str());
+    // Another incarnation or the response to another request says nothing about the target now.
+    let stated = own && response.status() != StatusCode::MISDIRECTED_REQUEST;
+    guard.started(stated.then(|| node.read_load(announcement, response.headers())).flatten());
+    if !own {
         // A rejection may be that of an earlier request, so this one may have run.
         log::info!(
             target: "burdockcleat",
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,7 @@
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
 //! [`absence`], [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`],
-//! [`events`], [`streams`], [`shutdown`]) contain no socket, clock or thread.
+//! [`target_load`], [`events`], [`streams`], [`shutdown`]) contain no socket, clock or thread.
 
 pub mod absence;
 pub mod allowance;
@@ -44,6 +44,7 @@
 pub mod submission;
 pub mod suspects;
 pub mod target_limits;
+pub mod target_load;
 pub mod targets;
 mod upstream;
 
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -12,6 +12,7 @@
 mod streams;
 mod suspects;
 mod target_limits;
+mod target_load;
 mod targets;
 
 pub(crate) use placing::{ActiveRequestGuard, Placement};
@@ -370,6 +371,10 @@
         }
         let (suspects, blocked) = self.suspects.borrow().counts();
         metrics.set("targets", "limited", self.limits.borrow().rates().len() as f64);
+        if let Some((slowed, unlisted)) = self.scheduler.borrow().load_counts(now) {
+            metrics.set("targets", "slowed", slowed as f64);
+            metrics.set("requests", "unlisted", unlisted as f64);
+        }
         metrics.set("suspects", "known", suspects as f64);
         metrics.set("suspects", "blocked", blocked as f64);
         metrics.set("streams", "recorded", self.streams.borrow().len() as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -64,10 +64,12 @@
             PeerDatagram::Submit(request) => self.handle_submit(from, request, now),
             PeerDatagram::Decision { key, decision } => self.handle_decision(from, key, decision),
             PeerDatagram::Withdraw(key) => self.scheduler.borrow_mut().withdraw(key),
-            PeerDatagram::Started { key, target } => {
+            PeerDatagram::Started { key, target, load } => {
+                self.apply_load(target, load, now);
                 self.scheduler.borrow_mut().started(target, key, now);
             }
-            PeerDatagram::Finished { key, target, outcome } => {
+            PeerDatagram::Finished { key, target, outcome, load } => {
+                self.apply_load(target, load, now);
                 self.scheduler.borrow_mut().finished(target, key, outcome, now);
                 self.deliver_decisions();
             }
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -9,6 +9,7 @@
 };
 use crate::shutdown::ShutdownStage;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionStep, SubmissionTimer};
+use crate::target_load::{LoadReport, TargetLoad};
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -54,6 +55,8 @@
     key: PlacementKey,
     target: TargetKey,
     outcome: Option<AttemptOutcome>,
+    /// Load that the target stated in its response, with the time of its arrival.
+    load: Cell<Option<(TargetLoad, ClockTime)>>,
 }
 
 impl ActiveRequestGuard {
@@ -62,15 +65,24 @@
         self.target
     }
 
-    /// Reports that the target has started to respond.
-    pub(crate) fn started(&self) {
+    /// Reports that the target has started to respond, with the load that it states.
+    pub(crate) fn started(&self, load: Option<TargetLoad>) {
         if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
             active.started = true;
         }
         let now = ClockTime::monotonic();
         let (key, target) = (self.key, self.target);
+        self.load.set(load.map(|load| (load, now)));
+        let load = self.load_report(now);
+        self.node.apply_load(target, load, now);
         self.node.scheduler.borrow_mut().started(target, key, now);
-        self.node.notify_coordinator(&PeerDatagram::Started { key, target });
+        self.node.notify_coordinator(&PeerDatagram::Started { key, target, load });
+    }
+
+    /// Returns the load that the target stated, unless it is too old.
+    fn load_report(&self, now: ClockTime) -> Option<LoadReport> {
+        let (load, at) = self.load.get()?;
+        LoadReport::new(load, now.since(at))
     }
 
     /// Reports the outcome of the request at the target.
@@ -86,7 +98,8 @@
         self.node.active.borrow_mut().remove(&key);
         let now = ClockTime::monotonic();
         self.node.scheduler.borrow_mut().finished(target, key, outcome, now);
-        self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome });
+        let load = self.load_report(now);
+        self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome, load });
         self.node.deliver_decisions();
     }
 }
@@ -215,7 +228,8 @@
                 self.active.borrow_mut().insert(key, active);
                 self.scheduler.borrow_mut().adopt(target, request, ClockTime::monotonic());
                 let node = self.clone();
-                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None })
+                let load = Cell::default();
+                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None, load })
             }
             PlacementDecision::Refuse { reason, retry_after_ms } => {
                 Placement::Refused { reason, retry_after_ms }
@@ -336,7 +350,7 @@
             && !self.active.borrow().contains_key(&key)
         {
             let outcome = AttemptOutcome::Dropped;
-            self.send_to(from, &PeerDatagram::Finished { key, target, outcome });
+            self.send_to(from, &PeerDatagram::Finished { key, target, outcome, load: None });
         }
     }
 
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -10,6 +10,7 @@
 mod arrivals;
 mod features;
 mod free_targets;
+mod load_view;
 mod loss;
 mod pacer;
 mod queue;
@@ -209,7 +210,7 @@
     pub fn set_features(&mut self, features: PlacementFeatures) {
         self.features = features;
         for scheduler in self.services.values_mut() {
-            scheduler.features = features;
+            scheduler.set_features(features);
         }
     }
 
--- a/crates/edge/src/placement/loss.rs
+++ b/crates/edge/src/placement/loss.rs
@@ -38,13 +38,14 @@
     pub(super) fn placement_loss(&self, waiting: &WaitingRequest, now: ClockTime) -> f64 {
         let first_ms = self.expected_first_ms(waiting.prefill_work, now);
         self.request_loss(waiting, first_ms, now)
-            + self.stream_loss(waiting, self.concurrent_prefill_ms(now))
+            + self.stream_loss(waiting, self.prefill_pause_ms(waiting, now))
     }
 
     /// Returns the loss if no other prompt were prefilled on the target when the request is sent.
     pub(super) fn min_placement_loss(&self, waiting: &WaitingRequest, now: ClockTime) -> f64 {
         let first_ms = self.speed().first_event_ms(waiting.prefill_work);
-        self.request_loss(waiting, first_ms, now) + self.stream_loss(waiting, 0.0)
+        self.request_loss(waiting, first_ms, now)
+            + self.stream_loss(waiting, self.speed().prefill_ms(waiting.prefill_work))
     }
 
     /// Returns the request's own loss if its first event takes `first_ms`: its whole value if it
@@ -55,15 +56,22 @@
         let objective_ms = request.objective_left_ms - waited_ms.cast_signed();
         let late = objective_ms > 0 && first_ms > objective_ms as f64 * TIME_LEFT_FRACTION;
         let answer_ms = request.answer_left_ms.saturating_sub(waited_ms) as f64;
-        let unfinished = self.speed().run_ms(waiting.prefill_work, request.output_tokens)
-            > answer_ms * TIME_LEFT_FRACTION;
+        let run_ms = self.speed().run_ms(waiting.prefill_work, request.output_tokens);
+        let unfinished = self.load.expected_ms(run_ms, now) > answer_ms * TIME_LEFT_FRACTION;
         if late || unfinished { waiting.value } else { 0.0 }
     }
 
-    /// Returns the loss of the streams on the target that would pause for too long while the prompt
-    /// is prefilled, after `prefill_ms` for other prompts.
-    fn stream_loss(&self, waiting: &WaitingRequest, prefill_ms: f64) -> f64 {
-        let pause_ms = prefill_ms + self.speed().prefill_ms(waiting.prefill_work);
+    /// Returns the expected pause of the streams on the target while the prompt is prefilled, after
+    /// other prompts.
+    fn prefill_pause_ms(&self, waiting: &WaitingRequest, now: ClockTime) -> f64 {
+        let prefill_ms =
+            self.concurrent_prefill_ms(now) + self.speed().prefill_ms(waiting.prefill_work);
+        self.load.expected_ms(prefill_ms, now)
+    }
+
+    /// Returns the loss of the streams on the target that would pause for too long if they pause for
+    /// `pause_ms`.
+    fn stream_loss(&self, waiting: &WaitingRequest, pause_ms: f64) -> f64 {
         let late_streams = self.running.values().filter(|running| {
             running.first_event.is_some()
                 && running
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -59,7 +59,9 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
     pub(super) features: PlacementFeatures,
-    targets: BTreeMap<TargetKey, TargetState>,
+    /// Whether targets state how long work takes on them.
+    pub(super) load_reports: bool,
+    pub(super) targets: BTreeMap<TargetKey, TargetState>,
     /// Software versions of the targets.
     versions: BTreeSet<VersionKey>,
     queue: WaitingQueue,
@@ -74,6 +76,10 @@
         Self { features, sizes: SizeStatistics::new(size_rule), ..Self::default() }
     }
 
+    pub(super) fn set_features(&mut self, features: PlacementFeatures) {
+        self.features = if self.load_reports { features.with_load_reports() } else { features };
+    }
+
     pub(super) fn set_targets(
         &mut self,
         infos: &[TargetInfo],
@@ -183,7 +189,7 @@
         let Some(state) = self.targets.get_mut(&target) else { return };
         if !state.running.contains_key(&key) && !self.recently_ended.contains_key(&key) {
             // Another scheduler granted the request, and no report has listed it.
-            state.count_request(now);
+            state.count_listed_request(now);
         }
         state.finished(key, outcome, now);
         self.recently_ended.insert(key, now);
@@ -222,7 +228,7 @@
             }
             let Some(state) = self.targets.get_mut(&active.target) else { continue };
             if !state.running.contains_key(&active.key) {
-                state.count_request(now);
+                state.count_listed_request(now);
             }
             let running = state.running.entry(active.key).or_insert_with(|| RunningRequest {
                 process,
@@ -283,12 +289,13 @@
         let fastest = states.clone().map(|s| s.speed().token_ms).fold(f64::MAX, f64::min);
         let slowest = states.clone().map(|s| s.speed().token_ms).fold(0.0, f64::max);
         format!(
-            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}",
+            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}{}",
             states.len(),
             self.queue.len(),
             speed.fixed_ms,
             speed.read_ms * 1_000.0,
-            speed.token_ms
+            speed.token_ms,
+            self.describe_loads(now)
         )
     }
 
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -1,5 +1,6 @@
 //! State of one target: running requests, speed estimate and failures.
 
+use super::load_view::LoadView;
 use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
@@ -113,6 +114,8 @@
     failure_rate_at: ClockTime,
     consecutive_failures: u32,
     backoff_until: ClockTime,
+    /// Load that the target states; empty if the service does not use it.
+    pub(super) load: LoadView,
     /// Spaces out the requests if the target limits their rate.
     pub(super) pacer: Option<RatePacer>,
 }
@@ -128,6 +131,7 @@
             failure_rate_at: ClockTime::from_ms(0),
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
+            load: LoadView::default(),
             pacer: None,
         }
     }
@@ -153,7 +157,7 @@
     /// runs at a time.
     pub(super) fn has_free_slot(&self, now: ClockTime) -> bool {
         let limit = if self.consecutive_failures > 0 { 1 } else { self.info.slots as usize };
-        self.running.len() < limit.max(1) && self.usable(now) && self.within_rate(now)
+        self.held_requests(now) < limit.max(1) && self.usable(now) && self.within_rate(now)
     }
 
     /// Returns whether the target's limit of the request rate admits another request.
@@ -173,15 +177,20 @@
         let remote_cost =
             if self.info.domain == waiting.request.domain { 0.0 } else { REMOTE_DOMAIN_COST_MS };
         self.expected_first_ms(waiting.prefill_work, now)
-            + self.running.len() as f64 * CONCURRENCY_COST_TOKENS * self.speed().token_ms
+            + self.held_requests(now) as f64 * self.concurrency_cost(now)
             + remote_cost
             + (self.failure_rate(now) - FAILURE_TOLERANCE).max(0.0) * FAILURE_COST_MS
     }
 
     /// Returns the expected time to the first event, in ms, for the pending prompts and this one.
     pub(super) fn expected_first_ms(&self, prefill_work: f64, now: ClockTime) -> f64 {
-        self.speed().first_event_ms(self.pending_prefill_work(now) + prefill_work)
-            + self.overdue_ms(now)
+        let work_ms = self.speed().first_event_ms(self.pending_prefill_work(now) + prefill_work);
+        self.load.expected_ms(work_ms, now) + self.overdue_ms(now)
+    }
+
+    /// Returns the cost of each request that the target holds, in ms.
+    fn concurrency_cost(&self, now: ClockTime) -> f64 {
+        CONCURRENCY_COST_TOKENS * self.speed().token_ms * self.load.factor(now)
     }
 
     /// Returns the work of the prompts whose prefill is not complete.
@@ -189,7 +198,7 @@
         let read_ms = self.speed().read_ms.max(f64::EPSILON);
         let unstarted = self.running.values().filter(|running| running.first_event.is_none());
         let pending = unstarted.map(|running| {
-            let processed = now.since(running.granted) as f64 / read_ms;
+            let processed = self.load.undisturbed(running.granted, now).mean() / read_ms;
             (running.queued_prefill_work - processed).clamp(0.0, f64::from(running.prompt_tokens))
         });
         pending.sum()
@@ -202,7 +211,7 @@
         let overdue = unstarted.map(|running| {
             let expected_ms =
                 self.speed().first_event_ms(running.queued_prefill_work) + OVERDUE_TOLERANCE_MS;
-            now.since(running.granted) as f64 - expected_ms
+            self.load.undisturbed(running.granted, now).mean() - expected_ms
         });
         overdue.fold(0.0, f64::max)
     }
@@ -239,7 +248,8 @@
         if running.first_event.replace(now).is_some() || !running.grant_observed {
             return;
         }
-        let took_ms = now.since(running.granted) as f64;
+        let expected_ms = self.speed.model().first_event_ms(running.queued_prefill_work);
+        let took_ms = self.load.undisturbed(running.granted, now).closest(expected_ms);
         self.speed.learn_first_event(running.queued_prefill_work, took_ms);
         self.consecutive_failures = 0;
     }
@@ -253,7 +263,9 @@
                     && running.grant_observed
                 {
                     let tokens = f64::from(running.output_tokens);
-                    self.speed.learn_output(tokens, now.since(first_event) as f64);
+                    let expected_ms = self.speed().token_ms * tokens;
+                    let took_ms = self.load.undisturbed(first_event, now).closest(expected_ms);
+                    self.speed.learn_output(tokens, took_ms);
                 }
                 self.count_outcome(0.0, FAILED_WEIGHT, now);
                 self.consecutive_failures = 0;
@@ -286,7 +298,7 @@
 
     pub(super) fn describe(&self, now: ClockTime) -> String {
         format!(
-            "target={:x} service={} running={} slots={} limit_per_s={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}",
+            "target={:x} service={} running={} slots={} limit_per_s={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}{}",
             self.info.key.0,
             self.info.service,
             self.running.len(),
@@ -299,7 +311,8 @@
             self.speed().read_ms * 1_000.0,
             self.speed().token_ms,
             self.failure_rate(now),
-            self.backoff_until.since(now)
+            self.backoff_until.since(now),
+            self.describe_load(now)
         )
     }
 }
