Merge the load reports of targets

Cause: targets that share their machines slow down many times a second. An end of a request carries its output and the load of its target.

--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -64,10 +64,12 @@
             PeerDatagram::Submit(request) => self.handle_submit(from, request, now),
             PeerDatagram::Decision { key, decision } => self.handle_decision(from, key, decision),
             PeerDatagram::Withdraw(key) => self.scheduler.borrow_mut().withdraw(key),
-            PeerDatagram::Started { key, target } => {
+            PeerDatagram::Started { key, target, load } => {
+                self.apply_load(target, load, now);
                 self.scheduler.borrow_mut().started(target, key, now);
             }
-            PeerDatagram::Finished { key, target, outcome, output } => {
+            PeerDatagram::Finished { key, target, outcome, output, load } => {
+                self.apply_load(target, load, now);
                 let mut scheduler = self.scheduler.borrow_mut();
                 scheduler.finished_with((target, key), outcome, output, now);
                 drop(scheduler);
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -10,6 +10,7 @@
 use crate::shutdown::ShutdownStage;
 use crate::status_timing::status_interval_ms;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionStep, SubmissionTimer};
+use crate::target_load::{LoadReport, TargetLoad};
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -60,6 +61,8 @@
     target: TargetKey,
     outcome: Option<AttemptOutcome>,
     output: Cell<Option<OutputReport>>,
+    /// Load that the target stated in its response, with the time of its arrival.
+    load: Cell<Option<(TargetLoad, ClockTime)>>,
 }
 
 impl ActiveRequestGuard {
@@ -68,15 +71,24 @@
         self.target
     }
 
-    /// Reports that the target has started to respond.
-    pub(crate) fn started(&self) {
+    /// Reports that the target has started to respond, with the load that it states.
+    pub(crate) fn started(&self, load: Option<TargetLoad>) {
         if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
             active.started = true;
         }
         let now = ClockTime::monotonic();
         let (key, target) = (self.key, self.target);
+        self.load.set(load.map(|load| (load, now)));
+        let load = self.load_report(now);
+        self.node.apply_load(target, load, now);
         self.node.scheduler.borrow_mut().started(target, key, now);
-        self.node.notify_coordinator(&PeerDatagram::Started { key, target });
+        self.node.notify_coordinator(&PeerDatagram::Started { key, target, load });
+    }
+
+    /// Returns the load that the target stated, unless it is too old.
+    fn load_report(&self, now: ClockTime) -> Option<LoadReport> {
+        let (load, at) = self.load.get()?;
+        LoadReport::new(load, now.since(at))
     }
 
     /// Records the output that has arrived so far.
@@ -100,7 +112,14 @@
         self.node.active.borrow_mut().remove(&key);
         let now = ClockTime::monotonic();
         self.node.scheduler.borrow_mut().finished_with((target, key), outcome, output, now);
-        self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome, output });
+        let load = self.load_report(now);
+        self.node.notify_coordinator(&PeerDatagram::Finished {
+            key,
+            target,
+            outcome,
+            output,
+            load,
+        });
         self.node.deliver_decisions();
     }
 }
@@ -238,8 +257,9 @@
                 self.active.borrow_mut().insert(key, active);
                 self.scheduler.borrow_mut().adopt(target, request, ClockTime::monotonic());
                 let node = self.clone();
-                let output = Cell::new(None);
-                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None, output })
+                let (output, load) = (Cell::new(None), Cell::default());
+                let outcome = None;
+                Placement::Granted(ActiveRequestGuard { node, key, target, outcome, output, load })
             }
             PlacementDecision::Refuse { reason, retry_after_ms } => {
                 Placement::Refused { reason, retry_after_ms }
@@ -360,8 +380,8 @@
             && !self.active.borrow().contains_key(&key)
         {
             let outcome = AttemptOutcome::Dropped;
-            let output = None;
-            self.send_to(from, &PeerDatagram::Finished { key, target, outcome, output });
+            let (output, load) = (None, None);
+            self.send_to(from, &PeerDatagram::Finished { key, target, outcome, output, load });
         }
     }
 
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -11,6 +11,7 @@
 mod features;
 mod free_targets;
 mod lengths;
+mod load_view;
 mod loss;
 mod pacer;
 mod queue;
@@ -223,7 +224,7 @@
     pub fn set_features(&mut self, features: PlacementFeatures) {
         self.features = features;
         for scheduler in self.services.values_mut() {
-            scheduler.features = features;
+            scheduler.set_features(features);
         }
     }
 
