Count only what a read needs against the head limit of a response

Cause: the limit of a response head (64 KiB) counted the bytes of the body that arrived in the same read. On a kept connection the read buffer grows beyond the limit, so a long answer in one write failed although the order had run. Change: a read returns at most the bytes that are left, and fails only if more are needed. A complete head leaves the connection unread until the limit of the body is set, so endless heads are cut as before.

--- a/crates/edge/src/metered.rs
+++ b/crates/edge/src/metered.rs
@@ -3,6 +3,11 @@
 //! Guards against faulty targets that send bytes without end, in a response head, in a body or
 //! between responses. Limits on single parts of a message leave gaps, so the connection itself is
 //! limited.
+//!
+//! A single read returns at most the bytes that are left, so it never exceeds the limit. The head of
+//! a response and the start of its body may arrive together: the connection is not read again until
+//! the user of a complete head asks for the body, and has set the limit of the body by then. The
+//! limit is exceeded only if more bytes are needed than are left.
 
 use std::cell::Cell;
 use std::io;
@@ -22,10 +27,12 @@
         self.0.set(bytes);
     }
 
-    fn take(&self, bytes: u64) -> bool {
-        let left = self.0.get().checked_sub(bytes);
-        self.0.set(left.unwrap_or(0));
-        left.is_some()
+    fn left(&self) -> usize {
+        usize::try_from(self.0.get()).unwrap_or(usize::MAX)
+    }
+
+    fn take(&self, bytes: usize) {
+        self.0.set(self.0.get().saturating_sub(bytes as u64));
     }
 }
 
@@ -47,13 +54,28 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
-        let read = buffer.filled().len() - before;
-        if self.limit.take(read as u64) {
+        let left = self.limit.left();
+        if left >= buffer.remaining() {
+            let before = buffer.filled().len();
+            ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+            self.limit.take(buffer.filled().len() - before);
             return Poll::Ready(Ok(()));
         }
-        Poll::Ready(Err(io::Error::other("the target sent more bytes than an answer may have")))
+        // Without room for one byte, the end of the connection and further bytes look alike.
+        let mut probe = [0];
+        let mut part = ReadBuf::new(match left {
+            0 => &mut probe,
+            _ => buffer.initialize_unfilled_to(left),
+        });
+        ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
+        let read = part.filled().len();
+        if read > left {
+            let cause = "the target sent more bytes than an answer may have";
+            return Poll::Ready(Err(io::Error::other(cause)));
+        }
+        buffer.advance(read);
+        self.limit.take(read);
+        Poll::Ready(Ok(()))
     }
 }
 
