Budget the memory that a node holds for callers and targets

Cause: bodies of waiting requests took a node over the memory of its machine, buffered responses over 24 MiB in all counted as failures of their targets, and a slow caller kept its target busy until it had read the stream. Change: with a memory limit in the settings, one budget covers bodies, buffered responses and queued events. A body is reserved before it is read and refused with 503 and Retry-After if it does not fit; the rest of it is discarded, so the answer is not lost to a reset. Responses wait for memory, streams of slow callers are read on while it lasts, and socket buffers are bounded. A kept connection that still uploads an earlier request delays no other one. Without a limit nothing changes. Without the limit of the wait for a kept connection its test fails.

--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -1,15 +1,19 @@
 //! Request pipeline: read, route, authenticate, block crash suspects, reserve the allowance, place,
 //! send and respond.
 
+mod queue;
+mod response_body;
 mod retry;
 mod send;
 mod silence;
 mod stream;
+mod unread;
 
+use crate::caller_stream::UnreadMark;
 use crate::config::{RequestKind, RouteRule};
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
-use crate::request::{CallerRequest, RequestError};
+use crate::request::CallerRequest;
 use crate::streams::StreamRecord;
 use crate::suspects::RequestTrait;
 use burdockcleat_core::clock::ClockTime;
@@ -203,18 +207,22 @@
 }
 
 /// Serves the request of a caller.
-pub(crate) async fn serve(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub(crate) async fn serve(
+    node: Rc<NodeState>,
+    request: Request<Incoming>,
+    unread: &UnreadMark,
+) -> Response<ReplyBody> {
     let received = ClockTime::monotonic();
     let limits = node.limits();
     let read = tokio::select! {
-        read = CallerRequest::read(request, &node.http_api, limits, received) => read,
+        read = CallerRequest::read(request, &node, limits, received) => read,
         () = node.until_last_answers() => {
             return refuse(&node, "-", None, received, &STOPPING_REFUSAL);
         }
     };
     let request = match read {
         Ok(request) => request,
-        Err(error) => return reject_unreadable(&node, &error),
+        Err(error) => return unread::reject_unread(&node, &error, received, unread),
     };
     let _running = node.track_running();
     let attempt = request.attempt.clone();
@@ -362,20 +370,6 @@
     (xxhash_rust::xxh3::xxh3_64(name.as_bytes()) >> 32) as u32
 }
 
-fn reject_unreadable(node: &NodeState, error: &RequestError) -> Response<ReplyBody> {
-    let status = match error {
-        RequestError::MissingHost | RequestError::MissingAttemptId | RequestError::BodyRead(_) => {
-            StatusCode::BAD_REQUEST
-        }
-        RequestError::TooLong(_) => StatusCode::PAYLOAD_TOO_LARGE,
-        RequestError::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
-    };
-    let status_text = status.as_u16();
-    log::info!(target: "burdockcleat", "event=request.rejected status={status_text} reason=\"{error}\"");
-    node.metrics.borrow_mut().count("requests_refused", "unreadable", 1);
-    text_reply(status, error.to_string())
-}
-
 fn refuse(
     node: &NodeState,
     attempt: &str,
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -1,5 +1,6 @@
 //! Sends a request to one target and reads the response until it can be forwarded.
 
+use super::response_body::{MAX_RESPONSE_BYTES, read_body};
 use super::retry::GrantedTarget;
 use super::{RequestContext, is_streamed};
 use crate::events::EventSplitter;
@@ -10,7 +11,7 @@
 use crate::targets::TargetAnnouncement;
 use crate::upstream::{ConnectionGuard, SendError};
 use burdockcleat_core::clock::ClockTime;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH};
@@ -25,11 +26,6 @@
 /// Time to wait for the target's own response after the deadline, in ms. The target stops at the
 /// deadline that it was given.
 const DEADLINE_MARGIN_MS: u64 = 60;
-/// Size limit of a response that is buffered completely, in bytes.
-const MAX_RESPONSE_BYTES: usize = 4 << 20;
-/// Total size limit of the responses that a node is buffering, in bytes. It leaves memory for the
-/// rest of the process on a small instance.
-const MAX_BUFFERED_BYTES: usize = 24 << 20;
 /// Bytes that a stream may send without completing an event, including chunk framing.
 pub(super) const MAX_EVENT_FRAME_BYTES: u64 = 512 << 10;
 
@@ -305,41 +301,6 @@
     }
 }
 
-/// Counts the bytes of a buffered response in the node's total until it is dropped.
-struct BufferGuard<'a> {
-    node: &'a NodeState,
-    bytes: usize,
-}
-
-impl BufferGuard<'_> {
-    fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let total = self.node.buffered_bytes.get() + bytes;
-        self.node.buffered_bytes.set(total);
-        self.bytes <= MAX_RESPONSE_BYTES && total <= MAX_BUFFERED_BYTES
-    }
-}
-
-impl Drop for BufferGuard<'_> {
-    fn drop(&mut self) {
-        self.node.buffered_bytes.set(self.node.buffered_bytes.get() - self.bytes);
-    }
-}
-
-/// Reads a body to its end. Returns `None` if the connection breaks or the body is too long.
-async fn read_body(node: &NodeState, mut body: Incoming) -> Option<Bytes> {
-    let mut guard = BufferGuard { node, bytes: 0 };
-    let mut collected = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame.ok()?.into_data() else { continue };
-        if !guard.grow(data.len()) {
-            return None;
-        }
-        collected.extend_from_slice(&data);
-    }
-    Some(collected.freeze())
-}
-
 async fn read_first_event(
     context: &Rc<RequestContext>,
     guard: ActiveRequestGuard,
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -1,25 +1,18 @@
 //! Forwards an event stream as it arrives and resumes it at another target after a failure.
 
+use super::queue::CallerQueue;
 use super::retry::{SendHistory, send_until_answered};
 use super::send::{MAX_EVENT_FRAME_BYTES, PendingSend, StreamSource, TargetResponse, prepare_head};
 use super::silence::{replace_silent, stream_stall_ms};
 use super::{RequestContext, log_response};
 use crate::placement::{AttemptOutcome, VersionKey};
-use crate::reply::{ReplyBody, StreamBroken};
+use crate::reply::ReplyBody;
 use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::Response;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc::{Receiver, Sender, channel};
-
-/// Number of chunks that are queued for a slow caller before reading from the target pauses.
-const CHANNEL_CAPACITY: usize = 8;
-
-/// Longest wait for a slow caller to take the events of a stream that broke off, in ms.
-const MAX_DRAIN_MS: u64 = 1_000;
 
 /// Reason why the stream of one target ended.
 enum StreamEnd {
@@ -40,7 +33,7 @@
     history: SendHistory,
     source: Box<StreamSource>,
 ) -> Response<ReplyBody> {
-    let (sender, receiver): (_, Receiver<Result<Bytes, StreamBroken>>) = channel(CHANNEL_CAPACITY);
+    let (queue, receiver) = CallerQueue::open(context.node.memory_budget.as_ref());
     let mut head = source.parts.clone();
     prepare_head(&mut head, false);
     // A stream that this attempt takes up is recorded by the attempt that began it.
@@ -55,7 +48,7 @@
             context.node.record_stream(&context.request.attempt, &announcement);
         }
     }
-    tokio::task::spawn_local(forward_stream(context, history, source, sender));
+    tokio::task::spawn_local(forward_stream(context, history, source, queue));
     Response::from_parts(head, ReplyBody::Stream(receiver))
 }
 
@@ -71,7 +64,7 @@
     context: Rc<RequestContext>,
     mut history: SendHistory,
     mut source: Box<StreamSource>,
-    sender: Sender<Result<Bytes, StreamBroken>>,
+    queue: CallerQueue,
 ) {
     let _running = context.node.track_running();
     let mut last_event = context.request.last_event;
@@ -79,7 +72,7 @@
     history.streaming = true;
     loop {
         let (end, last_id) =
-            forward_from_target(&context, &mut history, source, &sender, last_event).await;
+            forward_from_target(&context, &mut history, source, &queue, last_event).await;
         last_event = last_id.or(last_event);
         let (cause, next) = match end {
             StreamEnd::Complete => return log_response(&context, &history, status, "stream"),
@@ -102,17 +95,12 @@
         }
         let resumed = tokio::select! {
             resumed = resume(&context, &mut history, last_event, next) => resumed,
-            () = sender.closed() => return log_stream_end(&context, &history, "the caller left"),
+            () = queue.closed() => return log_stream_end(&context, &history, "the caller left"),
         };
         let Some(next) = resumed else { break };
         source = next;
     }
-    // The error ends the connection, also for events that are not written yet. All capacity is free
-    // once the connection has taken them.
-    let drained = Duration::from_millis(MAX_DRAIN_MS);
-    let _ = tokio::time::timeout(drained, sender.reserve_many(CHANNEL_CAPACITY)).await;
-    // A failure means that the caller has disconnected, so there is nobody to notify.
-    let _ = sender.send(Err(StreamBroken)).await;
+    queue.fail(context.left_ms(ClockTime::monotonic())).await;
 }
 
 /// Resumes a stream after the last complete event, at the target of `next` if it was already sent
@@ -150,11 +138,11 @@
     context: &Rc<RequestContext>,
     history: &mut SendHistory,
     source: Box<StreamSource>,
-    sender: &Sender<Result<Bytes, StreamBroken>>,
+    queue: &CallerQueue,
     last_event: Option<u64>,
 ) -> (StreamEnd, Option<u64>) {
     let StreamSource { mut body, connection, guard, mut splitter, first, ended, .. } = *source;
-    if !first.is_empty() && sender.send(Ok(first)).await.is_err() {
+    if !first.is_empty() && queue.push(first).await.is_err() {
         return (StreamEnd::CallerDisconnected, splitter.last_id());
     }
     let mut ended = ended;
@@ -166,7 +154,7 @@
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = sender.closed() => return (StreamEnd::CallerDisconnected, last_id),
+            () = queue.closed() => return (StreamEnd::CallerDisconnected, last_id),
             () = tokio::time::sleep(Duration::from_millis(left_ms)) => {
                 guard.finish(AttemptOutcome::Stalled);
                 return (StreamEnd::DeadlinePassed, last_id);
@@ -194,7 +182,7 @@
                 let now = ClockTime::monotonic();
                 history.pause_ms = history.pause_ms.max(now.since(last_chunk));
                 last_chunk = now;
-                if sender.send(Ok(events)).await.is_err() {
+                if queue.push(events).await.is_err() {
                     return (StreamEnd::CallerDisconnected, splitter.last_id());
                 }
             }
--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -1,7 +1,9 @@
 //! Accepts and serves the connections of callers.
 
+use crate::caller_stream::{CallerStream, DiscardCount, UnreadMark};
 use crate::dispatch;
 use crate::idle::IdleTimer;
+use crate::memory_budget::bound_buffers;
 use crate::node::NodeState;
 use crate::shutdown::ShutdownStage;
 use hyper::server::conn::http1::Builder;
@@ -21,10 +23,14 @@
 
 /// Accepts connections of callers until the process exits.
 pub(crate) async fn accept_callers(node: Rc<NodeState>, listener: TcpListener) {
+    if node.memory_budget.is_some() {
+        bound_buffers(&listener);
+    }
+    let discarding = DiscardCount::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_caller(node.clone(), stream));
+                tokio::task::spawn_local(serve_caller(node.clone(), stream, discarding.clone()));
             }
             Err(error) => {
                 log::warn!(target: "burdockcleat", "event=caller.accept_failed cause=\"{error}\"");
@@ -34,7 +40,7 @@
     }
 }
 
-async fn serve_caller(node: Rc<NodeState>, stream: TcpStream) {
+async fn serve_caller(node: Rc<NodeState>, stream: TcpStream, discarding: DiscardCount) {
     let _connection = node.track_connection();
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(target: "burdockcleat", "event=caller.socket_failed cause=\"{error}\"");
@@ -42,9 +48,11 @@
     }
     let limits = node.limits();
     let timer = IdleTimer::new(node.idle_limits.subscribe());
+    let unread = UnreadMark::default();
+    let stream = CallerStream::new(stream, unread.clone(), discarding);
     let service = service_fn(|request| {
-        let node = node.clone();
-        async move { Ok::<_, Infallible>(dispatch::serve(node, request).await) }
+        let (node, unread) = (node.clone(), unread.clone());
+        async move { Ok::<_, Infallible>(dispatch::serve(node, request, &unread).await) }
     });
     let connection = Builder::new()
         .timer(timer)
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod absence;
 pub mod allowance;
 pub mod budget;
+mod budgeted_body;
+mod caller_stream;
 pub mod config;
 mod control;
 mod datagram;
@@ -24,6 +26,7 @@
 pub mod idle;
 pub mod logs;
 pub mod memory;
+pub mod memory_budget;
 mod metered;
 pub mod metrics;
 mod node;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -29,6 +29,7 @@
 use crate::idle::IdleLimits;
 use crate::logs;
 use crate::memory::StoredMemory;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::MetricSet;
 use crate::peers::PeerTable;
 use crate::placement::{ActiveRequest, PlacementKey, PlacementScheduler, ProcessKey, TargetKey};
@@ -129,7 +130,9 @@
     running: Rc<Cell<usize>>,
     /// Number of open connections of callers.
     connections: Rc<Cell<usize>>,
-    /// Total size of the responses that are being buffered.
+    /// Memory for bodies, responses and queued events, if it is budgeted.
+    pub(crate) memory_budget: Option<MemoryBudget>,
+    /// Total size of the responses that are being buffered without a budget.
     pub(crate) buffered_bytes: Cell<usize>,
     /// Memory that was last saved for the next start.
     last_saved_memory: RefCell<Option<StoredMemory>>,
@@ -365,6 +368,12 @@
         metrics.set("targets", "known", self.targets.borrow().len() as f64);
         metrics.set("requests", "running", self.running.get() as f64);
         metrics.set("requests", "waiting", self.scheduler.borrow().waiting_count() as f64);
+        for (label, waits) in self.memory_budget.iter().flat_map(MemoryBudget::take_waits) {
+            metrics.count("memory_waits", label, waits as u64);
+        }
+        for (label, bytes) in self.memory_budget.iter().flat_map(MemoryBudget::gauges) {
+            metrics.set("memory_budget_bytes", label, bytes as f64);
+        }
         for (service, age_ms) in self.scheduler.borrow().queue_ages(now) {
             metrics.set("queue_age_ms", service, age_ms as f64);
         }
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -6,6 +6,7 @@
 use crate::control;
 use crate::frontend;
 use crate::http_api::HttpApi;
+use crate::memory_budget::MemoryBudget;
 use crate::placement::{PlacementScheduler, ProcessKey};
 use crate::register_service::{RegisterService, StoreHandle};
 use crate::settings::NodeSettings;
@@ -88,7 +89,7 @@
             deadlines: RefCell::default(),
             durations: RefCell::default(),
             metrics: RefCell::default(),
-            upstreams: UpstreamPool::default(),
+            upstreams: UpstreamPool::new(settings.features.memory_bytes.is_some()),
             register,
             stage: watch::Sender::new(ShutdownStage::Running),
             idle_limits: watch::Sender::default(),
@@ -107,6 +108,7 @@
             running: Rc::default(),
             connections: Rc::default(),
             buffered_bytes: Cell::new(0),
+            memory_budget: settings.features.memory_bytes.map(MemoryBudget::for_process),
             last_saved_memory: RefCell::default(),
             fetching_usage: Cell::default(),
             settings,
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -1,7 +1,10 @@
 //! Reads and decodes the requests of callers.
 
+use crate::budgeted_body::{CollectError, collect_body, stated_length};
 use crate::config::RequestLimits;
-use crate::http_api::{HeaderNames, HttpApi};
+use crate::http_api::HeaderNames;
+use crate::memory_budget::{MemoryBudget, MemoryUse};
+use crate::node::NodeState;
 use crate::suspects::{RequestTrait, SuspectKey};
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
@@ -29,6 +32,9 @@
     MissingAttemptId,
     #[error("the body is longer than {0} bytes")]
     TooLong(usize),
+    /// Carries the attempt id.
+    #[error("no memory is free for the body of {0}")]
+    NoMemory(String),
     #[error("the body did not arrive in time")]
     BodyTimeout,
     #[error("reading the body: {0}")]
@@ -78,13 +84,19 @@
     /// Reads and decodes a complete request.
     pub(crate) async fn read(
         request: Request<Incoming>,
-        http_api: &HttpApi,
+        node: &NodeState,
         limits: RequestLimits,
         received: ClockTime,
     ) -> Result<Self, RequestError> {
         let (parts, body) = request.into_parts();
-        let body = read_body(body, limits.body_bytes).await?;
-        let names = &http_api.headers;
+        let names = &node.http_api.headers;
+        let body = match &node.memory_budget {
+            None => read_body(body, limits.body_bytes).await?,
+            Some(budget) => {
+                let attempt = text(&parts.headers, &names.attempt).unwrap_or("-");
+                read_budgeted_body(body, limits.body_bytes, budget, attempt).await?
+            }
+        };
         let host = text(&parts.headers, &header::HOST)
             .or_else(|| parts.uri.authority().map(|authority| authority.as_str()))
             .ok_or(RequestError::MissingHost)?;
@@ -151,6 +163,28 @@
     }
 }
 
+/// Reads a body into the memory of a budget. The stated length is reserved before the body is read.
+async fn read_budgeted_body(
+    body: Incoming,
+    limit: usize,
+    budget: &MemoryBudget,
+    attempt: &str,
+) -> Result<Bytes, RequestError> {
+    let length = stated_length(&body).unwrap_or(0);
+    if length > limit {
+        return Err(RequestError::TooLong(limit));
+    }
+    let no_memory = || RequestError::NoMemory(attempt.to_owned());
+    let guard = budget.try_reserve(MemoryUse::Body, length).ok_or_else(no_memory)?;
+    let collect = collect_body(body, limit, guard, false);
+    let collected = tokio::time::timeout(Duration::from_millis(BODY_TIMEOUT_MS), collect).await;
+    collected.map_err(|_| RequestError::BodyTimeout)?.map_err(|error| match error {
+        CollectError::TooLong => RequestError::TooLong(limit),
+        CollectError::NoMemory => no_memory(),
+        CollectError::Broken(error) => RequestError::BodyRead(error.to_string()),
+    })
+}
+
 fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name).and_then(|value| value.to_str().ok()).map(str::trim)
 }
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to targets. A connection carries one request at a time, is kept while idle
 //! and is closed when its request is dropped.
 
+use crate::memory_budget::bound_buffers;
 use crate::metered::{MeteredStream, ReadLimit};
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
@@ -12,16 +13,19 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 use tokio::sync::Notify;
 use tokio::task::AbortHandle;
 
 /// Connect timeout, in ms. A target in the same region accepts within a few ms.
 const CONNECT_MS: u64 = 400;
+/// Time for a kept connection to become ready, in ms. It is ready as soon as its task has run, unless it
+/// still uploads an earlier request.
+const READY_MS: u64 = 10;
 /// Idle timeout if the target states none, in ms.
 const DEFAULT_IDLE_MS: u64 = 2_000;
 /// Longest time for which an idle connection is kept, in ms.
@@ -33,6 +37,9 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// Size limit of a response head including all interim responses before it, in bytes.
 const MAX_HEAD_BYTES: u64 = 64 << 10;
+/// Size limit of the read buffer of a connection whose buffers are bounded, in bytes. It also limits a
+/// single head, and is larger than that limit.
+const MAX_READ_BUFFER_BYTES: usize = 2 * MAX_HEAD_BYTES as usize;
 /// Divisor of a target's connection limit that gives the number of connections that all nodes
 /// together may keep idle.
 const IDLE_LIMIT_DIVISOR: usize = 3;
@@ -54,6 +61,8 @@
 pub(crate) struct UpstreamPool {
     idle: Rc<RefCell<HashMap<SocketAddrV4, Vec<IdleConnection>>>>,
     max_idle: Rc<Cell<usize>>,
+    /// Whether the buffers of connections are bounded.
+    bounded: bool,
 }
 
 struct IdleConnection {
@@ -103,6 +112,11 @@
 }
 
 impl UpstreamPool {
+    /// Creates an empty pool. `bounded` tells whether the buffers of its connections are bounded.
+    pub(crate) fn new(bounded: bool) -> Self {
+        Self { bounded, ..Self::default() }
+    }
+
     /// Sends a request and waits for the head of the response. Also returns whether the connection
     /// is new. `connected` is notified when a connection is open.
     pub(crate) async fn send(
@@ -112,7 +126,7 @@
         connected: &Notify,
     ) -> Result<(Response<Incoming>, ConnectionGuard, bool), SendError> {
         while let Some(mut connection) = self.take_idle(address) {
-            if connection.sender.ready().await.is_err() {
+            if !self.is_usable(&mut connection).await {
                 continue;
             }
             connection.read_limit.set(MAX_HEAD_BYTES);
@@ -127,7 +141,7 @@
                 },
             }
         }
-        let mut connection = connect(address).await?;
+        let mut connection = connect(address, self.bounded).await?;
         connected.notify_one();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.guard_response(address, connection, response, true)),
@@ -141,6 +155,17 @@
         }
     }
 
+    /// Returns whether an idle connection takes a request. With bounded buffers, a connection that still
+    /// uploads an earlier request, whose target has answered before, is not waited for.
+    async fn is_usable(&self, connection: &mut UpstreamConnection) -> bool {
+        let ready = connection.sender.ready();
+        if !self.bounded {
+            return ready.await.is_ok();
+        }
+        let limit = Duration::from_millis(READY_MS);
+        tokio::time::timeout(limit, ready).await.is_ok_and(|ready| ready.is_ok())
+    }
+
     /// Sets the number of idle connections kept for each target. It depends on the number of
     /// connections that targets accept (0: no limit) and the number of nodes.
     pub(crate) fn set_limit(&self, connection_limit: u32, nodes: usize) {
@@ -154,11 +179,15 @@
         self.idle.borrow_mut().remove(&address);
     }
 
-    /// Closes connections whose idle timeout has passed.
+    /// Closes connections whose idle timeout has passed, and with bounded buffers those that still hold
+    /// the upload of an earlier request.
     pub(crate) fn prune(&self, now: ClockTime) {
         let mut idle = self.idle.borrow_mut();
         for connections in idle.values_mut() {
-            connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+            connections.retain(|idle| {
+                let sender = &idle.connection.sender;
+                idle.until > now && !sender.is_closed() && (!self.bounded || sender.is_ready())
+            });
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
@@ -187,8 +216,14 @@
     }
 }
 
-async fn connect(address: SocketAddrV4) -> Result<UpstreamConnection, SendError> {
-    let connect = TcpStream::connect(address);
+async fn connect(address: SocketAddrV4, bounded: bool) -> Result<UpstreamConnection, SendError> {
+    let socket = TcpSocket::new_v4().map_err(|error| SendError::NotSent(error.to_string()))?;
+    let mut builder = Builder::new();
+    if bounded {
+        bound_buffers(&socket);
+        builder.max_buf_size(MAX_READ_BUFFER_BYTES);
+    }
+    let connect = socket.connect(SocketAddr::V4(address));
     let stream = tokio::time::timeout(Duration::from_millis(CONNECT_MS), connect)
         .await
         .map_err(|_| SendError::NotSent(format!("no connection within {CONNECT_MS} ms")))?
@@ -197,7 +232,7 @@
     let read_limit = ReadLimit::default();
     read_limit.set(MAX_HEAD_BYTES);
     let stream = MeteredStream::new(stream, read_limit.clone());
-    let (sender, connection) = Builder::new()
+    let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| SendError::NotSent(error_with_cause(&error)))?;
