--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod absence;
 pub mod allowance;
 pub mod budget;
+mod budgeted_body;
+mod caller_stream;
 pub mod config;
 pub mod config_review;
 mod control;
@@ -25,6 +27,7 @@
 pub mod idle;
 pub mod logs;
 pub mod memory;
+pub mod memory_budget;
 mod metered;
 pub mod metrics;
 mod node;
