Count datagram bytes and bytes to targets by failure domain

Cause: operators are charged for traffic between failure domains, and nothing showed which datagrams cause it or how many requests cross. Change: the metrics address has the number and bytes of sent datagrams by kind and by domain of the receiver, and the bytes on connections to targets by direction and domain.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -114,3 +114,23 @@
     /// The receiver is to send the records of these streams that it has.
     FindStreams(Vec<StreamKey>),
 }
+
+impl PeerDatagram {
+    /// Returns the name of the kind of datagram, for metrics.
+    pub(crate) const fn kind(&self) -> &'static str {
+        match self {
+            Self::Status(_) => "status",
+            Self::Notice(_) => "notice",
+            Self::Suspects(_) => "suspects",
+            Self::Limits(_) => "limits",
+            Self::Submit(_) => "submit",
+            Self::Decision { .. } => "decision",
+            Self::Withdraw(_) => "withdraw",
+            Self::Started { .. } => "started",
+            Self::Finished { .. } => "finished",
+            Self::Stream(_) => "stream",
+            Self::Streams(_) => "streams",
+            Self::FindStreams(_) => "find streams",
+        }
+    }
+}
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -123,11 +123,12 @@
         let request = build_request(context, &announcement, last_event, left_ms)?;
         context.commit_reservation();
         let (node, address) = (context.node.clone(), announcement.address);
+        let link = node.target_link(&announcement.domain);
         let connected = Rc::new(Notify::new());
         let opened = connected.clone();
         let exchange = Box::pin(async move {
             let limit = Duration::from_millis(left_ms + DEADLINE_MARGIN_MS);
-            let sending = node.upstreams.send(address, request, &opened);
+            let sending = node.upstreams.send(address, link, request, &opened);
             let sent = tokio::time::timeout(limit, sending).await?;
             Ok(sent.map(|(response, connection, _)| (response, connection)))
         });
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod suspects;
 pub mod target_limits;
 pub mod targets;
+mod traffic;
 mod upstream;
 
 pub use node::{NodeError, NodeServer};
--- a/crates/edge/src/metered.rs
+++ b/crates/edge/src/metered.rs
@@ -4,6 +4,7 @@
 //! between responses. Limits on single parts of a message leave gaps, so the connection itself is
 //! limited.
 
+use crate::traffic::LinkBytes;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -33,11 +34,12 @@
 pub(crate) struct MeteredStream {
     inner: TcpStream,
     limit: ReadLimit,
+    link: Rc<LinkBytes>,
 }
 
 impl MeteredStream {
-    pub(crate) const fn new(inner: TcpStream, limit: ReadLimit) -> Self {
-        Self { inner, limit }
+    pub(crate) const fn new(inner: TcpStream, limit: ReadLimit, link: Rc<LinkBytes>) -> Self {
+        Self { inner, limit, link }
     }
 }
 
@@ -50,6 +52,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
         let read = buffer.filled().len() - before;
+        self.link.count_received(read);
         if self.limit.take(read as u64) {
             return Poll::Ready(Ok(()));
         }
@@ -63,7 +66,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = ready!(Pin::new(&mut self.inner).poll_write(context, bytes))?;
+        self.link.count_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -79,7 +84,9 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(context, parts))?;
+        self.link.count_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -40,6 +40,7 @@
 use crate::suspects::SuspectTracker;
 use crate::target_limits::LimitTable;
 use crate::targets::{TargetAnnouncement, TargetNotice, TargetTable};
+use crate::traffic::TrafficTotals;
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use placing::Waiter;
@@ -107,6 +108,7 @@
     pub(crate) durations: RefCell<DurationTracker>,
     pub(crate) metrics: RefCell<MetricSet>,
     pub(crate) upstreams: UpstreamPool,
+    traffic: TrafficTotals,
     pub(crate) register: RegisterService,
     pub(crate) stage: watch::Sender<ShutdownStage>,
     pub(crate) idle_limits: watch::Sender<IdleLimits>,
@@ -354,6 +356,7 @@
         let (alive, expected) = self.peers.borrow().node_counts(now);
         let heard = self.reachable_disks(now);
         let mut metrics = self.metrics.borrow_mut();
+        self.traffic.add_to(&mut metrics);
         if let Some(applied) = self.register.applied() {
             let voters = applied.value.voters();
             metrics.set("replicas", "voters", voters.len() as f64);
--- a/crates/edge/src/node/datagrams.rs
+++ b/crates/edge/src/node/datagrams.rs
@@ -2,6 +2,7 @@
 
 use super::NodeState;
 use crate::datagram::{MAX_DATAGRAM_BYTES, PeerDatagram};
+use crate::traffic::{DomainScope, LinkBytes};
 use burdockcleat_core::clock::ClockTime;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
@@ -19,7 +20,17 @@
         };
         if let Err(error) = self.socket.try_send_to(&bytes, address.into()) {
             log::debug!(target: "burdockcleat", "event=peer.send_failed peer={address} cause=\"{error}\"");
+            return;
         }
+        let peers = self.peers.borrow();
+        let domain = peers.get(address).map(|record| &*record.status.domain);
+        let scope = DomainScope::of(&self.settings.domain, domain);
+        self.traffic.count_datagram(datagram.kind(), scope, bytes.len());
+    }
+
+    /// Returns the counter of the connections to targets of a failure domain.
+    pub(crate) fn target_link(&self, domain: &str) -> Rc<LinkBytes> {
+        self.traffic.link(DomainScope::of(&self.settings.domain, Some(domain)))
     }
 
     /// Sends a datagram to all nodes that are alive.
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -11,6 +11,7 @@
 use crate::settings::NodeSettings;
 use crate::shutdown::ShutdownStage;
 use crate::streams::StreamTable;
+use crate::traffic::TrafficTotals;
 use crate::upstream::UpstreamPool;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::{Cell, RefCell};
@@ -89,6 +90,7 @@
             durations: RefCell::default(),
             metrics: RefCell::default(),
             upstreams: UpstreamPool::default(),
+            traffic: TrafficTotals::default(),
             register,
             stage: watch::Sender::new(ShutdownStage::Running),
             idle_limits: watch::Sender::default(),
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -2,6 +2,7 @@
 //! and is closed when its request is dropped.
 
 use crate::metered::{MeteredStream, ReadLimit};
+use crate::traffic::LinkBytes;
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -104,10 +105,12 @@
 
 impl UpstreamPool {
     /// Sends a request and waits for the head of the response. Also returns whether the connection
-    /// is new. `connected` is notified when a connection is open.
+    /// is new. `connected` is notified when a connection is open. `link` counts the bytes of new
+    /// connections.
     pub(crate) async fn send(
         &self,
         address: SocketAddrV4,
+        link: Rc<LinkBytes>,
         mut request: Request<Full<Bytes>>,
         connected: &Notify,
     ) -> Result<(Response<Incoming>, ConnectionGuard, bool), SendError> {
@@ -127,7 +130,7 @@
                 },
             }
         }
-        let mut connection = connect(address).await?;
+        let mut connection = connect(address, link).await?;
         connected.notify_one();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.guard_response(address, connection, response, true)),
@@ -187,7 +190,10 @@
     }
 }
 
-async fn connect(address: SocketAddrV4) -> Result<UpstreamConnection, SendError> {
+async fn connect(
+    address: SocketAddrV4,
+    link: Rc<LinkBytes>,
+) -> Result<UpstreamConnection, SendError> {
     let connect = TcpStream::connect(address);
     let stream = tokio::time::timeout(Duration::from_millis(CONNECT_MS), connect)
         .await
@@ -196,7 +202,7 @@
     stream.set_nodelay(true).map_err(|error| SendError::NotSent(error.to_string()))?;
     let read_limit = ReadLimit::default();
     read_limit.set(MAX_HEAD_BYTES);
-    let stream = MeteredStream::new(stream, read_limit.clone());
+    let stream = MeteredStream::new(stream, read_limit.clone(), link);
     let (sender, connection) = Builder::new()
         .handshake(TokioIo::new(stream))
         .await
