--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod target_limits;
 pub mod target_load;
 pub mod targets;
+mod traffic;
 mod upstream;
 
 pub use node::{NodeError, NodeServer};
--- a/crates/edge/src/metered.rs
+++ b/crates/edge/src/metered.rs
@@ -9,6 +9,7 @@
 //! the user of a complete head asks for the body, and has set the limit of the body by then. The
 //! limit is exceeded only if more bytes are needed than are left.
 
+use crate::traffic::LinkBytes;
 use std::cell::Cell;
 use std::io;
 use std::pin::Pin;
@@ -40,11 +41,12 @@
 pub(crate) struct MeteredStream {
     inner: TcpStream,
     limit: ReadLimit,
+    link: Rc<LinkBytes>,
 }
 
 impl MeteredStream {
-    pub(crate) const fn new(inner: TcpStream, limit: ReadLimit) -> Self {
-        Self { inner, limit }
+    pub(crate) const fn new(inner: TcpStream, limit: ReadLimit, link: Rc<LinkBytes>) -> Self {
+        Self { inner, limit, link }
     }
 }
 
@@ -58,7 +60,9 @@
         if left >= buffer.remaining() {
             let before = buffer.filled().len();
             ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
-            self.limit.take(buffer.filled().len() - before);
+            let read = buffer.filled().len() - before;
+            self.link.count_received(read);
+            self.limit.take(read);
             return Poll::Ready(Ok(()));
         }
         // Without room for one byte, the end of the connection and further bytes look alike.
@@ -69,6 +73,7 @@
         });
         ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
         let read = part.filled().len();
+        self.link.count_received(read);
         if read > left {
             let cause = "the target sent more bytes than an answer may have";
             return Poll::Ready(Err(io::Error::other(cause)));
@@ -85,7 +90,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
+        let written = ready!(Pin::new(&mut self.inner).poll_write(context, bytes))?;
+        self.link.count_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -101,7 +108,9 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, parts)
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(context, parts))?;
+        self.link.count_sent(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/edge/src/upstream.rs
+++ b/crates/edge/src/upstream.rs
@@ -3,6 +3,7 @@
 
 use crate::memory_budget::bound_buffers;
 use crate::metered::{MeteredStream, ReadLimit};
+use crate::traffic::LinkBytes;
 use burdockcleat_core::clock::ClockTime;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -118,10 +119,12 @@
     }
 
     /// Sends a request and waits for the head of the response. Also returns whether the connection
-    /// is new. `connected` is notified when a connection is open.
+    /// is new. `connected` is notified when a connection is open. `link` counts the bytes of new
+    /// connections.
     pub(crate) async fn send(
         &self,
         address: SocketAddrV4,
+        link: Rc<LinkBytes>,
         mut request: Request<Full<Bytes>>,
         connected: &Notify,
     ) -> Result<(Response<Incoming>, ConnectionGuard, bool), SendError> {
@@ -141,7 +144,7 @@
                 },
             }
         }
-        let mut connection = connect(address, self.bounded).await?;
+        let mut connection = connect(address, link, self.bounded).await?;
         connected.notify_one();
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.guard_response(address, connection, response, true)),
@@ -216,7 +219,11 @@
     }
 }
 
-async fn connect(address: SocketAddrV4, bounded: bool) -> Result<UpstreamConnection, SendError> {
+async fn connect(
+    address: SocketAddrV4,
+    link: Rc<LinkBytes>,
+    bounded: bool,
+) -> Result<UpstreamConnection, SendError> {
     let socket = TcpSocket::new_v4().map_err(|error| SendError::NotSent(error.to_string()))?;
     let mut builder = Builder::new();
     if bounded {
@@ -231,7 +238,7 @@
     stream.set_nodelay(true).map_err(|error| SendError::NotSent(error.to_string()))?;
     let read_limit = ReadLimit::default();
     read_limit.set(MAX_HEAD_BYTES);
-    let stream = MeteredStream::new(stream, read_limit.clone());
+    let stream = MeteredStream::new(stream, read_limit.clone(), link);
     let (sender, connection) = builder
         .handshake(TokioIo::new(stream))
         .await
