Add the pure modules of version roll-outs

A roll-out order asks for a bounded share of the traffic until a verdict. The history of orders decides which versions serve; the ledger bounds what a version on trial gets from reported counts, unreported grants and a pace; the verdict compares answers by route with those of the other versions. Nothing calls them yet.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,7 @@
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
 //! [`absence`], [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`],
-//! [`events`], [`streams`], [`shutdown`]) contain no socket, clock or thread.
+//! [`events`], [`streams`], [`shutdown`], [`rollout`]) contain no socket, clock or thread.
 
 pub mod absence;
 pub mod allowance;
@@ -34,6 +34,7 @@
 mod register_service;
 mod reply;
 mod request;
+pub mod rollout;
 mod rpc;
 pub mod settings;
 pub mod shutdown;
--- /dev/null
+++ b/crates/edge/src/rollout.rs
@@ -0,0 +1,15 @@
+//! Version roll-outs: orders, how much of the traffic a version on trial gets, and the verdict.
+//!
+//! The orders live in the register. The placement coordinator limits what a version on trial gets
+//! from what the nodes report, and writes the verdict to the register. These modules contain no
+//! socket, clock or random source.
+
+mod exposure;
+mod record;
+mod verdict;
+
+pub use exposure::{CoordinatorView, ExposureLedger, OrderKey, RolloutReport};
+pub use record::{RolloutHistory, RolloutOrder, RolloutRecord, RolloutState, VersionPolicy};
+pub use verdict::{
+    AnswerCounts, RouteEvidence, TrialAnswer, TrialSide, TrialTiming, TrialVerdict, judge_trial,
+};
