Hold roll-out orders in the register

Accepted orders have to outlive what a configuration outlives, so they are part of the register's value. Its form on disk gets a field at its end; a slot in the earlier form ends before it and is decoded as such. Without that, the replica of an updated node would start empty. Nodes with and without this change cannot talk to each other, as with earlier changes of the calls.

--- a/crates/edge/src/register.rs
+++ b/crates/edge/src/register.rs
@@ -5,10 +5,13 @@
 //! to accept the result. The set of replicas is part of the value: until a change of the set is
 //! settled, a quorum needs majorities of the old and of the new set.
 
+mod earlier_form;
 mod replica_plan;
 
+pub use earlier_form::EarlierReplicaState;
 pub use replica_plan::{DiskPresence, DiskReport, plan_replicas};
 
+use crate::rollout::{RolloutHistory, RolloutRecord, RolloutState};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -47,6 +50,9 @@
     pub replicas: BTreeSet<ReplicaKey>,
     /// Replicas before the last change; equal to `replicas` once the change is settled.
     pub previous: BTreeSet<ReplicaKey>,
+    /// Orders of version roll-outs by service. The last field, so that a disk that was written
+    /// before it existed is recognised by its end; see [`EarlierReplicaState`].
+    pub rollouts: BTreeMap<String, RolloutHistory>,
 }
 
 /// Change that a round applies to the register.
@@ -71,6 +77,24 @@
     },
     /// Settles the given set of replicas. The value with this set must be known to be chosen.
     Settle(BTreeSet<ReplicaKey>),
+    /// Adds an order, unless another one of the service is in progress or it was accepted before.
+    StartRollout {
+        /// Service whose requests move.
+        service: String,
+        /// The order.
+        record: RolloutRecord,
+    },
+    /// Ends the order in progress, if it is this one.
+    FinishRollout {
+        /// Service of the order.
+        service: String,
+        /// Version that the requests were to move to.
+        to: String,
+        /// Start of the order.
+        started: u64,
+        /// Final state.
+        state: RolloutState,
+    },
 }
 
 impl RegisterValue {
@@ -111,6 +135,14 @@
                     next.previous.clone_from(set);
                 }
             }
+            RegisterChange::StartRollout { service, record } => {
+                next.rollouts.entry(service.clone()).or_default().start(record);
+            }
+            RegisterChange::FinishRollout { service, to, started, state } => {
+                if let Some(history) = next.rollouts.get_mut(service) {
+                    history.finish(to, *started, *state);
+                }
+            }
         }
         next
     }
--- a/crates/edge/src/slots.rs
+++ b/crates/edge/src/slots.rs
@@ -2,7 +2,7 @@
 //! them is intact after a crash or a power loss.
 
 use crate::memory::{StoredMemory, StoredUsage};
-use crate::register::ReplicaState;
+use crate::register::{EarlierReplicaState, ReplicaState};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fs::{self, File, OpenOptions};
@@ -60,11 +60,20 @@
     where
         T: DeserializeOwned,
     {
+        Self::open_with(folder, names, decode_record)
+    }
+
+    /// Opens both files and reads the newest intact state with the given decoder.
+    fn open_with<T>(
+        folder: &Path,
+        names: [&str; 2],
+        decode: fn(&[u8]) -> Option<SlotRecord<T>>,
+    ) -> Result<(Self, Option<T>), SlotError> {
         let mut newest: Option<SlotRecord<T>> = None;
         let mut open = |name: &str| -> Result<(PathBuf, File), SlotError> {
             let path = folder.join(name);
             let mut file = open_file(&path)?;
-            if let Some(record) = read_slot(&path, &mut file)?
+            if let Some(record) = read_slot(&path, &mut file)?.as_deref().and_then(decode)
                 && newest.as_ref().is_none_or(|known| record.sequence > known.sequence)
             {
                 newest = Some(record);
@@ -116,7 +125,7 @@
     pub fn open(folder: &Path, new_disk_id: u64) -> Result<(Self, ReplicaState), SlotError> {
         fs::create_dir_all(folder).map_err(file_error("creating the folder", folder))?;
         let disk = load_or_create_disk_id(&folder.join(IDENTITY_NAME), new_disk_id)?;
-        let (register, state) = SlotPair::open(folder, REGISTER_NAMES)?;
+        let (register, state) = SlotPair::open_with(folder, REGISTER_NAMES, decode_replica)?;
         let (memory, loaded_memory) = SlotPair::open(folder, MEMORY_NAMES)?;
         let (usage, loaded_usage) = SlotPair::open(folder, USAGE_NAMES)?;
         let store = Self { register, memory, loaded_memory, usage, loaded_usage, disk };
@@ -204,11 +213,22 @@
     Ok(new_disk_id)
 }
 
-/// Reads a slot. Returns `None` if it is empty or incomplete.
-fn read_slot<T>(path: &Path, file: &mut File) -> Result<Option<SlotRecord<T>>, SlotError>
-where
-    T: DeserializeOwned,
-{
+/// Decodes the content of a slot.
+fn decode_record<T: DeserializeOwned>(content: &[u8]) -> Option<SlotRecord<T>> {
+    postcard::from_bytes(content).ok()
+}
+
+/// Decodes the state of a replica, also in the form before the register held roll-outs. That form
+/// ends where the roll-outs begin, so the newer one cannot be read from it.
+fn decode_replica(content: &[u8]) -> Option<SlotRecord<ReplicaState>> {
+    decode_record(content).or_else(|| {
+        let earlier: SlotRecord<EarlierReplicaState> = decode_record(content)?;
+        Some(SlotRecord { sequence: earlier.sequence, state: earlier.state.into() })
+    })
+}
+
+/// Reads the content of a slot. Returns `None` if it is empty or incomplete.
+fn read_slot(path: &Path, file: &mut File) -> Result<Option<Vec<u8>>, SlotError> {
     let mut bytes = Vec::new();
     file.read_to_end(&mut bytes).map_err(file_error("reading", path))?;
     let Some((head, content)) = bytes.split_at_checked(HEADER_BYTES) else { return Ok(None) };
@@ -218,8 +238,6 @@
     else {
         return Ok(None);
     };
-    if crc32fast::hash(content).to_le_bytes() != sum {
-        return Ok(None);
-    }
-    Ok(postcard::from_bytes(content).ok())
+    let intact = crc32fast::hash(content).to_le_bytes() == sum;
+    Ok(intact.then(|| content.to_vec()))
 }
