Serve roll-out orders to operators

POST and GET of roll-outs, with the paths and codecs in the adapter. Served only if the settings name the rollout contract; other deployments answer 404 as before. An order is acknowledged once the register has chosen it, a repeated one is accepted again from the applied value, and one beside a running one gets 409.

--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -1,5 +1,7 @@
 //! HTTP servers for targets, operators, metrics and the load balancer's readiness checks.
 
+mod rollouts;
+
 use crate::document::{self, MAX_DOCUMENT_BYTES};
 use crate::metrics::MetricSet;
 use crate::node::NodeState;
@@ -154,6 +156,11 @@
             _ => text_reply(StatusCode::METHOD_NOT_ALLOWED, "use GET or PUT"),
         };
     }
+    if let Some(service) = path.strip_prefix(&paths.rollouts)
+        && let Some(reply) = rollouts::answer_rollouts(&node, &parts.method, service, &body).await
+    {
+        return reply;
+    }
     let Some(id) = path.strip_prefix(&paths.targets).filter(|id| !id.is_empty()) else {
         return text_reply(StatusCode::NOT_FOUND, "no such call");
     };
--- a/crates/edge/src/http_api.rs
+++ b/crates/edge/src/http_api.rs
@@ -4,6 +4,7 @@
 //! are specific to a deployment.
 
 use crate::config::{ConfigError, RouteConfig};
+use crate::rollout::{RolloutError, RolloutOrder, RolloutRecord};
 use crate::targets::{AnnouncementError, TargetAnnouncement};
 pub use hyper::header::HeaderName;
 
@@ -21,6 +22,10 @@
     /// Encodes the acknowledgement of an announcement. The argument is the address for further
     /// announcements.
     pub encode_announce_reply: fn(&str) -> String,
+    /// Decodes and validates a roll-out order.
+    pub decode_rollout: fn(&[u8]) -> Result<RolloutOrder, RolloutError>,
+    /// Encodes the state of a roll-out.
+    pub encode_rollout: fn(&RolloutRecord) -> String,
 }
 
 /// Header names of requests and responses.
@@ -69,4 +74,6 @@
     pub targets: String,
     /// Path of the configuration document.
     pub config: String,
+    /// Path of roll-out orders, and prefix of the path of their state before a slash and the service.
+    pub rollouts: String,
 }
--- a/crates/edge/src/rollout.rs
+++ b/crates/edge/src/rollout.rs
@@ -9,7 +9,9 @@
 mod verdict;
 
 pub use exposure::{CoordinatorView, ExposureLedger, OrderKey, RolloutReport};
-pub use record::{RolloutHistory, RolloutOrder, RolloutRecord, RolloutState, VersionPolicy};
+pub use record::{
+    RolloutError, RolloutHistory, RolloutOrder, RolloutRecord, RolloutState, VersionPolicy,
+};
 pub use verdict::{
     AnswerCounts, RouteEvidence, TrialAnswer, TrialSide, TrialTiming, TrialVerdict, judge_trial,
 };
--- a/crates/edge/src/rollout/record.rs
+++ b/crates/edge/src/rollout/record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use thiserror::Error;
 
 /// Number of orders that are kept for a service. A repeated order is recognised among them, and
 /// the versions that they reverted get no requests.
@@ -30,6 +31,15 @@
     pub duration_ms: u64,
 }
 
+/// Reason why an order was rejected.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Error)]
+pub enum RolloutError {
+    /// The body could not be read, or a field is missing, of another type or out of range.
+    #[error("reading the roll-out order: {0}")]
+    Unreadable(String),
+}
+
 /// Accepted order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
