Limit and judge versions on trial at the placement coordinator

While an order is in progress, the coordinator grants the version on trial a bounded part of the requests, from counts that travel in the statuses to nodes with a disk, judges the answers every 100 ms and writes the end to the register. Nodes leave out the targets of versions that an ended order rules out. Without the switch, nothing is counted and no version is limited.

--- a/crates/edge/src/datagram.rs
+++ b/crates/edge/src/datagram.rs
@@ -8,6 +8,7 @@
     TargetKey,
 };
 use crate::register::BallotNumber;
+use crate::rollout::RolloutReport;
 use crate::streams::{StreamGroup, StreamKey, StreamRecord};
 use crate::suspects::SuspectReport;
 use crate::target_limits::LimitReport;
@@ -62,6 +63,8 @@
     pub(crate) used: Vec<(WorkspaceKey, AllowanceUsage)>,
     /// Streams that callers of the node began lately. Omitted for receivers without a disk.
     pub(crate) streams: Vec<StreamGroup>,
+    /// Counts of the roll-outs in progress. Omitted for receivers without a disk.
+    pub(crate) rollouts: Vec<RolloutReport>,
 }
 
 /// Decision of the placement coordinator about a request.
--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -121,6 +121,7 @@
         let sent_at = ClockTime::monotonic();
         let left_ms = context.left_ms(sent_at);
         let request = build_request(context, &announcement, last_event, left_ms)?;
+        guard.sent(&announcement, &context.route.name);
         context.commit_reservation();
         let (node, address) = (context.node.clone(), announcement.address);
         let connected = Rc::new(Notify::new());
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,6 +6,7 @@
 mod pauses;
 mod placing;
 mod recovery;
+mod rollouts;
 mod server;
 mod status;
 mod stopping;
@@ -33,6 +34,7 @@
 use crate::peers::PeerTable;
 use crate::placement::{ActiveRequest, PlacementKey, PlacementScheduler, ProcessKey, TargetKey};
 use crate::register_service::RegisterService;
+use crate::rollout::RolloutTracker;
 use crate::settings::NodeSettings;
 use crate::shutdown::{ShutdownPlan, ShutdownStage};
 use crate::slots::SlotError;
@@ -98,6 +100,11 @@
     pub(crate) targets: RefCell<TargetTable>,
     absences: RefCell<AbsenceTracker>,
     pub(crate) limits: RefCell<LimitTable>,
+    rollouts: RefCell<RolloutTracker>,
+    /// Time of the last judgement of versions on trial.
+    rollouts_judged: Cell<ClockTime>,
+    /// Time since which this node coordinates without leaving out another one.
+    coordinating_since: Cell<Option<ClockTime>>,
     pub(crate) scheduler: RefCell<PlacementScheduler>,
     pub(crate) peers: RefCell<PeerTable>,
     pub(crate) allowances: RefCell<AllowanceTracker>,
@@ -281,6 +288,7 @@
             self.save_usage();
             self.mark_presence(ClockTime::monotonic());
             self.apply_limits(ClockTime::monotonic());
+            self.tick_rollouts(ClockTime::monotonic());
             if self.scheduler.borrow().waiting_count() > 0 {
                 self.scheduler.borrow_mut().advance(ClockTime::monotonic());
                 self.deliver_decisions();
@@ -322,6 +330,7 @@
             self.save_memory();
             self.set_gauges(now);
             self.log_allowances(now);
+            self.report_rollouts(now);
             if self.is_coordinator(now) {
                 for line in self.scheduler.borrow().summarize(now) {
                     log::info!(target: "burdockcleat", "event=placement.state {line}");
--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -1,6 +1,7 @@
 //! Places requests through the placement coordinator, or locally if it does not respond.
 
 use super::NodeState;
+use super::rollouts::SentRequest;
 use crate::datagram::{PeerDatagram, PlacementDecision};
 use crate::peers::PeerRecord;
 use crate::placement::{
@@ -9,6 +10,7 @@
 };
 use crate::shutdown::ShutdownStage;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionStep, SubmissionTimer};
+use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -54,6 +56,7 @@
     key: PlacementKey,
     target: TargetKey,
     outcome: Option<AttemptOutcome>,
+    sent: Cell<Option<SentRequest>>,
 }
 
 impl ActiveRequestGuard {
@@ -62,12 +65,18 @@
         self.target
     }
 
+    /// Reports that the request is sent to its target on a route.
+    pub(crate) fn sent(&self, announcement: &TargetAnnouncement, route: &str) {
+        self.sent.set(self.node.describe_send(self.key, announcement, route));
+    }
+
     /// Reports that the target has started to respond.
     pub(crate) fn started(&self) {
         if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
             active.started = true;
         }
         let now = ClockTime::monotonic();
+        self.sent.set(self.sent.get().map(|sent| sent.started(now)));
         let (key, target) = (self.key, self.target);
         self.node.scheduler.borrow_mut().started(target, key, now);
         self.node.notify_coordinator(&PeerDatagram::Started { key, target });
@@ -84,6 +93,9 @@
         let outcome = self.outcome.unwrap_or(AttemptOutcome::Dropped);
         let (key, target) = (self.key, self.target);
         self.node.active.borrow_mut().remove(&key);
+        if let Some(sent) = self.sent.get() {
+            self.node.count_rollout_answer(&sent, target, outcome);
+        }
         let now = ClockTime::monotonic();
         self.node.scheduler.borrow_mut().finished(target, key, outcome, now);
         self.node.notify_coordinator(&PeerDatagram::Finished { key, target, outcome });
@@ -215,7 +227,13 @@
                 self.active.borrow_mut().insert(key, active);
                 self.scheduler.borrow_mut().adopt(target, request, ClockTime::monotonic());
                 let node = self.clone();
-                Placement::Granted(ActiveRequestGuard { node, key, target, outcome: None })
+                Placement::Granted(ActiveRequestGuard {
+                    node,
+                    key,
+                    target,
+                    outcome: None,
+                    sent: Cell::default(),
+                })
             }
             PlacementDecision::Refuse { reason, retry_after_ms } => {
                 Placement::Refused { reason, retry_after_ms }
@@ -276,6 +294,12 @@
                 }
             };
             self.metrics.borrow_mut().count("placements", decision_label(decision), 1);
+            if let PlacementDecision::Grant { target, .. } = decision {
+                self.count_trial_grant(process, target);
+                if process == self.process {
+                    self.count_trial_send(process, target);
+                }
+            }
             if process == self.process {
                 self.deliver_decision(key, decision);
             } else {
@@ -330,6 +354,12 @@
             }
             return;
         }
+        if let PlacementDecision::Grant { target, .. } = decision
+            && self.waiters.borrow().contains_key(&key)
+        {
+            let grantor = self.peers.borrow().get(from).map(|record| record.status.process);
+            self.count_trial_send(grantor.unwrap_or(ProcessKey(0)), target);
+        }
         let delivered = self.deliver_decision(key, decision);
         if let PlacementDecision::Grant { target, .. } = decision
             && !delivered
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -72,6 +72,9 @@
             targets: RefCell::default(),
             absences: RefCell::default(),
             limits: RefCell::default(),
+            rollouts: RefCell::default(),
+            rollouts_judged: Cell::default(),
+            coordinating_since: Cell::default(),
             scheduler: RefCell::new(scheduler),
             peers: RefCell::default(),
             allowances: RefCell::new(AllowanceTracker::new(
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -46,13 +46,14 @@
     }
 
     /// Sends a status. Only nodes that may become coordinator get the requests that run at targets, and
-    /// only nodes with a disk the streams.
+    /// only nodes with a disk the streams and the counts of roll-outs, since only these write verdicts.
     fn send_status_to_all(&self, status: &NodeStatus, addresses: &[SocketAddrV4]) {
         let now = ClockTime::monotonic();
         let few_nodes = self.node_count(now) <= BASE_INTERVAL_MAX_NODES;
         let coordinator = self.coordinator(now);
         let complete = PeerDatagram::Status(status.clone());
-        let without_streams = NodeStatus { streams: Vec::new(), ..status.clone() };
+        let without_streams =
+            NodeStatus { streams: Vec::new(), rollouts: Vec::new(), ..status.clone() };
         let reduced = PeerDatagram::Status(NodeStatus { active: None, ..without_streams.clone() });
         let without_streams = PeerDatagram::Status(without_streams);
         for address in addresses {
@@ -103,6 +104,7 @@
             facts: self.fact_digests(),
             used: self.allowances.borrow().totals(),
             streams: self.reported_streams(now),
+            rollouts: self.rollout_reports(now),
         }
     }
 
@@ -113,6 +115,7 @@
         }
         let (active, used) = (status.active.clone(), status.used.clone());
         self.merge_streams(&std::mem::take(&mut status.streams));
+        self.rollouts.borrow_mut().learn(&std::mem::take(&mut status.rollouts), now);
         self.learn_usage(&status, now);
         self.learn_facts(&status.facts, address);
         let Some(change) = self.peers.borrow_mut().record_status(status, now) else { return };
--- a/crates/edge/src/node/targets.rs
+++ b/crates/edge/src/node/targets.rs
@@ -23,7 +23,8 @@
         let mut scheduler = self.scheduler.borrow_mut();
         let mut usable_keys = BTreeSet::new();
         for (service, rule) in &config.services {
-            let usable = targets.usable(service, interval_ms, now);
+            let mut usable = targets.usable(service, interval_ms, now);
+            usable.retain(|announcement| self.accepts_version(announcement));
             let infos: Vec<_> =
                 usable.iter().map(|announcement| target_info(announcement, rule)).collect();
             for (info, announcement) in infos.iter().zip(usable) {
@@ -98,7 +99,9 @@
     /// Returns the announcement of a target if the target may still be used.
     pub(crate) fn announcement(&self, target: TargetKey) -> Option<TargetAnnouncement> {
         let announcement = self.known_announcement(target)?;
-        self.targets.borrow().accepts_requests(&announcement).then_some(announcement)
+        let accepted = self.accepts_version(&announcement)
+            && self.targets.borrow().accepts_requests(&announcement);
+        accepted.then_some(announcement)
     }
 }
 
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -20,12 +20,14 @@
 mod summary;
 mod target;
 mod version_slots;
+mod version_trial;
 
 pub use features::PlacementFeatures;
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
 pub use speed::{SpeedEstimate, SpeedModel};
 pub use target::{AttemptOutcome, TargetInfo};
+pub use version_trial::TrialLimit;
 
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
@@ -244,6 +246,13 @@
         }
     }
 
+    /// Sets the version of a service that is on trial, if one is.
+    pub fn set_trial(&mut self, service: &str, trial: Option<TrialLimit>) {
+        if let Some(scheduler) = self.services.get_mut(service) {
+            scheduler.set_trial(trial);
+        }
+    }
+
     /// Sets the speeds of targets that were measured elsewhere. Targets whose speed was already
     /// measured here keep it.
     pub fn restore_speeds(&mut self, speeds: &[(TargetKey, SpeedModel)]) {
--- a/crates/edge/src/placement/free_targets.rs
+++ b/crates/edge/src/placement/free_targets.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Removes all targets of a version.
+    pub(super) fn remove_version(&mut self, version: VersionKey) {
+        self.0.remove(&version);
+    }
+
     pub(super) fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -9,6 +9,7 @@
 use super::speed::SpeedModel;
 use super::summary::TargetSummary;
 use super::target::{AttemptOutcome, RunningRequest, TargetInfo, TargetState};
+use super::version_trial::TrialLimit;
 use super::{
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey, VersionKey,
@@ -59,12 +60,14 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceScheduler {
     pub(super) features: PlacementFeatures,
-    targets: BTreeMap<TargetKey, TargetState>,
+    pub(super) targets: BTreeMap<TargetKey, TargetState>,
+    /// Version on trial.
+    pub(super) trial: Option<TrialLimit>,
     /// Software versions of the targets.
     versions: BTreeSet<VersionKey>,
     queue: WaitingQueue,
     sizes: SizeStatistics,
-    summary: TargetSummary,
+    pub(super) summary: TargetSummary,
     /// Requests that finished recently, with the time of their end.
     recently_ended: HashMap<PlacementKey, ClockTime>,
 }
@@ -98,6 +101,7 @@
                     state
                 });
         }
+        self.hold_trial_targets();
         self.versions = infos.iter().map(|info| info.version).collect();
         let versions = &self.versions;
         self.queue.mark_targetless(|request| request.allows_any(versions), now);
@@ -310,6 +314,8 @@
             if !state.has_free_slot(now) {
                 free.remove(&state.info);
             }
+            let version = state.info.version;
+            self.count_trial(version, &mut free);
             self.sizes.count_grant(&waiting.request, waiting.band);
             outputs.push(PlacementOutput::Grant {
                 key: waiting.request.key,
@@ -336,6 +342,10 @@
     /// Returns `None` if no target is free, or if the request should wait because a busy target
     /// would have a tolerable loss once it has a free slot.
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
+        let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
+        if let Some(target) = self.pick_trial_target(waiting, tolerated_loss, now) {
+            return Some(target);
+        }
         let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
         let (placement_loss, _, target) = allowed()
             .filter(|state| state.has_free_slot(now))
@@ -343,7 +353,6 @@
                 (state.placement_loss(waiting, now), state.cost(waiting, now), state.info.key)
             })
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
-        let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
         if placement_loss <= tolerated_loss
             || !self.summary.fastest(&waiting.request).prefills_within_pause(waiting)
         {
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -115,6 +115,8 @@
     backoff_until: ClockTime,
     /// Spaces out the requests if the target limits their rate.
     pub(super) pacer: Option<RatePacer>,
+    /// Whether the target's version is on trial and may get no requests now.
+    pub(super) on_hold: bool,
 }
 
 impl TargetState {
@@ -129,6 +131,7 @@
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
             pacer: None,
+            on_hold: false,
         }
     }
 
@@ -144,9 +147,9 @@
         }
     }
 
-    /// Returns whether the target is not in backoff.
+    /// Returns whether the target is neither in backoff nor on hold.
     pub(super) fn usable(&self, now: ClockTime) -> bool {
-        self.backoff_until <= now
+        !self.on_hold && self.backoff_until <= now
     }
 
     /// Returns whether the target may be sent another request. After a failure, only one request
--- a/crates/edge/src/register_service/proposer.rs
+++ b/crates/edge/src/register_service/proposer.rs
@@ -369,6 +369,7 @@
         if !same_document {
             self.apply_config();
         }
+        self.apply_rollouts(known.is_some());
     }
 
     /// Initializes the register with the given replicas at the first start of the deployment.
--- a/crates/edge/src/rollout.rs
+++ b/crates/edge/src/rollout.rs
@@ -6,12 +6,15 @@
 
 mod exposure;
 mod record;
+mod tracker;
 mod verdict;
 
 pub use exposure::{CoordinatorView, ExposureLedger, OrderKey, RolloutReport};
 pub use record::{
     RolloutError, RolloutHistory, RolloutOrder, RolloutRecord, RolloutState, VersionPolicy,
 };
+pub use tracker::{LearnedAt, RolloutTracker, TrackedOrder};
 pub use verdict::{
-    AnswerCounts, RouteEvidence, TrialAnswer, TrialSide, TrialTiming, TrialVerdict, judge_trial,
+    AnswerCounts, AnswerQuality, RouteEvidence, TrialAnswer, TrialSide, TrialTiming, TrialVerdict,
+    judge_trial,
 };
--- a/crates/edge/src/rollout/verdict.rs
+++ b/crates/edge/src/rollout/verdict.rs
@@ -1,6 +1,7 @@
 //! Verdict on a version on trial: compares its answers with those of the other versions in the same
 //! time, by route, so that a general overload does not condemn a good version.
 
+use crate::placement::TargetKey;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -49,8 +50,11 @@
 pub struct AnswerCounts {
     /// Answers, failures included.
     pub answers: u32,
-    /// Failures of the target: its own, or a response that broke off or stalled.
+    /// Answers with a failure of the target.
     pub failures: u32,
+    /// Responses that broke off or stalled, by target and second. Those of one target and second count
+    /// as one: a target that crashes breaks off all responses at once, whatever its version.
+    pub bursts: BTreeMap<u32, u32>,
     /// Successful answers by prompt size and time.
     pub times: BTreeMap<u8, u32>,
 }
@@ -74,13 +78,32 @@
     Other,
 }
 
+/// How a target answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerQuality {
+    /// With success, or with an error of the caller.
+    Sound,
+    /// With a failure of its own.
+    Failed,
+    /// The response broke off or stalled. Carries the key of the target and the second.
+    BrokeOff(u32),
+}
+
+impl AnswerQuality {
+    /// Returns the quality of a response that broke off or stalled at an age of the order.
+    pub fn broke_off(target: TargetKey, age_ms: u64) -> Self {
+        let bytes = [target.0.to_le_bytes(), (age_ms / 1_000).to_le_bytes()].concat();
+        Self::BrokeOff((xxhash_rust::xxh3::xxh3_64(&bytes) >> 32) as u32)
+    }
+}
+
 /// One answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TrialAnswer {
     /// Side of the target.
     pub side: TrialSide,
-    /// Whether the target failed.
-    pub failed: bool,
+    /// How the target answered.
+    pub quality: AnswerQuality,
     /// Length of the prompt, in tokens.
     pub prompt_tokens: u32,
     /// Time to the first part of the answer, in ms; `None` if the target is still slow after its
@@ -132,11 +155,19 @@
     pub fn add(&mut self, other: &Self) {
         self.answers += other.answers;
         self.failures += other.failures;
+        for (burst, count) in &other.bursts {
+            *self.bursts.entry(*burst).or_default() += count;
+        }
         for (class, count) in &other.times {
             *self.times.entry(*class).or_default() += count;
         }
     }
 
+    /// Returns the number of failures and of bursts.
+    pub fn bad(&self) -> u32 {
+        self.failures + self.bursts.len() as u32
+    }
+
     fn in_group(&self, group: u8) -> impl DoubleEndedIterator<Item = (u8, u32)> {
         let first = group * TIME_CLASSES;
         let range = self.times.range(first..=first + (TIME_CLASSES - 1));
@@ -166,9 +197,16 @@
             TrialSide::Other => &mut self.others,
         };
         counts.answers += 1;
-        counts.failures += u32::from(answer.failed);
-        if answer.failed {
-            return;
+        match answer.quality {
+            AnswerQuality::Sound => {}
+            AnswerQuality::Failed => {
+                counts.failures += 1;
+                return;
+            }
+            AnswerQuality::BrokeOff(burst) => {
+                *counts.bursts.entry(burst).or_default() += 1;
+                return;
+            }
         }
         let size = SIZE_BOUNDS.iter().filter(|bound| answer.prompt_tokens >= **bound).count() as u8;
         for (kind, ms) in [(0, answer.first_ms), (1, answer.total_ms)] {
@@ -188,8 +226,8 @@
     /// other versions; the least over failures and times. Few bad answers give 1.
     fn probability(&self) -> f64 {
         let failures = excess_probability(
-            (self.trial.failures, self.trial.answers),
-            (self.others.failures, self.others.answers),
+            (self.trial.bad(), self.trial.answers),
+            (self.others.bad(), self.others.answers),
         );
         let slow = [0, 1].into_iter().flat_map(|kind| {
             SLOW_DISTANCES.into_iter().map(move |distance| {
--- a/crates/edge/tests/rollout.rs
+++ b/crates/edge/tests/rollout.rs
@@ -1,8 +1,9 @@
 //! Orders of version roll-outs, and the verdict on versions of known kinds.
 
+use burdockcleat_edge::placement::TargetKey;
 use burdockcleat_edge::rollout::{
-    RolloutHistory, RolloutRecord, RolloutState, RouteEvidence, TrialAnswer, TrialSide,
-    TrialTiming, TrialVerdict, judge_trial,
+    AnswerQuality, RolloutHistory, RolloutRecord, RolloutState, RouteEvidence, TrialAnswer,
+    TrialSide, TrialTiming, TrialVerdict, judge_trial,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -69,10 +70,12 @@
     overload: f64,
     /// Part of the duration after which the faults show.
     from: f64,
+    /// Whether the answers of the version between 3 and 4 s break off at one target.
+    crash: bool,
 }
 
 const SOUND: TrialKind =
-    TrialKind { failing: 0.0, slow: 0.0, route: None, overload: 0.01, from: 0.0 };
+    TrialKind { failing: 0.0, slow: 0.0, route: None, overload: 0.01, from: 0.0, crash: false };
 
 /// Plays a trial of 12 s with 7 answers a second of the version on trial and 90 of the others. Returns
 /// the verdict, the time and the bad answers until then.
@@ -93,13 +96,19 @@
         let failed =
             random.random_bool(kind.overload) || (faulty && random.random_bool(kind.failing));
         let slow = faulty && random.random_bool(kind.slow);
+        let crashed = kind.crash && side == TrialSide::Trial && age_ms / 1_000 == 3;
+        let quality = match (crashed, failed) {
+            (true, _) => AnswerQuality::broke_off(TargetKey(1), age_ms),
+            (_, true) => AnswerQuality::Failed,
+            _ => AnswerQuality::Sound,
+        };
         bad_answers += u32::from(side == TrialSide::Trial && (failed || slow));
         let prompt_tokens = [500, 1_800, 3_000][random.random_range(0..3)];
         // A third of the targets of each version takes three times as long.
         let speed = if random.random_bool(1.0 / 3.0) { 3.0 } else { 1.0 };
         let first = f64::from(prompt_tokens) * 0.05 * speed * random.random_range(0.8..1.4);
         let first_ms = Some((first * if slow { 5.0 } else { 1.0 }) as u64);
-        let answer = TrialAnswer { side, failed, prompt_tokens, first_ms, total_ms: first_ms };
+        let answer = TrialAnswer { side, quality, prompt_tokens, first_ms, total_ms: first_ms };
         routes[route].count(&answer);
         if age_ms % 200 != 0 {
             continue;
@@ -125,6 +134,7 @@
 fn bad_versions_are_found_and_sound_ones_completed() {
     assert!(count_good(&SOUND) >= 47);
     assert!(count_good(&TrialKind { overload: 0.25, ..SOUND }) >= 45);
+    assert!(count_good(&TrialKind { crash: true, ..SOUND }) >= 45);
     assert!(count_good(&TrialKind { failing: 0.4, ..SOUND }) == 0);
     assert!(count_good(&TrialKind { failing: 0.4, from: 0.3, ..SOUND }) <= 3);
     assert!(count_good(&TrialKind { slow: 0.6, ..SOUND }) <= 3);
