Send the answers of roll-outs to the coordinator only

They are the long part of the reports, and only the coordinator judges them. Other nodes with a disk still get the counts. Versions are judged every 200 ms.

--- a/crates/edge/src/node/rollouts.rs
+++ b/crates/edge/src/node/rollouts.rs
@@ -15,8 +15,8 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
-/// Interval at which a version on trial is judged, in ms. An answer takes longer to be reported.
-const JUDGE_INTERVAL_MS: u64 = 100;
+/// Interval at which a version on trial is judged, in ms: that of the statuses of few nodes.
+const JUDGE_INTERVAL_MS: u64 = 200;
 /// Time after which a verdict that was not written is tried again, in ms; longer than its time limit.
 const VERDICT_RETRY_MS: u64 = 1_000;
 /// Time limit of writing a verdict, in ms.
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -3,6 +3,7 @@
 use super::NodeState;
 use crate::datagram::{NodeStatus, PeerDatagram};
 use crate::peers::PeerChange;
+use crate::rollout::RolloutReport;
 use crate::shutdown::ShutdownStage;
 use crate::status_timing::{BASE_INTERVAL_MAX_NODES, STATUS_INTERVAL_MS, status_interval_ms};
 use burdockcleat_core::clock::ClockTime;
@@ -47,11 +48,17 @@
 
     /// Sends a status. Only nodes that may become coordinator get the requests that run at targets, and
     /// only nodes with a disk the streams and the counts of roll-outs, since only these write verdicts.
+    /// The answers of roll-outs, which are longer, go to the coordinator.
     fn send_status_to_all(&self, status: &NodeStatus, addresses: &[SocketAddrV4]) {
         let now = ClockTime::monotonic();
         let few_nodes = self.node_count(now) <= BASE_INTERVAL_MAX_NODES;
         let coordinator = self.coordinator(now);
         let complete = PeerDatagram::Status(status.clone());
+        let without_answers = NodeStatus {
+            rollouts: status.rollouts.iter().map(RolloutReport::without_answers).collect(),
+            ..status.clone()
+        };
+        let without_answers = PeerDatagram::Status(without_answers);
         let without_streams =
             NodeStatus { streams: Vec::new(), rollouts: Vec::new(), ..status.clone() };
         let reduced = PeerDatagram::Status(NodeStatus { active: None, ..without_streams.clone() });
@@ -60,7 +67,8 @@
             let disk = self.peers.borrow().get(*address).map(|record| record.status.disk.is_some());
             let may_coordinate = few_nodes || coordinator == Some(*address) || disk.is_none();
             let datagram = match (disk, may_coordinate) {
-                (Some(true), _) => &complete,
+                (Some(true), _) if coordinator == Some(*address) => &complete,
+                (Some(true), _) => &without_answers,
                 (_, true) => &without_streams,
                 (_, false) => &reduced,
             };
--- a/crates/edge/src/rollout/exposure.rs
+++ b/crates/edge/src/rollout/exposure.rs
@@ -82,10 +82,16 @@
         }
     }
 
-    /// Returns the report without its answers, as it is passed on for a process that is gone.
+    /// Returns the report without the answers by route.
+    #[must_use]
+    pub fn without_answers(&self) -> Self {
+        Self { routes: BTreeMap::new(), ..self.clone() }
+    }
+
+    /// Returns the report as it is passed on for a process that is gone. Its age is no longer right.
     #[must_use]
     pub fn counts_only(&self) -> Self {
-        Self { routes: BTreeMap::new(), age_ms: None, ..self.clone() }
+        Self { age_ms: None, ..self.without_answers() }
     }
 }
 
