--- a/crates/edge/src/node/placing.rs
+++ b/crates/edge/src/node/placing.rs
@@ -1,6 +1,7 @@
 //! Places requests through the placement coordinator, or locally if it does not respond.
 
 use super::NodeState;
+use super::rollouts::SentRequest;
 use crate::datagram::{PeerDatagram, PlacementDecision};
 use crate::peers::PeerRecord;
 use crate::placement::{
@@ -11,6 +12,7 @@
 use crate::status_timing::status_interval_ms;
 use crate::submission::{RESEND_MS, SILENCE_MS, SubmissionStep, SubmissionTimer};
 use crate::target_load::{LoadReport, TargetLoad};
+use crate::targets::TargetAnnouncement;
 use burdockcleat_core::clock::ClockTime;
 use std::cell::Cell;
 use std::net::SocketAddrV4;
@@ -63,6 +65,7 @@
     output: Cell<Option<OutputReport>>,
     /// Load that the target stated in its response, with the time of its arrival.
     load: Cell<Option<(TargetLoad, ClockTime)>>,
+    sent: Cell<Option<SentRequest>>,
 }
 
 impl ActiveRequestGuard {
@@ -71,12 +74,18 @@
         self.target
     }
 
+    /// Reports that the request is sent to its target on a route.
+    pub(crate) fn sent(&self, announcement: &TargetAnnouncement, route: &str) {
+        self.sent.set(self.node.describe_send(self.key, announcement, route));
+    }
+
     /// Reports that the target has started to respond, with the load that it states.
     pub(crate) fn started(&self, load: Option<TargetLoad>) {
         if let Some(active) = self.node.active.borrow_mut().get_mut(&self.key) {
             active.started = true;
         }
         let now = ClockTime::monotonic();
+        self.sent.set(self.sent.get().map(|sent| sent.started(now)));
         let (key, target) = (self.key, self.target);
         self.load.set(load.map(|load| (load, now)));
         let load = self.load_report(now);
@@ -110,6 +119,9 @@
         let outcome = self.outcome.unwrap_or(AttemptOutcome::Dropped);
         let (key, target, output) = (self.key, self.target, self.output.get());
         self.node.active.borrow_mut().remove(&key);
+        if let Some(sent) = self.sent.get() {
+            self.node.count_rollout_answer(&sent, target, outcome);
+        }
         let now = ClockTime::monotonic();
         self.node.scheduler.borrow_mut().finished_with((target, key), outcome, output, now);
         let load = self.load_report(now);
@@ -257,9 +269,15 @@
                 self.active.borrow_mut().insert(key, active);
                 self.scheduler.borrow_mut().adopt(target, request, ClockTime::monotonic());
                 let node = self.clone();
-                let (output, load) = (Cell::new(None), Cell::default());
-                let outcome = None;
-                Placement::Granted(ActiveRequestGuard { node, key, target, outcome, output, load })
+                Placement::Granted(ActiveRequestGuard {
+                    node,
+                    key,
+                    target,
+                    outcome: None,
+                    output: Cell::new(None),
+                    load: Cell::default(),
+                    sent: Cell::default(),
+                })
             }
             PlacementDecision::Refuse { reason, retry_after_ms } => {
                 Placement::Refused { reason, retry_after_ms }
@@ -320,6 +338,12 @@
                 }
             };
             self.metrics.borrow_mut().count("placements", decision_label(decision), 1);
+            if let PlacementDecision::Grant { target, .. } = decision {
+                self.count_trial_grant(process, target);
+                if process == self.process {
+                    self.count_trial_send(process, target);
+                }
+            }
             if process == self.process {
                 self.deliver_decision(key, decision);
             } else {
@@ -374,6 +398,12 @@
             }
             return;
         }
+        if let PlacementDecision::Grant { target, .. } = decision
+            && self.waiters.borrow().contains_key(&key)
+        {
+            let grantor = self.peers.borrow().get(from).map(|record| record.status.process);
+            self.count_trial_send(grantor.unwrap_or(ProcessKey(0)), target);
+        }
         let delivered = self.deliver_decision(key, decision);
         if let PlacementDecision::Grant { target, .. } = decision
             && !delivered
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -13,6 +13,7 @@
 use super::speed::SpeedModel;
 use super::summary::TargetSummary;
 use super::target::{AttemptOutcome, RunningRequest, TargetInfo, TargetState};
+use super::version_trial::TrialLimit;
 use super::{
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey, VersionKey,
@@ -51,11 +52,13 @@
     /// Whether targets state how long work takes on them.
     pub(super) load_reports: bool,
     pub(super) targets: BTreeMap<TargetKey, TargetState>,
+    /// Version on trial.
+    pub(super) trial: Option<TrialLimit>,
     /// Software versions of the targets.
     versions: BTreeSet<VersionKey>,
     queue: WaitingQueue,
     sizes: SizeStatistics,
-    summary: TargetSummary,
+    pub(super) summary: TargetSummary,
     lengths: OutputLengths,
     /// Time within which all requests of a new target are known, in ms; `None` while those of the
     /// other targets are not.
@@ -98,6 +101,7 @@
                     state
                 });
         }
+        self.hold_trial_targets();
         self.versions = infos.iter().map(|info| info.version).collect();
         let versions = &self.versions;
         self.queue.mark_targetless(|request| request.allows_any(versions), now);
@@ -312,11 +316,13 @@
             let Some(waiting) = self.queue.take(key) else { break };
             let Some(state) = self.targets.get_mut(&target) else { break };
             state.grant(&waiting, now);
+            let version = state.info.version;
             if !state.has_free_slot(now) {
                 free.remove(&state.info);
             } else if let Some(state) = self.targets.get(&target) {
                 free.set_room(&state.info, self.room(state, now));
             }
+            self.count_trial(version, &mut free);
             self.sizes.count_grant(&waiting.request, waiting.band);
             self.queue.shares.count_grant(&waiting);
             outputs.push(PlacementOutput::Grant {
@@ -340,28 +346,39 @@
         })
     }
 
+    /// Returns whether a target has a slot and memory for a request.
+    pub(super) fn is_free(
+        &self,
+        state: &TargetState,
+        waiting: &WaitingRequest,
+        now: ClockTime,
+    ) -> bool {
+        state.has_free_slot(now) && self.room(state, now).fits(waiting.need)
+    }
+
     /// Returns the free target with the lowest loss, and among these the one with the lowest cost.
     /// Returns `None` if no target is free, or if the request should wait because a busy target
     /// would have a tolerable loss once it has a free slot.
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
+        let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
+        if let Some(target) = self.pick_trial_target(waiting, tolerated_loss, now) {
+            return Some(target);
+        }
         let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
-        let is_free = |state: &TargetState| {
-            state.has_free_slot(now) && self.room(state, now).fits(waiting.need)
-        };
         let (placement_loss, _, target) = allowed()
-            .filter(|state| is_free(state))
+            .filter(|state| self.is_free(state, waiting, now))
             .map(|state| {
                 (state.placement_loss(waiting, now), state.cost(waiting, now), state.info.key)
             })
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
-        let tolerated_loss = waiting.value * TOLERATED_LOSS_FRACTION;
         if placement_loss <= tolerated_loss
             || !self.summary.fastest(&waiting.request).prefills_within_pause(waiting)
         {
             return Some(target);
         }
-        let mut busy = allowed()
-            .filter(|state| state.usable(now) && state.within_rate(now) && !is_free(state));
+        let mut busy = allowed().filter(|state| {
+            state.usable(now) && state.within_rate(now) && !self.is_free(state, waiting, now)
+        });
         let better_target_expected =
             busy.any(|state| state.min_placement_loss(waiting, now) <= tolerated_loss);
         (!better_target_expected).then_some(target)
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -147,6 +147,8 @@
     pub(super) load: LoadView,
     /// Spaces out the requests if the target limits their rate.
     pub(super) pacer: Option<RatePacer>,
+    /// Whether the target's version is on trial and may get no requests now.
+    pub(super) on_hold: bool,
 }
 
 impl TargetState {
@@ -163,6 +165,7 @@
             added: None,
             load: LoadView::default(),
             pacer: None,
+            on_hold: false,
         }
     }
 
@@ -178,9 +181,9 @@
         }
     }
 
-    /// Returns whether the target is not in backoff.
+    /// Returns whether the target is neither in backoff nor on hold.
     pub(super) fn usable(&self, now: ClockTime) -> bool {
-        self.backoff_until <= now
+        !self.on_hold && self.backoff_until <= now
     }
 
     /// Returns whether the target may be sent another request. After a failure, only one request
