Judge slow answers of a version on trial with more care

The verdict took answers of some ms as slow that a busy machine had delayed together. Times below 32 ms now count as equal, and six slow answers and a hundredth of the probability are needed. The cause tells failures from slow answers.

--- a/crates/edge/src/rollout/verdict.rs
+++ b/crates/edge/src/rollout/verdict.rs
@@ -28,9 +28,17 @@
 /// Probability below which the answers are a sign of a fault, which delays or prevents a good
 /// verdict.
 const DOUBT_PROBABILITY: f64 = 0.05;
-/// Fewest bad answers for a bad verdict. One target that breaks off once is not a fault of its
+/// Fewest failures for a bad verdict. One target that breaks off once is not a fault of its
 /// version.
-const MIN_BAD: u32 = 3;
+const MIN_FAILURES: u32 = 3;
+/// Fewest slow answers for a bad verdict.
+const MIN_SLOW: u32 = 6;
+/// Factor on the probability of slow answers. The answers of one busy target are slow together, so
+/// they are more probable than if each was slow by itself. Without it, sound versions were reverted
+/// on a busy machine.
+const SLOW_DEPENDENCE: f64 = 100.0;
+/// Shortest time that is told from shorter ones, in ms: a quarter of the shortest latency objective.
+const MIN_TIME_MS: u64 = 32;
 /// Answers that a good verdict needs, by the part of the duration that has passed, in percent. Some
 /// faults show late, so half of the duration is used in any case.
 const GOOD_STEPS: [(u64, u32); 3] = [(50, 60), (65, 30), (80, 15)];
@@ -223,11 +231,12 @@
     }
 
     /// Returns how probable the bad answers of the version on trial are if it is as sound as the
-    /// other versions; the least over failures and times. Few bad answers give 1.
-    fn probability(&self) -> f64 {
+    /// other versions, by failures and by times. Few bad answers give 1.
+    fn probabilities(&self) -> (f64, f64) {
         let failures = excess_probability(
             (self.trial.bad(), self.trial.answers),
             (self.others.bad(), self.others.answers),
+            MIN_FAILURES,
         );
         let slow = [0, 1].into_iter().flat_map(|kind| {
             SLOW_DISTANCES.into_iter().map(move |distance| {
@@ -242,26 +251,28 @@
                     counted.fold((0, 0), |sum, item| (sum.0 + item.0, sum.1 + item.1))
                 };
                 let least = |group| self.others.median(group).map(|median| median + distance);
-                excess_probability(count(&self.trial, &least), count(&self.others, &least))
+                let (trial, others) = (count(&self.trial, &least), count(&self.others, &least));
+                excess_probability(trial, others, MIN_SLOW) * SLOW_DEPENDENCE
             })
         });
-        slow.fold(failures, f64::min)
+        (failures, slow.fold(1.0, f64::min))
     }
 }
 
 /// Returns the time class of a time. Classes are a factor of the square root of 2 apart.
 fn time_class(ms: u64) -> u8 {
-    let ms = ms.clamp(1, 1 << 20);
+    let ms = ms.clamp(MIN_TIME_MS, 1 << 20);
     let octave = ms.ilog2();
     let half = u32::from(ms * ms >= 1 << (2 * octave + 1));
     (octave * 2 + half).min(u32::from(TIME_CLASSES) - 1) as u8
 }
 
 /// Returns the probability of at least the observed number of bad answers, if the rate is that of
-/// the others or slightly above. Both arguments are bad answers and answers.
-fn excess_probability(trial: (u32, u32), others: (u32, u32)) -> f64 {
+/// the others or slightly above. `trial` and `others` are bad answers and answers. Fewer bad ones than
+/// `least` are no evidence.
+fn excess_probability(trial: (u32, u32), others: (u32, u32), least: u32) -> f64 {
     let ((bad, answers), (others_bad, others_answers)) = (trial, others);
-    if bad < MIN_BAD {
+    if bad < least {
         return 1.0;
     }
     // The added half answer keeps a route without failures from counting as free of them.
@@ -288,12 +299,16 @@
         all.trial.add(&AnswerCounts { times: BTreeMap::new(), ..route.trial.clone() });
         all.others.add(&AnswerCounts { times: BTreeMap::new(), ..route.others.clone() });
     }
-    let probability = routes.clone().map(RouteEvidence::probability).fold(1.0, f64::min);
-    let probability = probability.min(all.probability());
-    if probability < BAD_PROBABILITY {
-        return TrialVerdict::Bad { cause: "more bad answers than at other versions" };
+    let by_route = routes.clone().map(RouteEvidence::probabilities);
+    let (failures, slow) = by_route
+        .fold(all.probabilities(), |least, next| (least.0.min(next.0), least.1.min(next.1)));
+    if failures < BAD_PROBABILITY {
+        return TrialVerdict::Bad { cause: "more failures than at other versions" };
     }
-    let doubtful = probability < DOUBT_PROBABILITY;
+    if slow < BAD_PROBABILITY {
+        return TrialVerdict::Bad { cause: "more slow answers than at other versions" };
+    }
+    let doubtful = failures.min(slow) < DOUBT_PROBABILITY;
     let requests = all.trial.answers + all.others.answers;
     let mut busy = routes.filter(|route| {
         (route.trial.answers + route.others.answers) * 100 >= requests * MIN_ROUTE_PERCENT
