--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -136,6 +136,10 @@
             node.process.0, settings.domain, settings.caller_address, settings.peer_address,
             node.register.disk(), settings.first_start, settings.seeds
         );
+        if let (Some(budget), Some(limit)) = (&node.memory_budget, settings.features.memory_bytes) {
+            let total = budget.total();
+            log::info!(target: "burdockcleat", "event=memory.budgeted limit={limit} total={total}");
+        }
         let handler = |kind, what| signal(kind).map_err(|s| NodeError::Runtime { what, source: s });
         let mut terminate = handler(SignalKind::terminate(), "the SIGTERM handler")?;
         let mut reload = handler(SignalKind::hangup(), "the SIGHUP handler")?;
