--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -5,6 +5,7 @@
 //! Among these, requests that need less slot time for their value go first, weighted by rank.
 
 use super::arrivals::ArrivalStatistics;
+use super::lengths::LengthCurve;
 use super::shares::{ShareTurn, WorkspaceShares};
 use super::sizes::{RequestSize, SizeBand};
 use super::target_memory::TokenNeed;
@@ -13,6 +14,7 @@
 use burdockcleat_core::clock::ClockTime;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
+use std::sync::Arc;
 
 /// Fraction of the time left at arrival after which a waiting request is refused. The rest leaves
 /// the caller time to retry.
@@ -82,6 +84,8 @@
     pub(super) turn: Option<ShareTurn>,
     /// Tokens of the memory of its target.
     pub(super) need: TokenNeed,
+    /// Observed lengths of its rank; `None` if the expected length counts as exact.
+    pub(super) lengths: Option<Arc<LengthCurve>>,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -154,6 +158,7 @@
             load_ms,
             turn: None,
             need,
+            lengths: None,
             late_checked,
         }
     }
