Give refused requests that return at their time a better place

Cause: refused requests come back as new ones, are refused a second time, and callers that repeat at once gain by it. Change: with the switch return_bookings, the scheduler names at most a third of the caller's time, remembers what it refused, and promises a turn where one is expected in time. Promised slot time counts ahead of requests whose turn comes later.

--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -6,6 +6,7 @@
 mod pauses;
 mod placing;
 mod recovery;
+mod returns;
 mod server;
 mod shares;
 mod status;
@@ -323,6 +324,7 @@
             self.save_memory();
             self.set_gauges(now);
             self.log_allowances(now);
+            self.report_returns();
             if self.is_coordinator(now) {
                 self.report_shares();
                 for line in self.scheduler.borrow().summarize(now) {
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -13,6 +13,7 @@
 mod loss;
 mod pacer;
 mod queue;
+mod returns;
 mod service;
 mod shares;
 mod size_rule;
@@ -23,6 +24,7 @@
 mod version_slots;
 
 pub use features::PlacementFeatures;
+pub use returns::ReturnCounts;
 pub use shares::ShareExcess;
 pub use size_rule::SizeRule;
 pub use sizes::{RequestSize, SizeBand, SizeStatistics};
@@ -367,6 +369,14 @@
         services.flat_map(|(service, scheduler)| scheduler.share_excesses(service)).collect()
     }
 
+    /// Returns what became of refused requests since the last call, by service, where any did.
+    pub fn take_return_counts(&mut self) -> Vec<(String, ReturnCounts)> {
+        let services = self.services.iter_mut();
+        let counts =
+            services.map(|(service, scheduler)| (service.clone(), scheduler.take_return_counts()));
+        counts.filter(|(_, counts)| *counts != ReturnCounts::default()).collect()
+    }
+
     /// Returns one line per target, for state dumps.
     pub fn describe(&self, now: ClockTime) -> Vec<String> {
         self.services.values().flat_map(|scheduler| scheduler.describe(now)).collect()
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -5,6 +5,7 @@
 //! Among these, requests that need less slot time for their value go first, weighted by rank.
 
 use super::arrivals::ArrivalStatistics;
+use super::returns::{ReturnBooking, ReturnBookings};
 use super::shares::{ShareTurn, WorkspaceShares};
 use super::sizes::{RequestSize, SizeBand};
 use super::version_slots::{VersionLoads, VersionSlots};
@@ -77,6 +78,8 @@
     pub(super) load_ms: f64,
     /// Place among the requests of its workspace; `None` if workspaces have no shares.
     pub(super) turn: Option<ShareTurn>,
+    /// Booking that the request returned with, if it was refused before.
+    pub(super) booked: Option<ReturnBooking>,
     /// Whether the expected wait was checked since the request became late.
     late_checked: bool,
 }
@@ -148,6 +151,7 @@
             weight,
             load_ms,
             turn: None,
+            booked: None,
             late_checked,
         }
     }
@@ -168,9 +172,15 @@
         self.targetless_since.is_none() && !self.late_checked && !self.on_time(now)
     }
 
+    /// Returns the cost factor of a request that returns at its time, or 1.
+    pub(super) fn return_factor(&self) -> f64 {
+        self.booked.map_or(1.0, |booking| booking.cost_factor())
+    }
+
     /// Returns the cost of the request without regard to its workspace.
     fn cost(&self, now: ClockTime) -> f64 {
-        if self.on_time(now) { self.weight } else { self.weight * LATE_FACTOR }
+        let weight = self.weight * self.return_factor();
+        if self.on_time(now) { weight } else { weight * LATE_FACTOR }
     }
 }
 
@@ -182,6 +192,7 @@
     /// Requests that arrived recently, whether they still wait or not.
     pub(super) arrivals: ArrivalStatistics,
     pub(super) shares: WorkspaceShares,
+    pub(super) returns: ReturnBookings,
 }
 
 impl WaitingQueue {
@@ -289,6 +300,20 @@
         refused
     }
 
+    /// Returns the wait until the turn of a refused request if it returns after `return_ms`, in ms. It
+    /// may be late by then, and requests that are on time go first.
+    pub(super) fn returning_wait_ms(
+        &self,
+        waiting: &WaitingRequest,
+        slots: &VersionSlots,
+        return_ms: u64,
+        now: ClockTime,
+    ) -> f64 {
+        let returns = now.plus(return_ms);
+        let send_by = waiting.send_by.filter(|send_by| *send_by > returns);
+        self.expected_wait_ms(&WaitingRequest { send_by, ..waiting.clone() }, slots, now)
+    }
+
     /// Returns the expected wait of a request, in ms, given the slots of the usable targets. This
     /// follows from the load of the waiting requests ahead of it and from the slots that are not
     /// taken by new arrivals that go ahead of it.
@@ -307,6 +332,7 @@
             *loads_ahead.entry(other.request.version).or_default() += other.load_ms;
         }
         let free_slots = slots.left_by(&self.arrivals.slots_ahead(cost, &self.shares));
-        free_slots.wait_ms(waiting.request.version, &loads_ahead)
+        let wait_ms = |loads: &VersionLoads| free_slots.wait_ms(waiting.request.version, loads);
+        self.returns.wait_behind(waiting, loads_ahead, &self.shares, wait_ms, now)
     }
 }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -4,6 +4,7 @@
 use super::free_targets::FreeTargets;
 use super::pacer::RateLimits;
 use super::queue::{RequestEstimate, WaitingQueue, WaitingRequest};
+use super::returns::ReturnCounts;
 use super::shares::ShareExcess;
 use super::size_rule::SizeRule;
 use super::sizes::SizeStatistics;
@@ -23,9 +24,9 @@
 /// Retry delay while no target is usable, in ms. Targets announce themselves every second.
 const NO_TARGET_RETRY_MS: u64 = 500;
 /// Shortest retry delay, in ms.
-const MIN_RETRY_MS: u64 = 100;
+pub(super) const MIN_RETRY_MS: u64 = 100;
 /// Longest retry delay, in ms.
-const MAX_RETRY_MS: u64 = 5_000;
+pub(super) const MAX_RETRY_MS: u64 = 5_000;
 /// Time within which a granted request must appear in the report of its node, in ms; covers two
 /// reports.
 const REPORT_GRACE_MS: u64 = 700;
@@ -129,11 +130,13 @@
         let mut waiting = WaitingRequest::new(request, size, estimate, now);
         let has_target = waiting.request.allows_any(&self.versions);
         waiting.turn = self.queue.shares.count_arrival(&waiting, self.features);
+        waiting.booked = self.queue.returns.take(&waiting.request, now);
         waiting.targetless_since = (!has_target).then_some(now);
         if waiting.send_by.is_none() && has_target {
             let wait_ms = self.queue.expected_wait_ms(&waiting, &self.summary.capacity, now);
             if wait_ms > waiting.request.deadline_left_ms as f64 * MAX_WAIT_FRACTION {
-                outputs.push(refusal(&waiting.request, RefusalReason::WaitTooLong, wait_ms as u64));
+                let retry_ms = self.retry_after_ms(&waiting, wait_ms, now);
+                outputs.push(refusal(&waiting.request, RefusalReason::WaitTooLong, retry_ms));
                 return;
             }
         }
@@ -246,15 +249,30 @@
         self.place_waiting(now, outputs);
         self.refresh_summary(now);
         for refused in self.queue.take_refused(&self.summary.capacity, MAX_WAIT_FRACTION, now) {
-            let (request, wait_ms) = (&refused.waiting.request, refused.wait_ms as u64);
+            let request = &refused.waiting.request;
             if refused.waiting.targetless_since.is_some() {
                 outputs.push(refusal(request, RefusalReason::NoTarget, NO_TARGET_RETRY_MS));
             } else {
-                outputs.push(refusal(request, RefusalReason::WaitTooLong, wait_ms));
+                let retry_ms = self.retry_after_ms(&refused.waiting, refused.wait_ms, now);
+                outputs.push(refusal(request, RefusalReason::WaitTooLong, retry_ms));
             }
         }
     }
 
+    /// Returns the time after which a refused request may return, in ms, and books it if it may be.
+    fn retry_after_ms(&mut self, waiting: &WaitingRequest, wait_ms: f64, now: ClockTime) -> u64 {
+        if !self.features.return_bookings {
+            return wait_ms as u64;
+        }
+        let (slots, return_ms) = (&self.summary.capacity, waiting.return_ms(now));
+        let wait_ms = self.queue.returning_wait_ms(waiting, slots, return_ms, now);
+        self.queue.returns.retry_after_ms(waiting, wait_ms, MAX_WAIT_FRACTION, now)
+    }
+
+    pub(super) fn take_return_counts(&mut self) -> ReturnCounts {
+        self.queue.returns.take_counts()
+    }
+
     pub(super) fn waiting_count(&self) -> usize {
         self.queue.len()
     }
--- a/crates/edge/src/placement/shares.rs
+++ b/crates/edge/src/placement/shares.rs
@@ -28,7 +28,10 @@
 /// Slot time below which an account without waiting requests is removed, in ms.
 const MIN_LOAD_MS: f64 = 0.01;
 
-const _: () = assert!(MAX_FACTOR * MAX_FACTOR < NEW_FACTORS_RANGE);
+/// Largest quotient of two cost factors.
+pub(super) const SHARE_FACTORS_RANGE: f64 = MAX_FACTOR * MAX_FACTOR;
+
+const _: () = assert!(SHARE_FACTORS_RANGE < NEW_FACTORS_RANGE);
 
 slotmap::new_key_type! {
     /// Key of the account of a workspace in a rank.
@@ -43,6 +46,13 @@
     entered_ms: f64,
 }
 
+impl ShareTurn {
+    /// Returns the place behind further requests of the workspace with `load_ms` of slot time.
+    pub(super) fn after(self, load_ms: f64) -> Self {
+        Self { entered_ms: self.entered_ms + load_ms, ..self }
+    }
+}
+
 #[derive(Debug, Default)]
 struct ShareAccount {
     workspace: u32,
