Pace targets by their responses after a start or failure

Cause: targets that have just started or come back are flooded or idle for up to 4 s, and requests with one attempt are lost as probes.

Change: with the feature target_pace each target has a window of concurrent requests. Timely first events open it, failures and late first events halve it, and a target that has failed is probed with a request that may be repeated (PlacementRequest::repeatable) where one waits. A stream that is cut at its deadline while events arrive is no failure then (AttemptOutcome::DeadlinePassed). Without the feature all rules are as before.

--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -383,6 +383,8 @@
         let waited = (now.since(context.request.received) + context.spent_ms).cast_signed();
         context.route.objective_ms.cast_signed() - waited
     };
+    let attempts_left = history.sends + 1 < context.route.max_attempts;
+    let repeatable = context.route.repeatable() && attempts_left && history.can_retry(context);
     let paused = node.paused_targets(&context.service, now);
     let outdated =
         history.version.map(|version| node.outdated_targets(&context.service, version).0);
@@ -403,6 +405,7 @@
         deadline_left_ms: left_ms,
         answer_left_ms: context.left_ms(now),
         pause_ms: context.route.pause_ms,
+        repeatable,
         excluded: [history.excluded.clone(), paused, outdated.unwrap_or_default()].concat(),
     };
     let expected_ms = expected_ms(context, history, now);
--- a/crates/edge/src/dispatch/silence.rs
+++ b/crates/edge/src/dispatch/silence.rs
@@ -6,6 +6,7 @@
 use super::retry::{SendFailure, SendHistory, find_target, finish_send, start_send};
 use super::send::{PendingSend, TargetResponse};
 use super::{RequestContext, is_streamed};
+use crate::placement::AttemptOutcome;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -51,6 +52,15 @@
     may_resume.then(|| MIN_STREAM_STALL_MS.max(route.pause_ms.unwrap_or(0) * STALL_PAUSE_FACTOR))
 }
 
+/// Returns the outcome of a stream whose deadline passed `silent_ms` after its last event.
+pub(super) const fn deadline_outcome(silent_ms: u64) -> AttemptOutcome {
+    if silent_ms < MIN_STREAM_STALL_MS {
+        AttemptOutcome::DeadlinePassed
+    } else {
+        AttemptOutcome::Stalled
+    }
+}
+
 /// Waits until a target has been silent for `stall_ms` and another target has taken the request.
 /// Never returns if `stall_ms` is `None`. Dropping the future withdraws the request from the other
 /// target.
--- a/crates/edge/src/dispatch/stream.rs
+++ b/crates/edge/src/dispatch/stream.rs
@@ -2,7 +2,7 @@
 
 use super::retry::{SendHistory, send_until_answered};
 use super::send::{MAX_EVENT_FRAME_BYTES, PendingSend, StreamSource, TargetResponse, prepare_head};
-use super::silence::{replace_silent, stream_stall_ms};
+use super::silence::{deadline_outcome, replace_silent, stream_stall_ms};
 use super::{RequestContext, log_response};
 use crate::placement::{AttemptOutcome, VersionKey};
 use crate::reply::{ReplyBody, StreamBroken};
@@ -168,7 +168,8 @@
             frame = body.frame() => frame,
             () = sender.closed() => return (StreamEnd::CallerDisconnected, last_id),
             () = tokio::time::sleep(Duration::from_millis(left_ms)) => {
-                guard.finish(AttemptOutcome::Stalled);
+                let silent_ms = ClockTime::monotonic().since(last_chunk);
+                guard.finish(deadline_outcome(silent_ms));
                 return (StreamEnd::DeadlinePassed, last_id);
             }
             next = replace_silent(context, history, stall_ms, last_id.or(last_event)) => {
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -375,6 +375,10 @@
             metrics.set("targets", "slowed", slowed as f64);
             metrics.set("requests", "unlisted", unlisted as f64);
         }
+        if let Some((open, probed)) = self.scheduler.borrow().pace_counts() {
+            metrics.set("open_slots", "all", open as f64);
+            metrics.set("targets", "probed", probed as f64);
+        }
         metrics.set("suspects", "known", suspects as f64);
         metrics.set("suspects", "blocked", blocked as f64);
         metrics.set("streams", "recorded", self.streams.borrow().len() as f64);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -12,6 +12,7 @@
 mod free_targets;
 mod load_view;
 mod loss;
+mod pace;
 mod pacer;
 mod queue;
 mod service;
@@ -106,6 +107,8 @@
     /// Longest pause within the stream that still counts as on time, in ms; `None` if the response
     /// is not streamed.
     pub pause_ms: Option<u64>,
+    /// Whether the request may be sent again after a target may have run it.
+    pub repeatable: bool,
     /// Targets that the request must not be sent to again.
     pub excluded: Vec<TargetKey>,
 }
--- a/crates/edge/src/placement/free_targets.rs
+++ b/crates/edge/src/placement/free_targets.rs
@@ -8,9 +8,17 @@
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
 
+/// Target that may be sent another request.
+#[derive(Clone, Copy, Debug)]
+struct FreeTarget {
+    key: TargetKey,
+    /// Whether only a request that may be repeated is sent.
+    repeatable_only: bool,
+}
+
 /// Targets that may be sent another request, by software version.
 #[derive(Debug, Default)]
-pub(super) struct FreeTargets(BTreeMap<VersionKey, Vec<TargetKey>>);
+pub(super) struct FreeTargets(BTreeMap<VersionKey, Vec<FreeTarget>>);
 
 impl FreeTargets {
     /// Returns those of the targets that have a free slot.
@@ -20,16 +28,18 @@
     ) -> Self {
         let mut free = Self::default();
         for state in states.filter(|state| state.has_free_slot(now)) {
-            free.0.entry(state.info.version).or_default().push(state.info.key);
+            let repeatable_only = !state.has_slot_for(false, now);
+            let target = FreeTarget { key: state.info.key, repeatable_only };
+            free.0.entry(state.info.version).or_default().push(target);
         }
         free
     }
 
     /// Removes a target that has no free slot any more.
     pub(super) fn remove(&mut self, target: &TargetInfo) {
-        if let Some(keys) = self.0.get_mut(&target.version) {
-            keys.retain(|key| *key != target.key);
-            if keys.is_empty() {
+        if let Some(targets) = self.0.get_mut(&target.version) {
+            targets.retain(|free| free.key != target.key);
+            if targets.is_empty() {
                 self.0.remove(&target.version);
             }
         }
@@ -42,6 +52,9 @@
     /// Returns whether the request may be sent to any of them.
     pub(super) fn any_allowed(&self, request: &PlacementRequest) -> bool {
         let mut allowed = self.0.iter().filter(|(version, _)| request.allows_version(**version));
-        allowed.any(|(_, targets)| targets.iter().any(|key| !request.excluded.contains(key)))
+        let accepts = |free: &FreeTarget| {
+            (request.repeatable || !free.repeatable_only) && !request.excluded.contains(&free.key)
+        };
+        allowed.any(|(_, targets)| targets.iter().any(accepts))
     }
 }
--- a/crates/edge/src/placement/load_view.rs
+++ b/crates/edge/src/placement/load_view.rs
@@ -220,12 +220,14 @@
     /// Adds a report of the target's load.
     pub(super) fn record_load(&mut self, report: LoadReport, now: ClockTime) {
         self.load.record(report, self.running.len(), now);
+        self.raise_pace(now);
     }
 
     /// Counts a request that another scheduler has placed.
     pub(super) fn count_listed_request(&mut self, now: ClockTime) {
         self.count_request(now);
         self.load.list_request();
+        self.pace.raise(self.running.len() + 1);
     }
 
     /// Returns the number of requests that the target holds, as far as known.
@@ -276,7 +278,7 @@
         if std::mem::replace(&mut scheduler.load_reports, true) {
             return None;
         }
-        scheduler.features = scheduler.features.with_load_reports();
+        scheduler.set_features(scheduler.features);
         Some(service)
     }
 
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -76,10 +76,6 @@
         Self { features, sizes: SizeStatistics::new(size_rule), ..Self::default() }
     }
 
-    pub(super) fn set_features(&mut self, features: PlacementFeatures) {
-        self.features = if self.load_reports { features.with_load_reports() } else { features };
-    }
-
     pub(super) fn set_targets(
         &mut self,
         infos: &[TargetInfo],
@@ -99,7 +95,8 @@
                 .and_modify(|state| state.info = info.clone())
                 .or_insert_with(|| {
                     let speed = restored_speeds.get(&info.key).copied().unwrap_or(speed);
-                    let mut state = TargetState::new(info.clone(), speed);
+                    let mut state = TargetState::new(info.clone(), speed, now);
+                    state.paced = self.features.target_pace;
                     state.pacer = limits.pacer(info.key, now);
                     state
                 });
@@ -203,6 +200,7 @@
             && !self.recently_ended.contains_key(&request.key)
         {
             state.grant(&WaitingRequest::new(request.clone(), size, estimate, now), now);
+            state.raise_pace(now);
         }
     }
 
@@ -289,13 +287,14 @@
         let fastest = states.clone().map(|s| s.speed().token_ms).fold(f64::MAX, f64::min);
         let slowest = states.clone().map(|s| s.speed().token_ms).fold(0.0, f64::max);
         format!(
-            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}{}",
+            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}{}{}",
             states.len(),
             self.queue.len(),
             speed.fixed_ms,
             speed.read_ms * 1_000.0,
             speed.token_ms,
-            self.describe_loads(now)
+            self.describe_loads(now),
+            self.describe_paces()
         )
     }
 
@@ -345,7 +344,7 @@
     fn pick_target(&self, waiting: &WaitingRequest, now: ClockTime) -> Option<TargetKey> {
         let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
         let (placement_loss, _, target) = allowed()
-            .filter(|state| state.has_free_slot(now))
+            .filter(|state| state.accepts(&waiting.request, now))
             .map(|state| {
                 (state.placement_loss(waiting, now), state.cost(waiting, now), state.info.key)
             })
@@ -357,7 +356,7 @@
             return Some(target);
         }
         let mut busy = allowed().filter(|state| {
-            state.usable(now) && state.within_rate(now) && !state.has_free_slot(now)
+            state.usable(now) && state.within_rate(now) && !state.accepts(&waiting.request, now)
         });
         let better_target_expected =
             busy.any(|state| state.min_placement_loss(waiting, now) <= tolerated_loss);
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -1,6 +1,7 @@
 //! State of one target: running requests, speed estimate and failures.
 
 use super::load_view::LoadView;
+use super::pace::PaceWindow;
 use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
@@ -74,6 +75,8 @@
     Stalled,
     /// The caller left, or the node cancelled the request for reasons unrelated to the target.
     Dropped,
+    /// The deadline passed while the target was responding.
+    DeadlinePassed,
 }
 
 #[derive(Clone, Debug)]
@@ -116,12 +119,16 @@
     backoff_until: ClockTime,
     /// Load that the target states; empty if the service does not use it.
     pub(super) load: LoadView,
+    /// Window of concurrent requests, used if `paced`.
+    pub(super) pace: PaceWindow,
+    pub(super) paced: bool,
     /// Spaces out the requests if the target limits their rate.
     pub(super) pacer: Option<RatePacer>,
 }
 
 impl TargetState {
-    pub(super) fn new(info: TargetInfo, speed: SpeedModel) -> Self {
+    pub(super) fn new(info: TargetInfo, speed: SpeedModel, now: ClockTime) -> Self {
+        let pace = PaceWindow::new(info.cold_ms, now);
         Self {
             info,
             running: BTreeMap::new(),
@@ -132,6 +139,8 @@
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
             load: LoadView::default(),
+            pace,
+            paced: false,
             pacer: None,
         }
     }
@@ -153,11 +162,15 @@
         self.backoff_until <= now
     }
 
-    /// Returns whether the target may be sent another request. After a failure, only one request
-    /// runs at a time.
+    /// Returns whether the target may be sent some request.
     pub(super) fn has_free_slot(&self, now: ClockTime) -> bool {
-        let limit = if self.consecutive_failures > 0 { 1 } else { self.info.slots as usize };
-        self.held_requests(now) < limit.max(1) && self.usable(now) && self.within_rate(now)
+        self.has_slot_for(true, now)
+    }
+
+    /// Returns the number of slots that are used without a window. After a failure, only one request
+    /// runs at a time.
+    pub(super) fn slots_in_use(&self) -> usize {
+        if self.consecutive_failures > 0 { 1 } else { self.info.slots.max(1) as usize }
     }
 
     /// Returns whether the target's limit of the request rate admits another request.
@@ -251,11 +264,15 @@
         let expected_ms = self.speed.model().first_event_ms(running.queued_prefill_work);
         let took_ms = self.load.undisturbed(running.granted, now).closest(expected_ms);
         self.speed.learn_first_event(running.queued_prefill_work, took_ms);
+        let (slots, granted) = (self.info.slots, running.granted);
+        let held = self.held_requests(now);
+        self.pace.answered((slots, held), granted, (took_ms, expected_ms), now);
         self.consecutive_failures = 0;
     }
 
     pub(super) fn finished(&mut self, key: PlacementKey, outcome: AttemptOutcome, now: ClockTime) {
         let running = self.running.remove(&key);
+        let granted = running.as_ref().map(|running| running.granted);
         match outcome {
             AttemptOutcome::Answered => {
                 if let Some((running, first_event)) =
@@ -275,13 +292,21 @@
                 self.consecutive_failures = 0;
             }
             AttemptOutcome::Broken => self.count_outcome(1.0, BROKEN_WEIGHT, now),
-            AttemptOutcome::Unreachable | AttemptOutcome::Stalled => {
+            // The window takes a target that responds for sound.
+            AttemptOutcome::DeadlinePassed if self.paced => {}
+            AttemptOutcome::Unreachable
+            | AttemptOutcome::Stalled
+            | AttemptOutcome::DeadlinePassed => {
                 let backoff = FIRST_BACKOFF_MS << self.consecutive_failures.min(4);
                 self.backoff_until = now.plus(backoff.min(MAX_BACKOFF_MS));
                 self.consecutive_failures += 1;
             }
             AttemptOutcome::Full | AttemptOutcome::Dropped => {}
         }
+        match (outcome, granted) {
+            (AttemptOutcome::Full, Some(granted)) => self.pace.full(granted, now),
+            _ => self.pace.ended(outcome, self.running.len(), self.backoff_until, now),
+        }
     }
 
     /// Returns the failure rate of recent requests, decayed to `now`.
@@ -298,7 +323,7 @@
 
     pub(super) fn describe(&self, now: ClockTime) -> String {
         format!(
-            "target={:x} service={} running={} slots={} limit_per_s={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}{}",
+            "target={:x} service={} running={} slots={} limit_per_s={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} failures={:.2} paused_ms={}{}{}",
             self.info.key.0,
             self.info.service,
             self.running.len(),
@@ -312,7 +337,8 @@
             self.speed().token_ms,
             self.failure_rate(now),
             self.backoff_until.since(now),
-            self.describe_load(now)
+            self.describe_load(now),
+            self.describe_pace()
         )
     }
 }
--- a/crates/edge/tests/placement.rs
+++ b/crates/edge/tests/placement.rs
@@ -50,6 +50,7 @@
         deadline_left_ms: 2_400,
         answer_left_ms: 10_000,
         pause_ms: None,
+        repeatable: true,
         excluded: Vec::new(),
     }
 }
--- a/crates/edge/tests/placement_loss.rs
+++ b/crates/edge/tests/placement_loss.rs
@@ -53,6 +53,7 @@
         deadline_left_ms: 3_000,
         answer_left_ms: 10_000,
         pause_ms: Some(400),
+        repeatable: true,
         excluded: Vec::new(),
     }
 }
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -60,6 +60,7 @@
         deadline_left_ms: 4_000,
         answer_left_ms: 10_000,
         pause_ms: None,
+        repeatable: true,
         excluded: Vec::new(),
     }
 }
--- a/crates/edge/tests/target_limits.rs
+++ b/crates/edge/tests/target_limits.rs
@@ -99,6 +99,7 @@
         deadline_left_ms: 3_000,
         answer_left_ms: 3_000,
         pause_ms: None,
+        repeatable: true,
         excluded: Vec::new(),
     }
 }
--- a/crates/edge/tests/target_load.rs
+++ b/crates/edge/tests/target_load.rs
@@ -1,18 +1,18 @@
 //! Load that targets state: parsing, its effect on the placement, and that a disturbance never
 //! becomes the lasting speed of a target.
 
-use burdockcleat_core::clock::ClockTime;
+#[path = "support/placement.rs"]
+mod support;
+
 use burdockcleat_edge::placement::{
-    ActiveRequest, AttemptOutcome, PlacementFeatures, PlacementKey, PlacementOutput,
-    PlacementRequest, PlacementScheduler, ProcessKey, SpeedModel, TargetInfo, TargetKey,
-    VersionKey,
+    AttemptOutcome, PlacementFeatures, PlacementKey, PlacementScheduler, ProcessKey, SpeedModel,
+    TargetKey,
 };
 use burdockcleat_edge::target_load::{LoadReport, TargetLoad};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use support::{SERVICE, SLOTS, at, granted, listed, request};
 
-const PROCESS: ProcessKey = ProcessKey(1);
-const SLOTS: u32 = 7;
 /// Lasting speed of all simulated targets.
 const SPEED: SpeedModel = SpeedModel { fixed_ms: 10.0, read_ms: 0.0235, token_ms: 4.6 };
 /// Duration of a disturbance, and of the time between two, in ms.
@@ -20,59 +20,14 @@
 const SLOWED: TargetKey = TargetKey(0);
 const TWIN: TargetKey = TargetKey(1);
 
-fn at(ms: u64) -> ClockTime {
-    ClockTime::from_ms(ms)
-}
-
 fn scheduler(targets: u64) -> PlacementScheduler {
-    let info = |key| TargetInfo {
-        key: TargetKey(key),
-        service: "engines".into(),
-        domain: "a".into(),
-        version: VersionKey(0),
-        slots: SLOTS,
-        memory_tokens: 0,
-        cold_ms: 0,
-    };
-    let mut scheduler = PlacementScheduler::default();
-    scheduler.set_targets("engines", &(0..targets).map(info).collect::<Vec<_>>(), at(0));
-    scheduler
-}
-
-fn request(key: u64, prompt_tokens: u32, output_tokens: u32) -> PlacementRequest {
-    PlacementRequest {
-        key: PlacementKey(key),
-        process: PROCESS,
-        service: "engines".into(),
-        domain: "a".into(),
-        version: None,
-        rank: 0,
-        prompt_tokens,
-        output_tokens,
-        workspace: None,
-        share: 1.0,
-        identity: 0,
-        max_output_tokens: 10_000,
-        objective_left_ms: 600,
-        deadline_left_ms: 6_000,
-        answer_left_ms: 6_000,
-        pause_ms: Some(300),
-        excluded: Vec::new(),
-    }
+    support::scheduler(targets, PlacementFeatures::default())
 }
 
 fn report(text: &str, age_ms: u64) -> LoadReport {
     LoadReport::new(TargetLoad::parse(text).expect("a load"), age_ms).expect("young enough")
 }
 
-fn granted(scheduler: &mut PlacementScheduler) -> Vec<TargetKey> {
-    let target = |output| match output {
-        PlacementOutput::Grant { target, .. } => Some(target),
-        PlacementOutput::Refuse { .. } => None,
-    };
-    scheduler.take_outputs().into_iter().filter_map(target).collect()
-}
-
 /// Guards against figures that cannot be read but change the placement.
 #[test]
 fn only_positive_numbers_are_loads() {
@@ -103,12 +58,12 @@
     let off = PlacementFeatures::for_settings(false);
     scheduler.observe_load(SLOWED, report("1,0,7", 0), at(10));
     scheduler.observe_load(TargetKey(9), report("1,0,7,100", 0), at(10));
-    assert_eq!(scheduler.features_of("engines"), off);
+    assert_eq!(scheduler.features_of(SERVICE), off);
     assert_eq!(scheduler.load_counts(at(10)), None);
-    assert_eq!(scheduler.observe_load(SLOWED, report("1,0,7,100", 0), at(20)), Some("engines"));
+    assert_eq!(scheduler.observe_load(SLOWED, report("1,0,7,100", 0), at(20)), Some(SERVICE));
     assert_eq!(scheduler.observe_load(SLOWED, report("1,0,7,100", 0), at(60)), None);
     scheduler.set_features(off);
-    assert_eq!(scheduler.features_of("engines"), off.with_load_reports());
+    assert_eq!(scheduler.features_of(SERVICE), off.with_load_reports());
 }
 
 /// Guards against sending to a target whose slots are taken by nodes that placed alone, and against
@@ -125,22 +80,14 @@
     };
     let mut scheduler = full();
     scheduler.advance(at(450));
-    assert_eq!(granted(&mut scheduler), [SLOWED], "the report is old");
+    assert_eq!(granted(&mut scheduler), [(1, SLOWED)], "the report is old");
 
     let mut scheduler = full();
-    let active: Vec<_> = (50..56)
-        .map(|key| ActiveRequest {
-            key: PlacementKey(key),
-            target: SLOWED,
-            prompt_tokens: 500,
-            started: true,
-        })
-        .collect();
-    scheduler.reconcile(ProcessKey(2), &active, at(140));
+    scheduler.reconcile(ProcessKey(2), &listed(50..56), at(140));
     assert_eq!(granted(&mut scheduler), [], "six are listed, and the seventh is not");
     assert_eq!(scheduler.load_counts(at(140)), Some((0, 1)));
     scheduler.finished(SLOWED, PlacementKey(50), AttemptOutcome::Answered, at(160));
-    assert_eq!(granted(&mut scheduler), [SLOWED]);
+    assert_eq!(granted(&mut scheduler), [(1, SLOWED)]);
 }
 
 /// Guards against a report that avoids its target after the disturbance is over, and against a late
@@ -153,15 +100,15 @@
             scheduler.observe_load(SLOWED, *report, at(*at_ms));
         }
         scheduler.submit(request(1, 4_000, 20), at(now));
-        granted(&mut scheduler)
+        granted(&mut scheduler)[0].1
     };
-    assert_eq!(first_choice(&[], 1_000), [SLOWED]);
-    assert_eq!(first_choice(&[(report("0,0,7,250", 0), 1_000)], 1_010), [TWIN]);
-    assert_eq!(first_choice(&[(report("0,0,7,250", 0), 1_000)], 5_000), [SLOWED]);
+    assert_eq!(first_choice(&[], 1_000), SLOWED);
+    assert_eq!(first_choice(&[(report("0,0,7,250", 0), 1_000)], 1_010), TWIN);
+    assert_eq!(first_choice(&[(report("0,0,7,250", 0), 1_000)], 5_000), SLOWED);
     let late = [(report("0,0,7,100", 0), 1_000), (report("0,0,7,250", 300), 1_005)];
-    assert_eq!(first_choice(&late, 1_010), [SLOWED]);
+    assert_eq!(first_choice(&late, 1_010), SLOWED);
     let faster = [(report("0,0,7,60", 0), 1_000)];
-    assert_eq!(first_choice(&faster, 1_010), [SLOWED]);
+    assert_eq!(first_choice(&faster, 1_010), SLOWED);
 }
 
 /// Request at a simulated target.
@@ -197,12 +144,11 @@
             scheduler.submit(request(sizes.len() as u64, prompt, output), at(now));
             sizes.push((prompt, output));
         }
-        for output in scheduler.take_outputs() {
-            let PlacementOutput::Grant { key, target, .. } = output else { continue };
+        for (key, target) in granted(&mut scheduler) {
             grants[usize::from(slow)] += usize::from(target == SLOWED);
-            let (prompt, output) = sizes[key.0 as usize];
+            let (prompt, output) = sizes[key as usize];
             held[target.0 as usize].push(SimulatedRequest {
-                key: key.0,
+                key,
                 prefill_left_ms: SPEED.prefill_ms(f64::from(prompt)),
                 fixed_left_ms: SPEED.fixed_ms,
                 decode_left_ms: SPEED.token_ms * f64::from(output),
