--- a/crates/edge/examples/placement_cost.rs
+++ b/crates/edge/examples/placement_cost.rs
@@ -30,6 +30,7 @@
         prompt_tokens: 500 + (key * 37 % 2_000) as u32,
         output_tokens: 20 + (key * 13 % 200) as u32,
         max_output_tokens: 1_000,
+        repeatable: true,
         objective_left_ms: 60_000_000,
         deadline_left_ms: 60_000_000,
         answer_left_ms: 60_000_000,
--- a/crates/edge/src/node/rollouts.rs
+++ b/crates/edge/src/node/rollouts.rs
@@ -244,7 +244,9 @@
         target: TargetKey,
         outcome: AttemptOutcome,
     ) {
-        use AttemptOutcome::{Answered, Broken, Dropped, Failed, Full, Stalled, Unreachable};
+        use AttemptOutcome::{
+            Answered, Broken, DeadlinePassed, Dropped, Failed, Full, Stalled, Unreachable,
+        };
         let mut rollouts = self.rollouts.borrow_mut();
         let Some(announcement) = self.known_announcement(target) else { return };
         let Some(order) = rollouts.order_mut(&announcement.service) else { return };
@@ -252,7 +254,9 @@
         let quality = match outcome {
             Answered => AnswerQuality::Sound,
             Failed => AnswerQuality::Failed,
-            Broken | Stalled => AnswerQuality::broke_off(target, order.timing(now).age_ms),
+            Broken | Stalled | DeadlinePassed => {
+                AnswerQuality::broke_off(target, order.timing(now).age_ms)
+            }
             Full | Unreachable | Dropped => return,
         };
         let trial = order.version == announcement.version_key();
--- a/crates/edge/src/placement/free_targets.rs
+++ b/crates/edge/src/placement/free_targets.rs
@@ -10,9 +10,18 @@
 use burdockcleat_core::clock::ClockTime;
 use std::collections::BTreeMap;
 
-/// Targets that may be sent another request, with their memory, by software version.
+/// Target that may be sent another request.
+#[derive(Clone, Copy, Debug)]
+struct FreeTarget {
+    key: TargetKey,
+    /// Whether only a request that may be repeated is sent.
+    repeatable_only: bool,
+    room: MemoryRoom,
+}
+
+/// Targets that may be sent another request, by software version.
 #[derive(Debug, Default)]
-pub(super) struct FreeTargets(BTreeMap<VersionKey, Vec<(TargetKey, MemoryRoom)>>);
+pub(super) struct FreeTargets(BTreeMap<VersionKey, Vec<FreeTarget>>);
 
 impl FreeTargets {
     /// Returns those of the targets that have a free slot.
@@ -23,16 +32,18 @@
     ) -> Self {
         let mut free = Self::default();
         for state in states.filter(|state| state.has_free_slot(now)) {
-            free.0.entry(state.info.version).or_default().push((state.info.key, room(state)));
+            let repeatable_only = !state.has_slot_for(false, now);
+            let target = FreeTarget { key: state.info.key, repeatable_only, room: room(state) };
+            free.0.entry(state.info.version).or_default().push(target);
         }
         free
     }
 
     /// Removes a target that has no free slot any more.
     pub(super) fn remove(&mut self, target: &TargetInfo) {
-        if let Some(keys) = self.0.get_mut(&target.version) {
-            keys.retain(|(key, _)| *key != target.key);
-            if keys.is_empty() {
+        if let Some(targets) = self.0.get_mut(&target.version) {
+            targets.retain(|free| free.key != target.key);
+            if targets.is_empty() {
                 self.0.remove(&target.version);
             }
         }
@@ -40,11 +51,9 @@
 
     /// Sets the memory of a target after a grant.
     pub(super) fn set_room(&mut self, target: &TargetInfo, room: MemoryRoom) {
-        let keys = self.0.get_mut(&target.version);
-        if let Some((_, known)) =
-            keys.and_then(|k| k.iter_mut().find(|(key, _)| *key == target.key))
-        {
-            *known = room;
+        let mut targets = self.0.get_mut(&target.version).into_iter().flatten();
+        if let Some(free) = targets.find(|free| free.key == target.key) {
+            free.room = room;
         }
     }
 
@@ -61,10 +70,11 @@
     pub(super) fn any_allowed(&self, waiting: &WaitingRequest) -> bool {
         let request = &waiting.request;
         let mut allowed = self.0.iter().filter(|(version, _)| request.allows_version(**version));
-        allowed.any(|(_, targets)| {
-            targets
-                .iter()
-                .any(|(key, room)| !request.excluded.contains(key) && room.fits(waiting.need))
-        })
+        let accepts = |free: &FreeTarget| {
+            (request.repeatable || !free.repeatable_only)
+                && !request.excluded.contains(&free.key)
+                && free.room.fits(waiting.need)
+        };
+        allowed.any(|(_, targets)| targets.iter().any(accepts))
     }
 }
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -73,10 +73,6 @@
         Self { features, sizes: SizeStatistics::new(size_rule), ..Self::default() }
     }
 
-    pub(super) fn set_features(&mut self, features: PlacementFeatures) {
-        self.features = if self.load_reports { features.with_load_reports() } else { features };
-    }
-
     pub(super) fn set_targets(
         &mut self,
         infos: &[TargetInfo],
@@ -96,8 +92,9 @@
                 .and_modify(|state| state.info = info.clone())
                 .or_insert_with(|| {
                     let speed = restored_speeds.get(&info.key).copied().unwrap_or(speed);
-                    let mut state = TargetState::new(info.clone(), speed);
+                    let mut state = TargetState::new(info.clone(), speed, now);
                     state.added = Some(now);
+                    state.paced = self.features.target_pace;
                     state.pacer = limits.pacer(info.key, now);
                     state
                 });
@@ -211,6 +208,7 @@
         {
             let mut waiting = WaitingRequest::new(request.clone(), size, estimate, now);
             state.grant(&waiting, now);
+            state.raise_pace(now);
             waiting.turn = self.queue.shares.count_arrival(&waiting, self.features);
             self.queue.shares.count_grant(&waiting);
         }
@@ -303,13 +301,14 @@
         let fastest = states.clone().map(|s| s.speed().token_ms).fold(f64::MAX, f64::min);
         let slowest = states.clone().map(|s| s.speed().token_ms).fold(0.0, f64::max);
         format!(
-            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}{}",
+            "service={service} targets={} usable={usable} slots={slots} running={running} waiting={} fixed_ms={:.1} read_us={:.2} token_ms={:.2} token_ms_range={fastest:.2}..{slowest:.2}{}{}",
             states.len(),
             self.queue.len(),
             speed.fixed_ms,
             speed.read_ms * 1_000.0,
             speed.token_ms,
-            self.describe_loads(now)
+            self.describe_loads(now),
+            self.describe_paces()
         ) + &self.describe_outputs()
     }
 
@@ -372,7 +371,7 @@
         waiting: &WaitingRequest,
         now: ClockTime,
     ) -> bool {
-        state.has_free_slot(now) && self.room(state, now).fits(waiting.need)
+        state.accepts(&waiting.request, now) && self.room(state, now).fits(waiting.need)
     }
 
     /// Returns the free target with the lowest loss, and among these the one with the lowest cost.
--- a/crates/edge/tests/feasibility.rs
+++ b/crates/edge/tests/feasibility.rs
@@ -34,6 +34,7 @@
         share: 1.0,
         identity: 0,
         max_output_tokens: output_tokens * 4,
+        repeatable: true,
         objective_left_ms: 600,
         deadline_left_ms: 3_000,
         answer_left_ms: 10_000,
--- a/crates/edge/tests/placement_pressure.rs
+++ b/crates/edge/tests/placement_pressure.rs
@@ -62,6 +62,7 @@
         prompt_tokens: 1_000,
         output_tokens: 20,
         max_output_tokens: 10_000,
+        repeatable: true,
         objective_left_ms: 600,
         deadline_left_ms: DEADLINE_MS,
         answer_left_ms: DEADLINE_MS,
--- a/crates/edge/tests/target_memory.rs
+++ b/crates/edge/tests/target_memory.rs
@@ -52,6 +52,7 @@
         prompt_tokens,
         output_tokens,
         max_output_tokens: 1_000,
+        repeatable: true,
         objective_left_ms: 500,
         deadline_left_ms: 2_400,
         answer_left_ms: DEADLINE_MS,
