--- a/crates/edge/src/dispatch/send.rs
+++ b/crates/edge/src/dispatch/send.rs
@@ -120,7 +120,7 @@
         guard.sent(&announcement, &context.route.name);
         context.commit_reservation();
         let (node, address) = (context.node.clone(), announcement.address);
-        let link = node.target_link(&announcement.domain);
+        let link = node.count_target_request(&announcement.domain);
         let connected = Rc::new(Notify::new());
         let opened = connected.clone();
         let exchange = Box::pin(async move {
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -383,10 +383,15 @@
             return Some(target);
         }
         let allowed = || self.targets.values().filter(|s| waiting.request.allows(&s.info));
+        let affinity = self.features.domain_affinity;
         let (placement_loss, _, target) = allowed()
             .filter(|state| self.is_free(state, waiting, now))
             .map(|state| {
-                (state.placement_loss(waiting, now), state.cost(waiting, now), state.info.key)
+                (
+                    state.placement_loss(waiting, now),
+                    state.cost(waiting, affinity, now),
+                    state.info.key,
+                )
             })
             .min_by(|left, right| left.0.total_cmp(&right.0).then(left.1.total_cmp(&right.1)))?;
         if placement_loss <= tolerated_loss
--- a/crates/edge/src/placement/version_trial.rs
+++ b/crates/edge/src/placement/version_trial.rs
@@ -59,7 +59,7 @@
                 waiting.request.allows(&state.info) && self.is_free(state, waiting, now)
             })
             .filter(|state| state.placement_loss(waiting, now) <= tolerated_loss)
-            .map(|state| (state.cost(waiting, now), state.info.key));
+            .map(|state| (state.cost(waiting, self.features.domain_affinity, now), state.info.key));
         free.min_by(|left, right| left.0.total_cmp(&right.0)).map(|(_, key)| key)
     }
 }
--- a/crates/edge/tests/support/placement.rs
+++ b/crates/edge/tests/support/placement.rs
@@ -73,6 +73,8 @@
         target: TargetKey(0),
         prompt_tokens: 500,
         started: true,
+        most_tokens: 0,
+        written_tokens: 0,
     };
     keys.map(request).collect()
 }
