--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -9,7 +9,7 @@
 use crate::memory_budget::MemoryBudget;
 use crate::placement::{PlacementScheduler, ProcessKey};
 use crate::register_service::{RegisterService, StoreHandle};
-use crate::settings::NodeSettings;
+use crate::settings::{DeploymentLimits, NodeSettings};
 use crate::shutdown::ShutdownStage;
 use crate::streams::StreamTable;
 use crate::traffic::TrafficTotals;
@@ -37,6 +37,14 @@
     metrics: TcpListener,
 }
 
+fn budget_rule(limits: &DeploymentLimits) -> BudgetRule {
+    BudgetRule {
+        percent: limits.retry_percent,
+        extra: limits.retry_extra,
+        window_ms: limits.retry_window_ms,
+    }
+}
+
 impl NodeServer {
     /// Binds all addresses of a node and opens its storage.
     ///
@@ -60,11 +68,6 @@
             Some(folder) => Some(StoreHandle::spawn(folder, rand::random())?),
             None => None,
         };
-        let rule = BudgetRule {
-            percent: settings.limits.retry_percent,
-            extra: settings.limits.retry_extra,
-            window_ms: settings.limits.retry_window_ms,
-        };
         let mut scheduler = PlacementScheduler::new(settings.size_rule);
         scheduler.set_features(settings.features.placement);
         let streams = RefCell::new(StreamTable::new(store.is_some()));
@@ -83,7 +86,7 @@
                 settings.limits.allowance,
                 settings.first_start,
             )),
-            budget: RefCell::new(RetryBudget::new(rule)),
+            budget: RefCell::new(RetryBudget::new(budget_rule(&settings.limits))),
             suspects: RefCell::default(),
             fetching_facts: RefCell::default(),
             suspects_changed: Notify::new(),
--- a/crates/edge/tests/domain_affinity.rs
+++ b/crates/edge/tests/domain_affinity.rs
@@ -53,6 +53,7 @@
         prompt_tokens,
         output_tokens,
         max_output_tokens: 10_000,
+        repeatable: true,
         objective_left_ms,
         deadline_left_ms: 5_000,
         answer_left_ms: 15_000,
