Take the percentage of a target relative to its usual one

Targets state 60 or 170 while undisturbed: the figure contains the lasting pace of their machine, which the decay of a report to 100 then distorted. Reports also counted requests that had just ended, so slots stayed unused for up to 300 ms. Change: a percentage counts relative to the lower quartile of the target's own last 64 reports; requests that ended within 100 ms count as known.

--- a/crates/edge/src/placement/load_view.rs
+++ b/crates/edge/src/placement/load_view.rs
@@ -28,6 +28,18 @@
 const FACTOR_RANGE: (f64, f64) = (0.25, 10.0);
 /// Number of reports that are kept: about 14 s at nine responses a second, as long as streams last.
 const MAX_REPORTS: usize = 128;
+/// Number of reports after which a target's own usual percentage is known; about a second of them.
+const MIN_USUAL_REPORTS: usize = 8;
+/// Number of reports that the usual percentage rests on.
+const USUAL_REPORTS: usize = 64;
+/// Rank of the usual percentage among the reports, as a divisor of their number. Other programs only
+/// slow a machine down, at times for half of the time.
+const USUAL_DIVISOR: usize = 4;
+/// Percentage of a machine that is as usual, for targets without enough reports.
+const DEFAULT_USUAL_PERCENT: u16 = 100;
+/// Time for which a request that has ended may still count in a report, in ms. The notice of its end
+/// and the report reach this scheduler from different nodes.
+const ENDED_SKEW_MS: u64 = 100;
 /// Difference in time up to which the same load is a repeated report, in ms.
 const REPEAT_MS: u64 = 20;
 /// Factor above which a target counts as slowed in logs and gauges.
@@ -107,6 +119,10 @@
 pub(super) struct LoadView {
     points: VecDeque<LoadPoint>,
     newest: Option<(LoadReport, ClockTime)>,
+    /// Percentages of the last reports.
+    percents: VecDeque<u16>,
+    /// Ends of requests within [`ENDED_SKEW_MS`].
+    ended: VecDeque<ClockTime>,
     /// Requests in the newest report that this scheduler did not know of.
     unlisted: u32,
 }
@@ -122,7 +138,12 @@
         {
             return;
         }
-        let factor = (f64::from(percent) / 100.0).clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
+        self.percents.push_back(percent);
+        if self.percents.len() > USUAL_REPORTS {
+            self.percents.pop_front();
+        }
+        let factor = f64::from(percent) / f64::from(self.usual_percent());
+        let factor = factor.clamp(FACTOR_RANGE.0, FACTOR_RANGE.1);
         let work = self
             .points
             .back()
@@ -132,9 +153,33 @@
             self.points.pop_front();
         }
         self.newest = Some((report, at));
+        let known =
+            known + self.ended.iter().filter(|end| now.since(**end) < ENDED_SKEW_MS).count();
         self.unlisted = report.load.held().saturating_sub(u32::try_from(known).unwrap_or(u32::MAX));
     }
 
+    /// Returns the percentage that the target states while it is not disturbed. Machines of unlike
+    /// speed state different ones, which the target's speed estimate contains already.
+    fn usual_percent(&self) -> u16 {
+        if self.percents.len() < MIN_USUAL_REPORTS {
+            return DEFAULT_USUAL_PERCENT;
+        }
+        let mut sorted: Vec<_> = self.percents.iter().copied().collect();
+        sorted.sort_unstable();
+        sorted[sorted.len() / USUAL_DIVISOR].max(1)
+    }
+
+    /// Records the end of a request.
+    pub(super) fn count_end(&mut self, now: ClockTime) {
+        if self.newest.is_none() {
+            return;
+        }
+        while self.ended.front().is_some_and(|end| now.since(*end) >= ENDED_SKEW_MS) {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(now);
+    }
+
     /// Counts a request of another scheduler that has become known since the report.
     pub(super) const fn list_request(&mut self) {
         self.unlisted = self.unlisted.saturating_sub(1);
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -311,6 +311,9 @@
 
     pub(super) fn finished(&mut self, key: PlacementKey, outcome: AttemptOutcome, now: ClockTime) {
         let running = self.running.remove(&key);
+        if running.is_some() {
+            self.load.count_end(now);
+        }
         let granted = running.as_ref().map(|running| running.granted);
         match outcome {
             AttemptOutcome::Answered => {
--- a/crates/edge/tests/target_load.rs
+++ b/crates/edge/tests/target_load.rs
@@ -214,3 +214,30 @@
         assert!(speed_difference(&without) > 0.15, "seed {seed}: the simulation disturbs nothing");
     }
 }
+
+/// Guards against taking the lasting pace of a machine, which its percentage contains, for a
+/// disturbance.
+#[test]
+fn a_percentage_counts_relative_to_the_usual_one_of_its_target() {
+    let mut scheduler = scheduler(1);
+    for step in 0..12 {
+        scheduler.observe_load(SLOWED, report("1,0,7,170", 0), at(100 * step));
+    }
+    assert_eq!(scheduler.load_counts(at(1_100)), Some((0, 1)));
+    scheduler.observe_load(SLOWED, report("1,0,7,425", 0), at(1_200));
+    assert_eq!(scheduler.load_counts(at(1_200)), Some((1, 1)));
+}
+
+/// Guards against a slot that stays unused because a report still counts a request that has just ended.
+#[test]
+fn requests_that_have_just_ended_do_not_count_as_those_of_other_nodes() {
+    let mut scheduler = scheduler(1);
+    scheduler.observe_load(SLOWED, report("0,0,7,100", 0), at(10));
+    scheduler.submit(request(1, 500, 20), at(20));
+    assert_eq!(granted(&mut scheduler), [(1, SLOWED)]);
+    scheduler.finished(SLOWED, PlacementKey(1), AttemptOutcome::Answered, at(200));
+    scheduler.observe_load(SLOWED, report("1,0,7,100", 5), at(210));
+    assert_eq!(scheduler.load_counts(at(210)), Some((0, 0)));
+    scheduler.observe_load(SLOWED, report("2,0,7,100", 5), at(400));
+    assert_eq!(scheduler.load_counts(at(400)), Some((0, 2)), "nobody has listed these");
+}
