--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -31,7 +31,7 @@
 pub(super) const RANK_FACTOR: f64 = 3.0;
 /// Range of the cost factors of workspace shares and returning requests together. Below the factor of
 /// one rank, so that they never put a request behind a similar one of a lower tier.
-pub(super) const NEW_FACTORS_RANGE: f64 = 0.99 * RANK_FACTOR;
+pub(super) const QUEUE_FACTORS_RANGE: f64 = 0.99 * RANK_FACTOR;
 /// Highest rank that is distinguished, to keep the weight finite.
 const MAX_RANK: u32 = 400;
 /// Cost factor of requests that can no longer meet their objective. Puts them behind the next rank
--- a/crates/edge/src/placement/returns.rs
+++ b/crates/edge/src/placement/returns.rs
@@ -7,7 +7,7 @@
 
 use super::PlacementRequest;
 use super::VersionKey;
-use super::queue::{NEW_FACTORS_RANGE, WaitingRequest};
+use super::queue::{QUEUE_FACTORS_RANGE, WaitingRequest};
 use super::service::{MAX_RETRY_MS, MIN_RETRY_MS};
 use super::shares::{SHARE_FACTORS_RANGE, ShareTurn, WorkspaceShares};
 use super::version_slots::VersionLoads;
@@ -30,7 +30,7 @@
 /// Maximum number of bookings of a service; bounds the time of a decision.
 const MAX_BOOKINGS: usize = 1_000;
 
-const _: () = assert!(SHARE_FACTORS_RANGE / PROMISED_FACTOR < NEW_FACTORS_RANGE);
+const _: () = assert!(SHARE_FACTORS_RANGE / PROMISED_FACTOR < QUEUE_FACTORS_RANGE);
 
 /// Refused request that is expected back.
 #[derive(Clone, Copy, Debug)]
--- a/crates/edge/src/placement/shares.rs
+++ b/crates/edge/src/placement/shares.rs
@@ -9,7 +9,7 @@
 //! lower ranks, which may never be granted, therefore do not change the order in the ranks above.
 
 use super::features::PlacementFeatures;
-use super::queue::{NEW_FACTORS_RANGE, WaitingRequest};
+use super::queue::{QUEUE_FACTORS_RANGE, WaitingRequest};
 use burdockcleat_core::clock::ClockTime;
 use slotmap::SlotMap;
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,7 +31,7 @@
 /// Largest quotient of two cost factors.
 pub(super) const SHARE_FACTORS_RANGE: f64 = MAX_FACTOR * MAX_FACTOR;
 
-const _: () = assert!(SHARE_FACTORS_RANGE < NEW_FACTORS_RANGE);
+const _: () = assert!(SHARE_FACTORS_RANGE < QUEUE_FACTORS_RANGE);
 
 slotmap::new_key_type! {
     /// Key of the account of a workspace in a rank.
