--- a/crates/edge/src/placement/features.rs
+++ b/crates/edge/src/placement/features.rs
@@ -34,12 +34,6 @@
     /// Adds the features of a service whose targets state how long work takes on them at the moment.
     #[must_use]
     pub const fn with_load_reports(self) -> Self {
-        Self {
-            target_pace: true,
-            return_bookings: true,
-            feasibility: true,
-            domain_affinity: true,
-            ..self
-        }
+        Self { target_pace: true, domain_affinity: true, ..self }
     }
 }
