--- a/review/harness-2/engine.rs
+++ b/review/harness-2/engine.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// `heartbeat_interval_ms` of the deployments.
-const HEARTBEAT: Duration = Duration::from_millis(1_200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1_200);
 
 /// What an engine serves and how it answers.
 #[derive(Clone)]
@@ -93,17 +93,28 @@
     }
 }
 
-fn send_heartbeats(profile: &EngineProfile, version: &str, alive: &AtomicBool, record: &Record) {
+/// Returns the body of a heartbeat.
+pub fn heartbeat_body(profile: &EngineProfile, version: &str, born: u64, sequence: u64) -> String {
+    format!(
+        r#"{{"service":"{}","address":"{}","zone":"{}","version":"{version}","slot_count":{},"state":"ready","cold_remaining_ms":0,"sequence_number":{sequence},"born":{born}}}"#,
+        profile.service, profile.address, profile.zone, profile.slots
+    )
+}
+
+/// Sends heartbeats until the lifetime ends.
+pub fn send_heartbeats(
+    profile: &EngineProfile,
+    version: &str,
+    alive: &AtomicBool,
+    record: &Record,
+) {
     let born = wall_ms();
     let (mut preferred, mut acknowledged) = (0, false);
     for sequence in 1.. {
         if !alive.load(Ordering::SeqCst) {
             return;
         }
-        let body = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"{version}","slot_count":{},"state":"ready","cold_remaining_ms":0,"sequence_number":{sequence},"born":{born}}}"#,
-            profile.service, profile.address, profile.zone, profile.slots
-        );
+        let body = heartbeat_body(profile, version, born, sequence);
         let path = format!("/api/instances/{}", profile.id);
         let count = profile.controls.len();
         for step in 0..count {
--- a/review/harness-2/support.rs
+++ b/review/harness-2/support.rs
@@ -20,8 +20,39 @@
 /// Port that is bound to reserve a loopback network for one run.
 const LOCK_PORT: u16 = 27_999;
 
-/// Contracts of the small deployments.
-const CONTRACTS: &str = "base,drain,config,cost,retry,recover,engine,stream,tenants,quota";
+/// What the settings of a deployment have of their own.
+struct Site {
+    memory_mb: u32,
+    link_mbps: u32,
+    /// Further lines of the settings, separated by spaces.
+    parameters: &'static str,
+}
+
+const KHANGAI: Site = Site {
+    memory_mb: 110,
+    link_mbps: 1_000,
+    parameters: "limits.cpu_fraction=0.45 active_contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota \
+        fault_tolerance.machine_failures=1 contract_parameters.contact_timeout_ms=3000 \
+        contract_parameters.ack_timeout_ms=4000 contract_parameters.catch_up_s=4 \
+        contract_parameters.drain_timeout_ms=2000 contract_parameters.config_apply_ms=2000 \
+        contract_parameters.max_extension_ms=5000 contract_parameters.retry_budget_extra=64 \
+        contract_parameters.quota_tolerance=110000 contract_parameters.recovery_s=12 \
+        contract_parameters.forward_pass_ms=120 contract_parameters.retry_after_s=7.1",
+};
+
+const QUITO: Site = Site {
+    memory_mb: 88,
+    link_mbps: 10,
+    parameters: "limits.cpu_fraction=0.12 active_contracts=base,drain,config,cost,retry,recover,health,pool,engine,stream,tenants,quota,rollout,pressure \
+        fault_tolerance.machine_failures=2 contract_parameters.contact_timeout_ms=4000 \
+        contract_parameters.ack_timeout_ms=5000 contract_parameters.catch_up_s=6 \
+        contract_parameters.drain_timeout_ms=2500 contract_parameters.config_apply_ms=2500 \
+        contract_parameters.max_extension_ms=6000 contract_parameters.retry_budget_extra=166 \
+        contract_parameters.quota_tolerance=72000 contract_parameters.recovery_s=15 \
+        contract_parameters.forward_pass_ms=200 contract_parameters.retry_after_s=5.6 \
+        contract_parameters.canary_share=0.1 contract_parameters.canary_tolerance=50 \
+        contract_parameters.rollback_timeout_ms=5000",
+};
 
 /// `config_apply_ms` of the deployments.
 pub const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
@@ -42,10 +73,24 @@
 
 impl Record {
     pub fn create(path: &Path) -> Self {
-        let file = File::create(path).expect("creating the record");
+        File::create(path).expect("creating the record");
+        let file = File::options().append(true).open(path).expect("opening the record");
         Self { file: Arc::new(Mutex::new(file)), start: Instant::now() }
     }
 
+    /// Continues the record of another process, which began `start_ms` ms after the Unix epoch.
+    pub fn append(path: &Path, start_ms: u64) -> Self {
+        let file = File::options().append(true).open(path).expect("opening the record");
+        let passed = Duration::from_millis(wall_ms().saturating_sub(start_ms));
+        let start = Instant::now().checked_sub(passed).unwrap_or_else(Instant::now);
+        Self { file: Arc::new(Mutex::new(file)), start }
+    }
+
+    /// Returns the start of the record, in ms after the Unix epoch.
+    pub fn start_ms(&self) -> u64 {
+        wall_ms().saturating_sub(self.start.elapsed().as_millis() as u64)
+    }
+
     pub fn line(&self, text: &str) {
         let at = self.start.elapsed().as_secs_f64();
         let line = format!("{at:8.3} {text}\n");
@@ -62,6 +107,7 @@
     _lock: TcpListener,
     pub nodes: Vec<Option<Child>>,
     disks: usize,
+    site: Site,
     record: Record,
 }
 
@@ -78,10 +124,17 @@
             _lock: lock,
             nodes: (0..disks + others).map(|_| None).collect(),
             disks,
+            site: KHANGAI,
             record: record.clone(),
         }
     }
 
+    /// Takes the settings of apsct-quito-grown in place of those of khangai-hinge.
+    pub fn of_quito(mut self) -> Self {
+        self.site = QUITO;
+        self
+    }
+
     pub fn ip(&self, node: usize) -> Ipv4Addr {
         let [a, b] = self.network;
         Ipv4Addr::new(127, a, b, u8::try_from(node + 1).expect("few nodes"))
@@ -120,28 +173,26 @@
              listen_addresses.ready={ip}:{READY_PORT}\n\
              listen_addresses.control_plane={ip}:{CONTROL_PORT}\n\
              internal_port_range={first},{last}\nseed_nodes={}\nfirst_start={first_start}\n\
-             failure_counted={counted}\nlimits.cpu_fraction=0.45\nlimits.core_count=1\n\
-             limits.memory_limit_mb=110\nlimits.file_descriptor_limit=4100\n\
-             limits.link_bandwidth_mbps=1000.0\ndiscovery_source=registration\n\
-             entry_kind=virtual_ip\nheartbeat_interval_ms=1200\nactive_contracts={CONTRACTS}\n\
-             fault_tolerance.machine_failures=1\nfault_tolerance.zones=0\n\
-             fault_tolerance.region_failures=0\ncontract_parameters.seed_lag_s=3\n\
-             contract_parameters.address_reuse_s=2\ncontract_parameters.contact_timeout_ms=3000\n\
-             contract_parameters.ack_timeout_ms=4000\ncontract_parameters.catch_up_s=4\n\
-             contract_parameters.drain_timeout_ms=2000\ncontract_parameters.grace_period_s=8\n\
-             contract_parameters.loss_slack_ms=200\ncontract_parameters.config_apply_ms=2000\n\
+             failure_counted={counted}\nlimits.core_count=1\n\
+             limits.memory_limit_mb={}\nlimits.file_descriptor_limit=4100\n\
+             limits.link_bandwidth_mbps={}\ndiscovery_source=registration\n\
+             entry_kind=virtual_ip\nheartbeat_interval_ms=1200\n\
+             fault_tolerance.zones=0\nfault_tolerance.region_failures=0\n\
+             contract_parameters.seed_lag_s=3\ncontract_parameters.address_reuse_s=2\n\
+             contract_parameters.grace_period_s=8\ncontract_parameters.loss_slack_ms=200\n\
              contract_parameters.downgrade_slack_ms=250\n\
-             contract_parameters.max_extension_ms=5000\n\
              contract_parameters.strict_revocation=false\n\
              contract_parameters.revocation_ms=5000\n\
              contract_parameters.retry_budget_ratio=0.2\ncontract_parameters.budget_window_s=10\n\
-             contract_parameters.retry_budget_extra=64\ncontract_parameters.quota_window_s=8\n\
-             contract_parameters.quota_overshoot=0.1\n\
-             contract_parameters.quota_tolerance=110000\ncontract_parameters.recovery_s=12\n\
-             contract_parameters.forward_pass_ms=120\ncontract_parameters.retry_after_s=7.1\n\
+             contract_parameters.quota_window_s=8\ncontract_parameters.quota_overshoot=0.1\n\
              configuration_mode=highest\n",
-            seeds.join(",")
+            seeds.join(","),
+            self.site.memory_mb,
+            self.site.link_mbps
         );
+        for parameter in self.site.parameters.split_whitespace() {
+            settings.push_str(&format!("{parameter}\n"));
+        }
         if counted {
             fs::create_dir_all(self.disk(node)).expect("creating a disk folder");
             settings.push_str("limits.disk_capacity_mb=64\n");
@@ -233,6 +284,8 @@
 pub struct Answer {
     pub status: u16,
     pub body: Vec<u8>,
+    /// Whether the whole body arrived, by its length or its last chunk.
+    pub complete: bool,
 }
 
 impl Answer {
@@ -328,8 +381,8 @@
 pub fn read_answer(stream: &mut impl Read) -> Option<Answer> {
     let head = read_head(stream)?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
-    let (body, _) = read_body(stream, &head);
-    Some(Answer { status, body })
+    let (body, complete) = read_body(stream, &head);
+    Some(Answer { status, body, complete })
 }
 
 /// The operator: sends the same change again, to one node after the other, until it is acknowledged.
--- a/review/harness-2/versions.rs
+++ b/review/harness-2/versions.rs
@@ -9,23 +9,28 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Engines, with the slots of the deployment.
+const ENGINES: usize = 18;
+const SLOTS: u32 = 5;
+/// Engines that crash and start again with the next version: a share of 0.17.
+const CHANGED: usize = 3;
 /// Streams of callers.
-const STREAMS: usize = 18;
+const STREAMS: usize = 60;
 /// ORDER allows two streams with events of two versions.
 const ALLOWED: usize = 2;
 /// Time that a caller waits for its whole stream.
 const DEADLINE: Duration = Duration::from_millis(15_000);
 
-const DOCUMENT: &str = r#"{"version":4,"routes":[{"name":"r-s","hostname":"shop.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":15000,"target_latency_ms":400,"priority":0,"service":"llm","max_attempts":2,"auth_exempt":true,"session_affinity":true,"stream_resumption":true,"gap_target_ms":300}],"services":[{"name":"llm","health_path":"/health","connection_limit":390,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
+pub const DOCUMENT: &str = r#"{"version":4,"routes":[{"name":"r-s","hostname":"shop.example","path_prefix":"/s/","route_kind":"streaming","timeout_ms":15000,"target_latency_ms":400,"priority":0,"service":"llm","max_attempts":2,"auth_exempt":true,"session_affinity":true,"stream_resumption":true,"gap_target_ms":300}],"services":[{"name":"llm","health_path":"/health","connection_limit":390,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 /// Events of one stream as its caller has them.
 #[derive(Default)]
-struct CallerStream {
-    last: u64,
+pub struct CallerStream {
+    pub last: u64,
     versions: BTreeSet<String>,
     /// Attempt that brought the first event.
     first: Option<String>,
-    complete: bool,
+    pub complete: bool,
 }
 
 /// Pauses of a caller before its retries, in ms.
@@ -39,7 +44,7 @@
         let left = DEADLINE.saturating_sub(started.elapsed());
         let node = nodes[(number + attempt) % nodes.len()];
         let id = format!("stream-{number}-{attempt}");
-        let after = read_attempt(&mut stream, &id, node, left, record);
+        let after = attempt_stream(&mut stream, &id, node, left, record);
         if stream.complete {
             break;
         }
@@ -51,7 +56,7 @@
 }
 
 /// Makes one attempt. Returns the time after which the node wants the caller to come back.
-fn read_attempt(
+pub fn attempt_stream(
     stream: &mut CallerStream,
     id: &str,
     node: SocketAddrV4,
@@ -104,8 +109,8 @@
     None
 }
 
-/// All nodes are killed at once. While they are down, an engine that crashed before starts again under
-/// its id with another software version. Callers take up their streams.
+/// All nodes are killed at once. While they are down, engines that crashed before start again under their
+/// ids with another software version. Callers take up their streams.
 pub fn version_from_memory(record: &Record) -> Option<bool> {
     let mut nodes = Deployment::prepare(3, 2, record);
     let operator = Operator { record };
@@ -119,13 +124,13 @@
         service: "llm".into(),
         zone: format!("zone-{}", number % 3),
         address: nodes.engine_address(number),
-        slots: 8,
+        slots: SLOTS,
         controls: controls.clone(),
         events: 90,
         event_pause: Duration::from_millis(100),
         work: Duration::ZERO,
     };
-    let profiles: Vec<_> = (0..3).map(profile).collect();
+    let profiles: Vec<_> = (0..ENGINES).map(profile).collect();
     let engines: Vec<_> =
         profiles.iter().map(|profile| Engine::start(profile, "v1", record)).collect();
     thread::sleep(Duration::from_secs(5));
@@ -142,16 +147,17 @@
         })
         .collect();
     thread::sleep(Duration::from_millis(1_500));
-    let mut later = None;
+    let mut later = Vec::new();
     if trouble() {
-        engines[0].crash();
-        record.line("engine i-0 has crashed");
+        engines[..CHANGED].iter().for_each(Engine::crash);
+        record.line("engines i-0, i-1 and i-2 have crashed");
         thread::sleep(Duration::from_millis(1_500));
         for node in 0..count {
             nodes.kill(node);
         }
         thread::sleep(Duration::from_millis(700));
-        later = Some(Engine::start(&profiles[0], "v2", record));
+        let changed = profiles[..CHANGED].iter();
+        later.extend(changed.map(|profile| Engine::start(profile, "v2", record)));
         thread::sleep(Duration::from_millis(300));
         for node in 0..count {
             nodes.start(node, false);
