--- a/review/harness-2/early.rs
+++ b/review/harness-2/early.rs
@@ -14,14 +14,16 @@
 const DOCUMENT: &str = r#"{"version":4,"routes":[{"name":"r-o","hostname":"shop.example","path_prefix":"/o/","route_kind":"non_idempotent","timeout_ms":6000,"target_latency_ms":400,"priority":0,"service":"app","max_attempts":1,"auth_exempt":true,"session_affinity":false,"stream_resumption":false}],"services":[{"name":"app","health_path":"/health","connection_limit":130,"protocol":"h1","tls_enabled":false}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
 
 /// Orders that are sent at the same time.
-const ORDERS: usize = 6;
+const ORDERS: usize = 12;
+/// Engines of the service. One of them crashes: a share of 0.25.
+const ENGINES: usize = 4;
 /// Size of the body of an order, in bytes.
 const BODY_BYTES: usize = 400_000;
 /// Bandwidth of the link to the engine, in bytes a second: 10 Mbit/s, that of one machine.
 const LINK_BYTES_PER_S: f64 = 1_250_000.0;
 /// Bytes that the link passes on at a time.
 const PACKET_BYTES: usize = 4_096;
-/// Time after the orders were sent at which the engine crashes. Their bodies take 1.9 s.
+/// Time after the orders were sent at which the engine crashes. Their bodies take 3.8 s.
 const CRASH_AFTER: Duration = Duration::from_millis(900);
 const FIRST_PART: &str = "order accepted; ";
 const SECOND_PART: &str = "order refused after all";
@@ -73,32 +75,45 @@
 }
 
 /// Link with a bandwidth between the nodes and the engine. It passes ends and resets on.
-fn start_link(from: SocketAddrV4, to: SocketAddrV4) {
+fn start_link(
+    from: SocketAddrV4,
+    to: SocketAddrV4,
+    free_at: &Arc<Mutex<Instant>>,
+    record: &Record,
+) {
     let listener = TcpListener::bind(from).expect("the link's listener");
-    let free_at = Arc::new(Mutex::new(Instant::now()));
+    let (free_at, record) = (free_at.clone(), record.clone());
     thread::spawn(move || {
         for node in listener.incoming().flatten() {
-            let free_at = free_at.clone();
-            thread::spawn(move || pass_on(node, to, &free_at));
+            let (free_at, record) = (free_at.clone(), record.clone());
+            thread::spawn(move || pass_on(node, to, &free_at, &record));
         }
     });
 }
 
-fn pass_on(mut node: TcpStream, to: SocketAddrV4, free_at: &Mutex<Instant>) -> Option<()> {
+fn pass_on(
+    mut node: TcpStream,
+    to: SocketAddrV4,
+    free_at: &Mutex<Instant>,
+    record: &Record,
+) -> Option<()> {
     let mut engine =
         TcpStream::connect_timeout(&SocketAddr::V4(to), Duration::from_secs(1)).ok()?;
     let (mut from_engine, mut to_node) = (engine.try_clone().ok()?, node.try_clone().ok()?);
+    let seen = record.clone();
     thread::spawn(move || {
         let mut bytes = [0; PACKET_BYTES];
         loop {
             match from_engine.read(&mut bytes) {
                 Ok(0) => {
+                    seen.line("link: an engine ended its channel in order");
                     let _ = to_node.shutdown(Shutdown::Write);
                     return;
                 }
                 Ok(count) if to_node.write_all(&bytes[..count]).is_ok() => {}
                 // Closing both with unread bytes resets the node's connection.
                 Ok(_) | Err(_) => {
+                    seen.line("link: a channel was reset");
                     let _ = from_engine.shutdown(Shutdown::Both);
                     return;
                 }
@@ -115,7 +130,10 @@
             *free_at
         };
         thread::sleep(passed.saturating_duration_since(Instant::now()));
-        engine.write_all(&bytes[..count]).ok()?;
+        if engine.write_all(&bytes[..count]).is_err() {
+            record.line("link: the engine's side resets what the node still sends");
+            return None;
+        }
     }
 }
 
@@ -163,14 +181,18 @@
     let controls: Vec<_> = (0..4).map(|node| nodes.control(node)).collect();
     nodes.start_all();
     operator.put(&controls, 4, DOCUMENT, Duration::from_secs(15))?;
-    let (announced, real) = (nodes.engine_address(0), nodes.engine_address(1));
-    start_link(announced, real);
     let program = std::env::current_exe().ok()?;
-    let mut arguments = vec!["engine".to_owned(), real.to_string(), announced.to_string()];
-    arguments.extend(["i-0".to_owned(), folder.to_owned(), record.start_ms().to_string()]);
-    arguments.extend(controls.iter().map(ToString::to_string));
-    let engine = Command::new(program).args(arguments).stdin(Stdio::null()).spawn().ok()?;
-    let mut engine = EngineProcess(engine);
+    let free_at = Arc::new(Mutex::new(Instant::now()));
+    let mut engines = Vec::new();
+    for number in 0..ENGINES {
+        let (announced, real) = (nodes.engine_address(number), nodes.engine_address(50 + number));
+        start_link(announced, real, &free_at, record);
+        let mut arguments = vec!["engine".to_owned(), real.to_string(), announced.to_string()];
+        arguments.extend([format!("i-{number}"), folder.to_owned(), record.start_ms().to_string()]);
+        arguments.extend(controls.iter().map(ToString::to_string));
+        let engine = Command::new(&program).args(arguments).stdin(Stdio::null()).spawn().ok()?;
+        engines.push(EngineProcess(engine));
+    }
     thread::sleep(Duration::from_secs(3));
     let callers: Vec<_> = (0..ORDERS)
         .map(|number| {
@@ -180,7 +202,7 @@
         .collect();
     if trouble() {
         thread::sleep(CRASH_AFTER);
-        engine.0.kill().ok()?;
+        engines[0].0.kill().ok()?;
         record.line("engine i-0 has crashed (SIGKILL)");
     }
     let results: Vec<_> = callers.into_iter().map(|caller| caller.join().ok().flatten()).collect();
--- a/review/harness-2/founding.rs
+++ b/review/harness-2/founding.rs
@@ -8,6 +8,8 @@
 /// Pause of the operator between two changes; `gap_s` of `config_storm`.
 const STORM_GAP: Duration = Duration::from_millis(330);
 
+/// `max_extension_ms` of the deployments.
+const MAX_EXTENSION: Duration = Duration::from_millis(5_000);
 /// `recovery_s` of the deployments.
 const RECOVERY: Duration = Duration::from_secs(12);
 /// Length of the freezes of core machines that have a set length, within `for_s` of `node_freeze` on the
@@ -66,7 +68,7 @@
     sleep_until(started + Duration::from_millis(5_300));
     let limit = Duration::from_secs(10);
     for version in [3, 5] {
-        operator.put(&controls[..1], version, &document(version), limit)?;
+        operator.put(&controls, version, &document(version), limit)?;
         if version == 3 {
             thread::sleep(STORM_GAP);
         }
@@ -87,7 +89,7 @@
     }
     // Until all machines are in touch again.
     sleep_until(thawed + FREEZE + CONTACT_TIMEOUT);
-    sleep_until(acknowledged + CONFIG_APPLY);
+    sleep_until(acknowledged + CONFIG_APPLY + MAX_EXTENSION);
     Some(read_back(record, &controls, 12, CONTACT_TIMEOUT + Duration::from_secs(1)))
 }
 
@@ -103,8 +105,9 @@
     if trouble() {
         nodes.signal(1, "STOP");
     }
-    let limit = Duration::from_secs(8);
-    operator.put(&controls[..1], 3, &document(3), limit)?;
+    // Before the traffic, and once the register is founded.
+    sleep_until(started + Duration::from_millis(2_000));
+    operator.put(&controls, 3, &document(3), Duration::from_secs(8))?;
     if trouble() {
         nodes.kill(0);
         nodes.wipe(0);
@@ -117,7 +120,7 @@
     let back = Instant::now();
     sleep_until(back + RECOVERY);
     let broken = read_back(record, &controls, 3, CONTACT_TIMEOUT + Duration::from_secs(1));
-    let next = operator.put(&controls, 7, &document(7), Duration::from_secs(30));
+    let next = operator.put(&controls, 7, &document(7), Duration::from_secs(8));
     record.line(&format!("the next version was acknowledged: {}", next.is_some()));
     Some(broken)
 }
--- a/review/harness-2/takeups.rs
+++ b/review/harness-2/takeups.rs
@@ -55,7 +55,7 @@
 /// A node without a disk is killed. Its callers take their streams up at the other nodes, while engines of
 /// another version have room for new streams.
 pub fn refused_take_ups(record: &Record) -> Option<bool> {
-    let mut nodes = Deployment::prepare(3, 1, record);
+    let mut nodes = Deployment::prepare(3, 4, record);
     let operator = Operator { record };
     let controls: Vec<_> = (0..3).map(|node| nodes.control(node)).collect();
     let frontends: Vec<_> = (0..=LOST_NODE).map(|node| nodes.frontend(node)).collect();
--- a/review/harness-2/versions.rs
+++ b/review/harness-2/versions.rs
@@ -33,10 +33,10 @@
     pub complete: bool,
 }
 
-/// Pauses of a caller before its retries, in ms.
-const RETRY_PAUSES_MS: [u64; 4] = [300, 500, 700, 900];
+/// Pause of a caller before its retry, in ms; the sheet says "requester's retries: 1".
+const RETRY_PAUSES_MS: [u64; 1] = [1_500];
 
-/// Serves one stream for a caller: its first attempt and a few retries, each at another node.
+/// Serves one stream for a caller: its first attempt and a retry at another node.
 fn take_stream(number: usize, nodes: &[SocketAddrV4], record: &Record) -> CallerStream {
     let started = Instant::now();
     let mut stream = CallerStream::default();
