Free the slots of a node as soon as its process is known to have ended

What callers saw: after the loss of one node, the callers of its streams took them up at other nodes and were refused (503, "the wait for a target would be too long") after 1.45 s with over 9 s left, while new streams began at targets of another software version.

Cause: schedulers dropped the requests of a silent node only once its last report was 3 s old, longer than a stream that is taken up may wait (0.6 of its gap timeout). A take-up is bound to its version, so its slots stayed taken although the targets had seen the connections of the lost node end. Silence alone cannot tell a node that was killed from one that is frozen or cut off, whose requests still run. Three more ways lead there: the requests that a lost node had waiting were granted slots that nobody used for 3 s; a node that was back at once kept the slots of its earlier process; and an ended process delayed the view of target memory.

Change: while requests wait, a scheduler checks the nodes that hold slots and whose next status is overdue (0.4 s in small deployments), or whose stream waits at the scheduler again through another node. A check is one connection. If the host refuses it, the process has ended: its running and waiting requests are removed and the slots placed at once. A frozen process is accepted by its kernel, and one that is cut off times out; both keep their slots for 3 s as before. A new process at an address ends the earlier one in the same way. A node that is down loses its waiting requests, which cannot be told decisions.

--- a/crates/edge/examples/placement_cost.rs
+++ b/crates/edge/examples/placement_cost.rs
@@ -28,6 +28,7 @@
         rank: (key % 3) as u32,
         workspace: Some((key % 16) as u32),
         share: 1.0,
+        stream: None,
         identity: key,
         prompt_tokens: 500 + (key * 37 % 2_000) as u32,
         output_tokens: 20 + (key * 13 % 200) as u32,
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
 use crate::request::CallerRequest;
-use crate::streams::StreamRecord;
+use crate::streams::{StreamKey, StreamRecord};
 use crate::suspects::RequestTrait;
 use burdockcleat_core::clock::ClockTime;
 use hyper::body::Incoming;
@@ -180,6 +180,13 @@
         self.traits.last().map_or(0, |whole| whole.key.0)
     }
 
+    /// Returns the stream that the request begins or goes on with, if it may be taken up.
+    pub(crate) fn stream(&self) -> Option<StreamKey> {
+        let request = &self.request;
+        let first = request.first_attempt.as_ref().unwrap_or(&request.attempt);
+        self.route.resumable.then(|| StreamKey::new(first))
+    }
+
     /// Formats the inputs of the decisions about the request, for log lines.
     fn describe(&self) -> String {
         let left_ms = self.left_ms(ClockTime::monotonic());
--- a/crates/edge/src/dispatch/retry.rs
+++ b/crates/edge/src/dispatch/retry.rs
@@ -397,6 +397,7 @@
         rank,
         workspace: context.workspace.as_deref().map(workspace_key),
         share: context.share,
+        stream: context.stream(),
         identity: context.identity(),
         prompt_tokens: context.prompt_tokens(),
         output_tokens: context.output_tokens(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,7 +4,7 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`absence`], [`deadlines`], [`durations`], [`memory`], [`submission`], [`suspects`], [`target_limits`],
+//! [`absence`], [`deadlines`], [`durations`], [`memory`], [`process_checks`], [`submission`], [`suspects`], [`target_limits`],
 //! [`target_load`], [`events`], [`streams`], [`shutdown`], [`rollout`]) contain no socket, clock or
 //! thread.
 
@@ -34,6 +34,7 @@
 mod node;
 mod peers;
 pub mod placement;
+pub mod process_checks;
 mod recent_maximum;
 pub mod register;
 mod register_service;
--- a/crates/edge/src/node.rs
+++ b/crates/edge/src/node.rs
@@ -3,6 +3,7 @@
 mod absence;
 mod datagrams;
 mod exchange;
+mod lost_nodes;
 mod pauses;
 mod placing;
 mod recovery;
@@ -37,6 +38,7 @@
 use crate::metrics::MetricSet;
 use crate::peers::PeerTable;
 use crate::placement::{ActiveRequest, PlacementKey, PlacementScheduler, ProcessKey, TargetKey};
+use crate::process_checks::ProcessChecks;
 use crate::register_service::RegisterService;
 use crate::rollout::RolloutTracker;
 use crate::settings::NodeSettings;
@@ -133,6 +135,7 @@
     silent_coordinators: RefCell<BTreeMap<SocketAddrV4, ClockTime>>,
     /// Notified when the placement coordinator may have changed.
     coordinator_changed: Notify,
+    process_checks: RefCell<ProcessChecks>,
     active: RefCell<BTreeMap<PlacementKey, ActiveRequest>>,
     announcements: RefCell<HashMap<TargetKey, TargetAnnouncement>>,
     usable_targets: RefCell<BTreeSet<TargetKey>>,
@@ -301,6 +304,7 @@
             self.update_memory(ClockTime::monotonic());
             self.tick_rollouts(ClockTime::monotonic());
             if self.scheduler.borrow().waiting_count() > 0 {
+                self.check_silent_nodes(ClockTime::monotonic());
                 self.scheduler.borrow_mut().advance(ClockTime::monotonic());
                 self.deliver_decisions();
             }
@@ -312,8 +316,11 @@
             tokio::time::sleep(Duration::from_millis(HOUSEKEEPING_INTERVAL_MS)).await;
             let now = ClockTime::monotonic();
             let lost = self.peers.borrow_mut().take_newly_down(now);
-            for peer in &lost {
+            for (peer, process) in &lost {
                 log::info!(target: "burdockcleat", "event=peer.lost peer={peer}");
+                // A decision would not reach the node, and a granted slot would stay unused. A node
+                // that is cut off has its requests placed elsewhere.
+                self.scheduler.borrow_mut().withdraw_process(*process);
             }
             if !lost.is_empty() {
                 self.coordinator_changed.notify_waiters();
--- a/crates/edge/src/node/server.rs
+++ b/crates/edge/src/node/server.rs
@@ -107,6 +107,7 @@
             waiters: RefCell::default(),
             silent_coordinators: RefCell::default(),
             coordinator_changed: Notify::new(),
+            process_checks: RefCell::default(),
             active: RefCell::default(),
             announcements: RefCell::default(),
             usable_targets: RefCell::default(),
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -155,7 +155,10 @@
         let Some(change) = self.peers.borrow_mut().record_status(status, acknowledged, now) else {
             return;
         };
-        if change == PeerChange::New {
+        if let PeerChange::New { replaced } = change {
+            if let Some(replaced) = replaced {
+                self.free_process(replaced, "replaced at its address");
+            }
             // Spares a node that has just started the wait for the next status.
             self.send_status_to_all(&self.next_status(), &[address]);
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -5,7 +5,7 @@
 use crate::datagram::NodeStatus;
 use crate::placement::ProcessKey;
 use crate::status_parts::HeardStatus;
-use crate::status_timing::{failure_timeout_ms, silence_ms, status_interval_ms};
+use crate::status_timing::{failure_timeout_ms, overdue_ms, silence_ms, status_interval_ms};
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddrV4;
@@ -29,13 +29,15 @@
     pub(crate) first_seen: ClockTime,
     /// Whether [`PeerTable::take_newly_down`] has returned the node since its last status.
     reported_down: bool,
+    /// Whether the process is known to have ended.
+    ended: bool,
 }
 
 /// Effect of a status on the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PeerChange {
-    /// The process was unknown.
-    New,
+    /// The process was unknown. Carries the process that had the address before; it has ended.
+    New { replaced: Option<ProcessKey> },
     /// The process had counted as down.
     Regained,
     /// Only the status was updated.
@@ -72,14 +74,23 @@
             return None;
         }
         let change = match known {
-            None => PeerChange::New,
+            None => PeerChange::New {
+                replaced: self.records.get(&address).map(|record| record.status.process),
+            },
             Some(record) if record.reported_down => PeerChange::Regained,
             Some(_) => PeerChange::Refreshed,
         };
         let first_seen = known.map_or(now, |record| record.first_seen);
         self.records.insert(
             address,
-            PeerRecord { status, acknowledged, last_seen: now, first_seen, reported_down: false },
+            PeerRecord {
+                status,
+                acknowledged,
+                last_seen: now,
+                first_seen,
+                reported_down: false,
+                ended: false,
+            },
         );
         Some(change)
     }
@@ -89,11 +100,35 @@
         failure_timeout_ms(self.records.len() + 1)
     }
 
-    /// Returns the nodes that sent a status within the failure timeout.
+    /// Returns the nodes that sent a status within the failure timeout and have not ended since.
     pub(crate) fn alive(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
-        self.records
-            .values()
-            .filter(move |record| now.since(record.last_seen) <= self.failure_timeout_ms())
+        self.records.values().filter(move |record| {
+            !record.ended && now.since(record.last_seen) <= self.failure_timeout_ms()
+        })
+    }
+
+    /// Returns the nodes whose next status is overdue, unless they are known to have ended.
+    pub(crate) fn overdue(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
+        let overdue_ms = overdue_ms(self.records.len() + 1);
+        let running = self.records.values().filter(|record| !record.ended);
+        running.filter(move |record| now.since(record.last_seen) > overdue_ms)
+    }
+
+    /// Returns the record of a process, unless it is known to have ended.
+    pub(crate) fn running(&self, process: ProcessKey) -> Option<&PeerRecord> {
+        let mut records = self.records.values();
+        records.find(|record| record.status.process == process && !record.ended)
+    }
+
+    /// Records that a process has ended. Returns false if it has sent a status since `last_seen`.
+    pub(crate) fn mark_ended(&mut self, process: ProcessKey, last_seen: ClockTime) -> bool {
+        let mut records = self.records.values_mut();
+        let record = records.find(|record| record.status.process == process);
+        let Some(record) = record.filter(|record| record.last_seen == last_seen) else {
+            return false;
+        };
+        record.ended = true;
+        true
     }
 
     /// Returns the addresses and disks of the nodes with a disk that were heard lately. Their statuses
@@ -154,13 +189,15 @@
     }
 
     /// Returns the nodes that went down since the last call.
-    pub(crate) fn take_newly_down(&mut self, now: ClockTime) -> Vec<SocketAddrV4> {
+    pub(crate) fn take_newly_down(&mut self, now: ClockTime) -> Vec<(SocketAddrV4, ProcessKey)> {
         let timeout_ms = self.failure_timeout_ms();
-        let down =
-            self.records.values_mut().filter(|record| now.since(record.last_seen) > timeout_ms);
+        let down = self
+            .records
+            .values_mut()
+            .filter(|record| record.ended || now.since(record.last_seen) > timeout_ms);
         let newly_down = down.filter(|record| !record.reported_down).map(|record| {
             record.reported_down = true;
-            record.status.address
+            (record.status.address, record.status.process)
         });
         newly_down.collect()
     }
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -17,6 +17,7 @@
 mod loss;
 mod pace;
 mod pacer;
+mod process_requests;
 mod queue;
 mod returns;
 mod service;
@@ -32,6 +33,7 @@
 
 pub use features::PlacementFeatures;
 pub use lengths::{LengthCurve, OutputLengths, OutputReport};
+pub use process_requests::FreedRequests;
 pub use returns::ReturnCounts;
 pub use shares::ShareExcess;
 pub use size_rule::SizeRule;
@@ -40,6 +42,7 @@
 pub use target::{AttemptOutcome, TargetInfo};
 pub use version_trial::TrialLimit;
 
+use crate::streams::StreamKey;
 use crate::target_limits::RequestRate;
 use burdockcleat_core::clock::ClockTime;
 use pacer::RateLimits;
@@ -103,6 +106,9 @@
     pub workspace: Option<u32>,
     /// Weight of the workspace when targets are scarce; above 0.
     pub share: f32,
+    /// Stream that the request begins or goes on with, over all attempts of its caller; `None` if no
+    /// other attempt can go on with it.
+    pub stream: Option<StreamKey>,
     /// Hash of path, credential and body. Equal for a request that was refused and comes again.
     pub identity: u64,
     /// Length of the prompt, in tokens; 0 for services without prompts.
--- a/crates/edge/src/placement/queue.rs
+++ b/crates/edge/src/placement/queue.rs
@@ -11,7 +11,8 @@
 use super::sizes::{RequestSize, SizeBand};
 use super::target_memory::TokenNeed;
 use super::version_slots::{VersionLoads, VersionSlots};
-use super::{PlacementKey, PlacementRequest};
+use super::{PlacementKey, PlacementRequest, ProcessKey};
+use crate::streams::StreamKey;
 use burdockcleat_core::clock::ClockTime;
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
@@ -251,6 +252,28 @@
         });
     }
 
+    /// Removes the requests of a process. Returns their number.
+    pub(super) fn remove_process(&mut self, process: ProcessKey) -> usize {
+        let of_process = |waiting: &&WaitingRequest| waiting.request.process == process;
+        let requests = self.requests.iter().filter(of_process);
+        let keys: Vec<_> = requests.map(|waiting| waiting.request.key).collect();
+        for key in &keys {
+            self.remove(*key);
+        }
+        keys.len()
+    }
+
+    /// Returns the streams that were begun before and wait, with the process and the time since
+    /// which they do.
+    pub(super) fn returned_streams(
+        &self,
+    ) -> impl Iterator<Item = (StreamKey, (ProcessKey, ClockTime))> {
+        let returned = self.requests.iter().filter(|waiting| waiting.request.version.is_some());
+        returned.filter_map(|waiting| {
+            Some((waiting.request.stream?, (waiting.request.process, waiting.arrived)))
+        })
+    }
+
     /// Records which requests a known target may run.
     pub(super) fn mark_targetless<F>(&mut self, has_target: F, now: ClockTime)
     where
--- a/crates/edge/src/placement/service.rs
+++ b/crates/edge/src/placement/service.rs
@@ -19,6 +19,7 @@
     ActiveRequest, PlacementKey, PlacementOutput, PlacementRequest, ProcessKey, RefusalReason,
     TargetKey, VersionKey,
 };
+use crate::streams::StreamKey;
 use burdockcleat_core::clock::ClockTime;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -43,7 +44,9 @@
 /// Maximum number of waiting requests with a free target that are examined per placement; bounds
 /// its time.
 const MAX_EXAMINED: usize = 16;
-/// Time after which the requests of a node that sends no reports are removed, in ms.
+/// Time after which the requests of a node that sends no reports are removed, in ms. It applies to nodes
+/// that are frozen, cut off or on a lost host; those of a process that is known to have ended are
+/// removed at once.
 const NODE_TIMEOUT_MS: u64 = 3_000;
 
 /// Targets, running requests and waiting requests of one service.
@@ -65,7 +68,7 @@
     /// other targets are not.
     memory_known: Option<u64>,
     /// Requests that finished recently, with the time of their end.
-    recently_ended: HashMap<PlacementKey, ClockTime>,
+    pub(super) recently_ended: HashMap<PlacementKey, ClockTime>,
 }
 
 impl ServiceScheduler {
@@ -169,6 +172,19 @@
         self.queue.remove(key);
     }
 
+    /// Removes the waiting requests of a process. Returns their number.
+    pub(super) fn withdraw_process(&mut self, process: ProcessKey) -> usize {
+        self.queue.remove_process(process)
+    }
+
+    /// Returns the streams that were begun before and wait, with the process and the time since
+    /// which they do.
+    pub(super) fn returned_streams(
+        &self,
+    ) -> impl Iterator<Item = (StreamKey, (ProcessKey, ClockTime))> {
+        self.queue.returned_streams()
+    }
+
     pub(super) fn is_waiting(&self, key: PlacementKey) -> bool {
         self.queue.contains(key)
     }
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -8,6 +8,7 @@
 use super::speed::{SpeedEstimate, SpeedModel};
 use super::target_memory::TokenNeed;
 use super::{ActiveRequest, PlacementKey, ProcessKey, TargetKey, VersionKey};
+use crate::streams::StreamKey;
 use burdockcleat_core::clock::ClockTime;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -81,6 +82,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RunningRequest {
     pub(super) process: ProcessKey,
+    /// Stream that it begins or goes on with; `None` if that is not known.
+    pub(super) stream: Option<StreamKey>,
     pub(super) prompt_tokens: u32,
     /// Prefill work of this prompt and of all prompts ahead of it at the time of the grant.
     pub(super) queued_prefill_work: f64,
@@ -113,6 +116,7 @@
     pub(super) fn reported(process: ProcessKey, active: &ActiveRequest, now: ClockTime) -> Self {
         Self {
             process,
+            stream: None,
             prompt_tokens: active.prompt_tokens,
             granted: now,
             queued_prefill_work: f64::from(active.prompt_tokens),
@@ -271,6 +275,7 @@
         let request = &waiting.request;
         let running = RunningRequest {
             process: request.process,
+            stream: request.stream,
             prompt_tokens: request.prompt_tokens,
             queued_prefill_work: self.pending_prefill_work(now) + waiting.prefill_work,
             granted: now,
@@ -352,6 +357,24 @@
         }
     }
 
+    pub(super) fn holds_request_of(&self, process: ProcessKey) -> bool {
+        self.running.values().any(|running| running.process == process)
+    }
+
+    /// Removes the requests of a process that has ended. Returns their keys.
+    pub(super) fn remove_requests_of(
+        &mut self,
+        process: ProcessKey,
+        now: ClockTime,
+    ) -> Vec<PlacementKey> {
+        let held = self.running.iter().filter(|(_, running)| running.process == process);
+        let keys: Vec<_> = held.map(|(key, _)| *key).collect();
+        for key in &keys {
+            self.finished(*key, AttemptOutcome::Dropped, now);
+        }
+        keys
+    }
+
     /// Returns the failure rate of recent requests, decayed to `now`.
     fn failure_rate(&self, now: ClockTime) -> f64 {
         let age_ms = now.since(self.failure_rate_at) as f64;
--- a/crates/edge/src/placement/target_memory.rs
+++ b/crates/edge/src/placement/target_memory.rs
@@ -163,6 +163,11 @@
         self.reports.retain(|_, at| now.since(*at) < SILENT_PROCESS_MS);
     }
 
+    /// Stops waiting for the reports of a process that has ended.
+    pub(super) fn forget(&mut self, process: ProcessKey) {
+        self.reports.remove(&process);
+    }
+
     /// Returns whether each node has reported since this scheduler began to place for all.
     pub(super) fn is_complete(&self, now: ClockTime) -> bool {
         self.coordinating_since.is_some_and(|since| {
--- a/crates/edge/src/rpc.rs
+++ b/crates/edge/src/rpc.rs
@@ -7,6 +7,7 @@
 use crate::register::{AcceptedValue, BallotNumber, PhaseReply, RegisterChange, RegisterValue};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::io::ErrorKind;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 use thiserror::Error;
@@ -84,6 +85,27 @@
     TooLong(u32),
 }
 
+/// What a connection attempt tells of the process at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProcessState {
+    /// The host refuses connections, so no process listens there.
+    Ended,
+    /// The connection was accepted, at least by the kernel of the host.
+    Running,
+    /// There was no answer in time, or none that tells.
+    Unknown,
+}
+
+/// Finds out whether a process listens at the address of a node, also if it is frozen.
+pub(crate) async fn probe(address: SocketAddrV4) -> ProcessState {
+    let connect = TcpStream::connect(address);
+    match tokio::time::timeout(Duration::from_millis(CONNECT_TIMEOUT_MS), connect).await {
+        Ok(Ok(_)) => ProcessState::Running,
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProcessState::Ended,
+        Ok(Err(_)) | Err(_) => ProcessState::Unknown,
+    }
+}
+
 /// Calls a node and waits for its reply.
 pub(crate) async fn call(address: SocketAddrV4, call: &PeerCall) -> Result<PeerReply, CallError> {
     let exchange = async {
--- a/crates/edge/src/status_timing.rs
+++ b/crates/edge/src/status_timing.rs
@@ -16,6 +16,17 @@
     STATUS_INTERVAL_MS * nodes.div_ceil(BASE_INTERVAL_MAX_NODES).max(1) as u64
 }
 
+/// Time without a status after which one is overdue, as a multiple of half a status interval.
+const OVERDUE_HALF_INTERVALS: u64 = 3;
+/// Additional time for a status that is delayed by a busy node, in ms.
+const OVERDUE_MARGIN_MS: u64 = 100;
+
+/// Returns the time without a status after which the next status of a node is overdue, in ms. An
+/// overdue status causes a check of the node, which is cheap, but never counts as a failure.
+pub fn overdue_ms(nodes: usize) -> u64 {
+    status_interval_ms(nodes) * OVERDUE_HALF_INTERVALS / 2 + OVERDUE_MARGIN_MS
+}
+
 /// Half status intervals after which a node counts as silent for limits that all nodes share, beside
 /// [`SILENCE_MARGIN_MS`].
 const SILENCE_HALF_INTERVALS: u64 = 3;
--- a/crates/edge/tests/domain_affinity.rs
+++ b/crates/edge/tests/domain_affinity.rs
@@ -49,6 +49,7 @@
         rank: rank as u32,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: key,
         prompt_tokens,
         output_tokens,
--- a/crates/edge/tests/feasibility.rs
+++ b/crates/edge/tests/feasibility.rs
@@ -32,6 +32,7 @@
         output_tokens,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         max_output_tokens: output_tokens * 4,
         repeatable: true,
--- a/crates/edge/tests/placement_loss.rs
+++ b/crates/edge/tests/placement_loss.rs
@@ -47,6 +47,7 @@
         output_tokens,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         max_output_tokens: 10_000,
         objective_left_ms: 600,
--- a/crates/edge/tests/placement_pressure.rs
+++ b/crates/edge/tests/placement_pressure.rs
@@ -58,6 +58,7 @@
         rank,
         workspace: Some(workspace),
         share: 1.0,
+        stream: None,
         identity: key,
         prompt_tokens: 1_000,
         output_tokens: 20,
--- a/crates/edge/tests/placement_versions.rs
+++ b/crates/edge/tests/placement_versions.rs
@@ -54,6 +54,7 @@
         output_tokens: 20,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         max_output_tokens: 10_000,
         objective_left_ms: 500,
@@ -213,6 +214,7 @@
     let patient = |key, version| PlacementRequest {
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         max_output_tokens: 10_000,
         objective_left_ms: 20_000,
--- a/crates/edge/tests/target_limits.rs
+++ b/crates/edge/tests/target_limits.rs
@@ -93,6 +93,7 @@
         output_tokens: 10,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         max_output_tokens: 10_000,
         objective_left_ms: 500,
--- a/crates/edge/tests/target_memory.rs
+++ b/crates/edge/tests/target_memory.rs
@@ -48,6 +48,7 @@
         rank: 0,
         workspace: None,
         share: 1.0,
+        stream: None,
         identity: 0,
         prompt_tokens,
         output_tokens,
