Free slots of silent nodes that targets no longer count

What callers saw: after the loss of hosts, which refuse no connections, requests were refused or waited for up to 3 s for slots that the targets had free.

A lost host and a cut one both leave a check without an answer, so the requests of a lost host kept their slots until the timeout, although targets that state their load in answers told that they held fewer.

Change: while a node is silent, the others pass on the number of requests that targets state, also of targets that state no percentage. If a target counts fewer requests than are known to have reached it, requests of silent nodes are removed up to the difference. Statements from before the last status of the node, and of the last 100 ms, do not count, nor do requests that were granted within 150 ms before. A target that still counts the requests of a cut node keeps them.

Result: three new tests of ended_processes.rs pass.

--- a/crates/edge/src/node/lost_nodes.rs
+++ b/crates/edge/src/node/lost_nodes.rs
@@ -2,7 +2,9 @@
 //!
 //! A node that was killed, one that is frozen and one that is cut off fall silent alike, but requests of
 //! the last two still run at their targets. A connection tells them apart: the host of an ended process
-//! refuses it, the kernel of a frozen one accepts it, and one to a node that is cut off times out.
+//! refuses it, the kernel of a frozen one accepts it, and one to a node that is cut off, or to a lost
+//! host, times out. What became of the requests of the last ones is seen at the targets that state how
+//! many they hold.
 
 use super::NodeState;
 use crate::placement::ProcessKey;
@@ -20,6 +22,10 @@
     /// Checks the silent nodes that hold slots while requests wait.
     pub(super) fn check_silent_nodes(self: &Rc<Self>, now: ClockTime) {
         let silent = self.silent_holders(now);
+        let ended = self.scheduler.borrow_mut().remove_ended(&silent, now);
+        if ended > 0 {
+            log::info!(target: "burdockcleat", "event=placement.ended_unheard requests={ended}");
+        }
         let due = self.process_checks.borrow_mut().take_due(&silent, MAX_CHECKS, now);
         for process in due {
             let peers = self.peers.borrow();
--- a/crates/edge/src/node/target_load.rs
+++ b/crates/edge/src/node/target_load.rs
@@ -11,7 +11,8 @@
 const SLOWED_PERCENT: u16 = 120;
 
 impl NodeState {
-    /// Returns the load that a target states in a response, if it states how long work takes on it.
+    /// Returns the load that a target states in a response, if it is used: it states how long work
+    /// takes on it, or some node is silent whose requests may have ended there.
     pub(crate) fn read_load(
         &self,
         announcement: &TargetAnnouncement,
@@ -23,8 +24,11 @@
             self.metrics.borrow_mut().count("target_loads", "unreadable", 1);
             return None;
         };
-        // Without the percentage the load is not used, so it is not passed on.
-        let percent = load.work_percent?;
+        let Some(percent) = load.work_percent else {
+            let now = ClockTime::monotonic();
+            let any_silent = self.peers.borrow().overdue(now).next().is_some();
+            return any_silent.then_some(load);
+        };
         let label = if percent > SLOWED_PERCENT { "slowed" } else { "as usual" };
         self.metrics.borrow_mut().count("target_loads", label, 1);
         Some(load)
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -25,6 +25,7 @@
 mod size_rule;
 mod sizes;
 mod speed;
+mod stated_requests;
 mod summary;
 mod target;
 mod target_memory;
--- a/crates/edge/src/placement/load_view.rs
+++ b/crates/edge/src/placement/load_view.rs
@@ -306,20 +306,22 @@
 }
 
 impl PlacementScheduler {
-    /// Records the load that a target states. Reports without a percentage are ignored. Returns the
-    /// service if this is the first report of its targets, which turns on the features that need
-    /// them.
+    /// Records the load that a target states. Of reports without a percentage, only the number of
+    /// requests is used. Returns the service if this is the first report of its targets with one, which
+    /// turns on the features that need it.
     pub fn observe_load(
         &mut self,
         target: TargetKey,
         report: LoadReport,
         now: ClockTime,
     ) -> Option<&str> {
-        report.load.work_percent?;
         let mut schedulers = self.services.iter_mut();
         let (service, scheduler) =
             schedulers.find(|(_, scheduler)| scheduler.has_target(target))?;
-        scheduler.targets.get_mut(&target)?.record_load(report, now);
+        let state = scheduler.targets.get_mut(&target)?;
+        state.record_stated(report, now);
+        report.load.work_percent?;
+        state.record_load(report, now);
         if std::mem::replace(&mut scheduler.load_reports, true) {
             return None;
         }
--- a/crates/edge/src/placement/target.rs
+++ b/crates/edge/src/placement/target.rs
@@ -6,6 +6,7 @@
 use super::pacer::RatePacer;
 use super::queue::WaitingRequest;
 use super::speed::{SpeedEstimate, SpeedModel};
+use super::stated_requests::StatedRequests;
 use super::target_memory::TokenNeed;
 use super::{ActiveRequest, PlacementKey, ProcessKey, TargetKey, VersionKey};
 use crate::streams::StreamKey;
@@ -148,6 +149,8 @@
     backoff_until: ClockTime,
     /// Time at which the target became usable; `None` if it is not known.
     pub(super) added: Option<ClockTime>,
+    /// Requests that the target stated last.
+    pub(super) stated: Option<StatedRequests>,
     /// Load that the target states; empty if the service does not use it.
     pub(super) load: LoadView,
     /// Window of concurrent requests, used if `paced`.
@@ -172,6 +175,7 @@
             consecutive_failures: 0,
             backoff_until: ClockTime::from_ms(0),
             added: None,
+            stated: None,
             load: LoadView::default(),
             pace,
             paced: false,
--- a/crates/edge/tests/ended_processes.rs
+++ b/crates/edge/tests/ended_processes.rs
@@ -10,6 +10,7 @@
 };
 use burdockcleat_edge::process_checks::ProcessChecks;
 use burdockcleat_edge::streams::StreamKey;
+use burdockcleat_edge::target_load::{LoadReport, TargetLoad};
 use std::collections::BTreeSet;
 use support::{PROCESS, SLOTS, at, granted, listed, request, scheduler};
 
@@ -125,3 +126,69 @@
         |checks: &mut ProcessChecks, now: ClockTime| checks.take_due(&silent, 8, now).len();
     assert_eq!([0, 25, 50, 75].map(|ms| at_once(&mut checks, at(ms))), [8, 8, 4, 0]);
 }
+
+/// States at `ms` that the target holds a number of requests.
+fn state_held(scheduler: &mut PlacementScheduler, running: u32, ms: u64) {
+    let load = TargetLoad { running, waiting: 0, slots: SLOTS, work_percent: None };
+    let report = LoadReport::new(load, 0).expect("a new report");
+    scheduler.observe_load(TargetKey(0), report, at(ms));
+}
+
+/// Returns a scheduler whose only target runs five requests of [`LOST`] and two of [`PROCESS`], which
+/// reports at 1,000 ms, while others wait.
+fn shared_scheduler() -> PlacementScheduler {
+    let mut scheduler = scheduler(1, PlacementFeatures::default());
+    scheduler.reconcile(LOST, &listed(0..5), at(0));
+    scheduler.reconcile(PROCESS, &listed(100..102), at(0));
+    scheduler.reconcile(PROCESS, &listed(100..102), at(1_000));
+    for key in WAITING..WAITING + 7 {
+        scheduler.submit(request(key, 500, 30), at(1_000));
+    }
+    assert_eq!(granted(&mut scheduler), []);
+    scheduler
+}
+
+/// Guards against slots that a silent node keeps, although the target states that its requests have
+/// ended.
+#[test]
+fn requests_of_a_silent_process_that_a_target_no_longer_holds_are_removed() {
+    let mut scheduler = shared_scheduler();
+    state_held(&mut scheduler, 4, 1_050);
+    let silent: BTreeSet<_> = [LOST].into();
+    assert_eq!(scheduler.remove_ended(&silent, at(1_100)), 0, "the end may still be reported");
+    assert_eq!(scheduler.remove_ended(&silent, at(1_200)), 3);
+    assert_eq!(granted(&mut scheduler).len(), 3);
+    assert_eq!(scheduler.remove_ended(&silent, at(1_225)), 0, "requests were removed twice");
+}
+
+/// Guards against overfilling a target whose requests come from a node that is only cut off, and against
+/// counting requests of others that have just been sent or have been reported since.
+#[test]
+fn requests_that_a_target_may_still_hold_keep_their_slots() {
+    let silent: BTreeSet<_> = [LOST].into();
+    let mut all_held = shared_scheduler();
+    state_held(&mut all_held, 7, 1_050);
+    assert_eq!(all_held.remove_ended(&silent, at(1_200)), 0);
+
+    let mut heard_again = shared_scheduler();
+    state_held(&mut heard_again, 2, 1_050);
+    heard_again.reconcile(LOST, &listed(0..5), at(1_060));
+    assert_eq!(heard_again.remove_ended(&silent, at(1_200)), 0);
+
+    let mut just_sent = scheduler(1, PlacementFeatures::default());
+    just_sent.reconcile(LOST, &listed(0..5), at(0));
+    for key in WAITING..WAITING + 2 {
+        just_sent.submit(request(key, 500, 30), at(1_000));
+    }
+    assert_eq!(granted(&mut just_sent).len(), 2);
+    state_held(&mut just_sent, 5, 1_010);
+    assert_eq!(just_sent.remove_ended(&silent, at(1_200)), 0);
+}
+
+/// Guards against removing requests of a process that is heard.
+#[test]
+fn requests_of_a_process_that_is_heard_stay() {
+    let mut scheduler = shared_scheduler();
+    state_held(&mut scheduler, 0, 1_050);
+    assert_eq!(scheduler.remove_ended(&BTreeSet::new(), at(1_200)), 0);
+}
