Discard the rest of a refused body before closing the connection

What callers saw: a client that sends the whole body before it reads, and gives up if a write fails, got no answer to a request whose body was over the limit: 413 at the callers' address, 400 at that of targets and operators. The test nodes::entries_of_other_writers_change_nothing fails so at rest on x86-64, and failed at times on arm64.

Cause: the node answered and closed the connection while body bytes were unread, so the kernel reset it under the client's write. The connection that ends its sending side and discards the rest existed for callers of nodes with a memory budget only.

Change: it serves all callers and the address of targets and operators, also after a body that did not arrive in time (408). The rest is discarded for 4 s as before, and now for 16 MiB at most, so that an endless body does not hold a connection.

--- a/crates/edge/src/caller_stream.rs
+++ b/crates/edge/src/client_stream.rs
@@ -1,4 +1,5 @@
-//! Connection of a caller that may be closed before the body of a request was read.
+//! Connection of a client (a caller, a target or an operator) that may be closed before the body of a
+//! request was read.
 
 use std::cell::Cell;
 use std::io;
@@ -13,12 +14,16 @@
 /// Longest time for which the rest of a refused body is read and discarded, in ms. The largest body
 /// takes 3.4 s on the slowest link and 0.4 s on the others; callers stop sending at the answer.
 const DISCARD_MS: u64 = 4_000;
-/// Maximum number of connections whose rest is discarded at a time. Others are closed at once.
+/// Maximum number of bytes of a refused body that are discarded: twice the default limit of a body.
+/// A client that sends without end does not hold its connection for longer.
+const MAX_DISCARDED_BYTES: usize = 16 << 20;
+/// Maximum number of connections of a listener whose rest is discarded at a time. Others are closed
+/// at once.
 const MAX_DISCARDING: usize = 64;
 /// Size of the buffer for discarded bytes.
 const DISCARD_BUFFER_BYTES: usize = 8 << 10;
 
-/// Tells the connection of a caller that the body of a request was left unread.
+/// Tells the connection of a client that the body of a request was left unread.
 #[derive(Clone, Default)]
 pub(crate) struct UnreadMark(Rc<Cell<bool>>);
 
@@ -31,10 +36,10 @@
 /// Number of connections whose rest is being discarded.
 pub(crate) type DiscardCount = Rc<Cell<usize>>;
 
-/// Connection of a caller. After a response to a request whose body was left unread, it discards what
-/// the caller still sends before it closes. Otherwise the kernel would reset the connection, and the
-/// caller could lose the response.
-pub(crate) struct CallerStream {
+/// Connection of a client. After a response to a request whose body was left unread, it ends its sending
+/// side and discards what the client still sends before it closes. Otherwise the kernel would reset the
+/// connection: the client's write fails, and it may lose the response.
+pub(crate) struct ClientStream {
     inner: TcpStream,
     unread: UnreadMark,
     discarding: DiscardCount,
@@ -45,6 +50,7 @@
 struct DiscardGuard {
     count: DiscardCount,
     end: Pin<Box<Sleep>>,
+    left_bytes: usize,
 }
 
 impl DiscardGuard {
@@ -55,7 +61,7 @@
         }
         count.set(count.get() + 1);
         let end = Box::pin(tokio::time::sleep(Duration::from_millis(DISCARD_MS)));
-        Some(Self { count: count.clone(), end })
+        Some(Self { count: count.clone(), end, left_bytes: MAX_DISCARDED_BYTES })
     }
 }
 
@@ -65,7 +71,7 @@
     }
 }
 
-impl CallerStream {
+impl ClientStream {
     pub(crate) const fn new(
         inner: TcpStream,
         unread: UnreadMark,
@@ -74,7 +80,7 @@
         Self { inner, unread, discarding, limit: None }
     }
 
-    /// Discards bytes until the caller closes the connection or the time is over.
+    /// Discards bytes until the client closes the connection, the time is over or too many came.
     fn poll_discard(&mut self, context: &mut Context<'_>) -> Poll<()> {
         if self.limit.is_none() {
             self.limit = DiscardGuard::start(&self.discarding);
@@ -87,14 +93,16 @@
             }
             let mut buffer = ReadBuf::new(&mut bytes);
             let read = ready!(Pin::new(&mut self.inner).poll_read(context, &mut buffer));
-            if read.is_err() || buffer.filled().is_empty() {
+            let length = buffer.filled().len();
+            if read.is_err() || length == 0 || length > limit.left_bytes {
                 return Poll::Ready(());
             }
+            limit.left_bytes -= length;
         }
     }
 }
 
-impl AsyncRead for CallerStream {
+impl AsyncRead for ClientStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -104,7 +112,7 @@
     }
 }
 
-impl AsyncWrite for CallerStream {
+impl AsyncWrite for ClientStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/crates/edge/src/control.rs
+++ b/crates/edge/src/control.rs
@@ -2,6 +2,8 @@
 
 mod rollouts;
 
+use crate::client_stream::{ClientStream, DiscardCount, UnreadMark};
+use crate::dispatch::close_unread;
 use crate::document::{self, MAX_DOCUMENT_BYTES};
 use crate::metrics::MetricSet;
 use crate::node::NodeState;
@@ -45,7 +47,7 @@
 
 /// Serves readiness checks.
 pub(crate) async fn accept_readiness(node: Rc<NodeState>, listener: TcpListener) {
-    serve(listener, move |request| {
+    serve(listener, move |request, _| {
         let node = node.clone();
         async move { answer_readiness(&node, &request) }
     })
@@ -54,7 +56,7 @@
 
 /// Serves metrics and the state dump.
 pub(crate) async fn accept_metrics(node: Rc<NodeState>, listener: TcpListener) {
-    serve(listener, move |request| {
+    serve(listener, move |request, _| {
         let node = node.clone();
         async move { answer_metrics(&node.metrics, &node, request.uri().path()) }
     })
@@ -63,18 +65,19 @@
 
 /// Serves the control API for targets and operators.
 pub(crate) async fn accept_control(node: Rc<NodeState>, listener: TcpListener) {
-    serve(listener, move |request| {
+    serve(listener, move |request, unread| {
         let node = node.clone();
-        async move { answer_control(node, request).await }
+        async move { answer_control(node, request, &unread).await }
     })
     .await;
 }
 
 async fn serve<H, F>(listener: TcpListener, handle: H)
 where
-    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    H: Fn(Request<Incoming>, UnreadMark) -> F + Clone + 'static,
     F: Future<Output = Response<ReplyBody>> + 'static,
 {
+    let discarding = DiscardCount::default();
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -89,9 +92,11 @@
             continue;
         }
         let handle = handle.clone();
+        let unread = UnreadMark::default();
+        let stream = ClientStream::new(stream, unread.clone(), discarding.clone());
         tokio::task::spawn_local(async move {
             let service = service_fn(move |request| {
-                let reply = handle(request);
+                let reply = handle(request, unread.clone());
                 async move { Ok::<_, Infallible>(reply.await) }
             });
             let connection = Builder::new()
@@ -140,14 +145,22 @@
     text_reply(StatusCode::OK, metrics.borrow().render())
 }
 
-async fn answer_control(node: Rc<NodeState>, request: Request<Incoming>) -> Response<ReplyBody> {
+async fn answer_control(
+    node: Rc<NodeState>,
+    request: Request<Incoming>,
+    unread: &UnreadMark,
+) -> Response<ReplyBody> {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
     let paths = &node.http_api.paths;
     let limit = if path == paths.config { MAX_DOCUMENT_BYTES } else { MAX_ANNOUNCEMENT_BYTES };
     let body = match Limited::new(body, limit).collect().await {
         Ok(body) => body.to_bytes(),
-        Err(error) => return text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        Err(error) => {
+            let mut response = text_reply(StatusCode::BAD_REQUEST, error.to_string());
+            close_unread(unread, &mut response);
+            return response;
+        }
     };
     if path == paths.config {
         return match parts.method {
--- a/crates/edge/src/dispatch.rs
+++ b/crates/edge/src/dispatch.rs
@@ -9,7 +9,9 @@
 mod stream;
 mod unread;
 
-use crate::caller_stream::UnreadMark;
+pub(crate) use unread::close_unread;
+
+use crate::client_stream::UnreadMark;
 use crate::config::{RequestKind, RouteRule};
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, refusal_reply, text_reply};
--- a/crates/edge/src/dispatch/unread.rs
+++ b/crates/edge/src/dispatch/unread.rs
@@ -1,7 +1,7 @@
 //! Answers to requests that were not read completely.
 
 use super::{Refusal, refuse};
-use crate::caller_stream::UnreadMark;
+use crate::client_stream::UnreadMark;
 use crate::node::NodeState;
 use crate::reply::{ReplyBody, text_reply};
 use crate::request::RequestError;
@@ -13,8 +13,8 @@
 /// 0.4 s at 100 Mbit/s.
 const NO_MEMORY_RETRY_MS: u64 = 400;
 
-/// Answers a request that was not read completely. With a memory budget, the rest of its body is
-/// discarded and the connection is closed.
+/// Answers a request that was not read completely. The rest of its body is discarded and the connection
+/// is closed.
 pub(super) fn reject_unread(
     node: &NodeState,
     error: &RequestError,
@@ -29,15 +29,22 @@
         }
         _ => reject_unreadable(node, error),
     };
-    if node.memory_budget.is_some()
-        && matches!(error, RequestError::NoMemory(_) | RequestError::TooLong(_))
-    {
-        unread.set();
-        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    let body_left = matches!(
+        error,
+        RequestError::NoMemory(_) | RequestError::TooLong(_) | RequestError::BodyTimeout
+    );
+    if body_left {
+        close_unread(unread, &mut response);
     }
     response
 }
 
+/// Makes the connection discard the rest of a body and close after the response.
+pub(crate) fn close_unread(unread: &UnreadMark, response: &mut Response<ReplyBody>) {
+    unread.set();
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+}
+
 fn reject_unreadable(node: &NodeState, error: &RequestError) -> Response<ReplyBody> {
     let status = match error {
         RequestError::MissingHost | RequestError::MissingAttemptId | RequestError::BodyRead(_) => {
--- a/crates/edge/src/frontend.rs
+++ b/crates/edge/src/frontend.rs
@@ -1,6 +1,6 @@
 //! Accepts and serves the connections of callers.
 
-use crate::caller_stream::{CallerStream, DiscardCount, UnreadMark};
+use crate::client_stream::{ClientStream, DiscardCount, UnreadMark};
 use crate::dispatch;
 use crate::idle::IdleTimer;
 use crate::memory_budget::bound_buffers;
@@ -49,7 +49,7 @@
     let limits = node.limits();
     let timer = IdleTimer::new(node.idle_limits.subscribe());
     let unread = UnreadMark::default();
-    let stream = CallerStream::new(stream, unread.clone(), discarding);
+    let stream = ClientStream::new(stream, unread.clone(), discarding);
     let service = service_fn(|request| {
         let (node, unread) = (node.clone(), unread.clone());
         async move { Ok::<_, Infallible>(dispatch::serve(node, request, &unread).await) }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod allowance;
 pub mod budget;
 mod budgeted_body;
-mod caller_stream;
+mod client_stream;
 pub mod config;
 pub mod config_review;
 mod control;
