Keep the name of the event of a new process

Cause: the log line peer.heard printed the replaced process as part of the change, so that change=New was no longer found by operators. Change: the earlier process of an address is looked up where it is needed.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,9 +4,9 @@
 //! Nodes place requests from state that they exchange in datagrams, so requests are served even
 //! while the replicated configuration register has no quorum. The pure modules ([`config`],
 //! [`register`], [`targets`], [`placement`], [`allowance`], [`budget`], [`status_timing`],
-//! [`absence`], [`deadlines`], [`durations`], [`memory`], [`process_checks`], [`submission`], [`suspects`], [`target_limits`],
-//! [`target_load`], [`events`], [`streams`], [`shutdown`], [`rollout`]) contain no socket, clock or
-//! thread.
+//! [`absence`], [`deadlines`], [`durations`], [`memory`], [`process_checks`], [`submission`],
+//! [`suspects`], [`target_limits`], [`target_load`], [`events`], [`streams`], [`shutdown`],
+//! [`rollout`]) contain no socket, clock or thread.
 
 pub mod absence;
 pub mod allowance;
--- a/crates/edge/src/node/lost_nodes.rs
+++ b/crates/edge/src/node/lost_nodes.rs
@@ -14,8 +14,8 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 
-/// Maximum number of processes that are checked at once. Bounds the connections if a whole failure
-/// domain falls silent in a large deployment.
+/// Maximum number of checks that start in one tick of the scheduler. Spreads the connections if a whole
+/// failure domain falls silent in a large deployment.
 const MAX_CHECKS: usize = 8;
 
 impl NodeState {
--- a/crates/edge/src/node/status.rs
+++ b/crates/edge/src/node/status.rs
@@ -152,13 +152,16 @@
         self.rollouts.borrow_mut().learn(&std::mem::take(&mut status.rollouts), now);
         self.learn_usage(&status, now);
         self.learn_facts(&status.facts, address);
+        // An address is bound by one process at a time, so an earlier one has ended.
+        let earlier = self.peers.borrow().get(address).map(|record| record.status.process);
+        let replaced = earlier.filter(|earlier| *earlier != process);
         let Some(change) = self.peers.borrow_mut().record_status(status, acknowledged, now) else {
             return;
         };
-        if let PeerChange::New { replaced } = change {
-            if let Some(replaced) = replaced {
-                self.free_process(replaced, "replaced at its address");
-            }
+        if let Some(replaced) = replaced {
+            self.free_process(replaced, "replaced at its address");
+        }
+        if change == PeerChange::New {
             // Spares a node that has just started the wait for the next status.
             self.send_status_to_all(&self.next_status(), &[address]);
         }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -36,8 +36,8 @@
 /// Effect of a status on the table.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum PeerChange {
-    /// The process was unknown. Carries the process that had the address before; it has ended.
-    New { replaced: Option<ProcessKey> },
+    /// The process was unknown.
+    New,
     /// The process had counted as down.
     Regained,
     /// Only the status was updated.
@@ -74,9 +74,7 @@
             return None;
         }
         let change = match known {
-            None => PeerChange::New {
-                replaced: self.records.get(&address).map(|record| record.status.process),
-            },
+            None => PeerChange::New,
             Some(record) if record.reported_down => PeerChange::Regained,
             Some(_) => PeerChange::Refreshed,
         };
