Add review case 14: a prompt part beyond the 16th that crashes engines is never blocked

Cause: only the first 16 parts of a prompt are told apart. Change: a variant of the script of case 11, with a control that holds; no code is changed.

--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -19,7 +19,9 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create(file);
     let run = || match case.as_str() {
-        "poison" => poison::run(&record, trouble),
+        "poison" => poison::run(poison::Variant::AfterFirstEvent, &record, trouble),
+        "poison-few-parts" => poison::run(poison::Variant::FewParts, &record, trouble),
+        "poison-many-parts" => poison::run(poison::Variant::ManyParts, &record, trouble),
         _ => panic!("no such case: {case}"),
     };
     // A panic means that the case could not run. Nodes are ended while it unwinds.
--- a/review/harness-3/poison.rs
+++ b/review/harness-3/poison.rs
@@ -1,5 +1,5 @@
-//! Prompts with a part that crashes each engine that begins to write an answer on it, as soon as the first
-//! event is written. Sound requests share the caller and the first part of the prompt with them.
+//! Prompts with a part that crashes each engine that begins to write an answer on it. Sound requests share
+//! the caller and the other parts of the prompt with them.
 
 use crate::deployment::Deployment;
 use crate::engine::{Behaviour, Engine, Identity, event, stream_head};
@@ -27,7 +27,6 @@
 const PAUSE: Duration = Duration::from_millis(30);
 const EVENTS: u64 = 6;
 const DEADLY_PART: &str = "dead01";
-const SHARED_PART: &str = "5c1e07a2";
 /// `contact_timeout_ms` of the sheets.
 const CONTACT: Duration = Duration::from_secs(3);
 /// Requests with the part that may reach engines later than that after the fifth crash.
@@ -43,6 +42,26 @@
 "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
 "tenants":[{"name":"t","api_keys":["k"]}]}"#;
 
+/// Variant of the disruption.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Variant {
+    /// The engine ends when the first event of its answer is on its way. The part is the second of three.
+    AfterFirstEvent,
+    /// The engine ends when the head of its answer is on its way. The part is the 18th of 19.
+    ManyParts,
+    /// The same with the second part of three. The nodes block it, so the rule holds: this shows that the
+    /// other two fail by their variant alone.
+    FewParts,
+}
+
+impl Variant {
+    /// Returns the parts that all prompts share.
+    fn shared_parts(self) -> String {
+        let count = if self == Self::ManyParts { 17 } else { 1 };
+        (0..count).map(|part| format!("5c1e07{part:02x}:40,")).collect()
+    }
+}
+
 /// What engines and requesters have seen.
 #[derive(Default)]
 struct Seen {
@@ -53,7 +72,7 @@
     sound: Mutex<Vec<(Instant, bool, bool)>>,
 }
 
-fn behaviour(record: Record, seen: Arc<Seen>) -> Box<Behaviour> {
+fn behaviour(variant: Variant, record: Record, seen: Arc<Seen>) -> Box<Behaviour> {
     Box::new(move |engine: &Engine, lifetime, head: &Head, stream| {
         let id = head.get("x-attempt-id").unwrap_or_default();
         let deadly = head.get("x-prompt-prefix").is_some_and(|parts| parts.contains(DEADLY_PART));
@@ -62,16 +81,19 @@
         }
         thread::sleep(PREFILL);
         let first = head.get("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0_u64) + 1;
-        let begin = format!("{}{}", stream_head(head), event(first));
+        let mut begin = stream_head(head);
+        if !deadly || variant == Variant::AfterFirstEvent {
+            begin.push_str(&event(first));
+        }
         if !lifetime.is_running() || stream.write_all(begin.as_bytes()).is_err() {
             return false;
         }
         if deadly {
-            // The event is on its way when the engine ends.
+            // What it has written is on its way when the engine ends.
             thread::sleep(Duration::from_millis(5));
             if engine.crash(lifetime, DOWN) {
                 seen.crashes.lock().expect("what was seen").push(Instant::now());
-                record.line(&format!("engine {} crashed under {id} after event {first}", lifetime.id));
+                record.line(&format!("engine {} crashed under {id}, first event {first}", lifetime.id));
             }
             return false;
         }
@@ -102,7 +124,7 @@
     (answer.status == 200 && !answer.body.is_empty(), answer.status == 200 && answer.complete)
 }
 
-pub fn run(record: &Record, trouble: bool) -> bool {
+pub fn run(variant: Variant, record: &Record, trouble: bool) -> bool {
     let deployment = Deployment::start(&MACHINES);
     let seen = Arc::new(Seen::default());
     for number in 0..ENGINES {
@@ -113,7 +135,7 @@
             zone: ["a", "b", "c"][number % 3],
             slots: SLOTS,
         };
-        Engine::start(identity, deployment.controls(), behaviour(record.clone(), seen.clone()));
+        Engine::start(identity, deployment.controls(), behaviour(variant, record.clone(), seen.clone()));
     }
     deployment.configure(DOCUMENT);
     deployment.wait_until_ready();
@@ -121,10 +143,12 @@
 
     let (ended, troubled) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
     let next = Arc::new(AtomicU64::new(0));
+    let shared = variant.shared_parts();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
             let nodes: Vec<_> = (0..MACHINES.len()).map(|machine| deployment.callers(machine)).collect();
             let (seen, ended, troubled, next) = (seen.clone(), ended.clone(), troubled.clone(), next.clone());
+            let shared = shared.clone();
             thread::spawn(move || {
                 for turn in caller.. {
                     if ended.load(Ordering::Relaxed) {
@@ -134,10 +158,10 @@
                     let node = nodes[turn % nodes.len()];
                     let id = format!("r{number}");
                     if troubled.load(Ordering::Relaxed) && number % DEADLY_INTERVAL == 0 {
-                        ask(node, &id, &format!("{SHARED_PART}:60,{DEADLY_PART}:140,{number:x}:500"));
+                        ask(node, &id, &format!("{shared}{DEADLY_PART}:140,{number:x}:500"));
                     } else {
                         let asked = Instant::now();
-                        let (began, whole) = ask(node, &id, &format!("{SHARED_PART}:60,{number:x}:640"));
+                        let (began, whole) = ask(node, &id, &format!("{shared}{number:x}:640"));
                         seen.sound.lock().expect("what was seen").push((asked, began, whole));
                     }
                     thread::sleep(PAUSE_BETWEEN_REQUESTS);
