Add review case 13: a roll-out that is ordered again after it was reverted is acknowledged and dropped

Cause: any earlier order with the same version and duration counts as the same order. Change: a script with stand-ins for engines, requesters and the operator; no code is changed.

--- a/review/harness-3/deployment.rs
+++ b/review/harness-3/deployment.rs
@@ -10,7 +10,6 @@
 
 /// Bounds of the small deployments on the users' sheets, as the settings state them.
 const SETTINGS: &str = "heartbeat_interval_ms=1200
-active_contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota
 fault_tolerance.machine_failures=1
 contract_parameters.contact_timeout_ms=3000
 contract_parameters.drain_timeout_ms=2000
@@ -26,6 +25,14 @@
 limits.memory_limit_mb=260
 limits.file_descriptor_limit=4100
 ";
+/// Parts of the rules that are in force on the first sheets.
+pub const CONTRACTS: &str = "active_contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota\n";
+/// The same with roll-outs, with the bounds of the sheet of apsct-quito-grown.
+pub const ROLLOUT_CONTRACTS: &str = "active_contracts=base,drain,config,cost,retry,recover,health,pool,engine,stream,tenants,quota,rollout
+contract_parameters.canary_share=0.1
+contract_parameters.canary_tolerance=50
+contract_parameters.rollback_timeout_ms=5000
+";
 /// Program that the deploy file runs, from the root of the repository.
 const PROGRAM: &str = "target/release/burdockcleat-node";
 
@@ -50,13 +57,14 @@
     network: [u8; 3],
     ports: Ports,
     machines: Vec<Machine>,
+    contracts: &'static str,
     /// Holds the network until the end.
     _lock: TcpListener,
 }
 
 impl Deployment {
     /// Starts one node for each `(zone, has a disk)`.
-    pub fn start(machines: &[(&'static str, bool)]) -> Self {
+    pub fn start(machines: &[(&'static str, bool)], contracts: &'static str) -> Self {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
         let (network, lock) = reserve_network();
@@ -64,7 +72,7 @@
         let ports = Ports { callers: first + 1, ready: first + 2, control: first + 3, peers: first + 4 };
         let machines = machines.iter().map(|(zone, disk)| Machine { zone, disk: *disk, process: None });
         let mut deployment =
-            Self { folder, network, ports, machines: machines.collect(), _lock: lock };
+            Self { folder, network, ports, machines: machines.collect(), contracts, _lock: lock };
         for machine in 0..deployment.machines.len() {
             deployment.start_node(machine, true);
         }
@@ -110,9 +118,10 @@
             "node_name=node-{machine}\nrole=node\nserved_roles=edge,controller\nip_address={ip}\nzone={zone}\n\
              listen_addresses.frontend={ip}:{callers}\nlisten_addresses.ready={ip}:{ready}\n\
              listen_addresses.control_plane={ip}:{control}\ninternal_port_range={peers},{}\n\
-             seed_nodes={}\nfirst_start={first_start}\nfailure_counted={disk}\n{SETTINGS}",
+             seed_nodes={}\nfirst_start={first_start}\nfailure_counted={disk}\n{SETTINGS}{}",
             peers + 15,
-            seeds.join(",")
+            seeds.join(","),
+            self.contracts
         );
         if disk {
             let data = self.folder.join(format!("disk-{machine}"));
--- a/review/harness-3/engine.rs
+++ b/review/harness-3/engine.rs
@@ -17,6 +17,8 @@
     pub name: String,
     pub address: SocketAddrV4,
     pub service: &'static str,
+    /// Version of its software.
+    pub version: &'static str,
     pub zone: &'static str,
     pub slots: u32,
 }
@@ -44,6 +46,8 @@
     lifetime: Mutex<Arc<Lifetime>>,
     lifetimes: AtomicU64,
     down_until: Mutex<Instant>,
+    /// Whether it no longer announces itself.
+    silent: AtomicBool,
     behaviour: Box<Behaviour>,
 }
 
@@ -57,6 +61,7 @@
             lifetime,
             lifetimes: AtomicU64::new(1),
             down_until: Mutex::new(Instant::now()),
+            silent: AtomicBool::new(false),
             behaviour,
         });
         let (accepting, announcing) = (engine.clone(), engine.clone());
@@ -65,6 +70,17 @@
         engine
     }
 
+    /// Ends the engine for good: it says that it leaves, serves on for a while and ends.
+    pub fn leave(&self, drain: Duration) {
+        let lifetime = self.lifetime.lock().expect("the engine").clone();
+        let path = format!("/api/instances/{}", lifetime.id);
+        let delete = |control: &SocketAddrV4| http::call(*control, "DELETE", &path, &[], b"");
+        self.silent.store(true, Ordering::SeqCst);
+        self.controls.iter().any(|control| delete(control).is_some_and(|answer| answer.status == 200));
+        thread::sleep(drain);
+        self.crash(&lifetime, Duration::from_secs(3_600));
+    }
+
     fn current(&self) -> Option<Arc<Lifetime>> {
         let down_until = *self.down_until.lock().expect("the engine");
         (Instant::now() >= down_until).then(|| self.lifetime.lock().expect("the engine").clone())
@@ -125,14 +141,17 @@
     }
 
     fn announce(&self) {
-        let Identity { address, service, zone, slots, .. } = &self.identity;
+        let Identity { address, service, version, zone, slots, .. } = &self.identity;
         let (mut born, mut sequence) = (0, 0_u64);
         for turn in 0_usize.. {
+            if self.silent.load(Ordering::SeqCst) {
+                return;
+            }
             if let Some(lifetime) = self.current() {
                 sequence = if lifetime.born == born { sequence + 1 } else { 1 };
                 born = lifetime.born;
                 let body = format!(
-                    "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"v1\",\
+                    "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\"version\":\"{version}\",\
                      \"slot_count\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence_number\":{sequence},\"born\":{born}}}"
                 );
                 let path = format!("/api/instances/{}", lifetime.id);
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod poison;
 mod record;
+mod rollout;
 
 use record::Record;
 use std::process::ExitCode;
@@ -22,6 +23,7 @@
         "poison" => poison::run(poison::Variant::AfterFirstEvent, &record, trouble),
         "poison-few-parts" => poison::run(poison::Variant::FewParts, &record, trouble),
         "poison-many-parts" => poison::run(poison::Variant::ManyParts, &record, trouble),
+        "rollout" => rollout::run(&record, trouble),
         _ => panic!("no such case: {case}"),
     };
     // A panic means that the case could not run. Nodes are ended while it unwinds.
--- a/review/harness-3/poison.rs
+++ b/review/harness-3/poison.rs
@@ -1,7 +1,7 @@
 //! Prompts with a part that crashes each engine that begins to write an answer on it. Sound requests share
 //! the caller and the other parts of the prompt with them.
 
-use crate::deployment::Deployment;
+use crate::deployment::{CONTRACTS, Deployment};
 use crate::engine::{Behaviour, Engine, Identity, event, stream_head};
 use crate::http::{self, Head};
 use crate::record::Record;
@@ -125,13 +125,14 @@
 }
 
 pub fn run(variant: Variant, record: &Record, trouble: bool) -> bool {
-    let deployment = Deployment::start(&MACHINES);
+    let deployment = Deployment::start(&MACHINES, CONTRACTS);
     let seen = Arc::new(Seen::default());
     for number in 0..ENGINES {
         let identity = Identity {
             name: format!("engine-{number}"),
             address: deployment.engine(number),
             service: "llm",
+            version: "v1",
             zone: ["a", "b", "c"][number % 3],
             slots: SLOTS,
         };
