--- a/review/harness-3/deployment.rs
+++ b/review/harness-3/deployment.rs
@@ -26,7 +26,8 @@
 limits.file_descriptor_limit=4100
 ";
 /// Parts of the rules that are in force on the first sheets.
-pub const CONTRACTS: &str = "active_contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota\n";
+pub const CONTRACTS: &str =
+    "active_contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota\n";
 /// The same with roll-outs, with the bounds of the sheet of apsct-quito-grown.
 pub const ROLLOUT_CONTRACTS: &str = "active_contracts=base,drain,config,cost,retry,recover,health,pool,engine,stream,tenants,quota,rollout
 contract_parameters.canary_share=0.1
@@ -69,8 +70,10 @@
         fs::create_dir_all(&folder).expect("a temporary folder");
         let (network, lock) = reserve_network();
         let first = lock.local_addr().expect("an address").port();
-        let ports = Ports { callers: first + 1, ready: first + 2, control: first + 3, peers: first + 4 };
-        let machines = machines.iter().map(|(zone, disk)| Machine { zone, disk: *disk, process: None });
+        let ports =
+            Ports { callers: first + 1, ready: first + 2, control: first + 3, peers: first + 4 };
+        let machines =
+            machines.iter().map(|(zone, disk)| Machine { zone, disk: *disk, process: None });
         let mut deployment =
             Self { folder, network, ports, machines: machines.collect(), contracts, _lock: lock };
         for machine in 0..deployment.machines.len() {
@@ -141,25 +144,14 @@
         self.machines[machine].process = Some(command.spawn().expect("the node's program"));
     }
 
-    /// Sends a signal to a node, given as an option of `kill`.
-    pub fn signal(&self, machine: usize, signal: &str) {
-        let id = self.machines[machine].process.as_ref().expect("a running node").id().to_string();
-        let sent = Command::new("kill").args([signal, &id]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal was not sent");
-    }
-
-    /// Waits until a node has ended.
-    pub fn wait(&mut self, machine: usize) {
-        if let Some(mut process) = self.machines[machine].process.take() {
-            process.wait().expect("an ended node");
-        }
-    }
-
     /// Sends a configuration to the nodes in turn until it is acknowledged.
     pub fn configure(&self, document: &str) {
-        let put = |machine| http::call(self.control(machine), "PUT", "/api/configuration", &[], document.as_bytes());
+        let put = |machine| {
+            http::call(self.control(machine), "PUT", "/api/configuration", &[], document.as_bytes())
+        };
         wait_for("an acknowledged configuration", || {
-            (0..self.machines.len()).any(|machine| put(machine).is_some_and(|answer| answer.status == 200))
+            (0..self.machines.len())
+                .any(|machine| put(machine).is_some_and(|answer| answer.status == 200))
         });
     }
 
@@ -168,8 +160,9 @@
         wait_for("ready nodes", || (0..self.machines.len()).all(|machine| self.is_ready(machine)));
     }
 
-    pub fn is_ready(&self, machine: usize) -> bool {
-        let answer: Option<Answer> = http::call(self.ready(machine), "GET", "/api/readiness", &[], b"");
+    fn is_ready(&self, machine: usize) -> bool {
+        let answer: Option<Answer> =
+            http::call(self.ready(machine), "GET", "/api/readiness", &[], b"");
         answer.is_some_and(|answer| answer.status == 200)
     }
 }
--- a/review/harness-3/engine.rs
+++ b/review/harness-3/engine.rs
@@ -53,7 +53,11 @@
 
 impl Engine {
     /// Starts an engine that announces itself to the control addresses in turn.
-    pub fn start(identity: Identity, controls: Vec<SocketAddrV4>, behaviour: Box<Behaviour>) -> Arc<Self> {
+    pub fn start(
+        identity: Identity,
+        controls: Vec<SocketAddrV4>,
+        behaviour: Box<Behaviour>,
+    ) -> Arc<Self> {
         let lifetime = Mutex::new(new_lifetime(&identity, 0));
         let engine = Arc::new(Self {
             identity,
@@ -76,7 +80,9 @@
         let path = format!("/api/instances/{}", lifetime.id);
         let delete = |control: &SocketAddrV4| http::call(*control, "DELETE", &path, &[], b"");
         self.silent.store(true, Ordering::SeqCst);
-        self.controls.iter().any(|control| delete(control).is_some_and(|answer| answer.status == 200));
+        self.controls
+            .iter()
+            .any(|control| delete(control).is_some_and(|answer| answer.status == 200));
         thread::sleep(drain);
         self.crash(&lifetime, Duration::from_secs(3_600));
     }
@@ -158,7 +164,8 @@
                 let mut tries = (0..self.controls.len())
                     .map(|offset| self.controls[(turn + offset) % self.controls.len()]);
                 tries.any(|control| {
-                    http::call(control, "PUT", &path, &[], body.as_bytes()).is_some_and(|a| a.status == 200)
+                    http::call(control, "PUT", &path, &[], body.as_bytes())
+                        .is_some_and(|a| a.status == 200)
                 });
                 // A new lifetime announces itself when it starts.
                 let next = Instant::now() + HEARTBEAT_INTERVAL;
--- a/review/harness-3/http.rs
+++ b/review/harness-3/http.rs
@@ -53,7 +53,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Answer {
     pub status: u16,
-    pub head: Head,
     pub body: Vec<u8>,
     /// Whether the body arrived in full, by its length or its last chunk.
     pub complete: bool,
@@ -94,7 +93,7 @@
     } else {
         complete |= reader.read_to_end(&mut body).is_ok();
     }
-    Some(Answer { status, head, body, complete })
+    Some(Answer { status, body, complete })
 }
 
 /// Reads chunks up to the last one. Returns `None` if the connection ends before it.
--- a/review/harness-3/poison.rs
+++ b/review/harness-3/poison.rs
@@ -93,7 +93,10 @@
             thread::sleep(Duration::from_millis(5));
             if engine.crash(lifetime, DOWN) {
                 seen.crashes.lock().expect("what was seen").push(Instant::now());
-                record.line(&format!("engine {} crashed under {id}, first event {first}", lifetime.id));
+                record.line(&format!(
+                    "engine {} crashed under {id}, first event {first}",
+                    lifetime.id
+                ));
             }
             return false;
         }
@@ -136,7 +139,11 @@
             zone: ["a", "b", "c"][number % 3],
             slots: SLOTS,
         };
-        Engine::start(identity, deployment.controls(), behaviour(variant, record.clone(), seen.clone()));
+        Engine::start(
+            identity,
+            deployment.controls(),
+            behaviour(variant, record.clone(), seen.clone()),
+        );
     }
     deployment.configure(DOCUMENT);
     deployment.wait_until_ready();
@@ -147,8 +154,10 @@
     let shared = variant.shared_parts();
     let callers: Vec<_> = (0..CALLERS)
         .map(|caller| {
-            let nodes: Vec<_> = (0..MACHINES.len()).map(|machine| deployment.callers(machine)).collect();
-            let (seen, ended, troubled, next) = (seen.clone(), ended.clone(), troubled.clone(), next.clone());
+            let nodes: Vec<_> =
+                (0..MACHINES.len()).map(|machine| deployment.callers(machine)).collect();
+            let (seen, ended, troubled, next) =
+                (seen.clone(), ended.clone(), troubled.clone(), next.clone());
             let shared = shared.clone();
             thread::spawn(move || {
                 for turn in caller.. {
@@ -187,7 +196,10 @@
     let share = |from: Instant, to: Instant, whole: bool| {
         let sound = seen.sound.lock().expect("what was seen");
         let asked: Vec<_> = sound.iter().filter(|(at, ..)| *at >= from && *at < to).collect();
-        let good = asked.iter().filter(|(_, began, complete)| if whole { *complete } else { *began }).count();
+        let good = asked
+            .iter()
+            .filter(|(_, began, complete)| if whole { *complete } else { *began })
+            .count();
         (good, asked.len())
     };
     let crashes = seen.crashes.lock().expect("what was seen").clone();
@@ -199,7 +211,13 @@
         record.line("fewer than five crashes");
         return before.0 * 2 < before.1;
     };
-    let late = seen.deadly.lock().expect("what was seen").iter().filter(|at| **at > fifth + CONTACT).count();
+    let late = seen
+        .deadly
+        .lock()
+        .expect("what was seen")
+        .iter()
+        .filter(|at| **at > fifth + CONTACT)
+        .count();
     record.line(&format!(
         "requests with the part that reached engines later than 3 s after the fifth crash: {late}, {ALLOWED} are allowed"
     ));
--- a/review/harness-3/rollout.rs
+++ b/review/harness-3/rollout.rs
@@ -5,8 +5,8 @@
 use crate::http::{self, Answer, Head};
 use crate::record::Record;
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -43,7 +43,8 @@
         thread::sleep(WORK);
         let id = head.get("x-attempt-id").unwrap_or_default();
         let number = newer.as_ref().map_or(0, |newer| newer.runs.fetch_add(1, Ordering::SeqCst));
-        let fails = newer.as_ref().is_some_and(|newer| newer.failing.load(Ordering::SeqCst)) && number * FAILURES % 100 < FAILURES;
+        let fails = newer.as_ref().is_some_and(|newer| newer.failing.load(Ordering::SeqCst))
+            && number * FAILURES % 100 < FAILURES;
         let status = if fails { "500 Internal Server Error" } else { "200 OK" };
         let answer = format!(
             "HTTP/1.1 {status}\r\nX-Attempt-Id: {id}\r\nX-Server-Signature: 3e1b.07\r\nContent-Length: 4\r\n\r\ndone"
@@ -123,10 +124,16 @@
                         return;
                     }
                     let id = format!("r{caller}-{turn}");
-                    let headers =
-                        [("Host", "agency.example"), ("X-Attempt-Id", id.as_str()), ("X-Deadline-Ms", "1000")];
+                    let headers = [
+                        ("Host", "agency.example"),
+                        ("X-Attempt-Id", id.as_str()),
+                        ("X-Deadline-Ms", "1000"),
+                    ];
                     let answer = http::call(node, "GET", "/status/x", &headers, b"");
-                    served.fetch_add(u64::from(answer.is_some_and(|a| a.status == 200)), Ordering::SeqCst);
+                    served.fetch_add(
+                        u64::from(answer.is_some_and(|a| a.status == 200)),
+                        Ordering::SeqCst,
+                    );
                     thread::sleep(PAUSE_BETWEEN_REQUESTS);
                 }
             })
