Add review case 12: acknowledged leaves are lost when all processes of the core are killed

Cause: a leave is acknowledged before it is stored, and leaves that come together are stored a second later. Change: a script with small stand-ins for engines and requesters; no code is changed.

--- a/review/harness-3/deployment.rs
+++ b/review/harness-3/deployment.rs
@@ -144,6 +144,18 @@
         self.machines[machine].process = Some(command.spawn().expect("the node's program"));
     }
 
+    /// Kills all nodes and waits for their ends.
+    pub fn kill_all(&mut self) {
+        let mut processes: Vec<_> =
+            self.machines.iter_mut().filter_map(|m| m.process.take()).collect();
+        for process in &mut processes {
+            process.kill().expect("a running node");
+        }
+        for process in &mut processes {
+            process.wait().expect("an ended node");
+        }
+    }
+
     /// Sends a configuration to the nodes in turn until it is acknowledged.
     pub fn configure(&self, document: &str) {
         let put = |machine| {
--- a/review/harness-3/engine.rs
+++ b/review/harness-3/engine.rs
@@ -74,16 +74,20 @@
         engine
     }
 
-    /// Ends the engine for good: it says that it leaves, serves on for a while and ends.
-    pub fn leave(&self, drain: Duration) {
+    /// Says that the engine leaves, to one node after another until one acknowledges it. Returns the time of
+    /// the acknowledgement. The engine announces itself no more, and serves on.
+    pub fn say_leave(&self) -> Option<Instant> {
         let lifetime = self.lifetime.lock().expect("the engine").clone();
         let path = format!("/api/instances/{}", lifetime.id);
-        let delete = |control: &SocketAddrV4| http::call(*control, "DELETE", &path, &[], b"");
         self.silent.store(true, Ordering::SeqCst);
-        self.controls
-            .iter()
-            .any(|control| delete(control).is_some_and(|answer| answer.status == 200));
-        thread::sleep(drain);
+        let leave = |control: &SocketAddrV4| http::call(*control, "DELETE", &path, &[], b"");
+        let acknowledged = |control: &SocketAddrV4| leave(control).is_some_and(|a| a.status == 200);
+        self.controls.iter().any(acknowledged).then(Instant::now)
+    }
+
+    /// Ends the engine for good.
+    pub fn end(&self) {
+        let lifetime = self.lifetime.lock().expect("the engine").clone();
         self.crash(&lifetime, Duration::from_secs(3_600));
     }
 
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -4,6 +4,7 @@
 mod deployment;
 mod engine;
 mod http;
+mod leave;
 mod poison;
 mod record;
 mod rollout;
@@ -23,6 +24,7 @@
         "poison" => poison::run(poison::Variant::AfterFirstEvent, &record, trouble),
         "poison-few-parts" => poison::run(poison::Variant::FewParts, &record, trouble),
         "poison-many-parts" => poison::run(poison::Variant::ManyParts, &record, trouble),
+        "leave" => leave::run(&record, trouble),
         "rollout" => rollout::run(&record, trouble),
         _ => panic!("no such case: {case}"),
     };
--- a/review/harness-3/rollout.rs
+++ b/review/harness-3/rollout.rs
@@ -151,12 +151,19 @@
     if first.contains("reverted") {
         thread::sleep(Duration::from_secs(3));
         for engine in engines.drain(..) {
-            thread::spawn(move || engine.leave(Duration::from_secs(2)));
+            thread::spawn(move || {
+                engine.say_leave();
+                thread::sleep(Duration::from_secs(2));
+                engine.end();
+            });
         }
     } else {
         // At the end of a roll-out the old engines stop without draining.
         for engine in older {
-            thread::spawn(move || engine.leave(Duration::ZERO));
+            thread::spawn(move || {
+                engine.say_leave();
+                engine.end();
+            });
         }
     }
     thread::sleep(PAUSE);
