--- a/review/harness-3/leave.rs
+++ b/review/harness-3/leave.rs
@@ -22,7 +22,7 @@
 /// Time for which a leaving engine serves after its acknowledgement: `drain_timeout_ms` and many seconds.
 const LINGER: Duration = Duration::from_secs(11);
 /// Time from the last acknowledgement to the kill, and from there to the start.
-const KILL_AFTER: Duration = Duration::from_millis(20);
+const KILL_AFTER: Duration = Duration::from_millis(50);
 const DOWN: Duration = Duration::from_millis(500);
 /// `drain_timeout_ms` and `contact_timeout_ms` of the sheets.
 const DRAIN: Duration = Duration::from_secs(2);
