--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Leaves of engines that are acknowledged right before all processes are killed. See claim.txt.
+# Engines that leave before their first heartbeats, which are late, have arrived. See claim.txt.
 folder="$(cd "$(dirname "$0")" && pwd)"
-exec bash "$folder/../harness-3/run.sh" leave "$folder/record.txt"
+exec bash "$folder/../harness-3/run.sh" late-heartbeat "$folder/record.txt"
--- a/review/harness-3/engine.rs
+++ b/review/harness-3/engine.rs
@@ -10,6 +10,8 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
+/// Time within which a heartbeat is to be acknowledged.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What an engine says of itself in all its lifetimes.
 #[derive(Clone)]
@@ -21,6 +23,8 @@
     pub version: &'static str,
     pub zone: &'static str,
     pub slots: u32,
+    /// Time for which the network holds its first heartbeat.
+    pub first_delay: Duration,
 }
 
 /// Lifetime of an engine, with its open connections.
@@ -150,8 +154,9 @@
         let _ = stream.shutdown(Shutdown::Both);
     }
 
+    /// Sends heartbeats until the engine leaves.
     fn announce(&self) {
-        let Identity { address, service, version, zone, slots, .. } = &self.identity;
+        let Identity { address, service, version, zone, slots, first_delay, .. } = &self.identity;
         let (mut born, mut sequence) = (0, 0_u64);
         for turn in 0_usize.. {
             if self.silent.load(Ordering::SeqCst) {
@@ -165,6 +170,17 @@
                      \"slot_count\":{slots},\"state\":\"ready\",\"cold_remaining_ms\":0,\"sequence_number\":{sequence},\"born\":{born}}}"
                 );
                 let path = format!("/api/instances/{}", lifetime.id);
+                if sequence == 1 && !first_delay.is_zero() {
+                    // The call is on its way; without an answer within a second the next node is called.
+                    let (control, delay) =
+                        (self.controls[turn % self.controls.len()], *first_delay);
+                    thread::spawn(move || {
+                        thread::sleep(delay);
+                        http::call(control, "PUT", &path, &[], body.as_bytes())
+                    });
+                    thread::sleep(ANSWER_TIMEOUT);
+                    continue;
+                }
                 let mut tries = (0..self.controls.len())
                     .map(|offset| self.controls[(turn + offset) % self.controls.len()]);
                 tries.any(|control| {
--- a/review/harness-3/leave.rs
+++ b/review/harness-3/leave.rs
@@ -1,5 +1,4 @@
-//! Engines leave together; right after their leaves were acknowledged, all processes are killed and come
-//! back.
+//! Engines that leave, and whose leaves the nodes forget or ignore.
 
 use crate::deployment::{CONTRACTS, Deployment};
 use crate::engine::{Behaviour, Engine, Identity};
@@ -11,6 +10,16 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Variant of the disruption.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Variant {
+    /// Engines leave together. Right after the leaves were acknowledged, all processes are killed and come
+    /// back.
+    KilledNodes,
+    /// Engines start and leave again. Their first heartbeats arrive late, after the leaves.
+    LateHeartbeats,
+}
+
 /// One machine in each zone, so all have a disk and count as the core.
 const MACHINES: [(&str, bool); 3] = [("a", true), ("b", true), ("c", true)];
 /// Engines. The last ones leave: 15 in 100, as `scale_in` takes.
@@ -24,6 +33,10 @@
 /// Time from the last acknowledgement to the kill, and from there to the start.
 const KILL_AFTER: Duration = Duration::from_millis(50);
 const DOWN: Duration = Duration::from_millis(500);
+/// Time from the start of engines whose heartbeats are late to their leave.
+const LEAVE_AFTER: Duration = Duration::from_millis(800);
+/// Time by which their first heartbeats are late.
+const LATE: Duration = Duration::from_secs(3);
 /// `drain_timeout_ms` and `contact_timeout_ms` of the sheets.
 const DRAIN: Duration = Duration::from_secs(2);
 const CONTACT: Duration = Duration::from_secs(3);
@@ -65,11 +78,11 @@
     })
 }
 
-pub fn run(record: &Record, trouble: bool) -> bool {
+pub fn run(variant: Variant, record: &Record, trouble: bool) -> bool {
     let mut deployment = Deployment::start(&MACHINES, CONTRACTS);
     let arrivals = Arrivals::default();
-    let engines: Vec<_> = (0..ENGINES)
-        .map(|number| {
+    let start = |numbers: std::ops::Range<usize>, first_delay, arrivals: Option<&Arrivals>| {
+        let start = |number| {
             let identity = Identity {
                 name: format!("engine-{number}"),
                 address: deployment.engine(number),
@@ -77,15 +90,18 @@
                 version: "v1",
                 zone: ["a", "b", "c"][number % 3],
                 slots: 6,
+                first_delay,
             };
-            let leaves = number + LEAVING >= ENGINES;
-            Engine::start(
-                identity,
-                deployment.controls(),
-                behaviour(leaves.then(|| arrivals.clone())),
-            )
-        })
-        .collect();
+            Engine::start(identity, deployment.controls(), behaviour(arrivals.cloned()))
+        };
+        numbers.map(start).collect::<Vec<_>>()
+    };
+    let stay = ENGINES - LEAVING;
+    start(0..stay, Duration::ZERO, None);
+    let mut leaving = Vec::new();
+    if variant == Variant::KilledNodes {
+        leaving = start(stay..ENGINES, Duration::ZERO, Some(&arrivals));
+    }
     deployment.configure(DOCUMENT);
     deployment.wait_until_ready();
     let ended = Arc::new(AtomicBool::new(false));
@@ -121,7 +137,15 @@
     // Longer than the interval at which nodes store what they know.
     thread::sleep(Duration::from_secs(8));
 
-    let leaving: Vec<_> = engines[ENGINES - LEAVING..]
+    if variant == Variant::LateHeartbeats {
+        let first_delay = if trouble { LATE } else { Duration::ZERO };
+        leaving = start(stay..ENGINES, first_delay, Some(&arrivals));
+        record.line(&format!(
+            "{LEAVING} engines start, their first heartbeats are {first_delay:?} late"
+        ));
+        thread::sleep(LEAVE_AFTER);
+    }
+    let leaves: Vec<_> = leaving
         .iter()
         .map(|engine| {
             let engine = engine.clone();
@@ -129,12 +153,12 @@
         })
         .collect();
     let acknowledged: Vec<_> =
-        leaving.into_iter().map(|leave| leave.join().expect("an engine")).collect();
+        leaves.into_iter().map(|leave| leave.join().expect("an engine")).collect();
     assert!(acknowledged.iter().all(Option::is_some), "a leave was not acknowledged");
     let acknowledged = acknowledged.into_iter().flatten().max().expect("leaves");
     record.line(&format!("the leaves of {LEAVING} engines are acknowledged"));
     let mut in_touch = acknowledged;
-    if trouble {
+    if trouble && variant == Variant::KilledNodes {
         thread::sleep((acknowledged + KILL_AFTER).saturating_duration_since(Instant::now()));
         deployment.kill_all();
         record.line(&format!(
@@ -150,7 +174,7 @@
     }
     let from = in_touch.max(acknowledged + DRAIN);
     thread::sleep((acknowledged + LINGER).saturating_duration_since(Instant::now()));
-    for engine in &engines[ENGINES - LEAVING..] {
+    for engine in &leaving {
         engine.end();
     }
     record.line("the engines that leave have ended");
--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -24,7 +24,8 @@
         "poison" => poison::run(poison::Variant::AfterFirstEvent, &record, trouble),
         "poison-few-parts" => poison::run(poison::Variant::FewParts, &record, trouble),
         "poison-many-parts" => poison::run(poison::Variant::ManyParts, &record, trouble),
-        "leave" => leave::run(&record, trouble),
+        "leave" => leave::run(leave::Variant::KilledNodes, &record, trouble),
+        "late-heartbeat" => leave::run(leave::Variant::LateHeartbeats, &record, trouble),
         "rollout" => rollout::run(&record, trouble),
         _ => panic!("no such case: {case}"),
     };
--- a/review/harness-3/poison.rs
+++ b/review/harness-3/poison.rs
@@ -138,6 +138,7 @@
             version: "v1",
             zone: ["a", "b", "c"][number % 3],
             slots: SLOTS,
+            first_delay: Duration::ZERO,
         };
         Engine::start(
             identity,
--- a/review/harness-3/rollout.rs
+++ b/review/harness-3/rollout.rs
@@ -68,6 +68,7 @@
             version,
             zone: ["a", "b", "c"][number % 3],
             slots: 6,
+            first_delay: Duration::ZERO,
         };
         Engine::start(identity, deployment.controls(), behaviour(newer.cloned()))
     };
